--- /dev/null
+++ b/Tests/LibCore/TestRing.cpp
@@ -0,0 +1,28 @@
+/// @file Bounds and closing of the ring between two duties.
+
+#include "LibCore/Ring.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a full ring refuses and keeps what it holds")
+{
+    Core::Ring<int> ring(2);
+    REQUIRE(ring.tryPush(1));
+    REQUIRE(ring.tryPush(2));
+    REQUIRE_FALSE(ring.tryPush(3));
+    REQUIRE(ring.pop(0ms) == 1);
+    REQUIRE(ring.pop(0ms) == 2);
+    REQUIRE_FALSE(ring.pop(0ms).has_value());
+}
+
+TEST_CASE("a closed ring drains and then stays empty")
+{
+    Core::Ring<int> ring(2);
+    REQUIRE(ring.tryPush(1));
+    ring.close();
+    REQUIRE_FALSE(ring.tryPush(2));
+    REQUIRE(ring.pop(0ms) == 1);
+    REQUIRE_FALSE(ring.pop(1000ms).has_value());
+}
