--- /dev/null
+++ b/Libraries/LibControl/Model.h
@@ -0,0 +1,136 @@
+/// @file What operators publish and what the system has decided: the value types of the control state.
+#pragma once
+
+#include "LibProtocol/Member.h"
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace Control {
+
+/// Offset of a record in the control stream. Offsets order everything and serve as revisions and fencing numbers; 0 means none.
+using Offset = std::uint64_t;
+
+enum class ServiceKind {
+    Model = 0, ///< Endpoints are model engines, which hold weights.
+    Plain = 1, ///< Endpoints are plain services.
+};
+
+enum class BurstPolicy {
+    OriginBytes = 0, ///< Draw about one copy from the origin, even if the last replica serves a little later.
+    Time = 1, ///< Spend up to the origin budget to serve sooner.
+};
+
+/// What one client account wants of a template.
+struct AccountParameters
+{
+    std::string m_account;
+    std::string m_model;
+    std::string m_version; ///< Name of the version at the weight store.
+    std::string m_digest; ///< Manifest digest that the name had when it was published; this is what runs.
+    std::uint32_t m_replicas = 1;
+    std::vector<std::string> m_failureDomains; ///< Where replicas may run; empty means everywhere.
+    std::uint32_t m_weight = 1; ///< Share of the service under contention, relative to other accounts.
+
+    bool operator==(const AccountParameters &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("account", m_account),
+                       MSGPACK_NVP("model", m_model),
+                       MSGPACK_NVP("version", m_version),
+                       MSGPACK_NVP("digest", m_digest),
+                       MSGPACK_NVP("replicas", m_replicas),
+                       MSGPACK_NVP("failure_domains", m_failureDomains),
+                       MSGPACK_NVP("weight", m_weight));
+};
+
+/// A template with the parameters of its client accounts, as one published unit.
+struct Template
+{
+    std::string m_name;
+    std::string m_service;
+    ServiceKind m_kind = ServiceKind::Model;
+    BurstPolicy m_policy = BurstPolicy::OriginBytes;
+    double m_originCopies = 1; ///< Budget of origin bytes for one burst, in copies of the weights.
+    std::vector<AccountParameters> m_accounts;
+
+    bool operator==(const Template &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("name", m_name),
+                       MSGPACK_NVP("service", m_service),
+                       MSGPACK_NVP("kind", m_kind),
+                       MSGPACK_NVP("policy", m_policy),
+                       MSGPACK_NVP("origin_copies", m_originCopies),
+                       MSGPACK_NVP("accounts", m_accounts));
+};
+
+/// A template in force.
+struct AcceptedTemplate
+{
+    Template m_template;
+    Offset m_revision = 0; ///< Offset of the record that put it in force.
+    std::string m_operator; ///< Who published it.
+
+    bool operator==(const AcceptedTemplate &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("template", m_template), MSGPACK_NVP("revision", m_revision), MSGPACK_NVP("operator", m_operator));
+};
+
+/// An instance that is to hold a version.
+struct PlannedReplica
+{
+    std::string m_instance;
+    std::string m_region;
+    std::string m_failureDomain;
+    Core::Address m_wire; ///< Of the agent there.
+
+    bool operator==(const PlannedReplica &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("instance", m_instance),
+                       MSGPACK_NVP("region", m_region),
+                       MSGPACK_NVP("failure_domain", m_failureDomain),
+                       MSGPACK_NVP("wire", m_wire));
+};
+
+/// One version of one model and every instance that is to hold it.
+struct Deployment
+{
+    std::string m_model;
+    std::string m_version;
+    std::string m_digest;
+    BurstPolicy m_policy = BurstPolicy::OriginBytes;
+    double m_originCopies = 1;
+    std::vector<PlannedReplica> m_replicas; ///< Sorted by instance.
+
+    bool operator==(const Deployment &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("model", m_model),
+                       MSGPACK_NVP("version", m_version),
+                       MSGPACK_NVP("digest", m_digest),
+                       MSGPACK_NVP("policy", m_policy),
+                       MSGPACK_NVP("origin_copies", m_originCopies),
+                       MSGPACK_NVP("replicas", m_replicas));
+};
+
+/// Which instances of a service hold what. Agreed through the log; its offset is the fencing number of every order that follows from it.
+struct Plan
+{
+    std::string m_service;
+    Offset m_offset = 0; ///< Of the record that put it in force.
+    Offset m_basedOnConfiguration = 0; ///< Newest revision among the service's templates when it was made.
+    std::vector<Deployment> m_deployments; ///< Sorted by digest; each digest once.
+
+    bool operator==(const Plan &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("service", m_service),
+                       MSGPACK_NVP("offset", m_offset),
+                       MSGPACK_NVP("based_on", m_basedOnConfiguration),
+                       MSGPACK_NVP("deployments", m_deployments));
+};
+
+}
+
+MSGPACK_ADD_ENUM(Control::ServiceKind);
+MSGPACK_ADD_ENUM(Control::BurstPolicy);
--- a/Libraries/LibCore/Error.h
+++ b/Libraries/LibCore/Error.h
@@ -44,6 +44,12 @@
 template <typename T>
 using Result = BOOST_OUTCOME_V2_NAMESPACE::result<T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
+/// The successful end of a function that returns Result<void>.
+inline Result<void> success()
+{
+    return Result<void>(BOOST_OUTCOME_V2_NAMESPACE::in_place_type<void>);
+}
+
 /// Shorthand to fail with an Error out of a function that returns a Result.
 Error makeError(ErrorCode code, std::string step, std::string peer, std::string detail);
 
--- /dev/null
+++ b/Libraries/LibProtocol/StateFeed.h
@@ -0,0 +1,58 @@
+/// @file How control state reaches a process that does not read the log itself, or cannot (method control.state, a stream of StateUpdate frames).
+#pragma once
+
+#include "LibProtocol/Member.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace Protocol {
+
+struct StateRequest
+{
+    Member m_subscriber;
+    std::uint64_t m_appliedOffset = 0; ///< What the subscriber has; 0 if nothing.
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("subscriber", m_subscriber), MSGPACK_NVP("applied", m_appliedOffset));
+};
+
+/// A record of the control stream as the log holds it.
+struct LogRecord
+{
+    std::uint64_t m_offset = 0;
+    std::string m_body;
+
+    bool operator==(const LogRecord &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("offset", m_offset), MSGPACK_NVP("body", m_body));
+};
+
+/// Either a snapshot, or records that follow what the subscriber has, or members, or several of them.
+struct StateUpdate
+{
+    std::uint64_t m_snapshotOffset = 0; ///< 0 if there is no snapshot in this update.
+    std::string m_snapshot; ///< Encoded control state as of m_snapshotOffset.
+    std::vector<LogRecord> m_records;
+    std::uint64_t m_membersVersion = 0; ///< 0 if there are no members in this update.
+    std::vector<Member> m_members; ///< Every known member, not a difference.
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("snapshot_offset", m_snapshotOffset),
+                       MSGPACK_NVP("snapshot", m_snapshot),
+                       MSGPACK_NVP("records", m_records),
+                       MSGPACK_NVP("members_version", m_membersVersion),
+                       MSGPACK_NVP("members", m_members));
+};
+
+/// A subscriber says which state is in force at it (method control.applied).
+struct AppliedNotice
+{
+    std::string m_instance;
+    std::string m_incarnation;
+    std::uint64_t m_appliedOffset = 0;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("instance", m_instance), MSGPACK_NVP("incarnation", m_incarnation), MSGPACK_NVP("applied", m_appliedOffset));
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/Node.h
@@ -0,0 +1,118 @@
+/// @file A process's end of all its connections to other processes of the system.
+#pragma once
+
+#include "LibCore/Ring.h"
+#include "LibNetwork/NetworkSettings.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibWire/Connection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace Wire {
+
+struct NodeSettings
+{
+    std::optional<Core::Address> m_listen; ///< Absent for a process that only calls.
+    Network::NetworkSettings m_network;
+    ConnectionLimits m_limits;
+    std::size_t m_maximumConnections = 4096;
+    std::size_t m_commandCapacity = 1 << 16; ///< Calls and cancellations waiting for the node's thread.
+    Core::Duration m_idleLimit{60000}; ///< An outgoing connection without calls is closed after this.
+};
+
+/**
+ * Makes and answers calls over HTTP/2 streams, on one thread of its own.
+ *
+ * Handlers and call events run on that thread and must not block.
+ */
+class Node
+{
+public:
+    Node(NodeSettings settings, Telemetry::Metrics &metrics);
+    ~Node();
+
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /// Registers the handler of a method, for example "control.state". Before start() only.
+    void handle(const std::string &method, Handler handler);
+
+    /// Listens, if the settings say so, and starts the thread.
+    Core::Result<void> start();
+    /// Ends every call with Cancelled, closes every connection and joins the thread.
+    void stop();
+
+    /// Starts a call; every call gets exactly one m_onEnd, which may come on this thread if the node is overloaded or stopped.
+    CallId call(const Core::Address &peer, std::string method, std::string body, CallOptions options, CallEvents events);
+    /// Ends a call early: its m_onEnd reports Cancelled, and the peer's responder sees the cancellation.
+    void cancel(CallId call);
+
+    /// Makes a call whose answer is one frame and waits for it. Not from the node's thread.
+    Core::Result<std::string> request(const Core::Address &peer, std::string method, std::string body, Core::Duration timeout);
+
+private:
+    struct Command
+    {
+        std::optional<Core::Address> m_peer; ///< Set for a new call.
+        Connection::NewCall m_call;
+        CallId m_cancelled = 0;
+    };
+
+    struct OpenCall
+    {
+        ConnectionId m_connection = 0;
+        Core::Instant m_deadline;
+        std::string m_peerName;
+    };
+
+    void run();
+    void wake();
+    void runCommands();
+    void startCall(Command command);
+    void resumeDirtyStreams();
+    void acceptConnections();
+    void tick(Core::Instant now);
+    void expireCalls(Core::Instant now);
+    void abandon(CallId call, const Core::Error &reason);
+    Connection *connectionTo(const Core::Address &peer, Core::Error &error);
+    void watch(Connection &connection);
+    void update(Connection &connection);
+    void removeDeadConnections();
+    void endEverything();
+
+    const NodeSettings m_settings;
+    Traffic m_traffic;
+    Telemetry::Counter &m_connectionsLost;
+    Telemetry::Counter &m_callsRefused;
+    std::map<std::string, Handler> m_handlers; ///< Fixed once the thread runs.
+    ConnectionHost m_host;
+    Core::Ring<Command> m_commands;
+    std::atomic<CallId> m_nextCall = 1;
+    std::atomic<bool> m_running = false;
+    std::atomic<bool> m_wakeRequested = false;
+
+    std::mutex m_dirtyMutex;
+    std::vector<std::pair<ConnectionId, std::int32_t>> m_dirty; ///< Streams with new output; bounded by the open streams' pushes between two turns.
+
+    // From here on, used by the node's thread only.
+    int m_epoll = -1;
+    int m_wakeDescriptor = -1;
+    std::optional<Poco::Net::ServerSocket> m_listener;
+    ConnectionId m_nextConnection = 0;
+    std::unordered_map<ConnectionId, std::unique_ptr<Connection>> m_connections;
+    std::unordered_map<ConnectionId, bool> m_writeWatched;
+    std::map<Core::Address, ConnectionId> m_outgoing; ///< The connection that new calls to a peer use.
+    std::unordered_map<CallId, OpenCall> m_calls;
+    std::multimap<Core::Instant, CallId> m_deadlines; ///< May name calls that have ended.
+    std::unordered_map<ConnectionId, Core::Instant> m_idleSince;
+    Core::Instant m_nextTick;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibWire/StreamOutput.h
@@ -0,0 +1,52 @@
+/// @file The bytes that wait to go out on one stream, shared between the threads that answer and the node's thread.
+#pragma once
+
+#include "LibWire/Frame.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace Wire {
+
+/// Outgoing side of one HTTP/2 stream. Thread-safe.
+class StreamOutput
+{
+public:
+    /// @p wake is called, on any thread, whenever there is something new to send.
+    StreamOutput(std::size_t maximumBacklog, std::function<void()> wake);
+
+    /// False if the stream is closed or finished, or its backlog would exceed the limit.
+    bool push(FrameKind kind, std::string_view payload);
+    /// Queues the last frame, regardless of the backlog; later frames are refused.
+    void finish(FrameKind kind, std::string_view payload);
+    /// Drops what is queued; called when the stream has ended.
+    void close();
+
+    bool isClosed() const;
+    bool isFinished() const;
+    std::size_t backlog() const;
+    bool hasData() const;
+
+    struct Taken
+    {
+        std::size_t m_bytes = 0;
+        bool m_last = false; ///< Everything up to the end frame has been taken.
+    };
+    /// Moves up to @p length bytes into @p buffer.
+    Taken take(char *buffer, std::size_t length);
+
+private:
+    const std::size_t m_maximumBacklog;
+    const std::function<void()> m_wake;
+    mutable std::mutex m_mutex;
+    std::deque<std::string> m_frames;
+    std::size_t m_headOffset = 0; ///< Bytes of the first frame that were taken; less than its size.
+    std::size_t m_backlog = 0; ///< Sum of the frames' sizes less m_headOffset.
+    bool m_finished = false; ///< The end frame is queued or taken.
+    bool m_closed = false; ///< The stream is gone; m_frames is empty.
+};
+
+}
--- /dev/null
+++ b/Tests/LibSettings/TestReader.cpp
@@ -0,0 +1,42 @@
+/// @file Mistakes in a settings document are all reported at once, each with its line.
+
+#include "LibSettings/Reader.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+Settings::Problems readExample(const std::string &content)
+{
+    return Settings::readDocument(content, "example.yaml", [](Settings::Reader &reader) {
+        reader.text("name");
+        reader.integer("replicas", 1, 10);
+        reader.address("listen");
+        reader.section("limits", [](Settings::Reader &limits) { limits.integer("bytes", 1, 100, 50); });
+    });
+}
+
+}
+
+TEST_CASE("a right document has no problems")
+{
+    REQUIRE(readExample("name: a\nreplicas: 3\nlisten: 127.0.0.1:80\nlimits: {bytes: 7}\n").empty());
+}
+
+TEST_CASE("every mistake is reported with its line, field and expectation")
+{
+    const Settings::Problems problems = readExample("name: a\nreplicas: many\nlisten: somewhere:80\nlimits:\n  bytes: 700\n  colour: red\n");
+    REQUIRE(problems.size() == 4);
+    REQUIRE(problems[0].message() == "example.yaml:2: replicas: expected a whole number from 1 to 10");
+    REQUIRE(problems[1].message() == "example.yaml:3: listen: expected IP-number:port; the host is not an IP number");
+    REQUIRE(problems[2].message() == "example.yaml:5: limits.bytes: expected a whole number from 1 to 100");
+    REQUIRE(problems[3].message() == "example.yaml:6: limits.colour: unknown field");
+}
+
+TEST_CASE("missing, doubled and too deeply nested fields are refused")
+{
+    REQUIRE(readExample("name: a\n").size() == 2);
+    REQUIRE(readExample("name: a\nname: b\nreplicas: 3\nlisten: 127.0.0.1:80\n").size() == 1);
+    REQUIRE(readExample(std::string(10000, '[')).size() == 1);
+    REQUIRE(readExample("name: [").size() == 1);
+}
