LibEndpoint: Decide orders, fence them and gate calls that may not be repeated

An agent may be paused or restarted while the plan moves on, and a call may arrive twice, late or after its cancellation. A call now names the agent's incarnation and the report on which its entry chose it, so that a fresh agent, or one that has forgotten, never claims that an attempt did not run.

--- /dev/null
+++ b/Libraries/LibEndpoint/OrderDecision.cpp
@@ -0,0 +1,201 @@
+/// @file Implementation of the decision about orders.
+
+#include "LibEndpoint/OrderDecision.h"
+
+#include <algorithm>
+
+namespace Endpoint {
+
+namespace {
+
+const EngineModel *findModel(const EngineStatus &engine, const std::string &contentDigest)
+{
+    for (const EngineModel &model : engine.m_models) {
+        if (model.m_contentDigest == contentDigest) {
+            return &model;
+        }
+    }
+    return nullptr;
+}
+
+/// The planned weights that are whole here, in the plan's order.
+std::vector<HeldWeights> plannedAndHeld(const OrderSituation &situation)
+{
+    std::vector<HeldWeights> result;
+    for (const std::string &manifest : situation.m_plannedManifests) {
+        for (const HeldWeights &held : situation.m_held) {
+            if (held.m_manifestDigest == manifest) {
+                result.push_back(held);
+            }
+        }
+    }
+    return result;
+}
+
+bool isPlanned(const OrderSituation &situation, const std::string &contentDigest)
+{
+    for (const HeldWeights &held : plannedAndHeld(situation)) {
+        if (held.m_contentDigest == contentDigest) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Planned weights that are not whole here may be those that the engine holds, for example after a restart of the agent.
+bool everyPlannedManifestIsKnown(const OrderSituation &situation)
+{
+    return plannedAndHeld(situation).size() >= situation.m_plannedManifests.size();
+}
+
+bool plannedVersionServes(const OrderSituation &situation)
+{
+    for (const HeldWeights &held : plannedAndHeld(situation)) {
+        const EngineModel *model = findModel(situation.m_engine, held.m_contentDigest);
+        if (model && model->m_state == ModelState::Serving) {
+            return true;
+        }
+    }
+    return situation.m_plannedManifests.empty();
+}
+
+bool engineIsLoading(const EngineStatus &engine)
+{
+    return std::any_of(engine.m_models.begin(), engine.m_models.end(), [](const EngineModel &model) { return model.m_state == ModelState::Loading; });
+}
+
+Order unloadOrder(const OrderSituation &situation, const std::string &contentDigest)
+{
+    Order order{OrderKind::Unload, "", contentDigest, situation.m_planOffset};
+    for (const HeldWeights &held : situation.m_held) {
+        if (held.m_contentDigest == contentDigest) {
+            order.m_manifestDigest = held.m_manifestDigest;
+        }
+    }
+    return order;
+}
+
+std::optional<Order> unloadDistrusted(const OrderSituation &situation)
+{
+    for (const EngineModel &model : situation.m_engine.m_models) {
+        if (situation.m_distrusted.contains(model.m_contentDigest)) {
+            return unloadOrder(situation, model.m_contentDigest);
+        }
+    }
+    return std::nullopt;
+}
+
+/// The first planned weights that are whole here, absent from the engine and not waiting after a failure.
+std::optional<HeldWeights> nextToLoad(const OrderSituation &situation, Core::Instant now)
+{
+    for (const HeldWeights &held : plannedAndHeld(situation)) {
+        const std::map<std::string, Core::Instant>::const_iterator it = situation.m_notBefore.find(held.m_contentDigest);
+        const bool waits = it != situation.m_notBefore.end() && now < it->second;
+        if (!waits && !findModel(situation.m_engine, held.m_contentDigest)) {
+            return held;
+        }
+    }
+    return std::nullopt;
+}
+
+/// The oldest weights that the plan leaves out, to make room.
+std::optional<Order> makeRoom(const OrderSituation &situation)
+{
+    if (!everyPlannedManifestIsKnown(situation)) {
+        return std::nullopt;
+    }
+    const EngineModel *victim = nullptr;
+    for (const EngineModel &model : situation.m_engine.m_models) {
+        const bool spare = !isPlanned(situation, model.m_contentDigest);
+        if (spare && (!victim || model.m_fence < victim->m_fence)) {
+            victim = &model;
+        }
+    }
+    return victim ? std::optional<Order>(unloadOrder(situation, victim->m_contentDigest)) : std::nullopt;
+}
+
+std::optional<Order> unloadRetired(const OrderSituation &situation, Core::Instant now)
+{
+    for (const EngineModel &model : situation.m_engine.m_models) {
+        const RetirementTimes::const_iterator it = situation.m_retirement.find(model.m_contentDigest);
+        if (it != situation.m_retirement.end() && now - it->second >= situation.m_grace) {
+            return unloadOrder(situation, model.m_contentDigest);
+        }
+    }
+    return std::nullopt;
+}
+
+}
+
+std::vector<Control::Deployment> deploymentsOf(const Control::Plan &plan, const std::string &instance)
+{
+    std::vector<Control::Deployment> result;
+    for (const Control::Deployment &deployment : plan.m_deployments) {
+        for (const Control::PlannedReplica &replica : deployment.m_replicas) {
+            if (replica.m_instance == instance) {
+                result.push_back(deployment);
+                break;
+            }
+        }
+    }
+    return result;
+}
+
+RetirementTimes retirementTimes(const OrderSituation &situation, Core::Instant now)
+{
+    RetirementTimes result;
+    const bool planKnown = situation.m_planOffset != 0 && situation.m_engine.m_reachable;
+    if (!planKnown || !everyPlannedManifestIsKnown(situation) || !plannedVersionServes(situation)) {
+        return result;
+    }
+    for (const EngineModel &model : situation.m_engine.m_models) {
+        if (isPlanned(situation, model.m_contentDigest)) {
+            continue;
+        }
+        const RetirementTimes::const_iterator known = situation.m_retirement.find(model.m_contentDigest);
+        result[model.m_contentDigest] = known == situation.m_retirement.end() ? now : known->second;
+    }
+    return result;
+}
+
+std::optional<Order> decideOrder(const OrderSituation &situation, Core::Instant now)
+{
+    if (situation.m_planOffset == 0 || !situation.m_engine.m_reachable || engineIsLoading(situation.m_engine)) {
+        return std::nullopt;
+    }
+    if (const std::optional<Order> unload = unloadDistrusted(situation)) {
+        return unload;
+    }
+    if (const std::optional<HeldWeights> next = nextToLoad(situation, now)) {
+        if (situation.m_engine.m_models.size() < situation.m_slots) {
+            return Order{OrderKind::Load, next->m_manifestDigest, next->m_contentDigest, situation.m_planOffset};
+        }
+        if (const std::optional<Order> room = makeRoom(situation)) {
+            return room;
+        }
+    }
+    return unloadRetired(situation, now);
+}
+
+std::vector<Protocol::Attestation> attestationsOf(const EngineStatus &engine,
+                                                  const std::vector<HeldWeights> &held,
+                                                  const std::set<std::string> &withdrawn,
+                                                  const std::map<std::string, Control::Offset> &loadedUnder)
+{
+    std::vector<Protocol::Attestation> result;
+    if (!engine.m_reachable) {
+        return result;
+    }
+    for (const HeldWeights &weights : held) {
+        const EngineModel *model = findModel(engine, weights.m_contentDigest);
+        if (!model || model->m_state != ModelState::Serving || withdrawn.contains(weights.m_contentDigest)) {
+            continue;
+        }
+        const std::map<std::string, Control::Offset>::const_iterator ordered = loadedUnder.find(weights.m_contentDigest);
+        const Control::Offset fence = ordered == loadedUnder.end() ? model->m_fence : ordered->second;
+        result.push_back(Protocol::Attestation{weights.m_manifestDigest, fence});
+    }
+    return result;
+}
+
+}
--- a/Libraries/LibProtocol/Live.h
+++ b/Libraries/LibProtocol/Live.h
@@ -18,7 +18,9 @@
     bool m_repeatable = true;
     std::int32_t m_priority = 0; ///< Larger goes first.
     std::string m_path; ///< Path at the endpoint, for plain services.
-    std::string m_body;
+    std::string m_body; ///< For model engines {"prompt","max_tokens"}; the agent adds the rest.
+    std::string m_agentIncarnation; ///< Of the agent that the entry means; required unless repeatable.
+    std::uint64_t m_agentReport = 0; ///< Sequence of that agent's newest report at the entry when it chose the agent.
 
     bool operator==(const LiveRequest &) const = default;
 
@@ -30,7 +32,9 @@
                        MSGPACK_NVP("repeatable", m_repeatable),
                        MSGPACK_NVP("priority", m_priority),
                        MSGPACK_NVP("path", m_path),
-                       MSGPACK_NVP("body", m_body));
+                       MSGPACK_NVP("body", m_body),
+                       MSGPACK_NVP("agent_incarnation", m_agentIncarnation),
+                       MSGPACK_NVP("agent_report", m_agentReport));
 };
 
 enum class AnswerKind {
@@ -44,7 +48,7 @@
     std::string m_attempt;
     std::uint64_t m_number = 0; ///< Counted from 0 without gaps.
     AnswerKind m_kind = AnswerKind::Data;
-    std::string m_data;
+    std::string m_data; ///< Of a model engine: the text of exactly one token. Of a plain service: a part of its answer's body.
     std::int32_t m_status = 200; ///< HTTP status of the endpoint.
     std::string m_version; ///< Manifest digest that the engine named as its own; empty for plain services.
     std::uint64_t m_totalBytes = 0; ///< In an End frame: sum of the data frames' lengths.
@@ -71,8 +75,13 @@
 {
     std::string m_attempt;
     std::string m_key;
+    std::string m_agentIncarnation; ///< As in the LiveRequest. Without it, or if it is another's, the outcome of an attempt is Unknown.
+    std::uint64_t m_agentReport = 0; ///< As in the LiveRequest.
 
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("attempt", m_attempt), MSGPACK_NVP("key", m_key));
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("attempt", m_attempt),
+                       MSGPACK_NVP("key", m_key),
+                       MSGPACK_NVP("agent_incarnation", m_agentIncarnation),
+                       MSGPACK_NVP("agent_report", m_agentReport));
 };
 
 enum class Outcome {
