LibBench: Start fleets of real processes on loopback addresses

Tests and measurements need whole fleets with links, places and faults. A fleet takes a slot of the loopback range by a bound port, so that several can run side by side.

--- /dev/null
+++ b/Libraries/LibBench/Layout.h
@@ -0,0 +1,52 @@
+/// @file From a topology to concrete instances with addresses and settings files.
+#pragma once
+
+#include "LibBench/Topology.h"
+#include "LibCore/Address.h"
+
+#include <string>
+#include <vector>
+
+namespace Bench {
+
+enum class ProcessKind {
+    Log,
+    Origin,
+    Network,
+    Engine,
+    PlainService,
+    Entry,
+    Agent,
+};
+
+/// One process of the fleet.
+struct ProcessSpec
+{
+    ProcessKind m_kind = ProcessKind::Entry;
+    std::string m_name; ///< "log", "origin", "network", "entry-1", "agent:drafting-models-3", "endpoint:drafting-models-3".
+    std::string m_program; ///< File name of the binary.
+    Core::Address m_health; ///< Answers GET /healthz when the process is ready.
+    std::string m_settings; ///< YAML.
+    std::string m_instance; ///< Name in the instance list; empty for stand-ins.
+    std::string m_role;
+    std::string m_service;
+    std::string m_region;
+    std::string m_failureDomain;
+    Core::Address m_wire;
+    Core::Address m_callers;
+    Core::Address m_admin;
+};
+
+/// Every process of a fleet, in the order in which they start.
+struct Layout
+{
+    Core::Address m_log;
+    Core::Address m_origin;
+    Core::Address m_network;
+    std::vector<ProcessSpec> m_processes;
+};
+
+/// Lays the fleet out over the addresses 127.SLOT.x.y, so that fleets with different slots can run side by side.
+Layout makeLayout(const Topology &topology, int slot);
+
+}
--- a/Meta/CMake/Oriolerail.cmake
+++ b/Meta/CMake/Oriolerail.cmake
@@ -39,11 +39,14 @@
     endforeach()
 endfunction()
 
-# Adds every sub-directory that has a CMakeLists.txt, so that a new library needs no edit here.
+# Adds every sub-directory that has a CMakeLists.txt, so that a new library needs no edit here. Those named are passed over.
 function(oriolerail_add_subdirectories)
     file(GLOB lists CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*/CMakeLists.txt)
     foreach(list ${lists})
         get_filename_component(directory ${list} DIRECTORY)
-        add_subdirectory(${directory})
+        get_filename_component(name ${directory} NAME)
+        if(NOT name IN_LIST ARGN)
+            add_subdirectory(${directory})
+        endif()
     endforeach()
 endfunction()
