--- /dev/null
+++ b/Libraries/LibEndpoint/LiveRelay.h
@@ -0,0 +1,149 @@
+/// @file Relays callers' requests to the local endpoint and its answers back to the entries.
+#pragma once
+
+#include "LibEndpoint/AnswerFramer.h"
+#include "LibEndpoint/AttemptGate.h"
+#include "LibEndpoint/EngineClient.h"
+#include "LibEndpoint/PriorityPool.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibWire/Call.h"
+
+#include <Poco/JSON/Object.h>
+#include <atomic>
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Endpoint {
+
+/// What the relay asks and tells the rest of the agent. Thread-safe.
+class RelayHost
+{
+public:
+    virtual ~RelayHost() = default;
+
+    /// Content digest of the weights with this manifest digest, if the engine serves them now.
+    virtual std::optional<std::string> servedContent(const std::string &manifestDigest) const = 0;
+    /// Requests that the endpoint runs at once.
+    virtual std::uint32_t capacity() const = 0;
+    /// The engine answered for these weights under another version.
+    virtual void onVersionMismatch(const std::string &contentDigest) = 0;
+    /// Bytes that live traffic took of the instance's link.
+    virtual void onLiveBytes(std::uint64_t bytes) = 0;
+};
+
+struct RelaySettings
+{
+    PoolLimits m_pool;
+    AttemptGateLimits m_gate;
+    std::size_t m_maximumAnswer = 8 << 20; ///< Of a plain service.
+
+    bool operator==(const RelaySettings &other) const;
+};
+
+RelaySettings readRelaySettings(Settings::Reader &reader);
+
+/// What a relay is made of. Client, host and metrics must outlive it.
+struct RelayParts
+{
+    RelaySettings m_settings;
+    Protocol::Member m_self;
+    const EngineClient *m_client = nullptr;
+    RelayHost *m_host = nullptr;
+    Telemetry::Metrics *m_metrics = nullptr;
+};
+
+/**
+ * Runs attempts on a bounded pool of threads.
+ *
+ * An attempt that may be repeated is stopped at the engine when its entry no longer waits; one that may not runs to its end, and its
+ * answer is kept for the entry's question.
+ */
+class LiveRelay
+{
+public:
+    explicit LiveRelay(RelayParts parts);
+    ~LiveRelay();
+
+    LiveRelay(const LiveRelay &) = delete;
+    LiveRelay &operator=(const LiveRelay &) = delete;
+
+    void start();
+    /// Breaks off what still runs and joins the threads.
+    void stop();
+
+    /// Handler of live.call; does not block.
+    void accept(const Wire::IncomingCall &call);
+    /// Handler of live.outcome; does not block.
+    void answerOutcome(const Wire::IncomingCall &call);
+
+    /// From now on new calls are refused; running ones go on.
+    void startLeaving();
+    /// Nothing waits or runs, and every answer has left.
+    bool isDrained() const;
+
+    /// Attempts that wait or run here now.
+    Protocol::EndpointLoad load() const;
+    Poco::JSON::Object::Ptr dump() const;
+
+private:
+    struct Job
+    {
+        Protocol::LiveRequest m_request;
+        Wire::Responder m_responder;
+        std::optional<Core::Instant> m_deadline;
+        std::shared_ptr<ExchangeBreaker> m_breaker;
+    };
+
+    /// An attempt at the endpoint that the watch may have to break off.
+    struct Watched
+    {
+        Wire::Responder m_responder;
+        std::optional<Core::Instant> m_deadline;
+        std::shared_ptr<ExchangeBreaker> m_breaker;
+        bool m_repeatable = true;
+    };
+
+    Core::Result<void> admit(const Protocol::LiveRequest &request);
+    void run(Job &job);
+    Core::Result<void> beginAttempt(const Job &job);
+    Core::Result<void> runModel(Job &job);
+    Core::Result<void> streamTokens(Job &job, Exchange &exchange, const std::string &contentDigest);
+    Core::Result<void> runPlain(Job &job);
+    Core::Result<void> sendFrame(const Job &job, const Protocol::AnswerFrame &frame);
+    void settle(const Job &job, const Core::Result<void> &result);
+    void cancelAtEngine(const Job &job);
+    void watch();
+    std::list<Watched>::iterator addWatched(const Job &job);
+    void removeWatched(std::list<Watched>::iterator watched);
+
+    const RelayParts m_parts;
+    Telemetry::Counter &m_callsFinished;
+    Telemetry::Counter &m_callsFailed;
+    Telemetry::Counter &m_callsRefused;
+    Telemetry::Counter &m_callsCancelled;
+    Telemetry::Counter &m_versionMismatches;
+    Telemetry::Counter &m_outcomesAsked;
+    Telemetry::Counter &m_outcomesLost;
+    Telemetry::Latency &m_firstFrame;
+    std::atomic<bool> m_leaving = false;
+
+    mutable std::mutex m_gateMutex;
+    AttemptGate m_gate;
+
+    mutable std::mutex m_watchMutex;
+    std::condition_variable m_watchChanged;
+    std::list<Watched> m_watched;
+    std::vector<Wire::Responder> m_flushing; ///< Finished answers that may not have left yet.
+    bool m_stopping = false;
+    std::thread m_watchThread;
+
+    PriorityPool<Job> m_pool; ///< Last member: its threads use the others.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEndpoint/PriorityPool.h
@@ -0,0 +1,152 @@
+/// @file A bounded queue with priorities and the threads that work it off.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace Endpoint {
+
+struct PoolLimits
+{
+    std::size_t m_maximumThreads = 64;
+    std::size_t m_maximumQueue = 256;
+    Core::Duration m_idleLimit{5000}; ///< A thread without work for this long ends.
+};
+
+/// Runs jobs in the order of their priority, larger first, and of arrival within one. Threads start on demand and end when idle.
+template <typename Job>
+class PriorityPool
+{
+public:
+    PriorityPool(PoolLimits limits, std::function<void(Job &)> work)
+        : m_limits(limits)
+        , m_work(std::move(work))
+    {
+    }
+
+    ~PriorityPool()
+    {
+        stop();
+    }
+
+    PriorityPool(const PriorityPool &) = delete;
+    PriorityPool &operator=(const PriorityPool &) = delete;
+
+    /// False, leaving the pool unchanged, if the queue is full or the pool was stopped.
+    bool tryPush(Job job, std::int32_t priority)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        joinEnded();
+        if (m_stopped || m_queue.size() >= m_limits.m_maximumQueue) {
+            return false;
+        }
+        m_queue.emplace(-static_cast<std::int64_t>(priority), std::move(job));
+        if (m_idle < m_queue.size() && m_threads.size() < m_limits.m_maximumThreads) {
+            startThread();
+        }
+        m_changed.notify_one();
+        return true;
+    }
+
+    std::size_t queued() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_queue.size();
+    }
+
+    std::size_t running() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_running;
+    }
+
+    std::size_t threads() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_threads.size();
+    }
+
+    /// Drops what is queued and waits for the running jobs.
+    void stop()
+    {
+        std::list<std::thread> threads;
+        std::multimap<std::int64_t, Job> dropped;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_stopped = true;
+            dropped.swap(m_queue);
+            threads.swap(m_threads);
+            m_ended.clear();
+        }
+        m_changed.notify_all();
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+    }
+
+private:
+    void startThread()
+    {
+        m_threads.emplace_back([this] { run(); });
+    }
+
+    /// Joins threads that ended for lack of work.
+    void joinEnded()
+    {
+        for (const std::thread::id id : m_ended) {
+            for (std::list<std::thread>::iterator it = m_threads.begin(); it != m_threads.end(); ++it) {
+                if (it->get_id() == id) {
+                    it->join();
+                    m_threads.erase(it);
+                    break;
+                }
+            }
+        }
+        m_ended.clear();
+    }
+
+    void run()
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        while (true) {
+            ++m_idle;
+            m_changed.wait_for(lock, m_limits.m_idleLimit, [this] { return m_stopped || !m_queue.empty(); });
+            --m_idle;
+            if (m_stopped) {
+                return;
+            }
+            if (m_queue.empty()) {
+                m_ended.push_back(std::this_thread::get_id());
+                return;
+            }
+            Job job = std::move(m_queue.begin()->second);
+            m_queue.erase(m_queue.begin());
+            ++m_running;
+            lock.unlock();
+            m_work(job);
+            lock.lock();
+            --m_running;
+        }
+    }
+
+    const PoolLimits m_limits;
+    const std::function<void(Job &)> m_work;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::multimap<std::int64_t, Job> m_queue; ///< By negated priority; never more than m_maximumQueue.
+    std::list<std::thread> m_threads; ///< Never more than m_maximumThreads.
+    std::list<std::thread::id> m_ended; ///< Threads in m_threads that have left run().
+    std::size_t m_idle = 0;
+    std::size_t m_running = 0;
+    bool m_stopped = false; ///< Once true, stays true.
+};
+
+}
