LibTransfer: Draw whole versions from the origin

The transfer manager's interface stands, so that agents can be built on it; this first implementation draws every chunk from the origin, verifies each, and hands out whole versions only.

--- /dev/null
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -0,0 +1,110 @@
+/// @file Implementation of the origin's client on POCO.
+
+#include "LibTransfer/OriginClient.h"
+
+#include "LibWeights/Manifest.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/URI.h>
+#include <istream>
+
+namespace Transfer {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 64 << 10;
+
+std::string escaped(const std::string &name)
+{
+    std::string text;
+    Poco::URI::encode(name, "/?#", text);
+    return text;
+}
+
+std::string weightsPath(const std::string &model, const std::string &version, const std::string &what)
+{
+    return "/weights/" + escaped(model) + "/" + escaped(version) + "/" + what;
+}
+
+/// Reads up to one byte more than the limit, so that an answer that is too long shows.
+std::string readBounded(std::istream &stream, std::size_t maximumBytes)
+{
+    std::string body;
+    std::string buffer(ReadBytes, '\0');
+    while (stream && body.size() <= maximumBytes) {
+        const std::size_t wanted = std::min(buffer.size(), maximumBytes + 1 - body.size());
+        stream.read(buffer.data(), static_cast<std::streamsize>(wanted));
+        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+    }
+    return body;
+}
+
+}
+
+OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout)
+    : m_network(std::move(network))
+    , m_origin(std::move(origin))
+    , m_timeout(timeout)
+{
+}
+
+OriginClient::~OriginClient() = default;
+
+Core::Result<std::string> OriginClient::readManifest(const std::string &model, const std::string &version)
+{
+    return get(weightsPath(model, version, "manifest"), {}, Weights::MaximumManifestBytes, Poco::Net::HTTPResponse::HTTP_OK);
+}
+
+Core::Result<std::string> OriginClient::readRange(const std::string &model, const std::string &version, std::uint64_t offset, std::uint32_t length)
+{
+    const std::string range = "bytes=" + std::to_string(offset) + "-" + std::to_string(offset + length - 1);
+    std::string bytes = BOOST_OUTCOME_TRYX(get(weightsPath(model, version, "data"), range, length, Poco::Net::HTTPResponse::HTTP_PARTIAL_CONTENT));
+    if (bytes.size() != length) {
+        // The connection broke off in the middle, or the object is shorter than its manifest says.
+        m_session.reset();
+        return Core::makeError(Core::ErrorCode::Corrupt,
+                               "read range from origin",
+                               m_origin.toString(),
+                               "expected " + std::to_string(length) + " bytes, got " + std::to_string(bytes.size()));
+    }
+    return bytes;
+}
+
+Core::Result<std::string> OriginClient::get(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus)
+{
+    if (!m_session) {
+        m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeout));
+        m_session->setKeepAlive(true);
+    }
+    try {
+        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setKeepAlive(true);
+        if (!range.empty()) {
+            request.set("Range", range);
+        }
+        m_session->sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = m_session->receiveResponse(response);
+        std::string body = readBounded(stream, maximumBytes);
+        if (body.size() > maximumBytes) {
+            m_session.reset();
+            return Core::makeError(Core::ErrorCode::Corrupt, "read from origin", m_origin.toString(), "the answer is too long");
+        }
+        if (response.getStatus() != expectedStatus) {
+            const Core::ErrorCode code =
+                response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_FOUND ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
+            return Core::makeError(code, "read from origin", m_origin.toString(), "status " + std::to_string(response.getStatus()));
+        }
+        if (!response.getKeepAlive()) {
+            m_session.reset();
+        }
+        return body;
+    } catch (const Poco::Exception &exception) {
+        m_session.reset();
+        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), exception.displayText());
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -0,0 +1,83 @@
+/// @file Brings the wanted versions of the weights onto this instance and passes their chunks on to others.
+#pragma once
+
+#include "LibControl/Model.h"
+#include "LibNetwork/NetworkSettings.h"
+#include "LibProtocol/Report.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibTransfer/TransferSettings.h"
+#include "LibWeights/HeldVersion.h"
+#include "LibWire/Node.h"
+
+#include <Poco/JSON/Object.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Transfer {
+
+/// What a transfer manager is made of. The node and the metrics must outlive it.
+struct TransferParts
+{
+    TransferSettings m_settings;
+    Protocol::Member m_self;
+    Wire::Node *m_node = nullptr;
+    Network::NetworkSettings m_network; ///< For the connections to the origin.
+    Core::Address m_origin;
+    Telemetry::Metrics *m_metrics = nullptr;
+};
+
+/**
+ * Fetches, verifies, holds and serves versions of the weights.
+ *
+ * Construct it before the node is started, since it registers the transfer methods there; stop it before the node is stopped.
+ * All methods are thread-safe and return at once.
+ */
+class TransferManager
+{
+public:
+    explicit TransferManager(TransferParts parts);
+    ~TransferManager();
+
+    TransferManager(const TransferManager &) = delete;
+    TransferManager &operator=(const TransferManager &) = delete;
+
+    /// Starts the duties.
+    void start();
+    /// Ends every transfer and joins the duties. What is held stays readable.
+    void stop();
+
+    /**
+     * Says which deployments this instance is a replica of; the newest list counts.
+     *
+     * The transfer of a version that is no longer wanted stops at once and its chunks are dropped. A whole version stays until
+     * release(), so that it can keep serving, and a way back to it moves no bytes.
+     */
+    void setTargets(std::vector<Control::Deployment> wanted);
+
+    /// The version with this manifest digest if it is whole and verified, else null. Nothing partial is ever returned.
+    std::shared_ptr<const Weights::HeldVersion> held(const std::string &manifestDigest) const;
+    /// Manifest digests of every whole version.
+    std::vector<std::string> heldDigests() const;
+    /// Lets go of a whole version unless it is wanted.
+    void release(const std::string &manifestDigest);
+
+    /// One entry for each wanted or held version.
+    std::vector<Protocol::TransferProgress> progress() const;
+
+    /// Called with the manifest digest when a version becomes whole, on a duty's thread. Set before start().
+    void onComplete(std::function<void(const std::string &manifestDigest)> callback);
+
+    /// Live traffic used this many bytes of the instance's link; transfer gives way for as many.
+    void noteLiveBytes(std::uint64_t bytes);
+
+    /// For the state dump.
+    Poco::JSON::Object::Ptr dump() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+}
