--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -25,6 +25,7 @@
     Wire::Node *m_node = nullptr;
     Network::NetworkSettings m_network; ///< For the connections to the origin.
     Core::Address m_origin;
+    std::string m_originRegion; ///< Where the origin stands; empty if unknown.
     Telemetry::Metrics *m_metrics = nullptr;
 };
 
--- a/Libraries/LibTransfer/TransferSettings.cpp
+++ b/Libraries/LibTransfer/TransferSettings.cpp
@@ -38,7 +38,6 @@
 {
     TransferSettings settings;
     settings.m_strategy = parseStrategy(reader.choice("strategy", {"swarm", "origin", "tree"}, "swarm"));
-    settings.m_originRegion = reader.text("origin_region", "");
     settings.m_uploadBytesPerSecond = readRate(reader, "upload_bytes_per_second");
     settings.m_downloadBytesPerSecond = readRate(reader, "download_bytes_per_second");
     settings.m_originBytesPerSecond = readRate(reader, "origin_bytes_per_second");
--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -19,7 +19,6 @@
 struct TransferSettings
 {
     Strategy m_strategy = Strategy::Swarm;
-    std::string m_originRegion; ///< Where the origin stands; empty if unknown.
     std::uint64_t m_uploadBytesPerSecond = 0; ///< What transfer may use of the instance's link, up; 0 means no limit.
     std::uint64_t m_downloadBytesPerSecond = 0; ///< The same, down.
     std::uint64_t m_originBytesPerSecond = 0; ///< Rate of the origin's link, by which draws are spread over time; 0 if unknown.
