--- /dev/null
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -0,0 +1,272 @@
+/// @file Implementation of the joining of an agent's duties.
+
+#include "LibEndpoint/Agent.h"
+#include "LibWire/Pack.h"
+
+namespace Endpoint {
+
+namespace {
+
+constexpr Core::Duration FenceTimeout{700};
+constexpr std::size_t MaximumEntriesAsked = 3;
+constexpr Core::Duration DrainInterval{20};
+/// After the last answer has left the process, the network still needs its connections for a moment.
+constexpr Core::Duration FlushTime{200};
+
+Wire::NodeSettings nodeSettings(const AgentSettings &settings)
+{
+    Wire::NodeSettings node;
+    node.m_listen = settings.m_instance.m_member.m_wire;
+    node.m_network = settings.m_instance.m_network;
+    return node;
+}
+
+Transfer::TransferParts transferParts(const AgentSettings &settings, Wire::Node &node, Telemetry::Metrics &metrics)
+{
+    Transfer::TransferParts parts;
+    parts.m_settings = settings.m_transfer;
+    parts.m_self = settings.m_instance.m_member;
+    parts.m_node = &node;
+    parts.m_network = settings.m_instance.m_network;
+    parts.m_origin = settings.m_origin;
+    parts.m_originRegion = settings.m_originRegion;
+    parts.m_metrics = &metrics;
+    return parts;
+}
+
+}
+
+Agent::Agent(AgentSettings settings)
+    : m_settings(std::move(settings))
+    , m_isModel(m_settings.m_engine.m_kind == EndpointKind::Model)
+    , m_client(m_settings.m_engine, m_settings.m_instance.m_network)
+    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_store(m_metrics)
+    , m_subscriber(m_node, m_store, m_settings.m_instance.m_member, m_settings.m_entries, m_metrics)
+    , m_transfer(transferParts(m_settings, m_node, m_metrics))
+    , m_relay(RelayParts{m_settings.m_relay, m_settings.m_instance.m_member, &m_client, &m_state, &m_metrics})
+    , m_status(m_client, m_state, m_settings.m_duties.m_statusInterval, m_metrics)
+    , m_orders(OrderParts{m_settings.m_duties, &m_client, &m_state, this, &m_metrics})
+    , m_reports(
+          m_settings.m_instance.m_member,
+          m_state,
+          [this] { return m_transfer.progress(); },
+          ReportSettings{m_settings.m_duties.m_reportInterval, m_settings.m_duties.m_maximumWatchers},
+          m_metrics)
+    , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
+{
+    m_state.onLiveTraffic([this](std::uint64_t bytes) { m_transfer.noteLiveBytes(bytes); });
+    m_store.onChange([this] { onStateChange(); });
+    m_transfer.onComplete([this](const std::string &) { onHeldChange(); });
+    registerMethods();
+    registerPages();
+}
+
+Agent::~Agent()
+{
+    stop();
+}
+
+void Agent::registerMethods()
+{
+    m_node.handle("control.watch", [this](const Wire::IncomingCall &call) { m_reports.addWatcher(call); });
+    m_node.handle("live.call", [this](const Wire::IncomingCall &call) { m_relay.accept(call); });
+    m_node.handle("live.outcome", [this](const Wire::IncomingCall &call) { m_relay.answerOutcome(call); });
+}
+
+void Agent::registerPages()
+{
+    m_admin.addDumpSection("instance", [this] { return dumpInstance(); });
+    m_admin.addDumpSection("control", [this] { return m_store.dump(); });
+    m_admin.addDumpSection("transfer", [this] { return m_transfer.dump(); });
+    m_admin.addDumpSection("orders", [this] { return m_orders.dump(); });
+    m_admin.addDumpSection("live", [this] { return m_relay.dump(); });
+}
+
+Core::Result<void> Agent::start()
+{
+    BOOST_OUTCOME_TRYV(m_node.start());
+    m_started = true;
+    m_relay.start();
+    m_status.start();
+    m_reports.start();
+    if (m_isModel) {
+        m_transfer.start();
+        m_orders.start();
+    }
+    m_subscriber.start();
+    BOOST_OUTCOME_TRYV(m_admin.start());
+    LOG(INFO) << "agent " << m_settings.m_instance.m_member.m_id << " runs";
+    return Core::success();
+}
+
+void Agent::startLeaving()
+{
+    LOG(INFO) << "leaving";
+    m_relay.startLeaving();
+    m_state.change([](AgentFacts &facts) { facts.m_leaving = true; });
+    Protocol::Member self = m_settings.m_instance.m_member;
+    self.m_leaving = true;
+    m_subscriber.updateSelf(self);
+}
+
+bool Agent::awaitDrained()
+{
+    const Core::Instant start = Core::Clock::now();
+    while (Core::Clock::now() - start < m_settings.m_duties.m_leaveNotice || !m_relay.isDrained()) {
+        if (Core::Clock::now() - start > m_settings.m_duties.m_drainLimit) {
+            LOG(WARNING) << "the drain limit came before the last answer was complete";
+            return false;
+        }
+        std::this_thread::sleep_for(DrainInterval);
+    }
+    std::this_thread::sleep_for(FlushTime);
+    return true;
+}
+
+void Agent::stop()
+{
+    if (!m_started) {
+        return;
+    }
+    m_started = false;
+    m_admin.stop();
+    m_subscriber.stop();
+    m_state.close();
+    m_orders.stop();
+    m_reports.stop();
+    m_status.stop();
+    m_relay.stop();
+    m_transfer.stop();
+    m_node.stop();
+}
+
+void Agent::onStateChange()
+{
+    const std::shared_ptr<const Control::ControlState> state = m_store.current();
+    const Protocol::Member &self = m_settings.m_instance.m_member;
+    const std::map<std::string, Control::Plan>::const_iterator plan = state->m_plans.find(self.m_service);
+    std::vector<Control::Deployment> wanted;
+    if (plan != state->m_plans.end()) {
+        wanted = deploymentsOf(plan->second, self.m_id);
+    }
+    const Control::Offset planOffset = plan == state->m_plans.end() ? 0 : plan->second.m_offset;
+    const bool isNewPlan = planOffset > m_state.facts().m_planOffset;
+    m_state.change([&state, &wanted, planOffset](AgentFacts &facts) {
+        facts.m_appliedOffset = std::max(facts.m_appliedOffset, state->m_applied);
+        if (planOffset <= facts.m_planOffset) {
+            return;
+        }
+        facts.m_planOffset = planOffset;
+        facts.m_plannedManifests.clear();
+        for (const Control::Deployment &deployment : wanted) {
+            facts.m_plannedManifests.push_back(deployment.m_digest);
+        }
+    });
+    if (isNewPlan && m_isModel) {
+        m_transfer.setTargets(std::move(wanted));
+    }
+}
+
+void Agent::onHeldChange()
+{
+    std::vector<HeldWeights> held;
+    for (const std::string &digest : m_transfer.heldDigests()) {
+        const std::shared_ptr<const Weights::HeldVersion> version = m_transfer.held(digest);
+        if (version) {
+            held.push_back(HeldWeights{digest, version->m_manifest.m_contentDigest});
+        }
+    }
+    m_state.change([&held](AgentFacts &facts) { facts.m_held = held; });
+}
+
+Core::Result<Control::Offset> Agent::newestPlanOffset()
+{
+    const Control::Offset applied = m_store.current()->m_applied;
+    Core::Error last = Core::makeError(Core::ErrorCode::Unavailable, "ask fence", "", "no entry is known");
+    for (const Core::Address &entry : entriesToAsk()) {
+        const Core::Result<Control::Offset> answer = askFence(entry, applied);
+        if (answer) {
+            return answer;
+        }
+        last = answer.error();
+    }
+    return last;
+}
+
+Core::Result<Control::Offset> Agent::askFence(const Core::Address &entry, Control::Offset applied)
+{
+    const std::string question = Wire::pack(Protocol::FenceRequest{m_settings.m_instance.m_member.m_service});
+    const std::string bytes = BOOST_OUTCOME_TRYX(m_node.request(entry, "control.fence", question, FenceTimeout));
+    const Protocol::FenceAnswer answer = BOOST_OUTCOME_TRYX(Wire::unpack<Protocol::FenceAnswer>(bytes, entry.toString()));
+    if (answer.m_appliedOffset < applied) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "ask fence", entry.toString(), "the entry is behind this agent");
+    }
+    return answer.m_planOffset;
+}
+
+std::vector<Core::Address> Agent::entriesToAsk() const
+{
+    std::vector<Core::Address> addresses = m_subscriber.feeds();
+    for (const Protocol::Member &member : m_store.members()) {
+        if (member.m_role == Protocol::Role::Entry && !member.m_leaving) {
+            addresses.push_back(member.m_wire);
+        }
+    }
+    addresses.insert(addresses.end(), m_settings.m_entries.begin(), m_settings.m_entries.end());
+    std::vector<Core::Address> distinct;
+    for (const Core::Address &address : addresses) {
+        const bool known = std::find(distinct.begin(), distinct.end(), address) != distinct.end();
+        if (!known && distinct.size() < MaximumEntriesAsked) {
+            distinct.push_back(address);
+        }
+    }
+    return distinct;
+}
+
+std::shared_ptr<const Weights::HeldVersion> Agent::heldWeights(const std::string &manifestDigest)
+{
+    return m_transfer.held(manifestDigest);
+}
+
+void Agent::releaseWeights(const std::string &manifestDigest)
+{
+    m_transfer.release(manifestDigest);
+    onHeldChange();
+}
+
+void Agent::refreshStatus()
+{
+    m_status.refresh();
+}
+
+Poco::JSON::Object::Ptr Agent::dumpInstance() const
+{
+    const AgentFacts facts = m_state.facts();
+    const Protocol::Member &self = m_settings.m_instance.m_member;
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("id", self.m_id);
+    object->set("incarnation", self.m_incarnation);
+    object->set("service", self.m_service);
+    object->set("leaving", facts.m_leaving);
+    object->set("applied", facts.m_appliedOffset);
+    object->set("plan", facts.m_planOffset);
+    object->set("endpoint_healthy", facts.m_engine.m_reachable);
+    object->set("watchers", m_reports.watchers());
+    Poco::JSON::Array::Ptr planned = new Poco::JSON::Array;
+    for (const std::string &manifest : facts.m_plannedManifests) {
+        planned->add(manifest);
+    }
+    object->set("planned", planned);
+    Poco::JSON::Array::Ptr attested = new Poco::JSON::Array;
+    for (const Protocol::Attestation &attestation : attestationsOf(facts)) {
+        Poco::JSON::Object::Ptr item = new Poco::JSON::Object;
+        item->set("digest", attestation.m_digest);
+        item->set("fence", attestation.m_fence);
+        attested->add(item);
+    }
+    object->set("attested", attested);
+    return object;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEndpoint/Agent.h
@@ -0,0 +1,72 @@
+/// @file The agent: its duties, joined together.
+#pragma once
+
+#include "LibControl/StateStore.h"
+#include "LibControl/StateSubscriber.h"
+#include "LibEndpoint/AgentSettings.h"
+#include "LibEndpoint/AgentState.h"
+#include "LibEndpoint/EngineClient.h"
+#include "LibEndpoint/LiveRelay.h"
+#include "LibEndpoint/OrderDuty.h"
+#include "LibEndpoint/ReportDuty.h"
+#include "LibEndpoint/StatusDuty.h"
+#include "LibTelemetry/AdminServer.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibTransfer/TransferManager.h"
+#include "LibWire/Node.h"
+
+namespace Endpoint {
+
+/**
+ * The process in the slot of one endpoint instance.
+ *
+ * State feed -> plan -> targets of the transfer -> whole weights -> order to the engine -> its status -> attestation -> report.
+ */
+class Agent : private OrderHost
+{
+public:
+    explicit Agent(AgentSettings settings);
+    ~Agent() override;
+
+    Agent(const Agent &) = delete;
+    Agent &operator=(const Agent &) = delete;
+
+    Core::Result<void> start();
+    /// Announces that the instance leaves and refuses new calls; running ones go on.
+    void startLeaving();
+    /// Waits until the notice has passed and nothing runs any more; false if the drain limit came first.
+    bool awaitDrained();
+    void stop();
+
+private:
+    Core::Result<Control::Offset> newestPlanOffset() override;
+    std::shared_ptr<const Weights::HeldVersion> heldWeights(const std::string &manifestDigest) override;
+    void releaseWeights(const std::string &manifestDigest) override;
+    void refreshStatus() override;
+
+    Core::Result<Control::Offset> askFence(const Core::Address &entry, Control::Offset applied);
+    std::vector<Core::Address> entriesToAsk() const;
+    void onStateChange();
+    void onHeldChange();
+    void registerMethods();
+    void registerPages();
+    Poco::JSON::Object::Ptr dumpInstance() const;
+
+    const AgentSettings m_settings;
+    const bool m_isModel;
+    Telemetry::Metrics m_metrics;
+    AgentState m_state;
+    EngineClient m_client;
+    Wire::Node m_node;
+    Control::StateStore m_store;
+    Control::StateSubscriber m_subscriber;
+    Transfer::TransferManager m_transfer;
+    LiveRelay m_relay;
+    StatusDuty m_status;
+    OrderDuty m_orders;
+    ReportDuty m_reports;
+    Telemetry::AdminServer m_admin;
+    bool m_started = false;
+};
+
+}
--- a/Libraries/LibEndpoint/EngineClient.cpp
+++ b/Libraries/LibEndpoint/EngineClient.cpp
@@ -20,10 +20,11 @@
 constexpr const char *AttemptHeader = "Oriolerail-Attempt";
 constexpr const char *KeyHeader = "Idempotency-Key";
 
-Network::NetworkSettings withoutGateway(Network::NetworkSettings network)
+Network::NetworkSettings withoutGateway(const Network::NetworkSettings &network)
 {
-    network.m_gateway.reset();
-    return network;
+    Network::NetworkSettings direct;
+    direct.m_bindHost = network.m_bindHost;
+    return direct;
 }
 
 /**
@@ -80,9 +81,9 @@
     return settings;
 }
 
-EngineClient::EngineClient(EngineSettings settings, Network::NetworkSettings network)
+EngineClient::EngineClient(EngineSettings settings, const Network::NetworkSettings &network)
     : m_settings(std::move(settings))
-    , m_network(withoutGateway(std::move(network)))
+    , m_network(withoutGateway(network))
 {
 }
 
--- a/Libraries/LibEndpoint/EngineClient.h
+++ b/Libraries/LibEndpoint/EngineClient.h
@@ -39,7 +39,7 @@
 class EngineClient
 {
 public:
-    EngineClient(EngineSettings settings, Network::NetworkSettings network);
+    EngineClient(EngineSettings settings, const Network::NetworkSettings &network);
 
     const EngineSettings &settings() const
     {
--- a/Libraries/LibEndpoint/LiveRelay.cpp
+++ b/Libraries/LibEndpoint/LiveRelay.cpp
@@ -218,7 +218,7 @@
     const std::unique_ptr<Exchange> exchange = BOOST_OUTCOME_TRYX(m_parts.m_client->generate(job.m_request, *contentDigest, job.m_breaker));
     if (exchange->status() != HttpOk) {
         const bool isFull = exchange->status() == HttpUnavailable || exchange->status() == HttpTooMany;
-        const Core::ErrorCode missingOr = exchange->status() == HttpNotFound ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
+        const Core::ErrorCode missingOr = exchange->status() == HttpNotFound ? Core::ErrorCode::NotFound : Core::ErrorCode::Ambiguous;
         const std::string detail = "status " + std::to_string(exchange->status());
         return Core::makeError(isFull ? Core::ErrorCode::Overloaded : missingOr, "generate", m_parts.m_self.m_id, detail);
     }
--- a/Libraries/LibEndpoint/OrderDecision.cpp
+++ b/Libraries/LibEndpoint/OrderDecision.cpp
@@ -75,10 +75,16 @@
     return order;
 }
 
-std::optional<Order> unloadDistrusted(const OrderSituation &situation)
+bool waitsAfterFailure(const OrderSituation &situation, const std::string &contentDigest, Core::Instant now)
+{
+    const std::map<std::string, Core::Instant>::const_iterator it = situation.m_notBefore.find(contentDigest);
+    return it != situation.m_notBefore.end() && now < it->second;
+}
+
+std::optional<Order> unloadDistrusted(const OrderSituation &situation, Core::Instant now)
 {
     for (const EngineModel &model : situation.m_engine.m_models) {
-        if (situation.m_distrusted.contains(model.m_contentDigest)) {
+        if (situation.m_distrusted.contains(model.m_contentDigest) && !waitsAfterFailure(situation, model.m_contentDigest, now)) {
             return unloadOrder(situation, model.m_contentDigest);
         }
     }
@@ -89,9 +95,7 @@
 std::optional<HeldWeights> nextToLoad(const OrderSituation &situation, Core::Instant now)
 {
     for (const HeldWeights &held : plannedAndHeld(situation)) {
-        const std::map<std::string, Core::Instant>::const_iterator it = situation.m_notBefore.find(held.m_contentDigest);
-        const bool waits = it != situation.m_notBefore.end() && now < it->second;
-        if (!waits && !findModel(situation.m_engine, held.m_contentDigest)) {
+        if (!waitsAfterFailure(situation, held.m_contentDigest, now) && !findModel(situation.m_engine, held.m_contentDigest)) {
             return held;
         }
     }
@@ -99,14 +103,14 @@
 }
 
 /// The oldest weights that the plan leaves out, to make room.
-std::optional<Order> makeRoom(const OrderSituation &situation)
+std::optional<Order> makeRoom(const OrderSituation &situation, Core::Instant now)
 {
     if (!everyPlannedManifestIsKnown(situation)) {
         return std::nullopt;
     }
     const EngineModel *victim = nullptr;
     for (const EngineModel &model : situation.m_engine.m_models) {
-        const bool spare = !isPlanned(situation, model.m_contentDigest);
+        const bool spare = !isPlanned(situation, model.m_contentDigest) && !waitsAfterFailure(situation, model.m_contentDigest, now);
         if (spare && (!victim || model.m_fence < victim->m_fence)) {
             victim = &model;
         }
@@ -118,7 +122,8 @@
 {
     for (const EngineModel &model : situation.m_engine.m_models) {
         const RetirementTimes::const_iterator it = situation.m_retirement.find(model.m_contentDigest);
-        if (it != situation.m_retirement.end() && now - it->second >= situation.m_grace) {
+        const bool retired = it != situation.m_retirement.end() && now - it->second >= situation.m_grace;
+        if (retired && !waitsAfterFailure(situation, model.m_contentDigest, now)) {
             return unloadOrder(situation, model.m_contentDigest);
         }
     }
@@ -163,14 +168,14 @@
     if (situation.m_planOffset == 0 || !situation.m_engine.m_reachable || engineIsLoading(situation.m_engine)) {
         return std::nullopt;
     }
-    if (const std::optional<Order> unload = unloadDistrusted(situation)) {
+    if (const std::optional<Order> unload = unloadDistrusted(situation, now)) {
         return unload;
     }
     if (const std::optional<HeldWeights> next = nextToLoad(situation, now)) {
         if (situation.m_engine.m_models.size() < situation.m_slots) {
             return Order{OrderKind::Load, next->m_manifestDigest, next->m_contentDigest, situation.m_planOffset};
         }
-        if (const std::optional<Order> room = makeRoom(situation)) {
+        if (const std::optional<Order> room = makeRoom(situation, now)) {
             return room;
         }
     }
--- a/Libraries/LibEndpoint/OrderDecision.h
+++ b/Libraries/LibEndpoint/OrderDecision.h
@@ -41,7 +41,7 @@
     EngineStatus m_engine;
     std::uint32_t m_slots = 1; ///< Sets of weights that the engine holds at once.
     std::set<std::string> m_distrusted; ///< Content digests under which the engine answered with another version.
-    std::map<std::string, Core::Instant> m_notBefore; ///< Earliest next load of a content digest after a failed one.
+    std::map<std::string, Core::Instant> m_notBefore; ///< Earliest next order about a content digest.
     RetirementTimes m_retirement; ///< From retirementTimes().
     Core::Duration m_grace{0}; ///< How long weights that can be done without stay loaded.
 };
--- /dev/null
+++ b/Libraries/LibEndpoint/ReportDuty.cpp
@@ -0,0 +1,122 @@
+/// @file Implementation of the reports.
+
+#include "LibEndpoint/ReportDuty.h"
+#include "LibWire/Pack.h"
+
+namespace Endpoint {
+
+namespace {
+
+/// A watcher that has this much unread is too far behind for one more report to help it.
+constexpr std::size_t MaximumBacklog = 64 << 10;
+/// Keeps a burst of changes from becoming a burst of reports.
+constexpr Core::Duration MinimumGap{20};
+
+}
+
+bool isUrgent(const Protocol::AgentReport &last, const Protocol::AgentReport &next)
+{
+    return last.m_member != next.m_member || last.m_endpointHealthy != next.m_endpointHealthy || last.m_attestations != next.m_attestations
+        || last.m_appliedOffset != next.m_appliedOffset;
+}
+
+ReportDuty::ReportDuty(Protocol::Member self, AgentState &state, Progress progress, ReportSettings settings, Telemetry::Metrics &metrics)
+    : m_self(std::move(self))
+    , m_state(state)
+    , m_progress(std::move(progress))
+    , m_settings(settings)
+    , m_reportsSent(metrics.counter("reports_sent_total"))
+    , m_watchersRefused(metrics.counter("report_watchers_refused_total"))
+{
+    m_last = makeReport(m_state.facts());
+    m_last.m_sequence = 1;
+}
+
+ReportDuty::~ReportDuty()
+{
+    stop();
+}
+
+void ReportDuty::start()
+{
+    m_lastSent = Core::Clock::now();
+    m_thread = std::thread([this] { run(); });
+}
+
+void ReportDuty::stop()
+{
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void ReportDuty::addWatcher(const Wire::IncomingCall &call)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::erase_if(m_watchers, [](const Wire::Responder &watcher) { return watcher.isCancelled(); });
+    if (m_watchers.size() >= m_settings.m_maximumWatchers) {
+        m_watchersRefused.add();
+        call.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "watch reports", m_self.m_id, "too many watchers"));
+        return;
+    }
+    call.m_responder.send(Wire::pack(m_last));
+    m_watchers.push_back(call.m_responder);
+}
+
+std::size_t ReportDuty::watchers() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_watchers.size();
+}
+
+Protocol::AgentReport ReportDuty::lastReport() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_last;
+}
+
+void ReportDuty::run()
+{
+    std::uint64_t seen = 0;
+    while (!m_state.isClosed()) {
+        const Core::Instant due = m_lastSent + m_settings.m_interval;
+        const Core::Duration patience = std::chrono::ceil<Core::Duration>(due - Core::Clock::now());
+        seen = m_state.waitForChange(seen, std::max(patience, Core::Duration(0)));
+        Protocol::AgentReport next = makeReport(m_state.facts());
+        if (Core::Clock::now() < due && !isUrgent(lastReport(), next)) {
+            continue;
+        }
+        send(std::move(next));
+        std::this_thread::sleep_for(MinimumGap);
+    }
+}
+
+Protocol::AgentReport ReportDuty::makeReport(const AgentFacts &facts) const
+{
+    Protocol::AgentReport report;
+    report.m_member = m_self;
+    report.m_member.m_leaving = facts.m_leaving;
+    report.m_appliedOffset = facts.m_appliedOffset;
+    report.m_endpointHealthy = facts.m_engine.m_reachable;
+    report.m_attestations = attestationsOf(facts);
+    report.m_load = facts.m_engine.m_load;
+    report.m_transfers = m_progress();
+    return report;
+}
+
+void ReportDuty::send(Protocol::AgentReport report)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    report.m_sequence = m_last.m_sequence + 1;
+    const std::string bytes = Wire::pack(report);
+    for (const Wire::Responder &watcher : m_watchers) {
+        if (watcher.backlog() < MaximumBacklog && watcher.send(bytes)) {
+            m_reportsSent.add();
+        }
+    }
+    std::erase_if(m_watchers, [](const Wire::Responder &watcher) { return watcher.isCancelled(); });
+    m_last = std::move(report);
+    m_lastSent = Core::Clock::now();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEndpoint/ReportDuty.h
@@ -0,0 +1,64 @@
+/// @file The duty that reports to the entries that watch this agent.
+#pragma once
+
+#include "LibEndpoint/AgentState.h"
+#include "LibProtocol/Report.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibWire/Call.h"
+
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Endpoint {
+
+struct ReportSettings
+{
+    Core::Duration m_interval{1000}; ///< Between two reports without a change.
+    std::size_t m_maximumWatchers = 64;
+};
+
+/// True if @p next has news that watchers should learn at once, and not just other load or progress.
+bool isUrgent(const Protocol::AgentReport &last, const Protocol::AgentReport &next);
+
+/// Sends whole reports: at once after a change that matters, else at the interval.
+class ReportDuty
+{
+public:
+    using Progress = std::function<std::vector<Protocol::TransferProgress>()>;
+
+    ReportDuty(Protocol::Member self, AgentState &state, Progress progress, ReportSettings settings, Telemetry::Metrics &metrics);
+    ~ReportDuty();
+
+    ReportDuty(const ReportDuty &) = delete;
+    ReportDuty &operator=(const ReportDuty &) = delete;
+
+    void start();
+    /// The state must have been closed before.
+    void stop();
+
+    /// Handler of control.watch; does not block.
+    void addWatcher(const Wire::IncomingCall &call);
+    std::size_t watchers() const;
+    Protocol::AgentReport lastReport() const;
+
+private:
+    void run();
+    Protocol::AgentReport makeReport(const AgentFacts &facts) const;
+    void send(Protocol::AgentReport report);
+
+    const Protocol::Member m_self;
+    AgentState &m_state;
+    const Progress m_progress;
+    const ReportSettings m_settings;
+    Telemetry::Counter &m_reportsSent;
+    Telemetry::Counter &m_watchersRefused;
+    mutable std::mutex m_mutex;
+    std::vector<Wire::Responder> m_watchers; ///< At most m_maximumWatchers.
+    Protocol::AgentReport m_last;
+    Core::Instant m_lastSent;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEndpoint/StatusDuty.cpp
@@ -0,0 +1,83 @@
+/// @file Implementation of the status duty.
+
+#include "LibEndpoint/StatusDuty.h"
+
+namespace Endpoint {
+
+namespace {
+
+/// A single lost answer is not taken for a dead endpoint; a refused connection is.
+constexpr int ToleratedFailures = 1;
+
+}
+
+StatusDuty::StatusDuty(const EngineClient &client, AgentState &state, Core::Duration interval, Telemetry::Metrics &metrics)
+    : m_client(client)
+    , m_state(state)
+    , m_interval(interval)
+    , m_failures(metrics.counter("endpoint_status_failures_total"))
+{
+}
+
+StatusDuty::~StatusDuty()
+{
+    stop();
+}
+
+void StatusDuty::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void StatusDuty::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void StatusDuty::refresh()
+{
+    const std::lock_guard<std::mutex> lock(m_refreshMutex);
+    const Core::Result<EngineStatus> status = m_client.status();
+    if (status) {
+        m_failuresInARow = 0;
+        m_state.change([&status](AgentFacts &facts) {
+            if (!facts.m_engine.m_reachable) {
+                LOG(INFO) << "the endpoint is reachable";
+            }
+            facts.m_engine = status.value();
+        });
+        return;
+    }
+    m_failures.add();
+    ++m_failuresInARow;
+    const bool refused = status.error().m_code == Core::ErrorCode::Unavailable;
+    if (!refused && m_failuresInARow <= ToleratedFailures) {
+        return;
+    }
+    m_state.change([&status](AgentFacts &facts) {
+        if (facts.m_engine.m_reachable) {
+            LOG(WARNING) << "the endpoint is lost: " << status.error();
+        }
+        facts.m_engine = EngineStatus();
+    });
+}
+
+void StatusDuty::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        refresh();
+        lock.lock();
+        m_wake.wait_for(lock, m_interval, [this] { return m_stopping; });
+    }
+}
+
+}
