--- /dev/null
+++ b/Libraries/LibControl/Checkpointer.cpp
@@ -0,0 +1,87 @@
+/// @file Implementation of the checkpointer.
+
+#include "LibControl/Checkpointer.h"
+#include "LibControl/Records.h"
+#include "LibCore/Random.h"
+
+namespace Control {
+
+bool isCheckpointDue(const CheckpointSituation &situation, const CheckpointerSettings &settings)
+{
+    if (situation.m_position == 0) {
+        return false;
+    }
+    // By rank in records too: with many records the first entry gets its turn before the others see a need.
+    const Offset patience = settings.m_records + situation.m_rank * (settings.m_records / 4);
+    const Core::Duration wait = settings.m_interval + settings.m_rankDelay * static_cast<std::int64_t>(situation.m_rank);
+    return situation.m_position - situation.m_lastCheckpoint >= patience || situation.m_sinceLast >= wait;
+}
+
+std::size_t rankAmongEntries(const Protocol::Member &self, std::span<const Protocol::Member> members, const std::string &key)
+{
+    const std::uint64_t own = Core::rendezvousWeight(key, self.m_id);
+    std::size_t rank = 0;
+    for (const Protocol::Member &member : members) {
+        const bool isRival = member.m_role == Protocol::Role::Entry && !member.m_leaving && member.m_id != self.m_id;
+        if (isRival && Core::rendezvousWeight(key, member.m_id) > own) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+Checkpointer::Checkpointer(Platform::Log &log, StateStore &store, Protocol::Member self, Telemetry::Metrics &metrics, CheckpointerSettings settings)
+    : m_log(log)
+    , m_store(store)
+    , m_self(std::move(self))
+    , m_settings(std::move(settings))
+    , m_appended(metrics.counter("control_checkpoints_appended_total"))
+    , m_failures(metrics.counter("control_checkpoint_failures_total"))
+    , m_lastChange(Core::Clock::now())
+{
+}
+
+Checkpointer::~Checkpointer()
+{
+    stop();
+}
+
+void Checkpointer::start()
+{
+    m_duty.start([this] { return turn(); });
+}
+
+void Checkpointer::stop()
+{
+    m_duty.stop();
+}
+
+Core::Duration Checkpointer::turn()
+{
+    const std::shared_ptr<const ControlState> state = m_store.current();
+    if (state->m_checkpoint > m_lastCheckpoint) {
+        m_lastCheckpoint = state->m_checkpoint;
+        m_lastChange = Core::Clock::now();
+    }
+    const std::vector<Protocol::Member> members = m_store.members();
+    CheckpointSituation situation;
+    situation.m_position = state->m_position;
+    situation.m_lastCheckpoint = m_lastCheckpoint;
+    situation.m_sinceLast = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_lastChange);
+    situation.m_rank = rankAmongEntries(m_self, members, "checkpoint");
+    if (!isCheckpointDue(situation, m_settings)) {
+        return m_settings.m_look;
+    }
+    const Record record = makeCheckpoint(*state, m_self.m_id, Core::randomIdentifier());
+    const Core::Result<Offset> appended = m_log.append(ControlStream, encodeRecord(record));
+    if (!appended) {
+        m_failures.add();
+        return m_settings.m_look;
+    }
+    m_appended.add();
+    m_lastCheckpoint = state->m_position;
+    m_lastChange = Core::Clock::now();
+    return m_settings.m_look;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/Duty.cpp
@@ -0,0 +1,65 @@
+/// @file Implementation of a duty's thread.
+
+#include "LibControl/Duty.h"
+
+namespace Control {
+
+Duty::~Duty()
+{
+    stop();
+}
+
+void Duty::start(std::function<Core::Duration()> turn)
+{
+    if (m_thread.joinable()) {
+        return;
+    }
+    m_stopping = false;
+    m_thread = std::thread([this, turn = std::move(turn)] { run(turn); });
+}
+
+void Duty::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void Duty::wake()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_woken = true;
+    }
+    m_changed.notify_all();
+}
+
+bool Duty::isStopping() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_stopping;
+}
+
+bool Duty::pause(Core::Duration duration)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_changed.wait_for(lock, duration, [this] { return m_stopping; });
+    return m_stopping;
+}
+
+void Duty::run(const std::function<Core::Duration()> &turn)
+{
+    while (!isStopping()) {
+        const Core::Duration wait = turn();
+        std::unique_lock<std::mutex> lock(m_mutex);
+        m_changed.wait_for(lock, wait, [this] { return m_stopping || m_woken; });
+        m_woken = false;
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/InstanceListDuty.cpp
@@ -0,0 +1,41 @@
+/// @file Implementation of polling the instance list.
+
+#include "LibControl/InstanceListDuty.h"
+
+namespace Control {
+
+InstanceListDuty::InstanceListDuty(Platform::InstanceList &list, StateStore &store, Telemetry::Metrics &metrics, Core::Duration interval)
+    : m_list(list)
+    , m_store(store)
+    , m_interval(interval)
+    , m_failures(metrics.counter("control_instance_list_failures_total"))
+{
+}
+
+InstanceListDuty::~InstanceListDuty()
+{
+    stop();
+}
+
+void InstanceListDuty::start()
+{
+    m_duty.start([this] { return turn(); });
+}
+
+void InstanceListDuty::stop()
+{
+    m_duty.stop();
+}
+
+Core::Duration InstanceListDuty::turn()
+{
+    const Core::Result<std::vector<Protocol::Member>> listed = m_list.instances();
+    if (!listed) {
+        m_failures.add();
+        return m_interval;
+    }
+    m_store.applyInstanceList(listed.value());
+    return m_interval;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/InstanceListDuty.h
@@ -0,0 +1,30 @@
+/// @file Reads the platform's instance list now and then.
+#pragma once
+
+#include "LibControl/Duty.h"
+#include "LibControl/StateStore.h"
+#include "LibPlatform/InstanceList.h"
+
+namespace Control {
+
+/// Polls the list into the store, on a thread of its own. While the list is down, the members that are known stay.
+class InstanceListDuty
+{
+public:
+    InstanceListDuty(Platform::InstanceList &list, StateStore &store, Telemetry::Metrics &metrics, Core::Duration interval = Core::Duration(1000));
+    ~InstanceListDuty();
+
+    void start();
+    void stop();
+
+private:
+    Core::Duration turn();
+
+    Platform::InstanceList &m_list;
+    StateStore &m_store;
+    const Core::Duration m_interval;
+    Telemetry::Counter &m_failures;
+    Duty m_duty;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibControl/LogTail.h
@@ -0,0 +1,62 @@
+/// @file An entry's reader of the control stream.
+#pragma once
+
+#include "LibControl/Duty.h"
+#include "LibControl/StateStore.h"
+#include "LibPlatform/Log.h"
+
+#include <atomic>
+
+namespace Control {
+
+struct LogTailSettings
+{
+    std::string m_author; ///< Name of the process, for records that put state back.
+    Core::Duration m_longPoll{1000}; ///< How long a read waits for the next record.
+    Core::Duration m_firstBackOff{100};
+    Core::Duration m_longestBackOff{2000};
+    /// How long peers are heard before state is put back into a log that lost records, so that the newest of all is put back.
+    Core::Duration m_restorePatience{2000};
+};
+
+/**
+ * Folds the control stream into the store, on a thread of its own.
+ *
+ * The log can be down or slow; then this duty counts and backs off, and the process goes on with the state that it has.
+ * The log can come back with records missing, and give their offsets to others. Read on as if nothing had happened,
+ * readers would disagree for good without noticing. So every read begins at the last record that was folded, and its
+ * digest must be the one remembered; otherwise the log is read afresh and, if that does not cover what is in force here,
+ * the joined state is put back by a Restore record.
+ */
+class LogTail
+{
+public:
+    LogTail(Platform::Log &log, StateStore &store, Telemetry::Metrics &metrics, LogTailSettings settings = {});
+    ~LogTail();
+
+    void start();
+    void stop();
+
+    /// Whether the last read succeeded.
+    bool isLogUp() const;
+
+private:
+    Core::Duration turn();
+    Core::Result<void> readOn();
+    Core::Result<void> readAfresh();
+    Core::Result<void> putBack(const std::optional<ControlState> &onLog, Platform::Offset first);
+    bool holdsOurHistory(const Platform::LogPage &page, const ControlState &state) const;
+
+    Platform::Log &m_log;
+    StateStore &m_store;
+    const LogTailSettings m_settings;
+    Telemetry::Counter &m_readFailures;
+    Telemetry::Counter &m_divergences;
+    Telemetry::Counter &m_restores;
+    std::atomic<bool> m_isLogUp = false;
+    Core::Duration m_backOff; ///< Used by the duty's thread only, as are the following.
+    std::optional<Core::Instant> m_divergedSince;
+    Duty m_duty;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibControl/MemberTable.h
@@ -0,0 +1,67 @@
+/// @file Who belongs to the system: what processes said of themselves, merged with the platform's lagging list.
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibProtocol/Member.h"
+
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Control {
+
+/// What one source knows, as processes pass it on to each other.
+struct MemberKnowledge
+{
+    std::vector<Protocol::Member> m_members; ///< Sorted by id.
+    std::vector<std::string> m_gone; ///< Incarnations that have ended; the newest ones.
+
+    bool operator==(const MemberKnowledge &) const = default;
+};
+
+/**
+ * The merged table. A plain value; time is passed in.
+ *
+ * The list lags: it may still call an instance live that has said it is leaving, or that has been replaced under the same
+ * name. Taken at its word it would send new work there again. So an incarnation that is leaving stays leaving, one that
+ * has ended never comes back, and the list only adds and removes instances.
+ */
+class MemberTable
+{
+public:
+    /// A process announced itself. It supersedes any other incarnation under its id.
+    bool announce(const Protocol::Member &member, Core::Instant now);
+    /// Another process passed on what it knows.
+    bool merge(const MemberKnowledge &knowledge, Core::Instant now);
+    /// The platform's list, whole.
+    bool applyList(std::span<const Protocol::Member> listed, Core::Instant now);
+
+    MemberKnowledge knowledge() const;
+    std::vector<Protocol::Member> members() const;
+
+private:
+    struct Row
+    {
+        Protocol::Member m_member;
+        bool m_wasListed = false;
+        Core::Instant m_lastHeard; ///< Of the process itself or of others that know it.
+
+        bool operator==(const Row &) const = default;
+    };
+
+    bool isGone(const std::string &incarnation) const;
+    void markGone(const std::string &incarnation);
+    bool put(const Protocol::Member &member, Core::Instant now);
+
+    std::map<std::string, Row> m_rows; ///< By id.
+    std::deque<std::string> m_gone; ///< At most MaximumGone; none of them is in m_rows.
+};
+
+/// Incarnations that a table remembers as ended.
+inline constexpr std::size_t MaximumGone = 1024;
+/// How long an announced instance may be missing from the list before it counts as gone; the list's lag is well below.
+inline constexpr Core::Duration UnlistedPatience{30000};
+
+}
--- /dev/null
+++ b/Libraries/LibControl/Recovery.cpp
@@ -0,0 +1,236 @@
+/// @file Implementation of reading afresh and of joining histories.
+
+#include "LibControl/Recovery.h"
+#include "LibControl/Fold.h"
+#include "LibCore/Digest.h"
+
+#include <algorithm>
+
+namespace Control {
+
+namespace {
+
+constexpr std::size_t PageRecords = 256;
+
+template <typename T>
+Offset revisionOf(const T &item)
+{
+    return item.m_revision;
+}
+
+Offset revisionOf(const Plan &plan)
+{
+    return plan.m_offset;
+}
+
+bool coversTemplates(const ControlState &newer, const ControlState &older)
+{
+    for (const std::pair<const std::string, AcceptedTemplate> &entry : older.m_templates) {
+        const Offset revision = templateRevision(newer, entry.first);
+        if (revision < entry.second.m_revision) {
+            return false;
+        }
+        const std::map<std::string, AcceptedTemplate>::const_iterator same = newer.m_templates.find(entry.first);
+        const bool differs = revision == entry.second.m_revision && (same == newer.m_templates.end() || same->second != entry.second);
+        if (differs) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool coversRemovals(const ControlState &newer, const ControlState &older)
+{
+    const bool hasForgotten = newer.m_removals.size() >= MaximumRemovals;
+    for (const std::pair<const std::string, Removal> &entry : older.m_removals) {
+        const Offset revision = templateRevision(newer, entry.first);
+        const bool isForgotten = revision == 0 && hasForgotten;
+        if (revision < entry.second.m_revision && !isForgotten) {
+            return false;
+        }
+        const bool isBack = revision == entry.second.m_revision && newer.m_templates.contains(entry.first);
+        if (isBack) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool coversPlans(const ControlState &newer, const ControlState &older)
+{
+    for (const std::pair<const std::string, Plan> &entry : older.m_plans) {
+        const std::map<std::string, Plan>::const_iterator found = newer.m_plans.find(entry.first);
+        if (found == newer.m_plans.end() || found->second.m_offset < entry.second.m_offset) {
+            return false;
+        }
+        if (found->second.m_offset == entry.second.m_offset && found->second != entry.second) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void joinTemplates(ControlState &joined, const ControlState &kept)
+{
+    for (const std::pair<const std::string, AcceptedTemplate> &entry : kept.m_templates) {
+        if (entry.second.m_revision >= templateRevision(joined, entry.first)) {
+            joined.m_removals.erase(entry.first);
+            joined.m_templates[entry.first] = entry.second;
+        }
+    }
+    for (const std::pair<const std::string, Removal> &entry : kept.m_removals) {
+        if (entry.second.m_revision >= templateRevision(joined, entry.first)) {
+            joined.m_templates.erase(entry.first);
+            joined.m_removals[entry.first] = entry.second;
+        }
+    }
+    while (joined.m_removals.size() > MaximumRemovals) {
+        joined.m_removals.erase(joined.m_removals.begin());
+    }
+}
+
+void joinPlans(ControlState &joined, const ControlState &kept)
+{
+    for (const std::pair<const std::string, Plan> &entry : kept.m_plans) {
+        const std::map<std::string, Plan>::const_iterator found = joined.m_plans.find(entry.first);
+        if (found == joined.m_plans.end() || entry.second.m_offset >= found->second.m_offset) {
+            joined.m_plans[entry.first] = entry.second;
+        }
+    }
+}
+
+void joinOutcomes(ControlState &joined, const ControlState &kept)
+{
+    for (const RecordOutcome &outcome : kept.m_outcomes) {
+        if (!findOutcome(joined, outcome.m_record)) {
+            joined.m_outcomes.push_back(outcome);
+        }
+    }
+    std::stable_sort(joined.m_outcomes.begin(), joined.m_outcomes.end(), [](const RecordOutcome &left, const RecordOutcome &right) {
+        return left.m_offset < right.m_offset;
+    });
+    while (joined.m_outcomes.size() > MaximumOutcomes) {
+        joined.m_outcomes.pop_front();
+    }
+}
+
+/// The encoded state that a record carries for fresh readers, if it may be used.
+std::optional<ControlState> usableState(const Protocol::LogRecord &entry, Platform::Offset first)
+{
+    const Core::Result<Record> record = decodeRecord(entry.m_body);
+    if (!record) {
+        return std::nullopt;
+    }
+    if (const Checkpoint *checkpoint = std::get_if<Checkpoint>(&record.value().m_change)) {
+        const bool isUsable = checkpoint->m_position + 1 >= first && checkpoint->m_position < entry.m_offset;
+        if (!isUsable || Core::sha256Hex(checkpoint->m_state) != checkpoint->m_digest) {
+            return std::nullopt;
+        }
+        Core::Result<ControlState> state = decodeState(checkpoint->m_state, "");
+        const bool isSound = state && state.value().m_position == checkpoint->m_position;
+        return isSound ? std::optional<ControlState>(std::move(state.value())) : std::nullopt;
+    }
+    if (const Restore *restore = std::get_if<Restore>(&record.value().m_change)) {
+        if (restore->m_position + 1 != entry.m_offset) {
+            return std::nullopt;
+        }
+        ControlState state;
+        state.m_position = restore->m_position;
+        const RecordOutcome outcome = fold(state, entry.m_offset, entry.m_body);
+        return outcome.m_accepted ? std::optional<ControlState>(std::move(state)) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+bool isBetterStart(const ControlState &candidate, const std::optional<ControlState> &best)
+{
+    if (!best) {
+        return true;
+    }
+    return std::pair(candidate.m_generation, candidate.m_position) > std::pair(best->m_generation, best->m_position);
+}
+
+Core::Error trimmed(Platform::Offset from)
+{
+    return Core::makeError(Core::ErrorCode::Unavailable, "read log afresh", "", "record " + std::to_string(from) + " expired while the log was read");
+}
+
+}
+
+bool covers(const ControlState &newer, const ControlState &older)
+{
+    return newer.m_applied >= older.m_applied && coversTemplates(newer, older) && coversRemovals(newer, older) && coversPlans(newer, older);
+}
+
+ControlState joinStates(const ControlState &base, const ControlState &kept)
+{
+    ControlState joined = base;
+    joinTemplates(joined, kept);
+    joinPlans(joined, kept);
+    joinOutcomes(joined, kept);
+    joined.m_applied = std::max(base.m_applied, kept.m_applied) + 1;
+    joined.m_generation = std::max(base.m_generation, kept.m_generation) + 1;
+    return joined;
+}
+
+Record makeRestore(const ControlState &state, const std::string &author, const std::string &id)
+{
+    std::string encoded = encodeState(state);
+    std::string digest = Core::sha256Hex(encoded);
+    return Record{id, author, Restore{state.m_position, std::move(digest), std::move(encoded)}};
+}
+
+Core::Result<ControlState> foldRetained(Platform::Log &log, const std::string &stream, ControlState state, Platform::Offset first)
+{
+    Platform::Offset from = first;
+    while (true) {
+        const Platform::LogPage page = BOOST_OUTCOME_TRYX(log.read(stream, from, Platform::ReadOptions{PageRecords, Core::Duration(0)}));
+        if (page.m_first > from) {
+            return trimmed(from);
+        }
+        for (const Protocol::LogRecord &record : page.m_records) {
+            fold(state, record.m_offset, record.m_body);
+        }
+        from += page.m_records.size();
+        if (page.m_records.empty() || from >= page.m_next) {
+            state.m_position = from - 1;
+            return state;
+        }
+    }
+}
+
+Core::Result<FreshState> readFresh(Platform::Log &log, const std::string &stream)
+{
+    FreshState fresh;
+    std::optional<ControlState> start;
+    Platform::LogPage page = BOOST_OUTCOME_TRYX(log.read(stream, 1, Platform::ReadOptions{PageRecords, Core::Duration(0)}));
+    fresh.m_first = page.m_first;
+    Platform::Offset from = page.m_first;
+    while (true) {
+        page = BOOST_OUTCOME_TRYX(log.read(stream, from, Platform::ReadOptions{PageRecords, Core::Duration(0)}));
+        if (page.m_first > from) {
+            return trimmed(from);
+        }
+        for (const Protocol::LogRecord &record : page.m_records) {
+            std::optional<ControlState> candidate = usableState(record, fresh.m_first);
+            if (candidate && isBetterStart(*candidate, start)) {
+                start = std::move(candidate);
+            }
+        }
+        from += page.m_records.size();
+        fresh.m_next = page.m_next;
+        if (page.m_records.empty() || from >= page.m_next) {
+            break;
+        }
+    }
+    if (!start && fresh.m_first > 1) {
+        return fresh;
+    }
+    ControlState state = start ? std::move(*start) : ControlState();
+    const Platform::Offset following = state.m_position + 1;
+    fresh.m_state = BOOST_OUTCOME_TRYX(foldRetained(log, stream, std::move(state), following));
+    fresh.m_next = fresh.m_state->m_position + 1;
+    return fresh;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/StateFeed.cpp
@@ -0,0 +1,201 @@
+/// @file Implementation of the state feed.
+
+#include "LibControl/StateFeed.h"
+#include "LibWire/Pack.h"
+
+namespace Control {
+
+namespace {
+
+constexpr std::size_t ArrivalCapacity = 4096;
+/// Members change in bursts when many instances come or go; they are sent whole, so not more often than this.
+constexpr Core::Duration MembersInterval{200};
+constexpr Core::Duration IdleTurn{500};
+
+}
+
+StateFeed::StateFeed(Wire::Node &node, StateStore &store, Telemetry::Metrics &metrics)
+    : m_store(store)
+    , m_updatesSent(metrics.counter("control_updates_sent_total"))
+    , m_subscribersCut(metrics.counter("control_subscribers_cut_total"))
+    , m_subscribersRefused(metrics.counter("control_subscribers_refused_total"))
+    , m_arrivals(ArrivalCapacity)
+{
+    node.handle("control.state", [this](const Wire::IncomingCall &call) { onSubscribe(call); });
+    node.handle("control.applied", [this](const Wire::IncomingCall &call) { onApplied(call); });
+    node.handle("control.fence", [this](const Wire::IncomingCall &call) { onFence(call); });
+    store.onChange([this] { m_duty.wake(); });
+}
+
+StateFeed::~StateFeed()
+{
+    stop();
+}
+
+void StateFeed::start()
+{
+    m_duty.start([this] { return turn(); });
+}
+
+void StateFeed::stop()
+{
+    m_duty.stop();
+}
+
+std::map<std::string, AppliedAt> StateFeed::applied() const
+{
+    const std::lock_guard<std::mutex> lock(m_appliedMutex);
+    return m_applied;
+}
+
+void StateFeed::onSubscribe(const Wire::IncomingCall &call)
+{
+    Core::Result<Protocol::StateRequest> request = Wire::unpack<Protocol::StateRequest>(call.m_body, call.m_peer);
+    if (!request) {
+        call.m_responder.fail(request.error());
+        return;
+    }
+    if (!m_arrivals.tryPush(Arrival{std::move(request.value()), call.m_responder})) {
+        m_subscribersRefused.add();
+        call.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "subscribe to state", "", "too many subscribers are waiting"));
+        return;
+    }
+    m_duty.wake();
+}
+
+void StateFeed::onApplied(const Wire::IncomingCall &call)
+{
+    const Core::Result<Protocol::AppliedNotice> notice = Wire::unpack<Protocol::AppliedNotice>(call.m_body, call.m_peer);
+    if (!notice) {
+        call.m_responder.fail(notice.error());
+        return;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(m_appliedMutex);
+        const std::map<std::string, AppliedAt>::iterator found = m_applied.find(notice.value().m_instance);
+        const bool isCurrent = found != m_applied.end() && found->second.m_member.m_incarnation == notice.value().m_incarnation;
+        if (isCurrent) {
+            found->second.m_applied = std::max(found->second.m_applied, notice.value().m_appliedOffset);
+        }
+    }
+    call.m_responder.reply("");
+}
+
+void StateFeed::onFence(const Wire::IncomingCall &call) const
+{
+    const Core::Result<Protocol::FenceRequest> request = Wire::unpack<Protocol::FenceRequest>(call.m_body, call.m_peer);
+    if (!request) {
+        call.m_responder.fail(request.error());
+        return;
+    }
+    const std::shared_ptr<const ControlState> state = m_store.current();
+    if (state->m_applied == 0) {
+        call.m_responder.fail(Core::makeError(Core::ErrorCode::Unavailable, "tell fencing number", "", "no control state yet"));
+        return;
+    }
+    const std::map<std::string, Plan>::const_iterator plan = state->m_plans.find(request.value().m_service);
+    const Offset planOffset = plan == state->m_plans.end() ? 0 : plan->second.m_offset;
+    call.m_responder.reply(Wire::pack(Protocol::FenceAnswer{planOffset, state->m_applied}));
+}
+
+void StateFeed::noteSubscribed(const Protocol::Member &member, bool isSubscribed)
+{
+    const std::lock_guard<std::mutex> lock(m_appliedMutex);
+    const std::map<std::string, AppliedAt>::iterator found = m_applied.find(member.m_id);
+    if (found == m_applied.end()) {
+        if (isSubscribed && m_applied.size() < MaximumSubscribers) {
+            m_applied[member.m_id] = AppliedAt{member, 0, true};
+        }
+        return;
+    }
+    if (found->second.m_member.m_incarnation == member.m_incarnation) {
+        found->second.m_isSubscribed = isSubscribed;
+        found->second.m_member = member;
+    } else if (isSubscribed) {
+        found->second = AppliedAt{member, 0, true};
+    }
+}
+
+void StateFeed::admitArrivals()
+{
+    while (std::optional<Arrival> arrival = m_arrivals.pop(Core::Duration(0))) {
+        const Protocol::Member &member = arrival->m_request.m_subscriber;
+        if (m_subscriptions.size() >= MaximumSubscribers) {
+            m_subscribersRefused.add();
+            arrival->m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "subscribe to state", "", "too many subscribers"));
+            continue;
+        }
+        m_store.announce(member);
+        noteSubscribed(member, true);
+        if (arrival->m_request.m_appliedOffset > 0) {
+            const std::lock_guard<std::mutex> lock(m_appliedMutex);
+            const std::map<std::string, AppliedAt>::iterator found = m_applied.find(member.m_id);
+            if (found != m_applied.end()) {
+                found->second.m_applied = std::max(found->second.m_applied, arrival->m_request.m_appliedOffset);
+            }
+        }
+        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, 0, Core::Instant()});
+    }
+}
+
+bool StateFeed::serve(Subscription &subscription, Core::Instant now)
+{
+    if (subscription.m_responder.isCancelled()) {
+        return false;
+    }
+    Protocol::StateUpdate update;
+    bool hasNews = false;
+    const std::shared_ptr<const ControlState> state = m_store.current();
+    if (state->m_applied > 0 && subscription.m_chain != state->m_chain) {
+        const std::optional<std::vector<Protocol::LogRecord>> records = m_store.recordsSince(subscription.m_chain);
+        if (records && !subscription.m_chain.empty()) {
+            update.m_baseChain = subscription.m_chain;
+            update.m_records = *records;
+        } else {
+            update.m_snapshotOffset = state->m_applied;
+            update.m_snapshot = encodeState(*state);
+        }
+        subscription.m_chain = state->m_chain;
+        hasNews = true;
+    }
+    const std::uint64_t version = m_store.membersVersion();
+    if (version != subscription.m_membersVersion && now - subscription.m_membersSent >= MembersInterval) {
+        MemberKnowledge knowledge = m_store.memberKnowledge();
+        update.m_membersVersion = version;
+        update.m_members = std::move(knowledge.m_members);
+        update.m_gone = std::move(knowledge.m_gone);
+        subscription.m_membersVersion = version;
+        subscription.m_membersSent = now;
+        hasNews = true;
+    }
+    if (!hasNews) {
+        return true;
+    }
+    m_updatesSent.add();
+    if (!subscription.m_responder.send(Wire::pack(update))) {
+        m_subscribersCut.add();
+        subscription.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "send state", "", "the subscriber is too far behind"));
+        return false;
+    }
+    return true;
+}
+
+Core::Duration StateFeed::turn()
+{
+    admitArrivals();
+    const Core::Instant now = Core::Clock::now();
+    const std::uint64_t version = m_store.membersVersion();
+    bool owesMembers = false;
+    for (std::vector<Subscription>::iterator it = m_subscriptions.begin(); it != m_subscriptions.end();) {
+        if (serve(*it, now)) {
+            owesMembers = owesMembers || it->m_membersVersion != version;
+            ++it;
+            continue;
+        }
+        noteSubscribed(it->m_member, false);
+        it = m_subscriptions.erase(it);
+    }
+    return owesMembers ? MembersInterval : IdleTurn;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/StateFeed.h
@@ -0,0 +1,78 @@
+/// @file An entry's side of spreading control state to agents and other entries.
+#pragma once
+
+#include "LibControl/Duty.h"
+#include "LibControl/StateStore.h"
+#include "LibCore/Ring.h"
+#include "LibWire/Node.h"
+
+#include <map>
+
+namespace Control {
+
+/// What a subscriber last said it has in force.
+struct AppliedAt
+{
+    Protocol::Member m_member;
+    Offset m_applied = 0;
+    bool m_isSubscribed = false; ///< Its stream to this entry is open.
+
+    bool operator==(const AppliedAt &) const = default;
+};
+
+/**
+ * Answers control.state, control.applied and control.fence.
+ *
+ * Must be constructed before the node is started, and stopped after it. A subscriber that falls behind is cut off, and
+ * gets a snapshot when it subscribes anew.
+ */
+class StateFeed
+{
+public:
+    StateFeed(Wire::Node &node, StateStore &store, Telemetry::Metrics &metrics);
+    ~StateFeed();
+
+    void start();
+    void stop();
+
+    /// What each instance that is or was subscribed here has in force, by id.
+    std::map<std::string, AppliedAt> applied() const;
+
+private:
+    struct Subscription
+    {
+        Protocol::Member m_member;
+        Wire::Responder m_responder;
+        std::string m_chain; ///< History that the subscriber has, or is being sent.
+        std::uint64_t m_membersVersion = 0; ///< Last sent.
+        Core::Instant m_membersSent; ///< When.
+    };
+
+    struct Arrival
+    {
+        Protocol::StateRequest m_request;
+        Wire::Responder m_responder;
+    };
+
+    void onSubscribe(const Wire::IncomingCall &call);
+    void onApplied(const Wire::IncomingCall &call);
+    void onFence(const Wire::IncomingCall &call) const;
+    Core::Duration turn();
+    void admitArrivals();
+    bool serve(Subscription &subscription, Core::Instant now);
+    void noteSubscribed(const Protocol::Member &member, bool isSubscribed);
+
+    StateStore &m_store;
+    Telemetry::Counter &m_updatesSent;
+    Telemetry::Counter &m_subscribersCut;
+    Telemetry::Counter &m_subscribersRefused;
+    Core::Ring<Arrival> m_arrivals;
+    std::vector<Subscription> m_subscriptions; ///< Used by the duty's thread only.
+    mutable std::mutex m_appliedMutex;
+    std::map<std::string, AppliedAt> m_applied; ///< By instance; at most MaximumSubscribers.
+    Duty m_duty;
+};
+
+inline constexpr std::size_t MaximumSubscribers = 8192;
+
+}
--- /dev/null
+++ b/Libraries/LibControl/StateStore.cpp
@@ -0,0 +1,219 @@
+/// @file Implementation of the state store.
+
+#include "LibControl/StateStore.h"
+#include "LibControl/Fold.h"
+#include "LibControl/Recovery.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace Control {
+
+namespace {
+
+constexpr std::size_t MaximumSteps = 512;
+constexpr std::size_t MaximumStepBytes = 4 << 20;
+
+}
+
+StateStore::StateStore(Telemetry::Metrics &metrics)
+    : m_recordsApplied(metrics.counter("control_records_applied_total"))
+    , m_recordsRefused(metrics.counter("control_records_refused_total"))
+    , m_snapshotsApplied(metrics.counter("control_snapshots_applied_total"))
+    , m_snapshotsRefused(metrics.counter("control_snapshots_refused_total"))
+    , m_state(std::make_shared<const ControlState>())
+{
+    metrics.gauge("control_applied_offset", [this] { return static_cast<double>(current()->m_applied); });
+}
+
+std::shared_ptr<const ControlState> StateStore::current() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_state;
+}
+
+bool StateStore::isReady() const
+{
+    return current()->m_applied > 0;
+}
+
+void StateStore::remember(Step step)
+{
+    m_stepBytes += step.m_record.m_body.size();
+    m_steps.push_back(std::move(step));
+    while (m_steps.size() > MaximumSteps || (m_stepBytes > MaximumStepBytes && m_steps.size() > 1)) {
+        m_stepBytes -= m_steps.front().m_record.m_body.size();
+        m_steps.pop_front();
+    }
+}
+
+ApplyResult StateStore::applyRecords(const std::string &baseChain, std::span<const Protocol::LogRecord> records)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        std::size_t known = 0;
+        if (baseChain != m_state->m_chain) {
+            const auto follows = [&baseChain](const Step &step) { return step.m_before == baseChain; };
+            const std::deque<Step>::const_iterator base = std::find_if(m_steps.begin(), m_steps.end(), follows);
+            if (base == m_steps.end()) {
+                return ApplyResult::Gap;
+            }
+            known = static_cast<std::size_t>(m_steps.end() - base);
+        }
+        if (known >= records.size()) {
+            return ApplyResult::AlreadyKnown;
+        }
+        std::shared_ptr<ControlState> next = std::make_shared<ControlState>(*m_state);
+        std::vector<Step> steps;
+        for (const Protocol::LogRecord &record : records.subspan(known)) {
+            if (next->m_position + 1 != record.m_offset) {
+                return ApplyResult::Gap;
+            }
+            const std::string before = next->m_chain;
+            const RecordOutcome outcome = fold(*next, record.m_offset, record.m_body);
+            (outcome.m_accepted ? m_recordsApplied : m_recordsRefused).add();
+            steps.push_back(Step{before, next->m_chain, record});
+        }
+        if (!covers(*next, *m_state)) {
+            // A restore record by a writer that did not know what this process has accepted. Refusing it keeps that in force;
+            // the log's reader sees that the histories differ and puts the difference back.
+            m_snapshotsRefused.add();
+            return ApplyResult::Refused;
+        }
+        for (Step &step : steps) {
+            remember(std::move(step));
+        }
+        m_state = std::move(next);
+    }
+    announceChange();
+    return ApplyResult::Applied;
+}
+
+ApplyResult StateStore::applySnapshot(ControlState snapshot)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (snapshot.m_applied <= m_state->m_applied) {
+            return ApplyResult::AlreadyKnown;
+        }
+        if (!covers(snapshot, *m_state)) {
+            m_snapshotsRefused.add();
+            return ApplyResult::Refused;
+        }
+        m_snapshotsApplied.add();
+        m_steps.clear();
+        m_stepBytes = 0;
+        m_state = std::make_shared<const ControlState>(std::move(snapshot));
+    }
+    announceChange();
+    return ApplyResult::Applied;
+}
+
+std::vector<Protocol::Member> StateStore::members() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_members.members();
+}
+
+MemberKnowledge StateStore::memberKnowledge() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_members.knowledge();
+}
+
+std::uint64_t StateStore::membersVersion() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_membersVersion;
+}
+
+template <typename Change>
+void StateStore::changeMembers(Change change)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (!change(m_members)) {
+            return;
+        }
+        ++m_membersVersion;
+    }
+    announceChange();
+}
+
+void StateStore::announce(const Protocol::Member &member)
+{
+    changeMembers([&member](MemberTable &table) { return table.announce(member, Core::Clock::now()); });
+}
+
+void StateStore::mergeMembers(const MemberKnowledge &knowledge)
+{
+    changeMembers([&knowledge](MemberTable &table) { return table.merge(knowledge, Core::Clock::now()); });
+}
+
+void StateStore::applyInstanceList(std::span<const Protocol::Member> listed)
+{
+    changeMembers([listed](MemberTable &table) { return table.applyList(listed, Core::Clock::now()); });
+}
+
+std::optional<std::vector<Protocol::LogRecord>> StateStore::recordsSince(const std::string &baseChain) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (baseChain == m_state->m_chain) {
+        return std::vector<Protocol::LogRecord>();
+    }
+    const auto follows = [&baseChain](const Step &step) { return step.m_before == baseChain; };
+    const std::deque<Step>::const_iterator base = std::find_if(m_steps.begin(), m_steps.end(), follows);
+    if (base == m_steps.end()) {
+        return std::nullopt;
+    }
+    std::vector<Protocol::LogRecord> records;
+    for (std::deque<Step>::const_iterator it = base; it != m_steps.end(); ++it) {
+        records.push_back(it->m_record);
+    }
+    return records;
+}
+
+void StateStore::onChange(std::function<void()> callback)
+{
+    m_callbacks.push_back(std::move(callback));
+}
+
+void StateStore::announceChange() const
+{
+    for (const std::function<void()> &callback : m_callbacks) {
+        callback();
+    }
+}
+
+Poco::JSON::Object::Ptr StateStore::dump() const
+{
+    const std::shared_ptr<const ControlState> state = current();
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("ready", state->m_applied > 0);
+    object->set("applied", static_cast<Poco::UInt64>(state->m_applied));
+    object->set("position", static_cast<Poco::UInt64>(state->m_position));
+    object->set("generation", static_cast<Poco::UInt64>(state->m_generation));
+    object->set("chain", state->m_chain);
+    Poco::JSON::Object::Ptr templates = new Poco::JSON::Object;
+    for (const std::pair<const std::string, AcceptedTemplate> &entry : state->m_templates) {
+        templates->set(entry.first, static_cast<Poco::UInt64>(entry.second.m_revision));
+    }
+    object->set("templates", templates);
+    Poco::JSON::Object::Ptr plans = new Poco::JSON::Object;
+    for (const std::pair<const std::string, Plan> &entry : state->m_plans) {
+        plans->set(entry.first, static_cast<Poco::UInt64>(entry.second.m_offset));
+    }
+    object->set("plans", plans);
+    Poco::JSON::Array::Ptr members = new Poco::JSON::Array;
+    for (const Protocol::Member &member : this->members()) {
+        Poco::JSON::Object::Ptr row = new Poco::JSON::Object;
+        row->set("id", member.m_id);
+        row->set("incarnation", member.m_incarnation);
+        row->set("wire", member.m_wire.toString());
+        row->set("leaving", member.m_leaving);
+        members->add(row);
+    }
+    object->set("members", members);
+    return object;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -0,0 +1,241 @@
+/// @file Implementation of the state subscriber.
+
+#include "LibControl/StateSubscriber.h"
+#include "LibControl/FeedChoice.h"
+#include "LibWire/Pack.h"
+
+#include <glog/logging.h>
+
+namespace Control {
+
+namespace {
+
+constexpr std::size_t ArrivalCapacity = 1024;
+constexpr Core::Duration NoticeTimeout{2000};
+constexpr Core::Duration NoticeRepeat{5000};
+constexpr Core::Duration AtOnce{0};
+
+}
+
+StateSubscriber::StateSubscriber(Wire::Node &node,
+                                 StateStore &store,
+                                 Protocol::Member self,
+                                 std::vector<Core::Address> seeds,
+                                 Telemetry::Metrics &metrics,
+                                 StateSubscriberSettings settings)
+    : m_node(node)
+    , m_store(store)
+    , m_seeds(std::move(seeds))
+    , m_settings(settings)
+    , m_feedsLost(metrics.counter("control_feeds_lost_total"))
+    , m_gaps(metrics.counter("control_feed_gaps_total"))
+    , m_overruns(metrics.counter("control_feed_overruns_total"))
+    , m_arrivals(std::make_shared<Core::Ring<Arrival>>(ArrivalCapacity))
+    , m_self(std::move(self))
+{
+    store.onChange([this] { m_duty.wake(); });
+}
+
+StateSubscriber::~StateSubscriber()
+{
+    stop();
+}
+
+void StateSubscriber::start()
+{
+    m_duty.start([this] { return turn(); });
+}
+
+void StateSubscriber::stop()
+{
+    m_duty.stop();
+    m_arrivals->close();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::pair<const std::uint64_t, Feed> &entry : m_feeds) {
+        m_node.cancel(entry.second.m_call);
+    }
+    m_feeds.clear();
+}
+
+void StateSubscriber::updateSelf(const Protocol::Member &self)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_self = self;
+        m_selfChanged = true;
+    }
+    m_duty.wake();
+}
+
+std::vector<Core::Address> StateSubscriber::feeds() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<Core::Address> addresses;
+    for (const std::pair<const std::uint64_t, Feed> &entry : m_feeds) {
+        addresses.push_back(entry.second.m_address);
+    }
+    return addresses;
+}
+
+Core::Duration StateSubscriber::turn()
+{
+    takeArrivals();
+    chooseAndOpen();
+    acknowledge();
+    return m_arrivals->size() > 0 ? AtOnce : m_settings.m_turn;
+}
+
+void StateSubscriber::takeArrivals()
+{
+    while (std::optional<Arrival> arrival = m_arrivals->pop(AtOnce)) {
+        if (arrival->m_hasEnded) {
+            retire(arrival->m_feed, true);
+        } else {
+            receive(arrival->m_feed, arrival->m_frame);
+        }
+    }
+}
+
+void StateSubscriber::receive(std::uint64_t feedId, const std::string &frame)
+{
+    const Core::Result<Protocol::StateUpdate> decoded = Wire::unpack<Protocol::StateUpdate>(frame, "");
+    if (!decoded) {
+        retire(feedId, true);
+        return;
+    }
+    const Protocol::StateUpdate &update = decoded.value();
+    if (update.m_membersVersion > 0) {
+        m_store.mergeMembers(MemberKnowledge{update.m_members, update.m_gone});
+    }
+    if (update.m_snapshotOffset > 0) {
+        Core::Result<ControlState> snapshot = decodeState(update.m_snapshot, "");
+        if (!snapshot) {
+            retire(feedId, true);
+            return;
+        }
+        m_store.applySnapshot(std::move(snapshot.value()));
+    }
+    if (!update.m_records.empty() && m_store.applyRecords(update.m_baseChain, update.m_records) == ApplyResult::Gap) {
+        // The entry folded another history than this process: its snapshot decides which of the two covers the other.
+        m_gaps.add();
+        retire(feedId, false);
+    }
+}
+
+void StateSubscriber::retire(std::uint64_t feedId, bool failed)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::map<std::uint64_t, Feed>::iterator found = m_feeds.find(feedId);
+    if (found == m_feeds.end()) {
+        return;
+    }
+    m_node.cancel(found->second.m_call);
+    if (failed) {
+        m_feedsLost.add();
+        m_avoidedUntil[found->second.m_address] = Core::Clock::now() + m_settings.m_retry;
+    }
+    m_feeds.erase(found);
+}
+
+void StateSubscriber::chooseAndOpen()
+{
+    const Core::Instant now = Core::Clock::now();
+    std::erase_if(m_avoidedUntil, [now](const std::pair<const Core::Address, Core::Instant> &entry) { return entry.second <= now; });
+    std::set<Core::Address> avoided;
+    for (const std::pair<const Core::Address, Core::Instant> &entry : m_avoidedUntil) {
+        avoided.insert(entry.first);
+    }
+    const std::vector<Protocol::Member> members = m_store.members();
+    std::vector<Core::Address> missing;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const std::vector<Core::Address> wanted = chooseFeeds(m_self, members, m_seeds, avoided, m_settings.m_feeds);
+        const bool announceAnew = std::exchange(m_selfChanged, false);
+        std::set<Core::Address> open;
+        for (std::map<std::uint64_t, Feed>::iterator it = m_feeds.begin(); it != m_feeds.end();) {
+            const bool isWanted = std::find(wanted.begin(), wanted.end(), it->second.m_address) != wanted.end();
+            if (isWanted && !announceAnew) {
+                open.insert(it->second.m_address);
+                ++it;
+                continue;
+            }
+            m_node.cancel(it->second.m_call);
+            it = m_feeds.erase(it);
+        }
+        for (const Core::Address &address : wanted) {
+            if (!open.contains(address) && !avoided.contains(address)) {
+                missing.push_back(address);
+            }
+        }
+    }
+    for (const Core::Address &address : missing) {
+        open(address);
+    }
+}
+
+void StateSubscriber::open(const Core::Address &address)
+{
+    const std::uint64_t feedId = m_nextFeed++;
+    const std::shared_ptr<const ControlState> state = m_store.current();
+    Protocol::StateRequest request;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        request.m_subscriber = m_self;
+        m_feeds[feedId] = Feed{address, 0, state->m_applied, Core::Clock::now()};
+    }
+    request.m_appliedOffset = state->m_applied;
+    request.m_chain = state->m_chain;
+
+    Wire::CallEvents events;
+    const std::shared_ptr<Core::Ring<Arrival>> arrivals = m_arrivals;
+    Telemetry::Counter &overruns = m_overruns;
+    Duty &duty = m_duty;
+    events.m_onFrame = [arrivals, feedId, &overruns, &duty](std::string frame) {
+        if (!arrivals->tryPush(Arrival{feedId, std::move(frame), false})) {
+            overruns.add();
+        }
+        duty.wake();
+    };
+    events.m_onEnd = [arrivals, feedId, &duty](const Wire::CallEnd &) {
+        if (arrivals->tryPush(Arrival{feedId, "", true})) {
+            duty.wake();
+        }
+    };
+    const Wire::CallId call = m_node.call(address, "control.state", Wire::pack(request), Wire::CallOptions{Core::Duration(0)}, std::move(events));
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::map<std::uint64_t, Feed>::iterator found = m_feeds.find(feedId);
+    if (found != m_feeds.end()) {
+        found->second.m_call = call;
+    }
+}
+
+void StateSubscriber::acknowledge()
+{
+    const Offset applied = m_store.current()->m_applied;
+    const Core::Instant now = Core::Clock::now();
+    std::vector<Core::Address> due;
+    Protocol::AppliedNotice notice;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        notice = Protocol::AppliedNotice{m_self.m_id, m_self.m_incarnation, applied};
+        for (std::pair<const std::uint64_t, Feed> &entry : m_feeds) {
+            Feed &feed = entry.second;
+            // Repeated now and then, since a notice can be lost with its connection.
+            const bool isDue = feed.m_acknowledged < applied || (applied > 0 && now - feed.m_acknowledgedAt >= NoticeRepeat);
+            if (isDue) {
+                feed.m_acknowledged = applied;
+                feed.m_acknowledgedAt = now;
+                due.push_back(feed.m_address);
+            }
+        }
+    }
+    for (const Core::Address &address : due) {
+        Wire::CallEvents events;
+        events.m_onEnd = [](const Wire::CallEnd &) {
+            // A lost notice is made good by the next one.
+        };
+        m_node.call(address, "control.applied", Wire::pack(notice), Wire::CallOptions{NoticeTimeout}, std::move(events));
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibControl/StateSubscriber.h
@@ -0,0 +1,91 @@
+/// @file How a process gets control state from entries: agents always, entries while the log is down.
+#pragma once
+
+#include "LibControl/Duty.h"
+#include "LibControl/StateStore.h"
+#include "LibCore/Ring.h"
+#include "LibWire/Node.h"
+
+#include <map>
+#include <set>
+
+namespace Control {
+
+struct StateSubscriberSettings
+{
+    std::size_t m_feeds = 2; ///< Entries that it is subscribed to at once.
+    Core::Duration m_retry{500}; ///< How long an entry that failed is passed over.
+    Core::Duration m_turn{200}; ///< Longest time between two looks at the choice of entries.
+};
+
+/**
+ * Keeps subscriptions to several entries and applies what they send, on a thread of its own.
+ *
+ * An entry can die, or its connection can go silent for good; the wire's heartbeat ends the stream then, and another entry
+ * is chosen. With two feeds a change is not late while that is noticed.
+ */
+class StateSubscriber
+{
+public:
+    StateSubscriber(Wire::Node &node,
+                    StateStore &store,
+                    Protocol::Member self,
+                    std::vector<Core::Address> seeds,
+                    Telemetry::Metrics &metrics,
+                    StateSubscriberSettings settings = {});
+    ~StateSubscriber();
+
+    void start();
+    /// To be called before the node is stopped.
+    void stop();
+
+    /// Announces the process anew, for example that it is leaving, at every entry that it is subscribed to.
+    void updateSelf(const Protocol::Member &self);
+    /// Entries that it is subscribed to.
+    std::vector<Core::Address> feeds() const;
+
+private:
+    /// What a stream brought, on its way from the node's thread.
+    struct Arrival
+    {
+        std::uint64_t m_feed = 0;
+        std::string m_frame;
+        bool m_hasEnded = false;
+    };
+
+    struct Feed
+    {
+        Core::Address m_address;
+        Wire::CallId m_call = 0;
+        Offset m_acknowledged = 0; ///< Last offset that this entry was told is in force here.
+        Core::Instant m_acknowledgedAt; ///< When.
+    };
+
+    Core::Duration turn();
+    void takeArrivals();
+    void receive(std::uint64_t feedId, const std::string &frame);
+    void retire(std::uint64_t feedId, bool failed);
+    void chooseAndOpen();
+    void open(const Core::Address &address);
+    void acknowledge();
+
+    Wire::Node &m_node;
+    StateStore &m_store;
+    const std::vector<Core::Address> m_seeds;
+    const StateSubscriberSettings m_settings;
+    Telemetry::Counter &m_feedsLost;
+    Telemetry::Counter &m_gaps;
+    Telemetry::Counter &m_overruns;
+    std::shared_ptr<Core::Ring<Arrival>> m_arrivals; ///< Shared with callbacks, which may outlive this object.
+
+    mutable std::mutex m_mutex;
+    Protocol::Member m_self;
+    bool m_selfChanged = false;
+    std::map<std::uint64_t, Feed> m_feeds; ///< By a number that is never used again.
+
+    std::uint64_t m_nextFeed = 1; ///< Used by the duty's thread only, as is the following.
+    std::map<Core::Address, Core::Instant> m_avoidedUntil;
+    Duty m_duty;
+};
+
+}
--- a/Libraries/LibProtocol/StateFeed.h
+++ b/Libraries/LibProtocol/StateFeed.h
@@ -14,8 +14,9 @@
 {
     Member m_subscriber;
     std::uint64_t m_appliedOffset = 0; ///< What the subscriber has; 0 if nothing.
+    std::string m_chain; ///< Digest of the history that the subscriber has folded; empty if nothing.
 
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("subscriber", m_subscriber), MSGPACK_NVP("applied", m_appliedOffset));
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("subscriber", m_subscriber), MSGPACK_NVP("applied", m_appliedOffset), MSGPACK_NVP("chain", m_chain));
 };
 
 /// A record of the control stream as the log holds it.
@@ -34,15 +35,37 @@
 {
     std::uint64_t m_snapshotOffset = 0; ///< 0 if there is no snapshot in this update.
     std::string m_snapshot; ///< Encoded control state as of m_snapshotOffset.
+    std::string m_baseChain; ///< Digest of the history that m_records follow.
     std::vector<LogRecord> m_records;
     std::uint64_t m_membersVersion = 0; ///< 0 if there are no members in this update.
     std::vector<Member> m_members; ///< Every known member, not a difference.
+    std::vector<std::string> m_gone; ///< Incarnations that have ended; the newest ones.
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("snapshot_offset", m_snapshotOffset),
                        MSGPACK_NVP("snapshot", m_snapshot),
+                       MSGPACK_NVP("base_chain", m_baseChain),
                        MSGPACK_NVP("records", m_records),
                        MSGPACK_NVP("members_version", m_membersVersion),
-                       MSGPACK_NVP("members", m_members));
+                       MSGPACK_NVP("members", m_members),
+                       MSGPACK_NVP("gone", m_gone));
+};
+
+/// An agent asks for the fencing number that its orders must not fall below (method control.fence).
+struct FenceRequest
+{
+    std::string m_service;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("service", m_service));
+};
+
+struct FenceAnswer
+{
+    std::uint64_t m_planOffset = 0; ///< Of the service's plan in force at the entry; 0 if there is none.
+    std::uint64_t m_appliedOffset = 0; ///< Control state in force at the entry.
+
+    bool operator==(const FenceAnswer &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("plan", m_planOffset), MSGPACK_NVP("applied", m_appliedOffset));
 };
 
 /// A subscriber says which state is in force at it (method control.applied).
