--- a/Libraries/LibEndpoint/AttemptGate.h
+++ b/Libraries/LibEndpoint/AttemptGate.h
@@ -51,6 +51,7 @@
  * Eviction: closed attempts are forgotten in the order in which they closed, once there are too many; stored answers likewise.
  * An attempt whose answer was dropped is Unknown. What is forgotten altogether raises the horizon: an attempt that was sent on the strength of a
  * report at or below it may be a forgotten one, so its outcome is Unknown, never NeverRan, and its late arrival is refused.
+ * That no forgotten attempt had the same key is the claims' matter, which outlast every agent.
  * Nothing is kept over a restart: attempts meant for another life are Unknown.
  */
 class AttemptGate
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -71,7 +71,7 @@
         }
         google::InitGoogleLogging(argv[0]);
         return runAgent(std::move(settings));
-    } catch (const cxxopts::OptionException &exception) {
+    } catch (const cxxopts::exceptions::exception &exception) {
         std::cerr << exception.what() << "\n";
         return ExitUsage;
     }
--- /dev/null
+++ b/Tests/LibEndpoint/TestOrderDecision.cpp
@@ -0,0 +1,148 @@
+/// @file What the agent orders and attests.
+
+#include "LibEndpoint/OrderDecision.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using Endpoint::EngineModel;
+using Endpoint::HeldWeights;
+using Endpoint::ModelState;
+using Endpoint::Order;
+using Endpoint::OrderKind;
+using Endpoint::OrderSituation;
+
+const Core::Instant Start{std::chrono::seconds(1000)};
+const HeldWeights Old{"manifest-old", "content-old"};
+const HeldWeights New{"manifest-new", "content-new"};
+
+OrderSituation situation(std::uint32_t slots)
+{
+    OrderSituation result;
+    result.m_planOffset = 7;
+    result.m_plannedManifests = {New.m_manifestDigest};
+    result.m_engine.m_reachable = true;
+    result.m_slots = slots;
+    result.m_grace = Core::Duration(1000);
+    return result;
+}
+
+EngineModel serving(const HeldWeights &weights, std::uint64_t fence = 1)
+{
+    return EngineModel{weights.m_contentDigest, ModelState::Serving, fence};
+}
+
+}
+
+TEST_CASE("partial weights are never ordered")
+{
+    // The plan names a version that is still on its way here. An engine that got what there is would draft with partial weights.
+    OrderSituation partial = situation(2);
+    REQUIRE_FALSE(Endpoint::decideOrder(partial, Start));
+    partial.m_held = {New};
+    REQUIRE(Endpoint::decideOrder(partial, Start) == Order{OrderKind::Load, New.m_manifestDigest, New.m_contentDigest, 7});
+}
+
+TEST_CASE("nothing is ordered without a plan, without the engine, or while it loads")
+{
+    OrderSituation ready = situation(2);
+    ready.m_held = {New};
+    OrderSituation changed = ready;
+    changed.m_planOffset = 0;
+    REQUIRE_FALSE(Endpoint::decideOrder(changed, Start));
+    changed = ready;
+    changed.m_engine.m_reachable = false;
+    REQUIRE_FALSE(Endpoint::decideOrder(changed, Start));
+    changed = ready;
+    changed.m_engine.m_models = {EngineModel{"content-x", ModelState::Loading, 0}};
+    REQUIRE_FALSE(Endpoint::decideOrder(changed, Start));
+}
+
+TEST_CASE("with a free slot the new version is loaded beside the old one, which goes after the grace period")
+{
+    OrderSituation now = situation(2);
+    now.m_held = {Old, New};
+    now.m_engine.m_models = {serving(Old)};
+    REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Load);
+    REQUIRE(Endpoint::retirementTimes(now, Start).empty());
+
+    now.m_engine.m_models.push_back(serving(New));
+    now.m_retirement = Endpoint::retirementTimes(now, Start);
+    REQUIRE(now.m_retirement == Endpoint::RetirementTimes{{Old.m_contentDigest, Start}});
+    REQUIRE_FALSE(Endpoint::decideOrder(now, Start + Core::Duration(999)));
+    now.m_retirement = Endpoint::retirementTimes(now, Start + Core::Duration(500));
+    REQUIRE(Endpoint::decideOrder(now, Start + Core::Duration(1000)) == Order{OrderKind::Unload, Old.m_manifestDigest, Old.m_contentDigest, 7});
+}
+
+TEST_CASE("a version that the plan names again is not unloaded")
+{
+    OrderSituation now = situation(2);
+    now.m_held = {Old, New};
+    now.m_engine.m_models = {serving(Old), serving(New)};
+    now.m_retirement = {{Old.m_contentDigest, Start}};
+    now.m_plannedManifests = {New.m_manifestDigest, Old.m_manifestDigest};
+    now.m_retirement = Endpoint::retirementTimes(now, Start + Core::Duration(5000));
+    REQUIRE_FALSE(Endpoint::decideOrder(now, Start + Core::Duration(5000)));
+}
+
+TEST_CASE("an engine with one slot swaps only once the new version is whole here")
+{
+    OrderSituation now = situation(1);
+    now.m_held = {Old};
+    now.m_engine.m_models = {serving(Old)};
+    REQUIRE_FALSE(Endpoint::decideOrder(now, Start));
+    now.m_held = {Old, New};
+    REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Unload);
+    now.m_engine.m_models.clear();
+    REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Load);
+}
+
+TEST_CASE("after a restart of the agent the engine keeps what may be planned")
+{
+    // The agent has lost its memory and does not know yet which manifest the engine's weights belong to. Unloading them would stop the service.
+    OrderSituation now = situation(1);
+    now.m_engine.m_models = {serving(New)};
+    REQUIRE(Endpoint::retirementTimes(now, Start).empty());
+    now.m_retirement = Endpoint::retirementTimes(now, Start);
+    REQUIRE_FALSE(Endpoint::decideOrder(now, Start + Core::Duration(60000)));
+}
+
+TEST_CASE("weights under which the engine answered with another version are unloaded and not attested")
+{
+    OrderSituation now = situation(2);
+    now.m_held = {New};
+    now.m_engine.m_models = {serving(New)};
+    now.m_distrusted = {New.m_contentDigest};
+    REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Unload);
+    REQUIRE(Endpoint::attestationsOf(now.m_engine, now.m_held, now.m_distrusted, {}).empty());
+    now.m_notBefore = {{New.m_contentDigest, Start + Core::Duration(1)}};
+    REQUIRE_FALSE(Endpoint::decideOrder(now, Start));
+}
+
+TEST_CASE("only what the engine itself reports as serving, out of weights verified here, is attested")
+{
+    // The engine dies while it loads, or holds weights that somebody else gave it. Calls sent there would fail or get another version.
+    Endpoint::EngineStatus engine;
+    engine.m_reachable = true;
+    engine.m_models = {EngineModel{New.m_contentDigest, ModelState::Loading, 0}, EngineModel{"content-foreign", ModelState::Serving, 0}};
+    REQUIRE(Endpoint::attestationsOf(engine, {New, Old}, {}, {{New.m_contentDigest, 7}}).empty());
+    engine.m_models.front().m_state = ModelState::Serving;
+    const std::vector<Protocol::Attestation> expected = {Protocol::Attestation{New.m_manifestDigest, 7}};
+    REQUIRE(Endpoint::attestationsOf(engine, {New, Old}, {}, {{New.m_contentDigest, 7}}) == expected);
+    engine.m_reachable = false;
+    REQUIRE(Endpoint::attestationsOf(engine, {New, Old}, {}, {}).empty());
+}
+
+TEST_CASE("the deployments of a plan that concern an instance")
+{
+    Control::Plan plan;
+    Control::Deployment mine;
+    mine.m_digest = "mine";
+    mine.m_replicas = {Control::PlannedReplica{"other", "", "", {}}, Control::PlannedReplica{"me", "", "", {}}};
+    Control::Deployment theirs;
+    theirs.m_digest = "theirs";
+    theirs.m_replicas = {Control::PlannedReplica{"other", "", "", {}}};
+    plan.m_deployments = {mine, theirs};
+    REQUIRE(Endpoint::deploymentsOf(plan, "me") == std::vector<Control::Deployment>{mine});
+}
