--- a/Libraries/LibControl/Fold.cpp
+++ b/Libraries/LibControl/Fold.cpp
@@ -71,12 +71,12 @@
     if (state.m_removals.size() < MaximumRemovals) {
         return;
     }
-    const std::map<std::string, Removal>::iterator oldest = std::min_element(
-        state.m_removals.begin(),
-        state.m_removals.end(),
-        [](const std::pair<const std::string, Removal> &left, const std::pair<const std::string, Removal> &right) {
-            return left.second.m_revision < right.second.m_revision;
-        });
+    const std::map<std::string, Removal>::iterator oldest =
+        std::min_element(state.m_removals.begin(),
+                         state.m_removals.end(),
+                         [](const std::pair<const std::string, Removal> &left, const std::pair<const std::string, Removal> &right) {
+                             return left.second.m_revision < right.second.m_revision;
+                         });
     state.m_removals.erase(oldest);
 }
 
--- a/Libraries/LibControl/Planner.cpp
+++ b/Libraries/LibControl/Planner.cpp
@@ -37,8 +37,7 @@
             candidates.push_back(Candidate{&member, {}, {}, {}});
         }
     }
-    std::sort(
-        candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.m_member->m_id < right.m_member->m_id; });
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) { return left.m_member->m_id < right.m_member->m_id; });
     if (!previous) {
         return candidates;
     }
--- a/Libraries/LibControl/PlannerDuty.cpp
+++ b/Libraries/LibControl/PlannerDuty.cpp
@@ -66,8 +66,7 @@
     return wait;
 }
 
-Core::Duration
-PlannerDuty::lookAfter(const std::string &service, const ControlState &state, const std::vector<Protocol::Member> &members, Core::Instant now)
+Core::Duration PlannerDuty::lookAfter(const std::string &service, const ControlState &state, const std::vector<Protocol::Member> &members, Core::Instant now)
 {
     const Plan wanted = planService(service, state, members);
     if (!isPlanOutOfDate(state, wanted)) {
--- a/Libraries/LibControl/Recovery.cpp
+++ b/Libraries/LibControl/Recovery.cpp
@@ -12,17 +12,6 @@
 
 constexpr std::size_t PageRecords = 256;
 
-template <typename T>
-Offset revisionOf(const T &item)
-{
-    return item.m_revision;
-}
-
-Offset revisionOf(const Plan &plan)
-{
-    return plan.m_offset;
-}
-
 bool coversTemplates(const ControlState &newer, const ControlState &older)
 {
     for (const std::pair<const std::string, AcceptedTemplate> &entry : older.m_templates) {
--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -17,12 +17,8 @@
 
 }
 
-StateSubscriber::StateSubscriber(Wire::Node &node,
-                                 StateStore &store,
-                                 Protocol::Member self,
-                                 std::vector<Core::Address> seeds,
-                                 Telemetry::Metrics &metrics,
-                                 StateSubscriberSettings settings)
+StateSubscriber::StateSubscriber(
+    Wire::Node &node, StateStore &store, Protocol::Member self, std::vector<Core::Address> seeds, Telemetry::Metrics &metrics, StateSubscriberSettings settings)
     : m_node(node)
     , m_store(store)
     , m_seeds(std::move(seeds))
--- a/Libraries/LibPlatform/HttpInstanceList.cpp
+++ b/Libraries/LibPlatform/HttpInstanceList.cpp
@@ -52,7 +52,6 @@
 {
     try {
         Poco::JSON::Parser parser;
-        parser.getHandler()->reset();
         parser.setDepth(MaximumNesting);
         const Poco::JSON::Object::Ptr root = parser.parse(text).extract<Poco::JSON::Object::Ptr>();
         const Poco::JSON::Array::Ptr array = root->getArray("instances");
