--- /dev/null
+++ b/Libraries/LibStandIn/LoadHistory.h
@@ -0,0 +1,66 @@
+/// @file Load as it was some time ago, since engines report theirs with a lag: decision logic without threads.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace StandIn {
+
+struct LoadSample
+{
+    std::uint32_t m_running = 0;
+    std::uint32_t m_queued = 0;
+
+    bool operator==(const LoadSample &) const = default;
+};
+
+/// Not thread-safe.
+class LoadHistory
+{
+public:
+    explicit LoadHistory(Core::Duration lag)
+        : m_lag(lag)
+    {
+    }
+
+    void record(LoadSample sample, Core::Instant now)
+    {
+        forget(now);
+        m_samples.push_back(Entry{now, sample});
+        if (m_samples.size() > MaximumSamples) {
+            m_samples.pop_front();
+        }
+    }
+
+    /// The load at @p now minus the lag.
+    LoadSample reported(Core::Instant now)
+    {
+        forget(now);
+        const bool oldEnough = !m_samples.empty() && m_samples.front().m_time + m_lag <= now;
+        return oldEnough ? m_samples.front().m_sample : LoadSample{};
+    }
+
+private:
+    struct Entry
+    {
+        Core::Instant m_time;
+        LoadSample m_sample;
+    };
+
+    static constexpr std::size_t MaximumSamples = 65536;
+
+    /// Drops what a newer sample that is old enough replaces.
+    void forget(Core::Instant now)
+    {
+        while (m_samples.size() > 1 && m_samples[1].m_time + m_lag <= now) {
+            m_samples.pop_front();
+        }
+    }
+
+    Core::Duration m_lag;
+    std::deque<Entry> m_samples; ///< Oldest first.
+};
+
+}
