--- a/Libraries/LibEndpoint/AttemptGate.h
+++ b/Libraries/LibEndpoint/AttemptGate.h
@@ -103,8 +103,8 @@
     void forgetOldest();
     void dropAnswers();
 
-    const std::string m_incarnation;
-    const AttemptGateLimits m_limits;
+    std::string m_incarnation;
+    AttemptGateLimits m_limits;
     std::unordered_map<std::string, Record> m_records; ///< By attempt; open ones and those in m_closed.
     std::unordered_map<std::string, std::string> m_attemptOfKey; ///< Attempts that were admitted and not barred or withdrawn.
     std::deque<std::string> m_closed; ///< In the order of closing; each closed attempt once.
--- a/Libraries/LibEndpoint/Engine.h
+++ b/Libraries/LibEndpoint/Engine.h
@@ -12,6 +12,7 @@
 enum class ModelState {
     Loading,
     Serving,
+    Draining, ///< Takes no new requests; its slot is free once those running have ended.
 };
 
 /// One set of weights in an engine, named by the digest of the whole weights.
--- a/Libraries/LibEndpoint/EngineClient.cpp
+++ b/Libraries/LibEndpoint/EngineClient.cpp
@@ -65,6 +65,11 @@
     const Core::Instant m_start; ///< Right after the order's fence was checked.
 };
 
+void addFence(ExchangeRequest &request, const Order &order)
+{
+    request.m_headers.push_back(Header{FenceHeader, std::to_string(order.m_fence)});
+}
+
 }
 
 EngineSettings readEngineSettings(Settings::Reader &reader)
@@ -169,13 +174,6 @@
     return Exchange::open(m_network, m_settings.m_address, request, timeout, std::make_shared<ExchangeBreaker>());
 }
 
-void EngineClient::addFence(ExchangeRequest &request, const Order &order) const
-{
-    if (m_settings.m_checksFencing) {
-        request.m_headers.push_back(Header{FenceHeader, std::to_string(order.m_fence)});
-    }
-}
-
 Core::Result<void> EngineClient::checkOrderAnswer(Exchange &exchange, const std::string &step) const
 {
     const std::string peer = m_settings.m_address.toString();
--- a/Libraries/LibEndpoint/EngineClient.h
+++ b/Libraries/LibEndpoint/EngineClient.h
@@ -23,7 +23,7 @@
 {
     Core::Address m_address;
     EndpointKind m_kind = EndpointKind::Model;
-    bool m_checksFencing = false; ///< Orders carry the fencing number only then.
+    bool m_checksFencing = false; ///< Refuses orders with an old fencing number; one that doesn't ignores the number.
     std::uint32_t m_slots = 2; ///< Sets of weights that the engine holds at once.
     Core::Duration m_statusTimeout{2000};
     Core::Duration m_answerTimeout{15000}; ///< Longest wait for the next byte of an answer.
@@ -68,7 +68,6 @@
 
 private:
     Core::Result<std::unique_ptr<Exchange>> send(const ExchangeRequest &request, Core::Duration timeout) const;
-    void addFence(ExchangeRequest &request, const Order &order) const;
     Core::Result<void> checkOrderAnswer(Exchange &exchange, const std::string &step) const;
 
     const EngineSettings m_settings;
--- a/Libraries/LibEndpoint/EngineMessages.cpp
+++ b/Libraries/LibEndpoint/EngineMessages.cpp
@@ -28,11 +28,20 @@
     }
 }
 
+/// A state that this release does not know is taken for one in which the weights can't be used.
+ModelState readState(const std::string &name)
+{
+    if (name == "serving") {
+        return ModelState::Serving;
+    }
+    return name == "loading" ? ModelState::Loading : ModelState::Draining;
+}
+
 EngineModel readModel(const Poco::JSON::Object &object)
 {
     EngineModel model;
     model.m_contentDigest = object.getValue<std::string>("digest");
-    model.m_state = object.getValue<std::string>("state") == "serving" ? ModelState::Serving : ModelState::Loading;
+    model.m_state = readState(object.getValue<std::string>("state"));
     model.m_fence = object.optValue<Poco::UInt64>("fence", 0);
     return model;
 }
--- a/Libraries/LibEndpoint/OrderDecision.cpp
+++ b/Libraries/LibEndpoint/OrderDecision.cpp
@@ -59,9 +59,9 @@
     return situation.m_plannedManifests.empty();
 }
 
-bool engineIsLoading(const EngineStatus &engine)
+bool hasModelIn(const EngineStatus &engine, ModelState state)
 {
-    return std::any_of(engine.m_models.begin(), engine.m_models.end(), [](const EngineModel &model) { return model.m_state == ModelState::Loading; });
+    return std::any_of(engine.m_models.begin(), engine.m_models.end(), [state](const EngineModel &model) { return model.m_state == state; });
 }
 
 Order unloadOrder(const OrderSituation &situation, const std::string &contentDigest)
@@ -84,7 +84,8 @@
 std::optional<Order> unloadDistrusted(const OrderSituation &situation, Core::Instant now)
 {
     for (const EngineModel &model : situation.m_engine.m_models) {
-        if (situation.m_distrusted.contains(model.m_contentDigest) && !waitsAfterFailure(situation, model.m_contentDigest, now)) {
+        const bool isSuspect = situation.m_distrusted.contains(model.m_contentDigest) && model.m_state == ModelState::Serving;
+        if (isSuspect && !waitsAfterFailure(situation, model.m_contentDigest, now)) {
             return unloadOrder(situation, model.m_contentDigest);
         }
     }
@@ -105,7 +106,8 @@
 /// The oldest weights that the plan leaves out, to make room.
 std::optional<Order> makeRoom(const OrderSituation &situation, Core::Instant now)
 {
-    if (!everyPlannedManifestIsKnown(situation)) {
+    // A model that drains gives its slot back by itself.
+    if (!everyPlannedManifestIsKnown(situation) || hasModelIn(situation.m_engine, ModelState::Draining)) {
         return std::nullopt;
     }
     const EngineModel *victim = nullptr;
@@ -154,7 +156,7 @@
         return result;
     }
     for (const EngineModel &model : situation.m_engine.m_models) {
-        if (isPlanned(situation, model.m_contentDigest)) {
+        if (isPlanned(situation, model.m_contentDigest) || model.m_state != ModelState::Serving) {
             continue;
         }
         const RetirementTimes::const_iterator known = situation.m_retirement.find(model.m_contentDigest);
@@ -165,7 +167,7 @@
 
 std::optional<Order> decideOrder(const OrderSituation &situation, Core::Instant now)
 {
-    if (situation.m_planOffset == 0 || !situation.m_engine.m_reachable || engineIsLoading(situation.m_engine)) {
+    if (situation.m_planOffset == 0 || !situation.m_engine.m_reachable || hasModelIn(situation.m_engine, ModelState::Loading)) {
         return std::nullopt;
     }
     if (const std::optional<Order> unload = unloadDistrusted(situation, now)) {
--- /dev/null
+++ b/Tests/Agent/Rig.h
@@ -0,0 +1,370 @@
+/// @file One agent between a stand-in endpoint, a small origin and an entry, all in the test's process.
+#pragma once
+
+#include "LibControl/StateFeed.h"
+#include "LibCore/Random.h"
+#include "LibEndpoint/Agent.h"
+#include "LibStandIn/Engine.h"
+#include "LibStandIn/PlainService.h"
+#include "LibWeights/Manifest.h"
+#include "LibWire/Pack.h"
+
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/ServerSocket.h>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <future>
+
+namespace Rig {
+
+constexpr Core::Duration Patience{20000};
+constexpr std::uint32_t ChunkBytes = 4 << 10;
+constexpr const char *Service = "drafting-models";
+constexpr const char *Instance = "hcm-a-m01";
+
+/// A free port on the loopback address.
+inline Core::Address freeAddress()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return Core::Address{"127.0.0.1", socket.address().port()};
+}
+
+/// Waits for a condition, never for a time; fails the test if it does not come about.
+inline void await(const std::string &what, const std::function<bool()> &condition)
+{
+    const Core::Instant deadline = Core::Clock::now() + Patience;
+    while (!condition()) {
+        INFO("waiting for: " << what);
+        REQUIRE(Core::Clock::now() < deadline);
+        std::this_thread::sleep_for(Core::Duration(5));
+    }
+}
+
+inline Poco::JSON::Object::Ptr request(const Core::Address &address, const std::string &method, const std::string &path, const std::string &body = "")
+{
+    Poco::Net::HTTPClientSession session(address.m_host, address.m_port);
+    Poco::Net::HTTPRequest head(method, path, Poco::Net::HTTPRequest::HTTP_1_1);
+    head.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    session.sendRequest(head) << body;
+    Poco::Net::HTTPResponse response;
+    std::istream &stream = session.receiveResponse(response);
+    return Poco::JSON::Parser().parse(stream).extract<Poco::JSON::Object::Ptr>();
+}
+
+/// A version of a model with made-up contents.
+struct Version
+{
+    std::string m_name;
+    std::string m_content;
+    Weights::Manifest m_manifest;
+    std::string m_encoded;
+    std::string m_digest;
+};
+
+inline Version makeVersion(const std::string &name, std::size_t bytes)
+{
+    Version version;
+    version.m_name = name;
+    Core::Random random(Core::stableHash(name));
+    for (std::size_t index = 0; index < bytes; ++index) {
+        version.m_content += static_cast<char>(random.below(256));
+    }
+    version.m_manifest = Weights::buildManifest("draft", name, version.m_content, ChunkBytes).value();
+    version.m_encoded = Weights::encodeManifest(version.m_manifest);
+    version.m_digest = Weights::manifestDigest(version.m_encoded);
+    return version;
+}
+
+/// Serves versions; m_held holds back every byte from an offset on, so that a transfer stays partial.
+class Origin
+{
+public:
+    explicit Origin(std::vector<Version> versions)
+        : m_versions(std::move(versions))
+        , m_server(8)
+    {
+        REQUIRE(m_server.listen(m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { answer(request, response); }));
+    }
+
+    const Core::Address m_address = freeAddress();
+    std::atomic<std::size_t> m_heldFrom = SIZE_MAX;
+
+private:
+    void answer(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+    {
+        for (const Version &version : m_versions) {
+            const std::string base = "/weights/draft/" + version.m_name;
+            if (request.getURI() == base + "/manifest") {
+                return StandIn::sendAnswer(response, 200, "application/octet-stream", version.m_encoded);
+            }
+            if (request.getURI() == base + "/data") {
+                const std::string range = request.get("Range").substr(std::string("bytes=").size());
+                const std::size_t first = std::stoull(range);
+                const std::size_t last = std::stoull(range.substr(range.find('-') + 1));
+                if (last >= m_heldFrom) {
+                    return StandIn::sendAnswer(response, 503, "text/plain", "held back");
+                }
+                return StandIn::sendAnswer(response, 206, "application/octet-stream", version.m_content.substr(first, last - first + 1));
+            }
+        }
+        StandIn::sendAnswer(response, 404, "text/plain", "unknown");
+    }
+
+    const std::vector<Version> m_versions;
+    StandIn::HttpServer m_server;
+};
+
+/// An entry that feeds control state and can pretend to know a newer plan.
+class Entry
+{
+public:
+    Entry()
+        : m_store(m_metrics)
+        , m_node(settings(m_address), m_metrics)
+        , m_feed(m_node, m_store, m_metrics)
+    {
+        Protocol::Member self;
+        self.m_id = "entry-1";
+        self.m_incarnation = "entry-life";
+        self.m_wire = m_address;
+        m_store.announce(self);
+        m_feed.start();
+        REQUIRE(m_node.start());
+    }
+
+    ~Entry()
+    {
+        m_node.stop();
+        m_feed.stop();
+    }
+
+    /// Puts a plan in force that wants these versions on the instance.
+    Control::Offset plan(const std::vector<Version> &versions)
+    {
+        Control::ControlState state = *m_store.current();
+        state.m_position = ++state.m_applied;
+        state.m_chain = "chain-" + std::to_string(state.m_applied);
+        Control::Plan &plan = state.m_plans[Service];
+        plan.m_service = Service;
+        plan.m_offset = state.m_applied;
+        plan.m_deployments.clear();
+        for (const Version &version : versions) {
+            Control::Deployment deployment;
+            deployment.m_model = "draft";
+            deployment.m_version = version.m_name;
+            deployment.m_digest = version.m_digest;
+            deployment.m_replicas = {Control::PlannedReplica{Instance, "hcm", "hcm-a", {}}};
+            plan.m_deployments.push_back(deployment);
+        }
+        REQUIRE(m_store.applySnapshot(state) == Control::ApplyResult::Applied);
+        return state.m_applied;
+    }
+
+    const Core::Address m_address = freeAddress();
+    Telemetry::Metrics m_metrics;
+    Control::StateStore m_store;
+    Wire::Node m_node;
+
+private:
+    static Wire::NodeSettings settings(const Core::Address &listen)
+    {
+        Wire::NodeSettings node;
+        node.m_listen = listen;
+        return node;
+    }
+
+    Control::StateFeed m_feed;
+};
+
+/// An engine or service on its own server.
+template <typename Endpoint>
+class Hosted
+{
+public:
+    template <typename EndpointSettings>
+    explicit Hosted(EndpointSettings settings)
+        : m_endpoint((settings.m_listen = m_address, settings))
+        , m_server(64)
+    {
+        REQUIRE(m_server.listen(m_address,
+                                [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_endpoint.handle(request, response); }));
+    }
+
+    ~Hosted()
+    {
+        m_endpoint.stop();
+        m_server.stop();
+    }
+
+    void setFaults(const std::string &json)
+    {
+        request(m_address, "POST", "/faults", json);
+    }
+
+    const Core::Address m_address = freeAddress();
+
+private:
+    Endpoint m_endpoint;
+    StandIn::HttpServer m_server;
+};
+
+/// Settings of an agent beside an endpoint, with short times.
+inline Endpoint::AgentSettings
+agentSettings(const Core::Address &entry, const Core::Address &origin, const Core::Address &endpoint, Endpoint::EndpointKind kind, const std::string &incarnation)
+{
+    Endpoint::AgentSettings settings;
+    Protocol::Member &self = settings.m_instance.m_member;
+    self.m_id = Instance;
+    self.m_incarnation = incarnation;
+    self.m_role = Protocol::Role::Agent;
+    self.m_service = Service;
+    self.m_region = "hcm";
+    self.m_failureDomain = "hcm-a";
+    self.m_wire = freeAddress();
+    self.m_admin = freeAddress();
+    settings.m_entries = {entry};
+    settings.m_origin = origin;
+    settings.m_engine.m_address = endpoint;
+    settings.m_engine.m_kind = kind;
+    settings.m_duties.m_statusInterval = Core::Duration(20);
+    settings.m_duties.m_orderRetry = Core::Duration(50);
+    settings.m_duties.m_retirementGrace = Core::Duration(50);
+    settings.m_duties.m_withdrawNotice = Core::Duration(20);
+    settings.m_duties.m_leaveNotice = Core::Duration(50);
+    settings.m_duties.m_reportInterval = Core::Duration(50);
+    return settings;
+}
+
+/// What an entry sees of one agent: its reports and the answers to calls.
+class Caller
+{
+public:
+    explicit Caller(const Core::Address &agent)
+        : m_agent(agent)
+        , m_node(settings(), m_metrics)
+    {
+        REQUIRE(m_node.start());
+        Wire::CallEvents events;
+        events.m_onFrame = [this](const std::string &frame) {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_report = Wire::unpack<Protocol::AgentReport>(frame, "agent").value();
+        };
+        events.m_onEnd = [](const Wire::CallEnd &) {};
+        m_node.call(m_agent, "control.watch", Wire::pack(Protocol::WatchRequest{"test"}), Wire::CallOptions{Core::Duration(0)}, events);
+    }
+
+    ~Caller()
+    {
+        m_node.stop();
+    }
+
+    Protocol::AgentReport report() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_report;
+    }
+
+    bool sees(const Version &version) const
+    {
+        for (const Protocol::Attestation &attestation : report().m_attestations) {
+            if (attestation.m_digest == version.m_digest) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// One call as its entry sees it.
+    struct Call
+    {
+        std::mutex m_mutex;
+        std::vector<Protocol::AnswerFrame> m_frames;
+        std::promise<Wire::CallEnd> m_end;
+        std::future<Wire::CallEnd> m_ended = m_end.get_future();
+        Wire::CallId m_id = 0;
+
+        std::size_t frames()
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            return m_frames.size();
+        }
+        Wire::CallEnd end()
+        {
+            REQUIRE(m_ended.wait_for(Patience) == std::future_status::ready);
+            return m_ended.get();
+        }
+        bool isWhole()
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            return !m_frames.empty() && m_frames.back().m_kind == Protocol::AnswerKind::End;
+        }
+    };
+
+    std::shared_ptr<Call> call(const Protocol::LiveRequest &request)
+    {
+        const std::shared_ptr<Call> call = std::make_shared<Call>();
+        Wire::CallEvents events;
+        events.m_onFrame = [call](const std::string &frame) {
+            const std::lock_guard<std::mutex> lock(call->m_mutex);
+            call->m_frames.push_back(Wire::unpack<Protocol::AnswerFrame>(frame, "agent").value());
+        };
+        events.m_onEnd = [call](const Wire::CallEnd &end) { call->m_end.set_value(end); };
+        call->m_id = m_node.call(m_agent, "live.call", Wire::pack(request), Wire::CallOptions{Patience}, events);
+        return call;
+    }
+
+    Protocol::OutcomeAnswer outcome(const Protocol::LiveRequest &request)
+    {
+        const Protocol::OutcomeRequest question{request.m_attempt, request.m_key, request.m_agentIncarnation, request.m_agentReport};
+        const Core::Result<std::string> answer = m_node.request(m_agent, "live.outcome", Wire::pack(question), Patience);
+        REQUIRE(answer);
+        return Wire::unpack<Protocol::OutcomeAnswer>(answer.value(), "agent").value();
+    }
+
+    void cancel(const Call &call)
+    {
+        m_node.cancel(call.m_id);
+    }
+
+private:
+    static Wire::NodeSettings settings()
+    {
+        Wire::NodeSettings node;
+        node.m_limits.m_heartbeat = Core::Duration(100);
+        return node;
+    }
+
+    const Core::Address m_agent;
+    Telemetry::Metrics m_metrics;
+    mutable std::mutex m_mutex;
+    Protocol::AgentReport m_report;
+    Wire::Node m_node; ///< Last member: its thread uses the others.
+};
+
+inline Protocol::LiveRequest draft(const std::string &attempt, const Version &version, int tokens)
+{
+    Protocol::LiveRequest request;
+    request.m_attempt = attempt;
+    request.m_account = "buyer";
+    request.m_service = Service;
+    request.m_digest = version.m_digest;
+    request.m_body = "{\"prompt\":\"linen\",\"max_tokens\":" + std::to_string(tokens) + "}";
+    return request;
+}
+
+inline Protocol::LiveRequest booking(const std::string &attempt, const std::string &key, const std::string &incarnation)
+{
+    Protocol::LiveRequest request;
+    request.m_attempt = attempt;
+    request.m_account = "gallery";
+    request.m_service = Service;
+    request.m_key = key;
+    request.m_repeatable = false;
+    request.m_path = "/crews";
+    request.m_body = "two installers";
+    request.m_agentIncarnation = incarnation;
+    request.m_agentReport = 1;
+    return request;
+}
+
+}
--- /dev/null
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -0,0 +1,206 @@
+/// @file An agent beside a model engine: from a plan to attested weights, and answers under faults.
+
+#include "Rig.h"
+
+namespace {
+
+using Rig::await;
+using Rig::Caller;
+using Rig::Version;
+
+StandIn::EngineSettings engineSettings()
+{
+    StandIn::EngineSettings settings;
+    settings.m_firstTokenMs = 1;
+    settings.m_tokenMs = 1;
+    settings.m_reportLag = Core::Duration(0);
+    return settings;
+}
+
+/// Everything around one agent beside a model engine.
+struct ModelRig
+{
+    Version m_old = Rig::makeVersion("6", 20'000);
+    Version m_new = Rig::makeVersion("7", 30'000);
+    Rig::Origin m_origin{{m_old, m_new}};
+    Rig::Hosted<StandIn::Engine> m_engine{engineSettings()};
+    Rig::Entry m_entry;
+    Endpoint::AgentSettings m_settings;
+    std::unique_ptr<Endpoint::Agent> m_agent;
+    std::unique_ptr<Caller> m_caller;
+
+    ModelRig()
+    {
+        startAgent("life-1");
+    }
+
+    void startAgent(const std::string &incarnation)
+    {
+        m_caller.reset();
+        m_agent.reset();
+        m_settings = Rig::agentSettings(m_entry.m_address, m_origin.m_address, m_engine.m_address, Endpoint::EndpointKind::Model, incarnation);
+        m_agent = std::make_unique<Endpoint::Agent>(m_settings);
+        REQUIRE(m_agent->start());
+        m_caller = std::make_unique<Caller>(m_settings.m_instance.m_member.m_wire);
+    }
+
+    void serve(const Version &version)
+    {
+        m_entry.plan({version});
+        await("the version to be attested", [this, &version] { return m_caller->sees(version); });
+    }
+
+    std::string metrics() const
+    {
+        Poco::Net::HTTPClientSession session(m_settings.m_instance.m_member.m_admin.m_host, m_settings.m_instance.m_member.m_admin.m_port);
+        Poco::Net::HTTPRequest head("GET", "/metrics");
+        session.sendRequest(head);
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session.receiveResponse(response);
+        return std::string(std::istreambuf_iterator<char>(stream), {});
+    }
+};
+
+}
+
+TEST_CASE("a plan leads to attested weights, whole answers and, after the next plan, to the new version alone")
+{
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 5));
+    REQUIRE(call->end().m_succeeded);
+    REQUIRE(call->isWhole());
+    REQUIRE(call->m_frames.size() == 6);
+    std::string text;
+    for (std::size_t index = 0; index < call->m_frames.size(); ++index) {
+        const Protocol::AnswerFrame &frame = call->m_frames.at(index);
+        REQUIRE(frame.m_number == index);
+        REQUIRE(frame.m_attempt == "a1");
+        REQUIRE(frame.m_version == rig.m_old.m_digest);
+        text += frame.m_data;
+    }
+    REQUIRE(call->m_frames.back().m_totalBytes == text.size());
+    REQUIRE(call->m_frames.back().m_totalDigest == Core::sha256Hex(text));
+
+    rig.serve(rig.m_new);
+    await("the old version to go", [&rig] { return !rig.m_caller->sees(rig.m_old); });
+    REQUIRE(rig.m_caller->call(Rig::draft("a2", rig.m_old, 5))->end().m_error.m_code == Core::ErrorCode::NotFound);
+    REQUIRE(rig.m_caller->call(Rig::draft("a3", rig.m_new, 5))->end().m_succeeded);
+}
+
+TEST_CASE("weights that are still on their way are neither ordered nor attested")
+{
+    // The origin stalls in the middle of a version. If the engine got what there is, buyers would read drafts of half a model.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    rig.m_origin.m_heldFrom = 10'000;
+    rig.m_entry.plan({rig.m_new});
+    await("some chunks of the new version", [&rig] {
+        for (const Protocol::TransferProgress &progress : rig.m_caller->report().m_transfers) {
+            if (progress.m_digest == rig.m_new.m_digest && progress.m_chunksHeld > 0) {
+                return true;
+            }
+        }
+        return false;
+    });
+    REQUIRE_FALSE(rig.m_caller->sees(rig.m_new));
+    REQUIRE(rig.m_caller->sees(rig.m_old));
+    REQUIRE(Rig::request(rig.m_engine.m_address, "GET", "/status")->getArray("models")->size() == 1);
+    rig.m_origin.m_heldFrom = SIZE_MAX;
+    await("the new version", [&rig] { return rig.m_caller->sees(rig.m_new); });
+}
+
+TEST_CASE("an engine that dies while it loads is not attested, and is ordered again")
+{
+    // The engine loses everything in the middle of a load. An agent that trusted its own order would send buyers to an empty engine.
+    ModelRig rig;
+    rig.m_engine.setFaults(R"({"die_while_loading":true})");
+    rig.m_entry.plan({rig.m_old});
+    await("a failed order", [&rig] { return rig.metrics().find("orders_total{end=\"failed\"} 0") == std::string::npos; });
+    REQUIRE_FALSE(rig.m_caller->sees(rig.m_old));
+    rig.m_engine.setFaults(R"({"die_while_loading":false})");
+    await("the version", [&rig] { return rig.m_caller->sees(rig.m_old); });
+}
+
+TEST_CASE("an engine that names another version than asked delivers nothing, and is no longer attested")
+{
+    // An engine mixes up its weights. Its answers look like any other; only the version that it names tells them apart.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    const std::shared_ptr<Caller::Call> before = rig.m_caller->call(Rig::draft("a1", rig.m_old, 3));
+    REQUIRE(before->end().m_succeeded);
+    rig.m_engine.setFaults(R"({"misreport_digest":")" + std::string(64, '0') + R"("})");
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a2", rig.m_old, 3));
+    const Wire::CallEnd end = call->end();
+    REQUIRE_FALSE(end.m_succeeded);
+    REQUIRE(call->frames() == 0);
+    await("the attestation to go", [&rig] { return !rig.m_caller->sees(rig.m_old); });
+}
+
+TEST_CASE("an answer that the engine cuts is not whole")
+{
+    // The engine's connection breaks in the middle of a draft. The buyer must not take the half for the whole.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    rig.m_engine.setFaults(R"({"cut_answers_after_tokens":2})");
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 5));
+    REQUIRE(call->end().m_error.m_code == Core::ErrorCode::Ambiguous);
+    REQUIRE_FALSE(call->isWhole());
+}
+
+TEST_CASE("a cancelled draft stops at the engine")
+{
+    // The buyer closes the page. An engine that goes on drafting for nobody is slow for everybody else.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 100'000));
+    await("the first tokens", [&call] { return call->frames() > 2; });
+    rig.m_caller->cancel(*call);
+    await("the engine to stop", [&rig] {
+        const Poco::JSON::Array::Ptr ran = Rig::request(rig.m_engine.m_address, "GET", "/journal")->getArray("ran");
+        return ran->size() == 1 && !ran->getObject(0)->getValue<bool>("completed");
+    });
+}
+
+TEST_CASE("a call to an engine that hangs ends at its deadline and frees its place")
+{
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    rig.m_engine.setFaults(R"({"hang":true})");
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 5));
+    rig.m_caller->cancel(*call);
+    await("the place to be free", [&rig] {
+        const Poco::JSON::Object::Ptr dump = Rig::request(rig.m_settings.m_instance.m_member.m_admin, "GET", "/dump");
+        return dump->getObject("live")->getValue<int>("running") == 0;
+    });
+    await("the engine to be unhealthy", [&rig] { return !rig.m_caller->report().m_endpointHealthy; });
+}
+
+TEST_CASE("a leaving agent says so, refuses new calls and finishes the running one")
+{
+    // The instance is replaced in the middle of a draft. Cutting it off would cost the analyst the whole draft.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 300));
+    await("the first tokens", [&call] { return call->frames() > 2; });
+    rig.m_agent->startLeaving();
+    await("the notice", [&rig] { return rig.m_caller->report().m_member.m_leaving; });
+    const Wire::CallEnd refused = rig.m_caller->call(Rig::draft("a2", rig.m_old, 5))->end();
+    REQUIRE(refused.m_error.m_code == Core::ErrorCode::Unavailable);
+    REQUIRE(refused.m_error.m_detail == "leaving");
+    REQUIRE(rig.m_agent->awaitDrained());
+    rig.m_agent->stop();
+    REQUIRE(call->end().m_succeeded);
+    REQUIRE(call->isWhole());
+    REQUIRE(call->frames() == 301);
+}
+
+TEST_CASE("a restarted agent finds its engine's weights again and does not unload them")
+{
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    rig.startAgent("life-2");
+    await("the version to be attested anew", [&rig] { return rig.m_caller->sees(rig.m_old); });
+    const std::string metrics = rig.metrics();
+    REQUIRE(metrics.find("orders_total{end=\"done\"} 0") != std::string::npos);
+}
