--- /dev/null
+++ b/Libraries/LibScenario/Journals.cpp
@@ -0,0 +1,84 @@
+/// @file Implementation of the judgement by journals.
+
+#include "LibScenario/Journals.h"
+#include "LibBench/Http.h"
+#include "LibWeights/Manifest.h"
+
+#include <Poco/JSON/Array.h>
+#include <map>
+#include <set>
+
+namespace Scenario {
+
+namespace {
+
+Core::Error broken(const std::string &detail)
+{
+    return Core::makeError(Core::ErrorCode::Internal, "judge journals", "", detail);
+}
+
+Core::Result<std::set<std::string>> storedDigests(const Bench::Fleet &fleet)
+{
+    std::set<std::string> digests;
+    for (const Bench::StoredVersion &stored : fleet.topology().m_versions) {
+        const std::string path = "/weights/" + stored.m_model + "/" + stored.m_version + "/manifest";
+        const std::string encoded = BOOST_OUTCOME_TRYX(Bench::httpGet(fleet.layout().m_origin, path));
+        const Weights::Manifest manifest = BOOST_OUTCOME_TRYX(Weights::decodeManifest(encoded, "origin"));
+        digests.insert(manifest.m_contentDigest);
+    }
+    return digests;
+}
+
+/// Objects of the named list in a process's journal. A process that was killed has lost its journal and is passed over.
+std::vector<Poco::JSON::Object::Ptr> journalOf(const Bench::Fleet &fleet, const std::string &process, const std::string &list)
+{
+    std::vector<Poco::JSON::Object::Ptr> items;
+    const Core::Result<Poco::JSON::Object::Ptr> journal = fleet.page(process, "/journal");
+    const Poco::JSON::Array::Ptr array = journal ? journal.value()->getArray(list) : Poco::JSON::Array::Ptr();
+    for (std::size_t index = 0; array && index < array->size(); ++index) {
+        items.push_back(array->getObject(static_cast<unsigned>(index)));
+    }
+    return items;
+}
+
+Core::Result<void> judgeEngines(const Bench::Fleet &fleet)
+{
+    const std::set<std::string> known = BOOST_OUTCOME_TRYX(storedDigests(fleet));
+    for (const Bench::ProcessSpec *engine : fleet.ofKind(Bench::ProcessKind::Engine)) {
+        for (const Poco::JSON::Object::Ptr &run : journalOf(fleet, engine->m_name, "ran")) {
+            const std::string digest = run->optValue<std::string>("digest", "");
+            if (!known.contains(digest)) {
+                return broken(engine->m_name + " ran request " + run->optValue<std::string>("request", "?") + " on weights that no version has: " + digest);
+            }
+        }
+    }
+    return Core::success();
+}
+
+Core::Result<void> judgeServices(const Bench::Fleet &fleet)
+{
+    std::map<std::string, std::string> firstRun;
+    for (const Bench::ProcessSpec *service : fleet.ofKind(Bench::ProcessKind::PlainService)) {
+        for (const Poco::JSON::Object::Ptr &effect : journalOf(fleet, service->m_name, "effects")) {
+            const std::string key = effect->optValue<std::string>("key", "");
+            if (key.empty()) {
+                continue;
+            }
+            const std::pair<std::map<std::string, std::string>::iterator, bool> added = firstRun.emplace(key, service->m_name);
+            if (!added.second) {
+                return broken("key " + key + " had an effect at " + added.first->second + " and again at " + service->m_name);
+            }
+        }
+    }
+    return Core::success();
+}
+
+}
+
+Core::Result<void> judgeJournals(const Bench::Fleet &fleet)
+{
+    BOOST_OUTCOME_TRYV(judgeEngines(fleet));
+    return judgeServices(fleet);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibScenario/Runner.cpp
@@ -0,0 +1,288 @@
+/// @file Implementation of the verbs.
+
+#include "LibScenario/Runner.h"
+#include "LibBench/Http.h"
+#include "LibBench/Publication.h"
+#include "LibBench/Sample.h"
+#include "LibScenario/FleetView.h"
+#include "LibScenario/Journals.h"
+
+#include <Poco/JSON/Parser.h>
+#include <iomanip>
+#include <thread>
+
+namespace Scenario {
+
+namespace {
+
+constexpr Core::Duration LoadPatience{180000};
+
+Core::Error notHeld(const std::string &step, const std::string &detail)
+{
+    return Core::makeError(Core::ErrorCode::Internal, step, "", detail);
+}
+
+std::string relationName(Relation relation)
+{
+    switch (relation) {
+    case Relation::Equal:
+        return "is";
+    case Relation::AtLeast:
+        return "at least";
+    case Relation::AtMost:
+        return "at most";
+    }
+    return "is";
+}
+
+bool compares(double value, Relation relation, double number)
+{
+    switch (relation) {
+    case Relation::Equal:
+        return value == number;
+    case Relation::AtLeast:
+        return value >= number;
+    case Relation::AtMost:
+        return value <= number;
+    }
+    return false;
+}
+
+}
+
+Runner::Runner(Script script, std::string programs, std::ostream &output)
+    : m_script(std::move(script))
+    , m_programs(std::move(programs))
+    , m_output(output)
+{
+}
+
+Core::Result<void> Runner::run()
+{
+    m_output << "scenario " << m_script.m_name << ": starting the fleet" << std::endl;
+    m_fleet = BOOST_OUTCOME_TRYX(Bench::Fleet::start(m_script.m_topology, m_programs));
+    for (const Step &step : m_script.m_steps) {
+        const Core::Instant started = Core::Clock::now();
+        const Core::Result<void> done = runStep(step);
+        m_output << std::fixed << std::setprecision(2) << "  " << (done ? "ok    " : "FAILED") << " " << Core::secondsBetween(started, Core::Clock::now())
+                 << " s  " << step.m_text << std::endl;
+        BOOST_OUTCOME_TRYV(done);
+    }
+    const std::vector<std::string> ended = m_fleet->unexpectedEnds();
+    if (!ended.empty()) {
+        return notHeld("end of scenario",
+                       "process " + ended.front() + " ended by itself:\n" + Bench::readWholeFile(m_fleet->process(ended.front())->logFile()));
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::runStep(const Step &step)
+{
+    return std::visit([this](const auto &verb) { return perform(verb); }, step.m_verb);
+}
+
+Core::Result<void> Runner::perform(const Publish &publish)
+{
+    Bench::Publication publication;
+    publication.m_template = publish.m_template;
+    publication.m_service = publish.m_service;
+    publication.m_isModel = publish.m_isModel;
+    publication.m_policy = publish.m_policy;
+    publication.m_originCopies = publish.m_policy == "time" ? 4 : 1;
+    publication.m_operator = publish.m_operator;
+    publication.m_accounts = {Bench::PublishedAccount{publish.m_account, publish.m_model, publish.m_version, publish.m_replicas, publish.m_failureDomains}};
+    if (publish.m_basedOn >= 0) {
+        publication.m_basedOn = static_cast<std::uint64_t>(publish.m_basedOn);
+    }
+    m_originBytesBefore = originBytes(*m_fleet);
+    m_publishedAt = Core::Clock::now();
+    const Bench::ToolOutcome outcome = BOOST_OUTCOME_TRYX(Bench::publish(*m_fleet, m_programs, publication));
+    if ((outcome.m_exitCode != 0) != publish.m_refused) {
+        return notHeld("publish", "exit code " + std::to_string(outcome.m_exitCode) + ": " + outcome.m_output);
+    }
+    if (!publish.m_refused) {
+        m_lastRevision = BOOST_OUTCOME_TRYX(publishedRevision(outcome.m_output));
+    }
+    return Core::success();
+}
+
+std::vector<std::string> Runner::loadArguments(const Load &load) const
+{
+    std::string entries;
+    for (const Bench::ProcessSpec *entry : m_fleet->ofKind(Bench::ProcessKind::Entry)) {
+        entries += (entries.empty() ? "" : ",") + entry->m_callers.toString();
+    }
+    const bool isCall = load.m_target.starts_with("call:");
+    const std::string name = load.m_target.substr(load.m_target.find(':') + 1);
+    std::vector<std::string> arguments = {
+        "--entries",
+        entries,
+        isCall ? "--service" : "--template",
+        name,
+        "--accounts",
+        load.m_account,
+        "--rate",
+        std::to_string(load.m_rate),
+        "--count",
+        std::to_string(load.m_count),
+        "--max-tokens",
+        std::to_string(load.m_maximumTokens),
+        "--timeout-ms",
+        std::to_string(load.m_timeoutMs),
+        "--output",
+        "json",
+    };
+    if (load.m_keyed) {
+        arguments.push_back("--keyed");
+    }
+    return arguments;
+}
+
+Core::Result<void> Runner::perform(const Load &load)
+{
+    const std::string file = m_fleet->directory() + "/load-" + load.m_name + ".out";
+    Bench::Process process = BOOST_OUTCOME_TRYX(Bench::Process::start(m_programs + "/oriolerail-load", loadArguments(load), file));
+    m_loads.insert_or_assign(load.m_name, std::move(process));
+    return load.m_background ? Core::success() : finishLoad(load.m_name);
+}
+
+Core::Result<void> Runner::perform(const Join &join)
+{
+    return finishLoad(join.m_load);
+}
+
+Core::Result<void> Runner::finishLoad(const std::string &name)
+{
+    const std::map<std::string, Bench::Process>::iterator it = m_loads.find(name);
+    if (it == m_loads.end()) {
+        return notHeld("join load", "no load " + name + " is running");
+    }
+    if (!it->second.wait(LoadPatience)) {
+        return notHeld("join load", "load " + name + " did not end in time");
+    }
+    const std::string output = Bench::readWholeFile(it->second.logFile());
+    m_loads.erase(it);
+    m_results[name] = BOOST_OUTCOME_TRYX(parseLoadResult(output));
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const Act &act)
+{
+    switch (act.m_action) {
+    case ProcessAction::Kill:
+        return m_fleet->kill(act.m_process);
+    case ProcessAction::Terminate:
+        return m_fleet->terminate(act.m_process);
+    case ProcessAction::Freeze:
+        return m_fleet->freeze(act.m_process);
+    case ProcessAction::Resume:
+        return m_fleet->resume(act.m_process);
+    case ProcessAction::Replace:
+        return m_fleet->replace(act.m_process);
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const Fault &fault)
+{
+    return m_fleet->setFaults(fault.m_process, fault.m_json);
+}
+
+bool Runner::holds(const Wait &wait)
+{
+    switch (wait.m_condition) {
+    case Condition::Serving:
+        return servingReplicas(*m_fleet, wait.m_name) >= wait.m_number;
+    case Condition::InForce:
+        return isInForceEverywhere(*m_fleet, m_lastRevision);
+    case Condition::Ended: {
+        Bench::Process *process = m_fleet->process(wait.m_process);
+        return process && process->poll() == static_cast<int>(wait.m_number);
+    }
+    case Condition::Counter:
+        return counterOf(*m_fleet, wait.m_process, wait.m_name) >= static_cast<double>(wait.m_number);
+    case Condition::Unlisted:
+        return addressesNamed(*m_fleet) <= wait.m_number;
+    }
+    return false;
+}
+
+Core::Result<void> Runner::perform(const Wait &wait)
+{
+    const bool held = Bench::waitUntil([this, &wait] { return holds(wait); }, wait.m_patience);
+    if (!held) {
+        return notHeld("wait", "the condition did not come within " + std::to_string(wait.m_patience.count() / 1000) + " s\n" + describeFleet(*m_fleet));
+    }
+    if (wait.m_condition == Condition::Serving) {
+        m_figures["seconds to " + std::to_string(wait.m_number) + " replicas of version " + wait.m_name] =
+            Core::secondsBetween(m_publishedAt, Core::Clock::now());
+        m_figures["origin copies for version " + wait.m_name] = originCopies();
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const Hold &hold)
+{
+    std::this_thread::sleep_for(hold.m_time);
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const ExpectLoad &expect)
+{
+    const std::map<std::string, LoadResult>::const_iterator result = m_results.find(expect.m_load);
+    if (result == m_results.end()) {
+        return notHeld("expect", "no load " + expect.m_load + " has ended");
+    }
+    const LoadResult::const_iterator value = result->second.find(expect.m_field);
+    if (value == result->second.end()) {
+        return notHeld("expect", "load " + expect.m_load + " has no count " + expect.m_field);
+    }
+    if (!compares(value->second, expect.m_relation, expect.m_number)) {
+        std::ostringstream detail;
+        detail << expect.m_load << "." << expect.m_field << " = " << value->second << ", expected " << relationName(expect.m_relation) << " "
+               << expect.m_number;
+        for (const std::pair<const std::string, double> &count : result->second) {
+            detail << "\n    " << count.first << " = " << count.second;
+        }
+        return notHeld("expect", detail.str());
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const ExpectJournals &)
+{
+    return judgeJournals(*m_fleet);
+}
+
+double Runner::originCopies() const
+{
+    const double weights = static_cast<double>(m_script.m_topology.m_versions.front().m_bytes);
+    return static_cast<double>(originBytes(*m_fleet) - m_originBytesBefore) / weights;
+}
+
+Core::Result<void> Runner::perform(const ExpectOrigin &expect)
+{
+    const double copies = originCopies();
+    if (copies > expect.m_atMostCopies) {
+        return notHeld("expect origin", std::to_string(copies) + " copies left the origin, expected at most " + std::to_string(expect.m_atMostCopies));
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::perform(const Report &report)
+{
+    m_output << "\n" << report.m_title << "\n" << std::fixed << std::setprecision(2);
+    for (const std::pair<const std::string, double> &figure : m_figures) {
+        m_output << "  " << std::left << std::setw(48) << figure.first << std::right << std::setw(10) << figure.second << "\n";
+    }
+    for (const std::pair<const std::string, LoadResult> &load : m_results) {
+        for (const std::pair<const std::string, double> &count : load.second) {
+            m_output << "  " << std::left << std::setw(48) << ("load " + load.first + ": " + count.first) << std::right << std::setw(10) << count.second
+                     << "\n";
+        }
+    }
+    m_output << std::endl;
+    return Core::success();
+}
+
+}
--- a/Libraries/LibScenario/Runner.h
+++ b/Libraries/LibScenario/Runner.h
@@ -42,16 +42,10 @@
     Core::Result<void> perform(const ExpectOrigin &expect);
     Core::Result<void> perform(const Report &report);
 
-    Core::Result<std::string> runTool(const std::string &program, const std::vector<std::string> &arguments, int &exitCode);
     std::vector<std::string> loadArguments(const Load &load) const;
     Core::Result<void> finishLoad(const std::string &name);
     bool holds(const Wait &wait);
-    int servingReplicas(const std::string &version) const;
-    bool isInForceEverywhere() const;
-    std::uint64_t counterOf(const std::string &process, const std::string &name) const;
-    std::int64_t addressesNamed() const;
     double originCopies() const;
-    std::string nextFile(const std::string &stem);
 
     const Script m_script;
     const std::string m_programs;
@@ -63,7 +57,6 @@
     std::uint64_t m_originBytesBefore = 0; ///< Origin journal at the newest publication.
     Core::Instant m_publishedAt;
     std::map<std::string, double> m_figures; ///< What a report prints.
-    int m_files = 0;
 };
 
 }
