standin-log: Take the place of the log service and the instance list

Cause: proofs and measurements of control need a log with a rate, a retention, outages, lost answers and lost records.

--- /dev/null
+++ b/Libraries/LibStandInLog/LogService.h
@@ -0,0 +1,56 @@
+/// @file The HTTP side of the log stand-in; docs/STANDINS.md gives the protocol.
+#pragma once
+
+#include "LibSettings/Reader.h"
+#include "LibStandIn/Faults.h"
+#include "LibStandIn/HttpServer.h"
+#include "LibStandInLog/LaggingList.h"
+#include "LibStandInLog/LogStore.h"
+
+namespace StandIn {
+
+struct LogServiceSettings
+{
+    Core::Address m_listen;
+    LogSettings m_log;
+    Core::Duration m_listLag{2000};
+
+    bool operator==(const LogServiceSettings &) const = default;
+};
+
+LogServiceSettings readLogServiceSettings(Settings::Reader &reader);
+
+/// Fault switches as they are sent over HTTP.
+struct LogServiceFaults
+{
+    LogFaults m_log;
+    bool m_listDown = false;
+
+    bool operator==(const LogServiceFaults &) const = default;
+};
+
+/// Thread-safe; handle() runs on the threads of an HttpServer.
+class LogService
+{
+public:
+    explicit LogService(const LogServiceSettings &settings);
+
+    void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    /// Ends everything that waits, before its server is stopped.
+    void stop();
+
+private:
+    void route(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    void answerFaults(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    Core::Result<void> changeFaults(const std::string &body);
+    void append(const std::string &stream, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    void read(const std::string &stream, const std::string &query, Poco::Net::HTTPServerResponse &response);
+    void putInstance(const std::string &id, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    void listInstances(Poco::Net::HTTPServerResponse &response);
+
+    LogStore m_log;
+    LaggingList m_list;
+    FaultBoard<LogServiceFaults> m_faults;
+};
+
+}
