oriolerail: Validate, publish, remove and show what is in force

Cause: operators drive the system only by publishing templates, and must learn whether a change was accepted and where it is in force.

Change: template documents, a publisher that takes every outcome from the log by record id, the entries' page /status with its combination over entries, and the program with its commands.

--- /dev/null
+++ b/Libraries/LibControl/Publisher.cpp
@@ -0,0 +1,73 @@
+/// @file Implementation of the publisher.
+
+#include "LibControl/Publisher.h"
+#include "LibControl/Fold.h"
+#include "LibControl/Recovery.h"
+
+#include <thread>
+
+namespace Control {
+
+namespace {
+
+constexpr std::size_t PageRecords = 256;
+constexpr Core::Duration LongPoll{500};
+constexpr Core::Duration RetryInterval{100};
+
+}
+
+Publisher::Publisher(Platform::Log &log)
+    : m_log(log)
+{
+}
+
+const ControlState &Publisher::state() const
+{
+    return m_state;
+}
+
+Core::Result<void> Publisher::load()
+{
+    FreshState fresh = BOOST_OUTCOME_TRYX(readFresh(m_log, ControlStream));
+    if (!fresh.m_state) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "read control state", "", "the log holds no usable checkpoint; an entry will append one");
+    }
+    m_state = std::move(*fresh.m_state);
+    return Core::success();
+}
+
+Core::Result<RecordOutcome> Publisher::publish(const Record &record, Core::Duration patience)
+{
+    const Core::Instant deadline = Core::Clock::now() + patience;
+    const Core::Result<Platform::Offset> appended = m_log.append(ControlStream, encodeRecord(record));
+    if (!appended && appended.error().m_code != Core::ErrorCode::Ambiguous) {
+        return appended.error();
+    }
+    return readBack(record.m_id, deadline);
+}
+
+Core::Result<RecordOutcome> Publisher::readBack(const std::string &record, Core::Instant deadline)
+{
+    Core::Error lastError = Core::makeError(Core::ErrorCode::Ambiguous, "read back", "", "record " + record + " did not show up in time");
+    while (Core::Clock::now() < deadline) {
+        const Core::Result<Platform::LogPage> page = m_log.read(ControlStream, m_state.m_position + 1, Platform::ReadOptions{PageRecords, LongPoll});
+        if (!page) {
+            lastError.m_detail = "record " + record + " may have been appended: " + page.error().m_detail;
+            std::this_thread::sleep_for(RetryInterval);
+            continue;
+        }
+        if (page.value().m_first > m_state.m_position + 1) {
+            BOOST_OUTCOME_TRYV(load());
+        }
+        for (const Protocol::LogRecord &entry : page.value().m_records) {
+            fold(m_state, entry.m_offset, entry.m_body);
+        }
+        const RecordOutcome *outcome = findOutcome(m_state, record);
+        if (outcome) {
+            return *outcome;
+        }
+    }
+    return lastError;
+}
+
+}
--- /dev/null
+++ b/Utilities/oriolerail/Show.cpp
@@ -0,0 +1,259 @@
+/// @file The commands that show what is in force: status, dump, addresses and explain.
+
+#include "Command.h"
+#include "EntryStatus.h"
+#include "LibControl/Publisher.h"
+#include "LibPlatform/HttpLog.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace Cli {
+
+namespace {
+
+constexpr Core::Duration WatchInterval{500};
+constexpr int BarWidth = 30;
+constexpr std::size_t ShownDigits = 12;
+
+std::string shortDigest(const std::string &digest)
+{
+    return digest.substr(0, ShownDigits);
+}
+
+std::string bar(double fraction)
+{
+    const int filled = static_cast<int>(fraction * BarWidth);
+    return "[" + std::string(static_cast<std::size_t>(filled), '#') + std::string(static_cast<std::size_t>(BarWidth - filled), '.') + "]";
+}
+
+/// Share of a deployment that is done: replicas that serve, and what the others hold of the weights.
+double progressOf(const Control::DeploymentStatus &status)
+{
+    const std::uint32_t wanted = status.wanted();
+    if (wanted == 0) {
+        return 1;
+    }
+    const double missing = wanted - status.serving();
+    const double held = status.m_chunksTotal == 0 ? 0 : static_cast<double>(status.m_chunksHeld) / static_cast<double>(status.m_chunksTotal);
+    return (status.serving() + missing * std::min(held, 1.0)) / wanted;
+}
+
+double totalProgress(const Control::StatusPage &page)
+{
+    double done = 0;
+    double wanted = 0;
+    for (const Control::DeploymentStatus &status : page.m_deployments) {
+        done += progressOf(status) * status.wanted();
+        wanted += status.wanted();
+    }
+    return wanted == 0 ? 1 : done / wanted;
+}
+
+bool servesEverything(const Control::StatusPage &page)
+{
+    const auto isWhole = [](const Control::DeploymentStatus &status) { return status.serving() >= status.wanted(); };
+    return std::all_of(page.m_deployments.begin(), page.m_deployments.end(), isWhole);
+}
+
+std::string statusText(const EntryStatus &status)
+{
+    const Control::StatusPage &page = status.m_page;
+    std::ostringstream text;
+    text << "revision " << page.m_applied << (page.m_ready ? "" : ", not ready") << (page.m_logUp ? "" : ", log down") << "\n";
+    for (const Control::TemplateStatus &accepted : page.m_templates) {
+        text << "template " << accepted.m_name << " (" << accepted.m_service << "): revision " << accepted.m_revision << " by " << accepted.m_operator << "\n";
+    }
+    for (const Control::DeploymentStatus &deployment : page.m_deployments) {
+        text << deployment.m_service << " " << deployment.m_model << " " << deployment.m_version << " (" << shortDigest(deployment.m_digest)
+             << "): " << deployment.serving() << " of " << deployment.wanted() << " replicas serve " << bar(progressOf(deployment)) << "\n";
+        for (const Control::PlaceStatus &place : deployment.m_places) {
+            text << "  " << place.m_failureDomain << ": " << place.m_serving << " of " << place.m_wanted << "\n";
+        }
+    }
+    const std::vector<std::string> behind = Control::instancesBehind(page, page.m_applied);
+    text << page.m_instances.size() << " instances, " << behind.size() << " behind revision " << page.m_applied << "\n";
+    for (const std::string &instance : behind) {
+        text << "  behind: " << instance << "\n";
+    }
+    for (const Core::Error &error : status.m_errors) {
+        text << "no answer: " << error.message() << "\n";
+    }
+    return text.str();
+}
+
+/// Shows one line that is rewritten until everything serves.
+int watchStatus(const Arguments &arguments)
+{
+    const Core::Instant started = Core::Clock::now();
+    const double initial = totalProgress(askEntries(arguments).m_page);
+    while (true) {
+        const EntryStatus status = askEntries(arguments);
+        const double progress = totalProgress(status.m_page);
+        const double elapsed = Core::secondsBetween(started, Core::Clock::now());
+        std::ostringstream line;
+        line << bar(progress) << " " << std::fixed << std::setprecision(0) << progress * 100 << "%";
+        if (progress > initial && progress < 1) {
+            line << ", about " << elapsed * (1 - progress) / (progress - initial) << " s left";
+        }
+        std::cout << (arguments.m_isTerminal ? "\r\033[K" : "") << line.str() << (arguments.m_isTerminal ? "" : "\n") << std::flush;
+        const bool isDone = status.m_answered > 0 && servesEverything(status.m_page);
+        if (isDone || elapsed * 1000 > static_cast<double>(arguments.m_timeout.count())) {
+            std::cout << (arguments.m_isTerminal ? "\n" : "");
+            return isDone ? ExitOk : ExitFailed;
+        }
+        std::this_thread::sleep_for(WatchInterval);
+    }
+}
+
+int printJsonBody(const Arguments &arguments, const Core::Result<std::string> &body)
+{
+    if (!body) {
+        return reportError(arguments, body.error());
+    }
+    std::cout << body.value() << "\n";
+    return ExitOk;
+}
+
+Core::Result<Core::Address> soleAddress(const Arguments &arguments)
+{
+    if (arguments.m_operands.size() != 1) {
+        return Core::makeError(Core::ErrorCode::InvalidInput, "read arguments", "", "one address is needed");
+    }
+    return Core::parseAddress(arguments.m_operands.front());
+}
+
+int explainRecord(const Arguments &arguments, const Control::ControlState &state, const std::string &record)
+{
+    const Control::RecordOutcome *outcome = Control::findOutcome(state, record);
+    if (!outcome) {
+        const std::string detail = "no such record among the newest " + std::to_string(Control::MaximumOutcomes);
+        return reportError(arguments, Core::makeError(Core::ErrorCode::NotFound, "explain record", "", detail));
+    }
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("accepted", outcome->m_accepted);
+    object->set("revision", static_cast<Poco::UInt64>(outcome->m_offset));
+    object->set("winner", static_cast<Poco::UInt64>(outcome->m_winner));
+    object->set("winner_author", outcome->m_winnerAuthor);
+    object->set("detail", outcome->m_detail);
+    std::ostringstream text;
+    text << (outcome->m_accepted ? "accepted as revision " : "refused at ") << outcome->m_offset;
+    text << (outcome->m_detail.empty() ? "" : ": " + outcome->m_detail);
+    text << (outcome->m_winner > 0 ? "; revision " + std::to_string(outcome->m_winner) + " by " + outcome->m_winnerAuthor + " came first" : "") << "\n";
+    print(arguments, object, text.str());
+    return ExitOk;
+}
+
+/// Where one account's version is planned.
+void explainParameters(const Control::ControlState &state,
+                       const Control::AcceptedTemplate &accepted,
+                       const Control::AccountParameters &parameters,
+                       Poco::JSON::Array &rows,
+                       std::ostream &text)
+{
+    const Control::Template &document = accepted.m_template;
+    text << document.m_service << ": " << parameters.m_model << " " << parameters.m_version << " (" << shortDigest(parameters.m_digest) << "), "
+         << parameters.m_replicas << " replicas wanted by template " << document.m_name << " revision " << accepted.m_revision << " of " << accepted.m_operator
+         << "\n";
+    const std::map<std::string, Control::Plan>::const_iterator plan = state.m_plans.find(document.m_service);
+    if (plan == state.m_plans.end()) {
+        text << "  no plan yet\n";
+        return;
+    }
+    for (const Control::Deployment &deployment : plan->second.m_deployments) {
+        if (deployment.m_digest != parameters.m_digest) {
+            continue;
+        }
+        for (const Control::PlannedReplica &replica : deployment.m_replicas) {
+            text << "  " << replica.m_instance << " in " << replica.m_failureDomain << ", plan " << plan->second.m_offset << "\n";
+            Poco::JSON::Object::Ptr row = new Poco::JSON::Object;
+            row->set("service", document.m_service);
+            row->set("template", document.m_name);
+            row->set("model", parameters.m_model);
+            row->set("version", parameters.m_version);
+            row->set("digest", parameters.m_digest);
+            row->set("instance", replica.m_instance);
+            row->set("failure_domain", replica.m_failureDomain);
+            row->set("plan", static_cast<Poco::UInt64>(plan->second.m_offset));
+            rows.add(row);
+        }
+    }
+}
+
+int explainAccount(const Arguments &arguments, const Control::ControlState &state, const std::string &account)
+{
+    Poco::JSON::Array::Ptr rows = new Poco::JSON::Array;
+    std::ostringstream text;
+    bool isKnown = false;
+    for (const std::pair<const std::string, Control::AcceptedTemplate> &entry : state.m_templates) {
+        for (const Control::AccountParameters &parameters : entry.second.m_template.m_accounts) {
+            if (parameters.m_account == account) {
+                isKnown = true;
+                explainParameters(state, entry.second, parameters, *rows, text);
+            }
+        }
+    }
+    if (!isKnown) {
+        return reportError(arguments, Core::makeError(Core::ErrorCode::NotFound, "explain account", "", "no template names account " + account));
+    }
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("replicas", rows);
+    print(arguments, object, text.str());
+    return ExitOk;
+}
+
+}
+
+int runStatus(const Arguments &arguments)
+{
+    if (arguments.m_entries.empty()) {
+        return reportUsage("status needs --entries");
+    }
+    if (arguments.m_watch) {
+        return watchStatus(arguments);
+    }
+    const EntryStatus status = askEntries(arguments);
+    if (status.m_answered == 0) {
+        return reportError(arguments, status.m_errors.front());
+    }
+    if (arguments.m_json) {
+        std::cout << Control::encodeStatusPage(status.m_page) << "\n";
+    } else {
+        std::cout << statusText(status);
+    }
+    return ExitOk;
+}
+
+int runDump(const Arguments &arguments)
+{
+    const Core::Result<Core::Address> address = soleAddress(arguments);
+    return address ? printJsonBody(arguments, fetch(arguments, address.value(), "read dump", "/dump")) : reportUsage(address.error().message());
+}
+
+int runAddresses(const Arguments &arguments)
+{
+    const Core::Result<Core::Address> address = soleAddress(arguments);
+    return address ? printJsonBody(arguments, fetch(arguments, address.value(), "read addresses", "/v1/addresses")) : reportUsage(address.error().message());
+}
+
+int runExplain(const Arguments &arguments)
+{
+    const bool isComplete = arguments.m_operands.size() == 2 && arguments.m_log;
+    if (!isComplete || (arguments.m_operands[0] != "record" && arguments.m_operands[0] != "account")) {
+        return reportUsage("explain needs \"record ID\" or \"account NAME\", and --log");
+    }
+    Platform::HttpLog log(arguments.m_network, *arguments.m_log);
+    Control::Publisher publisher(log);
+    const Core::Result<void> loaded = publisher.load();
+    if (!loaded) {
+        return reportError(arguments, loaded.error());
+    }
+    const std::string &name = arguments.m_operands[1];
+    return arguments.m_operands[0] == "record" ? explainRecord(arguments, publisher.state(), name) : explainAccount(arguments, publisher.state(), name);
+}
+
+}
