--- /dev/null
+++ b/Libraries/LibStandInNetwork/Topology.h
@@ -0,0 +1,47 @@
+/// @file Which links and which latency lie between two hosts.
+#pragma once
+
+#include "LibStandInNetwork/GatewaySettings.h"
+#include "LibStandInNetwork/LinkShaper.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace StandIn {
+
+/// The hosts of a site and the links between them. Not thread-safe.
+class Topology
+{
+public:
+    /// Adds the links of every listed host to @p shaper.
+    Topology(const GatewaySettings &settings, LinkShaper &shaper, Core::Instant now);
+
+    /// The limited links from one host to another, in the order in which bytes pass them. Empty within a host.
+    std::vector<LinkId> path(const std::string &from, const std::string &to) const;
+    /// One way.
+    Core::Clock::duration latency(const std::string &from, const std::string &to) const;
+    /// Where the host stands; all fields but its name are empty if it is not listed.
+    HostPlace place(const std::string &host) const;
+    /// True if @p selector names the host, its region or its failure domain.
+    bool matches(const std::string &selector, const std::string &host) const;
+
+private:
+    struct Host
+    {
+        HostPlace m_place;
+        std::optional<LinkId> m_up; ///< Empty if unlimited.
+        std::optional<LinkId> m_down;
+    };
+
+    const Host *find(const std::string &host) const;
+
+    std::map<std::string, Host> m_hosts;
+    std::map<std::pair<std::string, std::string>, LinkId> m_regionPairs;
+    Core::Clock::duration m_sameRegion;
+    Core::Clock::duration m_crossRegion;
+};
+
+}
