--- a/Services/StandIns/Origin/OriginServer.cpp
+++ b/Libraries/LibOriginStandIn/OriginServer.cpp
@@ -1,6 +1,6 @@
 /// @file Implementation on POCO's HTTP server: one thread for each open connection.
 
-#include "OriginServer.h"
+#include "LibOriginStandIn/OriginServer.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/URI.h>
 #include <charconv>
+#include <thread>
 
 namespace StandIn {
 
@@ -75,7 +76,7 @@
     void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
     {
         const Poco::URI uri(request.getURI());
-        const std::string path = uri.getPath();
+        const std::string &path = uri.getPath();
         if (path == "/healthz") {
             answerText(response, "ok\n", "text/plain");
             return;
--- a/Services/StandIns/Origin/OriginServer.h
+++ b/Libraries/LibOriginStandIn/OriginServer.h
@@ -1,7 +1,7 @@
 /// @file The HTTP side of the stand-in for the origin.
 #pragma once
 
-#include "OriginStore.h"
+#include "LibOriginStandIn/OriginStore.h"
 
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/ThreadPool.h>
--- a/Services/StandIns/Origin/OriginStore.cpp
+++ b/Libraries/LibOriginStandIn/OriginStore.cpp
@@ -1,6 +1,6 @@
 /// @file Implementation of the origin's store.
 
-#include "OriginStore.h"
+#include "LibOriginStandIn/OriginStore.h"
 
 #include "LibTelemetry/AdminServer.h"
 
--- a/Services/StandIns/Origin/OriginStore.h
+++ b/Libraries/LibOriginStandIn/OriginStore.h
@@ -4,8 +4,8 @@
 #include "LibCore/Address.h"
 #include "LibCore/Clock.h"
 #include "LibCore/Random.h"
+#include "LibOriginStandIn/StoredObject.h"
 #include "LibSettings/Reader.h"
-#include "StoredObject.h"
 
 #include <Poco/JSON/Object.h>
 #include <map>
--- a/Services/StandIns/Origin/StoredObject.cpp
+++ b/Libraries/LibOriginStandIn/StoredObject.cpp
@@ -1,6 +1,6 @@
 /// @file Making up weights from seeds.
 
-#include "StoredObject.h"
+#include "LibOriginStandIn/StoredObject.h"
 
 #include "LibCore/Random.h"
 
--- /dev/null
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -0,0 +1,123 @@
+/// @file The duty that owns every version's state, acts upon the exchanges' decisions and answers peers.
+#pragma once
+
+#include "LibTransfer/Events.h"
+#include "LibTransfer/OriginDuty.h"
+#include "LibTransfer/TransferManager.h"
+#include "LibTransfer/UploadDuty.h"
+#include "LibTransfer/Version.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace Transfer {
+
+/// What other threads may read, as of the coordinator's last turn.
+struct Published
+{
+    std::map<std::string, std::shared_ptr<const Weights::HeldVersion>> m_held; ///< By manifest digest; none is null.
+    std::vector<Protocol::TransferProgress> m_progress;
+    Poco::JSON::Object::Ptr m_dump;
+};
+
+class Coordinator
+{
+public:
+    explicit Coordinator(TransferParts parts);
+    ~Coordinator();
+
+    void start();
+    void stop();
+
+    void setTargets(std::vector<Control::Deployment> wanted);
+    void release(const std::string &digest);
+    void onComplete(std::function<void(const std::string &)> callback);
+    void noteLiveBytes(std::uint64_t bytes);
+    Published published() const;
+
+private:
+    /// A peer that follows a version which this replica does not know.
+    struct Stranger
+    {
+        std::string m_digest;
+        Wire::Responder m_responder;
+    };
+
+    void registerMethods();
+    void run();
+    void takeOrders();
+    void applyTargets(const std::vector<Control::Deployment> &wanted);
+    void updateVersion(Version &version, const Control::Deployment &deployment);
+    void dropVersion(const std::string &digest);
+    void stopTransfer(Version &version);
+
+    void handle(const Woken &event);
+    void handle(const UpdateReceived &event);
+    void handle(const FollowEnded &event);
+    void handle(const PeerAnswered &event);
+    void handle(const OriginAnswered &event);
+    void handle(const ManifestAnswered &event);
+    void handle(const ManifestAsked &event);
+    void handle(const FollowerArrived &event);
+    void handle(const ChunkAsked &event);
+
+    void turn(Core::Instant now);
+    void searchManifest(Version &version, Core::Instant now);
+    std::optional<Core::Address> manifestSource(const Version &version);
+    void adoptManifest(Version &version, const std::string &encoded, const Weights::Manifest &manifest);
+    bool beginExchange(Version &version, Core::Instant now);
+    void reuseChunks(Version &version, Core::Instant now);
+    void perform(Version &version, const std::vector<Action> &actions);
+    void follow(Version &version, const Core::Address &peer);
+    void askPeer(Version &version, const Action &action);
+    void askOrigin(Version &version, const Action &action);
+    void takeChunk(Version &version, Weights::ChunkIndex chunk, std::string bytes, Core::Instant now);
+    void keepChunk(Version &version, Weights::ChunkIndex chunk, Weights::ChunkBytes bytes, Core::Instant now);
+    void finishVersion(Version &version);
+    void announce(Core::Instant now);
+    HaveUpdate snapshot(const Version &version) const;
+    std::uint64_t memoryUsed() const;
+    Version *find(const std::string &digest);
+    bool isBusy() const;
+    void publish();
+
+    const TransferParts m_parts;
+    const std::shared_ptr<EventSink> m_events;
+    OriginDuty m_origin;
+    UploadDuty m_uploads;
+    std::function<void(const std::string &)> m_onComplete; ///< Fixed once started.
+
+    std::mutex m_ordersMutex;
+    std::optional<std::vector<Control::Deployment>> m_orderedTargets; ///< The newest list that has not been applied.
+    std::set<std::string> m_orderedReleases;
+    std::atomic<std::uint64_t> m_liveBytes = 0; ///< Not yet charged.
+
+    mutable std::mutex m_publishedMutex;
+    Published m_published;
+
+    // From here on, used by the coordinator's thread only.
+    std::map<std::string, Version> m_versions; ///< By manifest digest.
+    std::vector<Stranger> m_strangers;
+    std::map<std::string, std::weak_ptr<const std::string>> m_chunkStore; ///< By chunk digest, so that versions share chunks.
+    Pacer m_download;
+    Core::Random m_random;
+    std::uint64_t m_nextSerial = 1;
+    Core::Instant m_nextAnnouncement;
+    Core::Instant m_nextSignOfLife;
+    bool m_isChanged = true; ///< Something is to be published.
+
+    Telemetry::Counter &m_bytesFromOrigin;
+    Telemetry::Counter &m_bytesFromPeers;
+    Telemetry::Counter &m_bytesAcrossRegions;
+    Telemetry::Counter &m_bytesReused;
+    Telemetry::Counter &m_chunksBad;
+    Telemetry::Counter &m_chunksTwice;
+
+    std::atomic<bool> m_running = false;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -0,0 +1,584 @@
+/// @file Implementation of a replica's part in a burst.
+
+#include "LibTransfer/Exchange.h"
+
+#include <algorithm>
+
+namespace Transfer {
+
+namespace {
+
+constexpr std::size_t RankedPeers = 6;
+constexpr std::size_t FollowedPredecessors = 2; ///< A successor of higher rank follows nobody before it until it has waited.
+constexpr std::uint32_t RequestsPerPeer = 2;
+constexpr std::uint32_t TreeFanOut = 2;
+constexpr Core::Duration PeerSilence{2500}; ///< Signs of life come every half second.
+constexpr Core::Duration TakeoverGrace{400}; ///< Lets a chunk that its first drawer passed on just before it died become visible.
+constexpr Core::Duration JoinGrace{3000}; ///< Replicas learn of a plan at slightly different times.
+constexpr Core::Duration ProbeAfter{4000}; ///< A chunk that is due and unseen for this long makes higher ranks look at the lower ones.
+constexpr Core::Duration NeighboursAnswerWithin{400};
+constexpr Core::Duration FollowRetry{250};
+constexpr std::uint32_t MaximumBackoffDoublings = 4;
+constexpr Core::Duration BusyPause{60};
+constexpr Core::Duration LostPause{1000};
+constexpr Core::Duration OriginRetry{250};
+constexpr std::uint32_t MaximumOriginDoublings = 5;
+constexpr Core::Duration MinimumHedgeAge{500};
+constexpr double HedgeFactor = 4;
+constexpr double Smoothing = 0.2;
+constexpr std::uint32_t DrawsAhead = 4; ///< Draws that share the origin's link, so that it is never idle between two.
+constexpr std::uint64_t OriginLinkInInstanceLinks = 2; ///< Where the origin's rate is not set: it carries about twice as much as an instance's link.
+
+Core::Duration doubled(Core::Duration base, std::uint32_t failures, std::uint32_t maximumDoublings)
+{
+    const std::uint32_t doublings = std::min(failures > 0 ? failures - 1 : 0, maximumDoublings);
+    return base * (std::int64_t{1} << doublings);
+}
+
+Core::Duration drawSlot(const TransferSettings &settings, std::uint32_t chunkBytes)
+{
+    const std::uint64_t rate =
+        settings.m_originBytesPerSecond > 0 ? settings.m_originBytesPerSecond : OriginLinkInInstanceLinks * settings.m_downloadBytesPerSecond;
+    if (rate == 0) {
+        return Core::Duration(0);
+    }
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    return Core::Duration(chunkBytes * millisecondsPerSecond / rate);
+}
+
+}
+
+Exchange::Exchange(const TransferSettings &settings, Identity identity, const Weights::Manifest &manifest, Core::Instant now)
+    : m_settings(settings)
+    , m_identity(std::move(identity))
+    , m_manifest(manifest)
+    , m_started(now)
+    , m_random(m_identity.m_seed)
+    , m_drawSlot(drawSlot(settings, manifest.m_chunkBytes))
+    , m_chunks(manifest.chunkCount())
+    , m_held(manifest.chunkCount(), false)
+    , m_nextRequest(m_random.next() >> 8U)
+{
+}
+
+void Exchange::setReplicas(const std::vector<Control::PlannedReplica> &replicas, std::uint32_t originCopies)
+{
+    m_originCopies = std::max<std::uint32_t>(originCopies, 1);
+    for (Peer &peer : m_peers) {
+        peer.m_isListed = false;
+    }
+    m_self.reset();
+    for (const Control::PlannedReplica &replica : replicas) {
+        std::optional<PeerIndex> index = findPeer(replica.m_wire);
+        if (!index) {
+            index = static_cast<PeerIndex>(m_peers.size());
+            m_peers.emplace_back();
+            m_peers.back().m_holds.assign(m_manifest.chunkCount(), false);
+        }
+        Peer &peer = m_peers[*index];
+        peer.m_replica = replica;
+        peer.m_candidate = Candidate{*index, candidateHash(replica.m_instance)};
+        peer.m_isListed = true;
+        peer.m_isSelf = replica.m_instance == m_identity.m_instance;
+        peer.m_isNear = replica.m_region == m_identity.m_region;
+        if (peer.m_isSelf) {
+            m_self = index;
+        }
+    }
+    rankChunks();
+    chooseFollowed();
+}
+
+void Exchange::rankChunks()
+{
+    std::vector<Candidate> everybody;
+    std::vector<Candidate> near;
+    std::map<std::string, std::vector<Candidate>> regions;
+    for (const Peer &peer : m_peers) {
+        if (!peer.m_isListed) {
+            continue;
+        }
+        everybody.push_back(peer.m_candidate);
+        regions[peer.m_replica.m_region].push_back(peer.m_candidate);
+        if (peer.m_isNear) {
+            near.push_back(peer.m_candidate);
+        }
+    }
+    m_regions.clear();
+    for (const std::pair<const std::string, std::vector<Candidate>> &region : regions) {
+        m_regions.push_back(region.second);
+    }
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        Chunk &chunk = m_chunks[index];
+        const std::uint64_t item = itemHash(m_identity.m_digest, index);
+        chunk.m_drawers = topRanked(item, everybody, RankedPeers);
+        chunk.m_importers = topRanked(item, near, RankedPeers);
+        chunk.m_originRank = m_self ? static_cast<std::uint32_t>(rankOf(m_peers[*m_self].m_candidate, item, everybody)) : ~std::uint32_t{0};
+    }
+    if (m_settings.m_strategy != Strategy::Tree || !m_self) {
+        return;
+    }
+    const std::vector<PeerIndex> order = topRanked(itemHash(m_identity.m_digest, ManifestItem), everybody, everybody.size());
+    const std::size_t position = static_cast<std::size_t>(std::find(order.begin(), order.end(), *m_self) - order.begin());
+    m_parent = position == 0 ? std::nullopt : std::optional<PeerIndex>(order[(position - 1) / TreeFanOut]);
+}
+
+void Exchange::want(PeerIndex index)
+{
+    Peer &peer = m_peers[index];
+    peer.m_isWanted = peer.m_isListed && !peer.m_isSelf && !peer.m_isSetAside;
+}
+
+void Exchange::chooseFollowed()
+{
+    for (Peer &peer : m_peers) {
+        peer.m_isWanted = false;
+    }
+    if (m_settings.m_strategy == Strategy::Origin || !m_self) {
+        return;
+    }
+    if (m_settings.m_strategy == Strategy::Tree) {
+        if (m_parent) {
+            want(*m_parent);
+        }
+        return;
+    }
+    std::vector<Candidate> near;
+    for (const Peer &peer : m_peers) {
+        if (peer.m_isListed && peer.m_isNear) {
+            near.push_back(peer.m_candidate);
+        }
+    }
+    for (const PeerIndex neighbour : ringNeighbours(m_peers[*m_self].m_candidate, near, m_settings.m_neighbours)) {
+        want(neighbour);
+    }
+    for (const Chunk &chunk : m_chunks) {
+        const auto followPredecessors = [this](const std::vector<PeerIndex> &ranked) {
+            const std::size_t own = static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), *m_self) - ranked.begin());
+            for (std::size_t rank = 0; own <= FollowedPredecessors && rank < own && own < ranked.size(); ++rank) {
+                want(ranked[rank]);
+            }
+        };
+        followPredecessors(chunk.m_drawers);
+        followPredecessors(chunk.m_importers);
+        if (!chunk.m_importers.empty() && chunk.m_importers.front() == *m_self && chunk.m_drawers.front() != *m_self) {
+            want(chunk.m_drawers.front());
+        }
+    }
+}
+
+std::optional<PeerIndex> Exchange::findPeer(const Core::Address &address) const
+{
+    for (PeerIndex index = 0; index < m_peers.size(); ++index) {
+        if (m_peers[index].m_replica.m_wire == address) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<Action> Exchange::chunkHeld(Weights::ChunkIndex chunk, Core::Instant)
+{
+    std::vector<Action> actions;
+    if (m_held[chunk]) {
+        return actions;
+    }
+    m_held[chunk] = true;
+    ++m_heldCount;
+    for (std::map<RequestId, Request>::iterator it = m_requests.begin(); it != m_requests.end();) {
+        const std::map<RequestId, Request>::iterator current = it++;
+        if (current->second.m_chunk == chunk) {
+            actions.push_back(Action{ActionKind::Cancel, {}, current->first, chunk, false});
+            closeRequest(current);
+        }
+    }
+    return actions;
+}
+
+void Exchange::closeRequest(std::map<RequestId, Request>::iterator request)
+{
+    --m_chunks[request->second.m_chunk].m_requests;
+    if (request->second.m_peer) {
+        --m_peers[*request->second.m_peer].m_outstanding;
+        --m_peerRequests;
+    } else {
+        --m_originRequests;
+    }
+    m_requests.erase(request);
+}
+
+void Exchange::requestSucceeded(RequestId id, Core::Instant now)
+{
+    const std::map<RequestId, Request>::iterator found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    if (found->second.m_peer) {
+        const double seconds = Core::secondsBetween(found->second.m_asked, now);
+        m_usualSeconds = m_usualSeconds == 0 ? seconds : m_usualSeconds + Smoothing * (seconds - m_usualSeconds);
+    } else {
+        m_originFailures = 0;
+    }
+    closeRequest(found);
+}
+
+void Exchange::requestFailed(RequestId id, Failure failure, Core::Instant now)
+{
+    const std::map<RequestId, Request>::iterator found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    const Request request = found->second;
+    closeRequest(found);
+    if (failure == Failure::Corrupt) {
+        ++m_counts.m_badChunks;
+    }
+    if (!request.m_peer) {
+        ++m_originFailures;
+        m_originAfter = now + doubled(OriginRetry, m_originFailures, MaximumOriginDoublings);
+        return;
+    }
+    Peer &peer = m_peers[*request.m_peer];
+    switch (failure) {
+    case Failure::Busy:
+        ++m_counts.m_busy;
+        peer.m_usableAfter = now + BusyPause;
+        break;
+    case Failure::Lost:
+        peer.m_usableAfter = now + LostPause;
+        break;
+    case Failure::Corrupt:
+        // One bad chunk can be a damaged link, but nothing tells it from a peer whose memory is bad, and there are other peers.
+        peer.m_isSetAside = true;
+        peer.m_isWanted = false;
+        break;
+    }
+}
+
+void Exchange::requestProgressed(RequestId id, std::uint64_t bytes, Core::Instant now)
+{
+    const std::map<RequestId, Request>::iterator found = m_requests.find(id);
+    if (found != m_requests.end() && bytes > found->second.m_bytes) {
+        found->second.m_bytes = bytes;
+        found->second.m_progressed = now;
+    }
+}
+
+void Exchange::updateReceived(const Core::Address &address, const HaveUpdate &update, Core::Instant now)
+{
+    const std::optional<PeerIndex> index = findPeer(address);
+    if (!index || m_peers[*index].m_follow != FollowState::Open) {
+        return;
+    }
+    Peer &peer = m_peers[*index];
+    peer.m_heard = now;
+    peer.m_followFailures = 0;
+    peer.m_hasAnswered = true;
+    peer.m_drawsFromOrigin = update.m_drawsFromOrigin;
+    peer.m_queued = update.m_queued;
+    if (update.m_takesPart || now - m_started < JoinGrace) {
+        peer.m_absentSince.reset();
+    } else {
+        markAbsent(peer, now);
+    }
+    if (update.m_isSnapshot) {
+        peer.m_holds = decodeBitmap(update.m_bitmap, m_manifest.chunkCount());
+        peer.m_heldCount = static_cast<std::uint32_t>(std::count(peer.m_holds.begin(), peer.m_holds.end(), true));
+    }
+    for (const std::uint32_t chunk : update.m_added) {
+        if (chunk < m_manifest.chunkCount() && !peer.m_holds[chunk]) {
+            peer.m_holds[chunk] = true;
+            ++peer.m_heldCount;
+        }
+    }
+}
+
+void Exchange::followEnded(const Core::Address &address, Core::Instant now)
+{
+    const std::optional<PeerIndex> index = findPeer(address);
+    if (!index || m_peers[*index].m_follow == FollowState::Not) {
+        return;
+    }
+    Peer &peer = m_peers[*index];
+    peer.m_follow = FollowState::Not;
+    ++peer.m_followFailures;
+    peer.m_followAfter = now + doubled(FollowRetry, peer.m_followFailures, MaximumBackoffDoublings);
+    peer.m_holds.assign(m_manifest.chunkCount(), false);
+    peer.m_heldCount = 0;
+    markAbsent(peer, now);
+}
+
+void Exchange::markAbsent(Peer &peer, Core::Instant now)
+{
+    if (!peer.m_absentSince) {
+        peer.m_absentSince = now;
+    }
+}
+
+bool Exchange::isAbsent(const Peer &peer, Core::Instant now) const
+{
+    if (!peer.m_isListed || peer.m_isSetAside) {
+        return true;
+    }
+    return peer.m_absentSince && now - *peer.m_absentSince >= TakeoverGrace;
+}
+
+bool Exchange::isFirstPresent(const std::vector<PeerIndex> &ranked, bool needsOrigin, Core::Instant now) const
+{
+    for (const PeerIndex index : ranked) {
+        const Peer &peer = m_peers[index];
+        if (peer.m_isSelf) {
+            return true;
+        }
+        const bool cannotDraw = needsOrigin && peer.m_follow == FollowState::Open && !peer.m_drawsFromOrigin;
+        if (!isAbsent(peer, now) && !cannotDraw) {
+            return false;
+        }
+    }
+    return false;
+}
+
+bool Exchange::isVisible(Weights::ChunkIndex index) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [index](const Peer &peer) { return peer.m_holds[index] && !peer.m_isSetAside; });
+}
+
+bool Exchange::knowsNeighbours(Core::Instant now) const
+{
+    // A replica that joins late finds everything nearby; drawing before it has looked would cost origin bytes for nothing.
+    if (now - m_started >= NeighboursAnswerWithin) {
+        return true;
+    }
+    return std::none_of(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_isWanted && !peer.m_hasAnswered; });
+}
+
+bool Exchange::isDrawTime(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const
+{
+    // Draws that all began at once would share the origin's link and all end late, with nothing to pass on before.
+    // Slots by the chunk's position keep them in a row without a word between the drawers.
+    const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + index;
+    const std::uint64_t slots = position > DrawsAhead ? position - DrawsAhead : 0;
+    return now - m_started >= m_drawSlot * static_cast<std::int64_t>(slots);
+}
+
+bool Exchange::mayImport(const Chunk &chunk, Core::Instant now) const
+{
+    return isFirstPresent(chunk.m_importers, false, now);
+}
+
+bool Exchange::mayDraw(Weights::ChunkIndex index, Core::Instant now) const
+{
+    const Chunk &chunk = m_chunks[index];
+    if (m_settings.m_strategy == Strategy::Origin) {
+        return true;
+    }
+    if (m_settings.m_strategy == Strategy::Tree) {
+        return !m_parent;
+    }
+    if (isFirstPresent(chunk.m_drawers, true, now)) {
+        return isDrawTime(index, 0, now) && knowsNeighbours(now) && !isVisible(index);
+    }
+    // Within the origin budget, further ranks draw a second and later copy when nothing nearer has brought the chunk by their turn.
+    return chunk.m_originRank < m_originCopies && isDrawTime(index, chunk.m_originRank, now);
+}
+
+std::vector<PickPeer> Exchange::pickPeers(Core::Instant now) const
+{
+    std::vector<PickPeer> peers;
+    for (PeerIndex index = 0; index < m_peers.size(); ++index) {
+        const Peer &peer = m_peers[index];
+        const bool waitsForAll = m_settings.m_strategy == Strategy::Tree && peer.m_heldCount < m_manifest.chunkCount();
+        if (peer.m_follow != FollowState::Open || peer.m_heldCount == 0 || peer.m_isSetAside || waitsForAll) {
+            continue;
+        }
+        PickPeer pick;
+        pick.m_peer = index;
+        // The tree crosses regions as it comes.
+        pick.m_sameRegion = peer.m_isNear || m_settings.m_strategy == Strategy::Tree;
+        pick.m_usable = now >= peer.m_usableAfter && peer.m_outstanding < RequestsPerPeer && now - peer.m_heard < PeerSilence;
+        pick.m_load = peer.m_outstanding + peer.m_queued;
+        pick.m_holds = &peer.m_holds;
+        peers.push_back(pick);
+    }
+    return peers;
+}
+
+std::vector<RequestId> Exchange::openRequests() const
+{
+    std::vector<RequestId> open;
+    for (const std::pair<const RequestId, Request> &entry : m_requests) {
+        open.push_back(entry.first);
+    }
+    return open;
+}
+
+std::vector<Action> Exchange::decide(Pacer &download, Core::Instant now)
+{
+    std::vector<Action> actions;
+    if (!m_self) {
+        return actions;
+    }
+    decideStalls(actions, now);
+    decideFollows(actions, now);
+    if (!isComplete()) {
+        decideDraws(actions, download, now);
+        decideRequests(actions, download, now);
+        decideHedges(actions, download, now);
+    }
+    return actions;
+}
+
+void Exchange::decideFollows(std::vector<Action> &actions, Core::Instant now)
+{
+    for (Weights::ChunkIndex index = 0; m_settings.m_strategy == Strategy::Swarm && index < m_manifest.chunkCount(); ++index) {
+        if (!m_held[index] && m_chunks[index].m_requests == 0) {
+            followSources(index, now);
+        }
+    }
+    for (Peer &peer : m_peers) {
+        const bool wanted = peer.m_isWanted && !isComplete();
+        if (wanted && peer.m_follow == FollowState::Not && now >= peer.m_followAfter) {
+            peer.m_follow = FollowState::Open;
+            peer.m_heard = now;
+            actions.push_back(Action{ActionKind::Follow, peer.m_replica.m_wire, 0, 0, false});
+        } else if (!wanted && peer.m_follow == FollowState::Open && peer.m_outstanding == 0) {
+            peer.m_follow = FollowState::Not;
+            actions.push_back(Action{ActionKind::Unfollow, peer.m_replica.m_wire, 0, 0, false});
+        }
+        if (peer.m_follow == FollowState::Open && now - peer.m_heard > PeerSilence) {
+            // The socket may stay open for long after the peer froze; signs of life are what counts.
+            markAbsent(peer, now);
+        }
+    }
+}
+
+/// Follows whoever must have the chunk before it can come here.
+void Exchange::followSources(Weights::ChunkIndex index, Core::Instant now)
+{
+    const Chunk &chunk = m_chunks[index];
+    if (mayImport(chunk, now)) {
+        for (const PeerIndex drawer : chunk.m_drawers) {
+            want(drawer);
+            if (!isAbsent(m_peers[drawer], now)) {
+                break;
+            }
+        }
+    }
+    const bool isRanked = std::find(chunk.m_drawers.begin(), chunk.m_drawers.end(), *m_self) != chunk.m_drawers.end()
+        || std::find(chunk.m_importers.begin(), chunk.m_importers.end(), *m_self) != chunk.m_importers.end();
+    if (!isRanked || !isDrawTime(index, 0, now - ProbeAfter) || isVisible(index)) {
+        return;
+    }
+    // The chunk should be about by now. Look at everybody who could have brought it, also by way of a third region.
+    for (const PeerIndex peer : chunk.m_drawers) {
+        want(peer);
+    }
+    for (const PeerIndex peer : chunk.m_importers) {
+        want(peer);
+    }
+    for (const std::vector<Candidate> &region : m_regions) {
+        for (const PeerIndex peer : topRanked(itemHash(m_identity.m_digest, index), region, 1)) {
+            want(peer);
+        }
+    }
+}
+
+void Exchange::decideStalls(std::vector<Action> &actions, Core::Instant now)
+{
+    for (std::map<RequestId, Request>::iterator it = m_requests.begin(); it != m_requests.end();) {
+        const std::map<RequestId, Request>::iterator current = it++;
+        const Request &request = current->second;
+        if (!request.m_peer || now - request.m_progressed < m_settings.m_stallLimit) {
+            continue;
+        }
+        ++m_counts.m_stalls;
+        m_peers[*request.m_peer].m_usableAfter = now + LostPause;
+        actions.push_back(Action{ActionKind::Cancel, {}, current->first, request.m_chunk, false});
+        closeRequest(current);
+    }
+}
+
+void Exchange::decideDraws(std::vector<Action> &actions, Pacer &download, Core::Instant now)
+{
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        if (m_originRequests >= m_settings.m_originConnections || now < m_originAfter) {
+            return;
+        }
+        Chunk &chunk = m_chunks[index];
+        if (m_held[index] || chunk.m_requests > 0 || !mayDraw(index, now)) {
+            continue;
+        }
+        if (!download.tryTake(m_manifest.chunkLength(index), now)) {
+            return;
+        }
+        if (m_settings.m_strategy == Strategy::Swarm && chunk.m_originRank >= m_originCopies) {
+            ++m_counts.m_takeovers;
+        }
+        const RequestId id = m_nextRequest++;
+        m_requests[id] = Request{index, std::nullopt, now, now, 0, false};
+        ++chunk.m_requests;
+        ++m_originRequests;
+        actions.push_back(Action{ActionKind::AskOrigin, {}, id, index, false});
+    }
+}
+
+Action Exchange::ask(Weights::ChunkIndex index, PeerIndex peer, Core::Instant now)
+{
+    const RequestId id = m_nextRequest++;
+    m_requests[id] = Request{index, peer, now, now, 0, false};
+    ++m_chunks[index].m_requests;
+    ++m_peers[peer].m_outstanding;
+    ++m_peerRequests;
+    return Action{ActionKind::AskPeer, m_peers[peer].m_replica.m_wire, id, index, !m_peers[peer].m_isNear};
+}
+
+void Exchange::decideRequests(std::vector<Action> &actions, Pacer &download, Core::Instant now)
+{
+    if (m_settings.m_strategy == Strategy::Origin || m_peerRequests >= m_settings.m_requestsAhead) {
+        return;
+    }
+    std::vector<PickChunk> wanted;
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        if (!m_held[index] && m_chunks[index].m_requests == 0) {
+            wanted.push_back(PickChunk{index, mayImport(m_chunks[index], now)});
+        }
+    }
+    while (m_peerRequests < m_settings.m_requestsAhead) {
+        const std::optional<Pick> pick = pickChunk(wanted, pickPeers(now), m_random);
+        if (!pick || !download.tryTake(m_manifest.chunkLength(pick->m_chunk), now)) {
+            return;
+        }
+        actions.push_back(ask(pick->m_chunk, pick->m_peer, now));
+        std::erase_if(wanted, [&pick](const PickChunk &chunk) { return chunk.m_chunk == pick->m_chunk; });
+    }
+}
+
+void Exchange::decideHedges(std::vector<Action> &actions, Pacer &download, Core::Instant now)
+{
+    // A peer that is slow but not dead holds up the end of the burst, when nothing else is left to ask for.
+    const double patience = std::max(HedgeFactor * m_usualSeconds, std::chrono::duration<double>(MinimumHedgeAge).count());
+    std::vector<RequestId> slow;
+    for (const std::pair<const RequestId, Request> &entry : m_requests) {
+        const bool isLate = Core::secondsBetween(entry.second.m_asked, now) > patience;
+        if (entry.second.m_peer && !entry.second.m_isHedged && isLate && m_chunks[entry.second.m_chunk].m_requests == 1) {
+            slow.push_back(entry.first);
+        }
+    }
+    for (const RequestId id : slow) {
+        if (m_peerRequests >= m_settings.m_requestsAhead) {
+            return;
+        }
+        Request &request = m_requests.at(id);
+        std::vector<PickPeer> peers = pickPeers(now);
+        std::erase_if(peers, [&request](const PickPeer &peer) { return peer.m_peer == *request.m_peer; });
+        const std::optional<PeerIndex> peer = pickPeer(PickChunk{request.m_chunk, mayImport(m_chunks[request.m_chunk], now)}, peers, m_random);
+        if (!peer || !download.tryTake(m_manifest.chunkLength(request.m_chunk), now)) {
+            continue;
+        }
+        request.m_isHedged = true;
+        ++m_counts.m_hedges;
+        actions.push_back(ask(request.m_chunk, *peer, now));
+    }
+}
+
+}
--- a/Libraries/LibTransfer/OriginClient.cpp
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 64 << 10;
+constexpr int KeepAliveSeconds = 3600; ///< The session must not reconnect by itself; it would pass by the gateway.
 
 std::string escaped(const std::string &name)
 {
@@ -73,10 +74,23 @@
 }
 
 Core::Result<std::string> OriginClient::get(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus)
+{
+    const bool reused = m_session != nullptr;
+    Core::Result<std::string> answer = tryGet(path, range, maximumBytes, expectedStatus);
+    const bool brokeOff = !answer && !m_session && answer.error().m_code == Core::ErrorCode::Unavailable;
+    if (reused && brokeOff) {
+        // The server may have closed the connection while it was idle, which shows only now. Reading is repeatable.
+        return tryGet(path, range, maximumBytes, expectedStatus);
+    }
+    return answer;
+}
+
+Core::Result<std::string> OriginClient::tryGet(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus)
 {
     if (!m_session) {
         m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeout));
         m_session->setKeepAlive(true);
+        m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
     }
     try {
         Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -88,23 +102,27 @@
         Poco::Net::HTTPResponse response;
         std::istream &stream = m_session->receiveResponse(response);
         std::string body = readBounded(stream, maximumBytes);
-        if (body.size() > maximumBytes) {
-            m_session.reset();
-            return Core::makeError(Core::ErrorCode::Corrupt, "read from origin", m_origin.toString(), "the answer is too long");
-        }
-        if (response.getStatus() != expectedStatus) {
-            const Core::ErrorCode code =
-                response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_FOUND ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
-            return Core::makeError(code, "read from origin", m_origin.toString(), "status " + std::to_string(response.getStatus()));
-        }
-        if (!response.getKeepAlive()) {
+        const bool keeps = response.getKeepAlive() && body.size() <= maximumBytes;
+        if (!keeps) {
             m_session.reset();
         }
-        return body;
+        return checked(response, std::move(body), maximumBytes, expectedStatus);
     } catch (const Poco::Exception &exception) {
         m_session.reset();
         return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), exception.displayText());
     }
 }
 
+Core::Result<std::string> OriginClient::checked(const Poco::Net::HTTPResponse &response, std::string body, std::size_t maximumBytes, int expectedStatus) const
+{
+    if (body.size() > maximumBytes) {
+        return Core::makeError(Core::ErrorCode::Corrupt, "read from origin", m_origin.toString(), "the answer is too long");
+    }
+    if (response.getStatus() != expectedStatus) {
+        const Core::ErrorCode code = response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_FOUND ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
+        return Core::makeError(code, "read from origin", m_origin.toString(), "status " + std::to_string(response.getStatus()));
+    }
+    return body;
+}
+
 }
--- a/Libraries/LibTransfer/OriginClient.h
+++ b/Libraries/LibTransfer/OriginClient.h
@@ -4,6 +4,7 @@
 #include "LibCore/Clock.h"
 #include "LibNetwork/Dialer.h"
 
+#include <Poco/Net/HTTPResponse.h>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
 
 private:
     Core::Result<std::string> get(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus);
+    Core::Result<std::string> tryGet(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus);
+    Core::Result<std::string> checked(const Poco::Net::HTTPResponse &response, std::string body, std::size_t maximumBytes, int expectedStatus) const;
 
     const Network::NetworkSettings m_network;
     const Core::Address m_origin;
--- /dev/null
+++ b/Libraries/LibTransfer/Picker.cpp
@@ -0,0 +1,106 @@
+/// @file Implementation of the picker.
+
+#include "LibTransfer/Picker.h"
+
+namespace Transfer {
+
+namespace {
+
+struct Holders
+{
+    std::uint32_t m_near = 0; ///< Peers of the own region that hold the chunk, usable or not.
+    bool m_isAvailable = false; ///< Some usable peer may be asked for it.
+};
+
+Holders countHolders(const PickChunk &chunk, const std::vector<PickPeer> &peers)
+{
+    Holders holders;
+    bool farAvailable = false;
+    for (const PickPeer &peer : peers) {
+        if (!(*peer.m_holds)[chunk.m_chunk]) {
+            continue;
+        }
+        if (peer.m_sameRegion) {
+            ++holders.m_near;
+            holders.m_isAvailable = holders.m_isAvailable || peer.m_usable;
+        } else {
+            farAvailable = farAvailable || peer.m_usable;
+        }
+    }
+    const bool mayImport = chunk.m_mayImport && holders.m_near == 0;
+    holders.m_isAvailable = holders.m_isAvailable || (mayImport && farAvailable);
+    return holders;
+}
+
+/// Keeps one of several equals with equal chances.
+class TieBreak
+{
+public:
+    explicit TieBreak(Core::Random &random)
+        : m_random(random)
+    {
+    }
+
+    void restart()
+    {
+        m_seen = 1;
+    }
+
+    bool takesNext()
+    {
+        return m_random.below(++m_seen) == 0;
+    }
+
+private:
+    Core::Random &m_random;
+    std::uint64_t m_seen = 1;
+};
+
+}
+
+std::optional<PeerIndex> pickPeer(const PickChunk &chunk, const std::vector<PickPeer> &peers, Core::Random &random)
+{
+    const bool fromFar = chunk.m_mayImport && countHolders(chunk, peers).m_near == 0;
+    const PickPeer *best = nullptr;
+    TieBreak tie(random);
+    for (const PickPeer &peer : peers) {
+        const bool eligible = peer.m_usable && peer.m_sameRegion != fromFar && (*peer.m_holds)[chunk.m_chunk];
+        if (!eligible) {
+            continue;
+        }
+        if (!best || peer.m_load < best->m_load) {
+            best = &peer;
+            tie.restart();
+        } else if (peer.m_load == best->m_load && tie.takesNext()) {
+            best = &peer;
+        }
+    }
+    return best ? std::optional<PeerIndex>(best->m_peer) : std::nullopt;
+}
+
+std::optional<Pick> pickChunk(const std::vector<PickChunk> &wanted, const std::vector<PickPeer> &peers, Core::Random &random)
+{
+    const PickChunk *best = nullptr;
+    std::uint32_t fewest = 0;
+    TieBreak tie(random);
+    for (const PickChunk &chunk : wanted) {
+        const Holders holders = countHolders(chunk, peers);
+        if (!holders.m_isAvailable) {
+            continue;
+        }
+        if (!best || holders.m_near < fewest) {
+            best = &chunk;
+            fewest = holders.m_near;
+            tie.restart();
+        } else if (holders.m_near == fewest && tie.takesNext()) {
+            best = &chunk;
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    const std::optional<PeerIndex> peer = pickPeer(*best, peers, random);
+    return peer ? std::optional<Pick>(Pick{best->m_chunk, *peer}) : std::nullopt;
+}
+
+}
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -17,6 +17,8 @@
 
 namespace Transfer {
 
+class Coordinator;
+
 /// What a transfer manager is made of. The node and the metrics must outlive it.
 struct TransferParts
 {
@@ -77,8 +79,7 @@
     Poco::JSON::Object::Ptr dump() const;
 
 private:
-    class Implementation;
-    std::unique_ptr<Implementation> m_implementation;
+    std::unique_ptr<Coordinator> m_coordinator;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibTransfer/UploadDuty.cpp
@@ -0,0 +1,192 @@
+/// @file Implementation of the upload duty.
+
+#include "LibTransfer/UploadDuty.h"
+
+namespace Transfer {
+
+namespace {
+
+constexpr std::size_t PieceBytes = 16 << 10;
+constexpr std::size_t MaximumBacklog = 64 << 10; ///< Bytes that wait at one stream before others go first.
+constexpr std::size_t MaximumActive = 32;
+constexpr Core::Duration StuckAfter{200}; ///< A stream that takes nothing for this long no longer holds a slot.
+constexpr Core::Duration GiveUpAfter{5000};
+constexpr Core::Duration BlockedPause{2};
+constexpr Core::Duration IdlePause{500};
+constexpr std::size_t MaximumCountedVersions = 16;
+
+Core::Error busy()
+{
+    return Core::makeError(Core::ErrorCode::Overloaded, "send chunk", "", "busy");
+}
+
+}
+
+UploadDuty::UploadDuty(const TransferSettings &settings, Telemetry::Metrics &metrics)
+    : m_settings(settings)
+    , m_bytesSent(metrics.counter("transfer_bytes_uploaded_total"))
+    , m_refused(metrics.counter("transfer_uploads_refused_total"))
+    , m_givenUp(metrics.counter("transfer_uploads_given_up_total"))
+    , m_pacer(settings.m_uploadBytesPerSecond, 2 * PieceBytes, Core::Clock::now())
+{
+}
+
+UploadDuty::~UploadDuty()
+{
+    stop();
+}
+
+void UploadDuty::start()
+{
+    m_running = true;
+    m_thread = std::thread([this] { run(); });
+}
+
+void UploadDuty::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_running = false;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void UploadDuty::offer(UploadJob job)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        std::vector<QueuedUpload> waiting;
+        for (const UploadJob &other : m_waiting) {
+            waiting.push_back(other.m_what);
+        }
+        UploadLimits limits;
+        limits.m_waiting = m_settings.m_queuedUploads;
+        if (!m_running || !admitsUpload(waiting, job.m_what.m_forRegion, limits)) {
+            m_refused.add();
+            job.m_responder.fail(busy());
+            return;
+        }
+        job.m_what.m_number = m_nextNumber++;
+        m_waiting.push_back(std::move(job));
+    }
+    m_changed.notify_all();
+}
+
+std::uint32_t UploadDuty::load() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return static_cast<std::uint32_t>(m_waiting.size() + m_active.size());
+}
+
+void UploadDuty::charge(std::uint64_t bytes)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_pacer.charge(bytes, Core::Clock::now());
+}
+
+std::size_t UploadDuty::movingSlots(Core::Instant now) const
+{
+    // A receiver that froze must not take a slot from those that still listen.
+    const std::ptrdiff_t moving =
+        std::count_if(m_active.begin(), m_active.end(), [now](const Active &active) { return now - active.m_progressed < StuckAfter; });
+    return static_cast<std::size_t>(moving);
+}
+
+void UploadDuty::fillSlots(Core::Instant now)
+{
+    while (!m_waiting.empty() && movingSlots(now) < m_settings.m_uploadSlots && m_active.size() < MaximumActive) {
+        std::vector<QueuedUpload> waiting;
+        for (const UploadJob &job : m_waiting) {
+            waiting.push_back(job.m_what);
+        }
+        const std::optional<std::size_t> next = nextUpload(waiting, m_sent);
+        const std::vector<UploadJob>::iterator position = m_waiting.begin() + static_cast<std::ptrdiff_t>(*next);
+        if (!position->m_responder.isCancelled()) {
+            if (m_sent.size() > MaximumCountedVersions) {
+                m_sent.clear();
+            }
+            ++m_sent[position->m_what.m_digest][position->m_what.m_chunk];
+            m_active.push_back(Active{std::move(*position), 0, now});
+        }
+        m_waiting.erase(position);
+    }
+}
+
+void UploadDuty::dropEnded(Core::Instant now)
+{
+    for (std::list<Active>::iterator it = m_active.begin(); it != m_active.end();) {
+        if (it->m_job.m_responder.isCancelled()) {
+            it = m_active.erase(it);
+            continue;
+        }
+        if (now - it->m_progressed > GiveUpAfter) {
+            m_givenUp.add();
+            it->m_job.m_responder.fail(Core::makeError(Core::ErrorCode::Timeout, "send chunk", "", "the receiver takes nothing"));
+            it = m_active.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+/// Sends a piece of the first stream that takes one; false if none does.
+bool UploadDuty::sendPiece(Core::Instant now)
+{
+    for (std::list<Active>::iterator it = m_active.begin(); it != m_active.end(); ++it) {
+        if (it->m_job.m_responder.backlog() >= MaximumBacklog) {
+            continue;
+        }
+        const std::string_view rest = std::string_view(*it->m_job.m_bytes).substr(it->m_sent);
+        const std::string_view piece = rest.substr(0, PieceBytes);
+        if (!m_pacer.tryTake(piece.size(), now)) {
+            return true;
+        }
+        it->m_job.m_responder.send(std::string(piece));
+        m_bytesSent.add(piece.size());
+        it->m_sent += piece.size();
+        it->m_progressed = now;
+        if (it->m_sent == it->m_job.m_bytes->size()) {
+            it->m_job.m_responder.finish();
+            m_active.erase(it);
+        } else {
+            m_active.splice(m_active.end(), m_active, it);
+        }
+        return true;
+    }
+    return false;
+}
+
+void UploadDuty::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (m_running) {
+        const Core::Instant now = Core::Clock::now();
+        dropEnded(now);
+        fillSlots(now);
+        if (m_active.empty()) {
+            m_changed.wait_for(lock, IdlePause);
+            continue;
+        }
+        const Core::Duration pause = m_pacer.untilReady(now);
+        if (pause.count() > 0) {
+            m_changed.wait_for(lock, pause);
+            continue;
+        }
+        if (!sendPiece(now)) {
+            m_changed.wait_for(lock, BlockedPause);
+        }
+    }
+    for (const UploadJob &job : m_waiting) {
+        job.m_responder.fail(busy());
+    }
+    for (const Active &active : m_active) {
+        active.m_job.m_responder.fail(busy());
+    }
+    m_waiting.clear();
+    m_active.clear();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransfer/UploadDuty.h
@@ -0,0 +1,72 @@
+/// @file The duty that sends chunks to peers, paced and a few at a time.
+#pragma once
+
+#include "LibTelemetry/Metrics.h"
+#include "LibTransfer/Pacer.h"
+#include "LibTransfer/TransferSettings.h"
+#include "LibTransfer/UploadQueue.h"
+#include "LibWeights/HeldVersion.h"
+#include "LibWire/Call.h"
+
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <thread>
+
+namespace Transfer {
+
+/// One chunk on its way to one peer.
+struct UploadJob
+{
+    QueuedUpload m_what;
+    Weights::ChunkBytes m_bytes;
+    Wire::Responder m_responder;
+};
+
+/// Thread-safe.
+class UploadDuty
+{
+public:
+    UploadDuty(const TransferSettings &settings, Telemetry::Metrics &metrics);
+    ~UploadDuty();
+
+    void start();
+    void stop();
+
+    /// Takes the job, or ends it as busy.
+    void offer(UploadJob job);
+    /// Jobs that wait or are being sent.
+    std::uint32_t load() const;
+    /// Live traffic used the link.
+    void charge(std::uint64_t bytes);
+
+private:
+    struct Active
+    {
+        UploadJob m_job;
+        std::size_t m_sent = 0;
+        Core::Instant m_progressed;
+    };
+
+    void run();
+    void fillSlots(Core::Instant now);
+    bool sendPiece(Core::Instant now);
+    void dropEnded(Core::Instant now);
+    std::size_t movingSlots(Core::Instant now) const;
+
+    const TransferSettings m_settings;
+    Telemetry::Counter &m_bytesSent;
+    Telemetry::Counter &m_refused;
+    Telemetry::Counter &m_givenUp;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_running = false;
+    Pacer m_pacer;
+    std::uint64_t m_nextNumber = 0;
+    std::vector<UploadJob> m_waiting; ///< Bounded by admitsUpload().
+    std::list<Active> m_active; ///< The next one to send is in front.
+    std::map<std::string, SentCounts> m_sent;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTransfer/UploadQueue.cpp
@@ -0,0 +1,46 @@
+/// @file Implementation of the upload queue's decisions.
+
+#include "LibTransfer/UploadQueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Transfer {
+
+namespace {
+
+std::uint32_t timesSent(const QueuedUpload &upload, const std::map<std::string, SentCounts> &sent)
+{
+    const std::map<std::string, SentCounts>::const_iterator counts = sent.find(upload.m_digest);
+    if (counts == sent.end()) {
+        return 0;
+    }
+    const SentCounts::const_iterator count = counts->second.find(upload.m_chunk);
+    return count == counts->second.end() ? 0 : count->second;
+}
+
+}
+
+bool admitsUpload(const std::vector<QueuedUpload> &waiting, bool forRegion, const UploadLimits &limits)
+{
+    const std::ptrdiff_t alike =
+        std::count_if(waiting.begin(), waiting.end(), [forRegion](const QueuedUpload &upload) { return upload.m_forRegion == forRegion; });
+    return static_cast<std::size_t>(alike) < (forRegion ? limits.m_waitingForRegion : limits.m_waiting);
+}
+
+std::optional<std::size_t> nextUpload(const std::vector<QueuedUpload> &waiting, const std::map<std::string, SentCounts> &sent)
+{
+    std::optional<std::size_t> best;
+    std::tuple<bool, std::uint32_t, std::uint64_t> bestKey;
+    for (std::size_t index = 0; index < waiting.size(); ++index) {
+        const QueuedUpload &upload = waiting[index];
+        const std::tuple<bool, std::uint32_t, std::uint64_t> key(!upload.m_forRegion, timesSent(upload, sent), upload.m_number);
+        if (!best || key < bestKey) {
+            best = index;
+            bestKey = key;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTransfer/Version.h
@@ -0,0 +1,60 @@
+/// @file All that the coordinator keeps about one version of the weights.
+#pragma once
+
+#include "LibControl/Model.h"
+#include "LibTransfer/Events.h"
+#include "LibTransfer/Exchange.h"
+#include "LibWeights/HeldVersion.h"
+#include "LibWire/Call.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Transfer {
+
+/// A call for a chunk that has not ended.
+struct OpenRequest
+{
+    Weights::ChunkIndex m_chunk = 0;
+    Wire::CallId m_call = 0; ///< 0 for a draw from the origin.
+    std::shared_ptr<Reception> m_reception; ///< Null for a draw from the origin.
+    Core::Address m_peer;
+};
+
+/// An open stream of a peer's holdings.
+struct OpenFollow
+{
+    std::uint64_t m_serial = 0; ///< Tells this stream's events from those of an earlier one to the same peer.
+    Wire::CallId m_call = 0;
+};
+
+/// The search for the manifest.
+struct ManifestSearch
+{
+    bool m_isOpen = false; ///< An attempt is under way.
+    std::uint32_t m_attempts = 0;
+    Core::Instant m_next; ///< No attempt before.
+};
+
+struct Version
+{
+    Control::Deployment m_deployment;
+    bool m_isWanted = false;
+    bool m_awaitsMemory = false; ///< It would exceed the memory limit.
+    ManifestSearch m_search;
+    std::optional<Weights::Manifest> m_manifest;
+    std::string m_encodedManifest; ///< Empty until the manifest is known.
+    std::unique_ptr<Exchange> m_exchange; ///< Null until the manifest is known.
+    std::vector<Weights::ChunkBytes> m_chunks; ///< One element for each chunk; null until held.
+    std::shared_ptr<const Weights::HeldVersion> m_held; ///< Null until whole and verified.
+    std::map<RequestId, OpenRequest> m_requests;
+    std::map<Core::Address, OpenFollow> m_follows;
+    std::vector<Wire::Responder> m_followers;
+    std::vector<std::uint32_t> m_unannounced; ///< Chunks that the followers have not been told of.
+    std::vector<Wire::Responder> m_manifestWaiters;
+};
+
+}
--- a/Services/StandIns/Origin/Main.cpp
+++ b/Services/StandIns/Origin/Main.cpp
@@ -1,6 +1,6 @@
 /// @file standin-origin: takes the place of the platform's weight store and origin of weights in tests and measurements.
 
-#include "OriginServer.h"
+#include "LibOriginStandIn/OriginServer.h"
 
 #include <csignal>
 #include <cxxopts.hpp>
--- /dev/null
+++ b/Tests/Benchmarks/SwarmTrial/Main.cpp
@@ -0,0 +1,122 @@
+/// @file swarm-trial: a burst among transfer managers in one process, each pacing its own link. For quick looks at the policy; Meta/measure-burst measures.
+
+#include "../../LibTransfer/Replicas.h"
+
+#include "LibCore/Random.h"
+
+#include <cxxopts.hpp>
+#include <glog/logging.h>
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
+constexpr int MillisecondsPerSample = 250;
+
+struct TrialOptions
+{
+    std::size_t m_agents = 16;
+    std::string m_strategy = "swarm";
+    std::string m_policy = "bytes";
+    std::uint64_t m_mebibytes = 8;
+    std::size_t m_killPercent = 0;
+    bool m_verbose = false;
+    Transfer::TransferSettings m_settings;
+};
+
+TrialOptions parseOptions(int argc, char **argv)
+{
+    cxxopts::Options options("swarm-trial", "A burst among transfer managers in one process");
+    options.add_options()("agents", "", cxxopts::value<std::size_t>()->default_value("16"))(
+        "strategy", "", cxxopts::value<std::string>()->default_value("swarm"))("policy", "", cxxopts::value<std::string>()->default_value("bytes"))(
+        "mebibytes", "", cxxopts::value<std::uint64_t>()->default_value("8"))("kill", "", cxxopts::value<std::size_t>()->default_value("0"))(
+        "slots", "", cxxopts::value<std::uint32_t>()->default_value("0"))("queue", "", cxxopts::value<std::uint32_t>()->default_value("0"))(
+        "ahead", "", cxxopts::value<std::uint32_t>()->default_value("0"))("neighbours", "", cxxopts::value<std::uint32_t>()->default_value("0"))("verbose", "");
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    TrialOptions trial;
+    trial.m_agents = arguments["agents"].as<std::size_t>();
+    trial.m_strategy = arguments["strategy"].as<std::string>();
+    trial.m_policy = arguments["policy"].as<std::string>();
+    trial.m_mebibytes = arguments["mebibytes"].as<std::uint64_t>();
+    trial.m_killPercent = arguments["kill"].as<std::size_t>();
+    trial.m_verbose = arguments.count("verbose") > 0;
+    trial.m_settings.m_uploadBytesPerSecond = BytesPerMebibyte;
+    trial.m_settings.m_downloadBytesPerSecond = BytesPerMebibyte;
+    for (const Transfer::Strategy strategy : {Transfer::Strategy::Swarm, Transfer::Strategy::Origin, Transfer::Strategy::Tree}) {
+        if (Transfer::strategyName(strategy) == trial.m_strategy) {
+            trial.m_settings.m_strategy = strategy;
+        }
+    }
+    const auto adjust = [&arguments](const std::string &name, std::uint32_t &field) {
+        const std::uint32_t value = arguments[name].as<std::uint32_t>();
+        field = value > 0 ? value : field;
+    };
+    adjust("slots", trial.m_settings.m_uploadSlots);
+    adjust("queue", trial.m_settings.m_queuedUploads);
+    adjust("ahead", trial.m_settings.m_requestsAhead);
+    adjust("neighbours", trial.m_settings.m_neighbours);
+    return trial;
+}
+
+void run(const TrialOptions &options)
+{
+    const std::uint64_t bytes = options.m_mebibytes * BytesPerMebibyte;
+    StandIn::OriginSettings origin;
+    origin.m_bytesPerSecond = 2 * BytesPerMebibyte;
+    origin.m_objects.push_back(StandIn::ObjectRecipe{"drafts", "1", bytes, 1, 0, 100});
+    TestBench::Replicas replicas(origin);
+    const std::vector<std::string> regions = {"hcm", "hanoi", "danang"};
+    for (std::size_t index = 0; index < options.m_agents; ++index) {
+        replicas.plan(regions[index % regions.size()]);
+        replicas.start(index, options.m_settings);
+    }
+    Control::Deployment deployment = replicas.deployment("drafts", "1");
+    deployment.m_policy = options.m_policy == "time" ? Control::BurstPolicy::Time : Control::BurstPolicy::OriginBytes;
+    deployment.m_originCopies = options.m_policy == "time" ? 4 : 1;
+    const Core::Instant start = Core::Clock::now();
+    replicas.setTargets({deployment});
+    const std::size_t killed = options.m_agents * options.m_killPercent / 100;
+    const double bound = static_cast<double>(bytes) / static_cast<double>(BytesPerMebibyte);
+    bool isKilled = false;
+    Core::Instant nextSample = start;
+    while (replicas.countHolding(deployment.m_digest) < options.m_agents - (isKilled ? killed : 0)) {
+        const double seconds = Core::secondsBetween(start, Core::Clock::now());
+        if (!isKilled && killed > 0 && seconds > bound / 3) {
+            isKilled = true;
+            for (std::size_t index = 0; index < killed; ++index) {
+                replicas.at(index * options.m_agents / killed).stop();
+                replicas.at(index * options.m_agents / killed).m_manager.reset();
+            }
+        }
+        if (options.m_verbose && Core::Clock::now() >= nextSample) {
+            nextSample += std::chrono::milliseconds(MillisecondsPerSample);
+            std::cout << std::fixed << std::setprecision(2) << seconds << "s up_MiB=" << replicas.total("transfer_bytes_uploaded_total") / 1048576.0
+                      << " origin_MiB=" << replicas.total("transfer_bytes_from_origin_total") / 1048576.0
+                      << " whole=" << replicas.countHolding(deployment.m_digest) << " refused=" << replicas.total("transfer_uploads_refused_total") << "\n";
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    const double seconds = Core::secondsBetween(start, Core::Clock::now());
+    std::cout << "agents=" << options.m_agents << " policy=" << options.m_policy << " strategy=" << options.m_strategy << std::fixed << std::setprecision(2)
+              << " time_s=" << seconds << " bound_s=" << bound << " ratio=" << seconds / bound
+              << " origin_copies=" << static_cast<double>(replicas.total("transfer_bytes_from_origin_total")) / static_cast<double>(bytes)
+              << " region_copies=" << static_cast<double>(replicas.total("transfer_bytes_across_regions_total")) / static_cast<double>(bytes)
+              << " from_peers=" << static_cast<double>(replicas.total("transfer_bytes_from_peers_total")) / static_cast<double>(bytes)
+              << " refused=" << replicas.total("transfer_uploads_refused_total") << " twice=" << replicas.total("transfer_chunks_twice_total") << "\n";
+    if (options.m_verbose) {
+        replicas.at(1).m_manager->dump()->stringify(std::cout, 2);
+    }
+    std::cout.flush();
+    std::_Exit(0);
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_minloglevel = google::GLOG_WARNING;
+    FLAGS_logtostderr = true;
+    run(parseOptions(argc, argv));
+}
