--- /dev/null
+++ b/Libraries/LibClaims/ClaimWriter.h
@@ -0,0 +1,111 @@
+/// @file The duty that appends claims in batches and tells each what became of it.
+#pragma once
+
+#include "LibClaims/ClaimMessages.h"
+#include "LibCore/Clock.h"
+#include "LibCore/Ring.h"
+#include "LibPlatform/Log.h"
+#include "LibTelemetry/Metrics.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+namespace Claims {
+
+struct WriterSettings
+{
+    Core::Duration m_batchInterval{10}; ///< Time that claims are collected for one append.
+    Core::Duration m_settleTimeout{2000}; ///< Longest wait for an appended batch to be read back.
+    Core::Duration m_slowAppend{500}; ///< An append that takes longer counts as an outage: new claims are refused at once.
+    Core::Duration m_downPause{200}; ///< After a failed append, time during which claims are refused without a try.
+    Core::Duration m_checkInterval{1000}; ///< How often it is checked that the log still holds the last record folded.
+    Offset m_window = 20000; ///< Records that a key lives for; well under the log's retention.
+    std::size_t m_maximumWaiting = 8192; ///< Requests that wait for an append.
+
+    bool operator==(const WriterSettings &) const = default;
+};
+
+/// Called once with what became of a request; on the writer's threads, so it must not block.
+using ClaimCallback = std::function<void(const Core::Result<ClaimAnswer> &)>;
+
+/**
+ * Reads and writes the claims stream, on two threads: one appends, one reads and folds.
+ *
+ * An answer is given only once the batch was read back and folded, so that it holds for every reader. If an append's answer is lost, the reader
+ * settles it: the batch is found by its id or, after the settle timeout, given up. Giving up is safe, since a claim does nothing by itself:
+ * the call that made it ends as not run, and the attempt is never dispatched, wherever its claim may land.
+ */
+class ClaimWriter
+{
+public:
+    ClaimWriter(Platform::Log &log, std::string name, WriterSettings settings, Telemetry::Metrics &metrics);
+    ~ClaimWriter();
+
+    void start();
+    void stop();
+
+    /// Queues a request. While the log is down or slow it is refused at once with Unavailable.
+    void submit(ClaimRequest request, ClaimCallback callback);
+
+    /// For new keys; fails with Unavailable until the stream has been read to its end.
+    Core::Result<Epoch> epoch() const;
+    std::size_t heldKeys() const;
+
+private:
+    struct Pending
+    {
+        ClaimRequest m_request;
+        ClaimCallback m_callback;
+    };
+
+    /// A batch that is being appended or waits to be read back.
+    struct OpenBatch
+    {
+        std::vector<Pending> m_requests;
+        Core::Instant m_since;
+    };
+
+    void appendLoop();
+    std::vector<Pending> collect(Pending first);
+    void append(std::vector<Pending> requests);
+    void readLoop();
+    void readOnce();
+    void checkLastRecord();
+    void startReading();
+    void restart(Offset first);
+    void foldPage(const Platform::LogPage &page);
+    void settle(OpenBatch batch, const FoldedBatch &folded, const Epoch &epoch);
+    void failOpenBatch(const std::string &id, const Core::Error &error);
+    void failOldBatches(Core::Instant now);
+    bool isRefusing(Core::Instant now) const;
+    Core::Error unavailable(const std::string &detail) const;
+
+    Platform::Log &m_log;
+    const std::string m_name;
+    const WriterSettings m_settings;
+    Telemetry::Counter &m_batches;
+    Telemetry::Counter &m_claims;
+    Telemetry::Counter &m_refused;
+    Telemetry::Counter &m_lostAnswers;
+    Telemetry::Counter &m_restarts;
+    Core::Ring<Pending> m_waiting;
+    std::atomic<bool> m_running = false;
+
+    mutable std::mutex m_mutex; ///< Guards what follows.
+    ClaimTable m_table;
+    std::string m_lastBody; ///< The record at m_table.position().
+    bool m_current = false; ///< The stream has been read to its end, and reading works.
+    bool m_newGeneration = false; ///< The next batch starts a generation.
+    std::unordered_map<std::string, OpenBatch> m_open; ///< By id.
+    Core::Instant m_downUntil;
+    std::optional<Core::Instant> m_appendSince; ///< Set while an append is under way.
+
+    std::thread m_appendThread;
+    std::thread m_readThread;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibClaims/Writers.h
@@ -0,0 +1,23 @@
+/// @file Which entries write claims to the log.
+#pragma once
+
+#include "LibProtocol/Member.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Claims {
+
+/// Entries that write at the same time. Each appends at most a batch every batching interval, which keeps the appends within the log's rate.
+inline constexpr std::size_t WriterCount = 3;
+
+/**
+ * The entries to try for a claim on @p key, best first.
+ *
+ * Rendezvous hashing over the live entries names the writers, and the key chooses among them, so that claims on one key usually meet at one
+ * writer. Any entry may write any claim, since the log's order decides; entries that disagree on who is live cost appends and no promise.
+ */
+std::vector<Protocol::Member> claimWriters(std::span<const Protocol::Member> members, const std::string &key);
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -0,0 +1,30 @@
+/// @file The token bucket of retries.
+
+#include "LibRouting/RetryBudget.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+RetryBudget::RetryBudget(double share, double burst)
+    : m_share(share)
+    , m_burst(burst)
+    , m_tokens(burst)
+{
+}
+
+void RetryBudget::onRequest()
+{
+    m_tokens = std::min(m_burst, m_tokens + m_share);
+}
+
+bool RetryBudget::tryRetry()
+{
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -0,0 +1,185 @@
+/// @file Admission, queueing and refusal of requests.
+
+#include "LibRouting/Scheduler.h"
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+constexpr std::size_t MaximumGroups = 1024;
+/// Weight of the newest call in the moving average of call times.
+constexpr double AverageShare = 0.05;
+
+}
+
+Scheduler::Scheduler(SchedulerSettings settings, Core::Random random)
+    : m_settings(settings)
+    , m_random(random)
+    , m_retryBudget(settings.m_retryShare, settings.m_retryBurst)
+{
+}
+
+Scheduler::Group &Scheduler::groupOf(const GroupKey &key)
+{
+    const std::map<GroupKey, Group>::iterator it = m_groups.find(key);
+    if (it != m_groups.end()) {
+        return it->second;
+    }
+    forgetIdleGroups();
+    return m_groups.emplace(key, Group{FairQueue(m_settings.m_queuePerAccount), {}, 0, 0}).first->second;
+}
+
+void Scheduler::forgetIdleGroups()
+{
+    if (m_groups.size() < MaximumGroups) {
+        return;
+    }
+    std::erase_if(m_groups, [](const std::pair<const GroupKey, Group> &entry) { return entry.second.m_running == 0 && entry.second.m_submissions.empty(); });
+}
+
+std::optional<Granted> Scheduler::tryGrant(const Submission &submission, Core::Instant now)
+{
+    const PickRequest request{submission.m_affinity, submission.m_excluded, true};
+    const std::optional<EndpointIndex> index = pick(m_settings.m_strategy, m_table, submission.m_group, request, now, m_random);
+    if (!index) {
+        return std::nullopt;
+    }
+    m_table.begin(*index);
+    const EndpointView &endpoint = m_table.at(*index);
+    m_runningGroups[submission.m_waiting.m_ticket] = submission.m_group;
+    groupOf(submission.m_group).m_running += 1;
+    return Granted{submission.m_waiting.m_ticket, *index, endpoint.m_member, endpoint.m_sequence};
+}
+
+Admission Scheduler::submit(const Submission &submission, Core::Instant now)
+{
+    const Ticket ticket = submission.m_waiting.m_ticket;
+    if (submission.m_excluded.empty()) {
+        m_retryBudget.onRequest();
+    }
+    Group &group = groupOf(submission.m_group);
+    if (m_table.countAvailable(submission.m_group, now) == 0) {
+        return Refused{ticket, RefusalReason::NoEndpoint, m_settings.m_minimumRetryAfter};
+    }
+    if (group.m_queue.size() == 0) {
+        const std::optional<Granted> granted = tryGrant(submission, now);
+        if (granted) {
+            group.m_queue.charge(submission.m_waiting);
+            return *granted;
+        }
+    }
+    const Core::Duration wait = expectedWait(group);
+    if (now + wait >= submission.m_waiting.m_deadline) {
+        return Refused{ticket, RefusalReason::TooLate, retryAfter(submission.m_group)};
+    }
+    if (!group.m_queue.push(submission.m_waiting)) {
+        return Refused{ticket, RefusalReason::QueueFull, retryAfter(submission.m_group)};
+    }
+    group.m_submissions.emplace(ticket, submission);
+    return Queued{};
+}
+
+void Scheduler::finish(const Granted &granted, CallResult result, Core::Instant started, Core::Instant now)
+{
+    const double seconds = Core::secondsBetween(started, now);
+    m_table.end(granted.m_endpoint, granted.m_member.m_incarnation, result == CallResult::Answered ? seconds : -1);
+    if (result == CallResult::Failed) {
+        m_table.avoid(granted.m_endpoint, now + m_settings.m_avoidAfterFailure);
+    }
+    const std::map<Ticket, GroupKey>::const_iterator it = m_runningGroups.find(granted.m_ticket);
+    if (it == m_runningGroups.end()) {
+        return;
+    }
+    Group &group = groupOf(it->second);
+    group.m_running -= std::min<std::size_t>(1, group.m_running);
+    if (result == CallResult::Answered) {
+        group.m_callSeconds = group.m_callSeconds == 0 ? seconds : (1 - AverageShare) * group.m_callSeconds + AverageShare * seconds;
+    }
+    m_runningGroups.erase(it);
+}
+
+void Scheduler::withdraw(Ticket ticket)
+{
+    for (std::pair<const GroupKey, Group> &entry : m_groups) {
+        if (entry.second.m_submissions.erase(ticket) > 0) {
+            entry.second.m_queue.remove(ticket);
+            return;
+        }
+    }
+}
+
+std::vector<Resolution> Scheduler::step(Core::Instant now)
+{
+    std::vector<Resolution> resolutions;
+    for (std::pair<const GroupKey, Group> &entry : m_groups) {
+        if (entry.second.m_submissions.empty()) {
+            continue;
+        }
+        refuseExpired(entry.first, entry.second, now, resolutions);
+        if (m_table.countAvailable(entry.first, now) == 0) {
+            refuseAll(entry.first, entry.second, resolutions);
+            continue;
+        }
+        grantWaiting(entry.second, now, resolutions);
+    }
+    return resolutions;
+}
+
+void Scheduler::refuseExpired(const GroupKey &key, Group &group, Core::Instant now, std::vector<Resolution> &resolutions)
+{
+    for (const Waiting &waiting : group.m_queue.takeExpired(now)) {
+        group.m_submissions.erase(waiting.m_ticket);
+        resolutions.push_back(Refused{waiting.m_ticket, RefusalReason::TooLate, retryAfter(key)});
+    }
+}
+
+void Scheduler::refuseAll(const GroupKey &key, Group &group, std::vector<Resolution> &resolutions)
+{
+    while (const std::optional<Waiting> waiting = group.m_queue.pop()) {
+        group.m_submissions.erase(waiting->m_ticket);
+        resolutions.push_back(Refused{waiting->m_ticket, RefusalReason::NoEndpoint, retryAfter(key)});
+    }
+}
+
+void Scheduler::grantWaiting(Group &group, Core::Instant now, std::vector<Resolution> &resolutions)
+{
+    while (const Waiting *front = group.m_queue.front()) {
+        const Ticket ticket = front->m_ticket;
+        const std::optional<Granted> granted = tryGrant(group.m_submissions.at(ticket), now);
+        if (!granted) {
+            return;
+        }
+        group.m_queue.pop();
+        group.m_submissions.erase(ticket);
+        resolutions.push_back(*granted);
+    }
+}
+
+Core::Duration Scheduler::expectedWait(const Group &group) const
+{
+    if (group.m_running == 0 || group.m_callSeconds == 0) {
+        return Core::Duration(0);
+    }
+    const double seconds = group.m_callSeconds * static_cast<double>(group.m_queue.size()) / static_cast<double>(group.m_running);
+    return Core::Duration(static_cast<std::int64_t>(seconds * 1000));
+}
+
+Core::Duration Scheduler::retryAfter(const GroupKey &group) const
+{
+    const std::map<GroupKey, Group>::const_iterator it = m_groups.find(group);
+    const Core::Duration wait = it == m_groups.end() ? Core::Duration(0) : expectedWait(it->second);
+    return std::clamp(wait, m_settings.m_minimumRetryAfter, m_settings.m_maximumRetryAfter);
+}
+
+std::size_t Scheduler::queued() const
+{
+    std::size_t sum = 0;
+    for (const std::pair<const GroupKey, Group> &entry : m_groups) {
+        sum += entry.second.m_submissions.size();
+    }
+    return sum;
+}
+
+}
