--- /dev/null
+++ b/Libraries/LibEntry/AgentWatch.cpp
@@ -0,0 +1,190 @@
+/// @file Streams of reports from agents.
+
+#include "LibEntry/AgentWatch.h"
+#include "LibWire/Pack.h"
+
+namespace Entry {
+
+namespace {
+
+constexpr Core::Duration TurnInterval{50};
+constexpr Core::Duration RetryInterval{500};
+/// How often the watch set is looked over without a change of state or members.
+constexpr Core::Duration ChoiceInterval{1000};
+constexpr std::size_t ArrivalCapacity = 8192;
+constexpr std::size_t EndCapacity = 65536;
+
+}
+
+AgentWatch::AgentWatch(AgentWatchParts parts)
+    : m_parts(std::move(parts))
+    , m_reportsReceived(m_parts.m_metrics->counter("watch_reports_received_total"))
+    , m_streamsLost(m_parts.m_metrics->counter("watch_streams_lost_total"))
+    , m_overruns(m_parts.m_metrics->counter("watch_reports_dropped_total"))
+    , m_inbox(std::make_shared<Inbox>(ArrivalCapacity, EndCapacity))
+{
+}
+
+AgentWatch::~AgentWatch()
+{
+    stop();
+}
+
+void AgentWatch::start()
+{
+    m_duty.start([this] { return turn(); });
+}
+
+void AgentWatch::stop()
+{
+    m_duty.stop();
+    m_inbox->m_frames.close();
+    m_inbox->m_ends.close();
+    for (const std::pair<const std::uint64_t, Stream> &entry : m_streams) {
+        m_parts.m_node->cancel(entry.second.m_call);
+    }
+    m_streams.clear();
+}
+
+void AgentWatch::wake()
+{
+    m_duty.wake();
+}
+
+std::map<std::string, Protocol::AgentReport> AgentWatch::reports() const
+{
+    const std::lock_guard<std::mutex> lock(m_reportsMutex);
+    return m_reports;
+}
+
+Core::Duration AgentWatch::turn()
+{
+    takeArrivals();
+    const std::shared_ptr<const Control::ControlState> state = m_parts.m_store->current();
+    const std::uint64_t members = m_parts.m_store->membersVersion();
+    const Core::Instant now = Core::Clock::now();
+    if (state->m_applied != m_seenApplied) {
+        m_parts.m_versions->onState(*state);
+    }
+    if (state->m_applied != m_seenApplied || members != m_seenMembers || now >= m_nextChoice) {
+        m_seenApplied = state->m_applied;
+        m_seenMembers = members;
+        m_nextChoice = now + ChoiceInterval;
+        choose();
+    }
+    m_parts.m_router->step();
+    return TurnInterval;
+}
+
+void AgentWatch::takeArrivals()
+{
+    while (const std::optional<Arrival> arrival = m_inbox->m_frames.pop(Core::Duration(0))) {
+        receive(arrival->m_stream, arrival->m_frame);
+    }
+    while (const std::optional<std::uint64_t> ended = m_inbox->m_ends.pop(Core::Duration(0))) {
+        onEnd(*ended);
+    }
+}
+
+void AgentWatch::onEnd(std::uint64_t streamId)
+{
+    const std::map<std::uint64_t, Stream>::const_iterator it = m_streams.find(streamId);
+    if (it == m_streams.end()) {
+        return;
+    }
+    m_streamsLost.add();
+    m_parts.m_router->suspect(it->second.m_instance);
+    const Core::Instant retryAt = Core::Clock::now() + RetryInterval;
+    m_retryAt[it->second.m_instance] = retryAt;
+    m_nextChoice = std::min(m_nextChoice, retryAt);
+    m_streams.erase(it);
+}
+
+void AgentWatch::receive(std::uint64_t streamId, const std::string &frame)
+{
+    const std::map<std::uint64_t, Stream>::const_iterator it = m_streams.find(streamId);
+    if (it == m_streams.end()) {
+        return;
+    }
+    const Core::Result<Protocol::AgentReport> report = Wire::unpack<Protocol::AgentReport>(frame, it->second.m_address.toString());
+    if (!report || report.value().m_member.m_id != it->second.m_instance) {
+        // Something else answers at this address; the instance list will say what.
+        m_parts.m_node->cancel(it->second.m_call);
+        return;
+    }
+    m_reportsReceived.add();
+    m_parts.m_router->onReport(report.value());
+    const std::lock_guard<std::mutex> lock(m_reportsMutex);
+    m_reports[it->second.m_instance] = report.value();
+}
+
+std::vector<std::string> AgentWatch::heldInstances() const
+{
+    std::vector<std::string> held;
+    const std::lock_guard<std::mutex> lock(m_reportsMutex);
+    for (const std::pair<const std::string, Protocol::AgentReport> &entry : m_reports) {
+        const std::vector<std::string> previous = m_parts.m_versions->previousDigests(entry.second.m_member.m_service);
+        const std::vector<Protocol::Attestation> &attestations = entry.second.m_attestations;
+        const bool serves = std::any_of(attestations.begin(), attestations.end(), [&previous](const Protocol::Attestation &attestation) {
+            return std::find(previous.begin(), previous.end(), attestation.m_digest) != previous.end();
+        });
+        if (serves) {
+            held.push_back(entry.first);
+        }
+    }
+    return held;
+}
+
+void AgentWatch::choose()
+{
+    const std::shared_ptr<const Control::ControlState> state = m_parts.m_store->current();
+    const std::vector<Protocol::Member> members = m_parts.m_store->members();
+    reconcile(chooseWatchSet(m_parts.m_name, *state, members, heldInstances(), m_parts.m_perGroup));
+}
+
+void AgentWatch::reconcile(const WatchSet &wanted)
+{
+    std::set<std::string> open;
+    for (std::map<std::uint64_t, Stream>::const_iterator it = m_streams.begin(); it != m_streams.end();) {
+        const WatchSet::const_iterator member = wanted.find(it->second.m_instance);
+        if (member != wanted.end() && member->second.m_wire == it->second.m_address) {
+            open.insert(it->second.m_instance);
+            ++it;
+            continue;
+        }
+        m_parts.m_node->cancel(it->second.m_call);
+        if (member == wanted.end()) {
+            m_parts.m_router->forget(it->second.m_instance);
+            const std::lock_guard<std::mutex> lock(m_reportsMutex);
+            m_reports.erase(it->second.m_instance);
+        }
+        it = m_streams.erase(it);
+    }
+    const Core::Instant now = Core::Clock::now();
+    for (const std::pair<const std::string, Protocol::Member> &entry : wanted) {
+        const std::map<std::string, Core::Instant>::const_iterator retryAt = m_retryAt.find(entry.first);
+        if (open.contains(entry.first) || (retryAt != m_retryAt.end() && now < retryAt->second)) {
+            continue;
+        }
+        this->open(entry.second);
+    }
+    std::erase_if(m_retryAt, [&wanted](const std::pair<const std::string, Core::Instant> &entry) { return !wanted.contains(entry.first); });
+}
+
+void AgentWatch::open(const Protocol::Member &member)
+{
+    const std::uint64_t id = m_nextStream++;
+    const std::shared_ptr<Inbox> inbox = m_inbox;
+    Wire::CallEvents events;
+    events.m_onFrame = [this, inbox, id](std::string frame) {
+        if (!inbox->m_frames.tryPush(Arrival{id, std::move(frame)})) {
+            m_overruns.add();
+        }
+    };
+    events.m_onEnd = [inbox, id](const Wire::CallEnd &) { inbox->m_ends.tryPush(id); };
+    const Wire::CallId call =
+        m_parts.m_node->call(member.m_wire, "control.watch", Wire::pack(Protocol::WatchRequest{m_parts.m_name}), Wire::CallOptions{Core::Duration(0)}, events);
+    m_streams.emplace(id, Stream{member.m_id, member.m_wire, call});
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/AgentWatch.h
@@ -0,0 +1,95 @@
+/// @file The duty that watches agents and keeps the router's view of them.
+#pragma once
+
+#include "LibControl/Duty.h"
+#include "LibControl/StateStore.h"
+#include "LibCore/Ring.h"
+#include "LibEntry/VersionTracker.h"
+#include "LibEntry/WatchSet.h"
+#include "LibWire/Node.h"
+
+#include <map>
+#include <mutex>
+
+namespace Entry {
+
+struct AgentWatchParts
+{
+    Wire::Node *m_node = nullptr;
+    Control::StateStore *m_store = nullptr;
+    Router *m_router = nullptr;
+    VersionTracker *m_versions = nullptr;
+    Telemetry::Metrics *m_metrics = nullptr;
+    std::string m_name; ///< Of the entry.
+    std::size_t m_perGroup = 24;
+};
+
+/// Opens a stream of reports to each agent of the watch set, and opens it anew when it ends.
+class AgentWatch
+{
+public:
+    explicit AgentWatch(AgentWatchParts parts);
+    ~AgentWatch();
+
+    void start();
+    /// To be called before the node is stopped.
+    void stop();
+    /// State or members have changed.
+    void wake();
+
+    /// The newest report of each watched agent, for the status page.
+    std::map<std::string, Protocol::AgentReport> reports() const;
+
+private:
+    struct Arrival
+    {
+        std::uint64_t m_stream = 0;
+        std::string m_frame;
+    };
+
+    /// Shared with callbacks, which may outlive this object.
+    struct Inbox
+    {
+        Inbox(std::size_t frames, std::size_t ends)
+            : m_frames(frames)
+            , m_ends(ends)
+        {
+        }
+
+        Core::Ring<Arrival> m_frames;
+        Core::Ring<std::uint64_t> m_ends; ///< Kept apart, so that a flood of reports cannot lose one.
+    };
+
+    struct Stream
+    {
+        std::string m_instance;
+        Core::Address m_address;
+        Wire::CallId m_call = 0;
+    };
+
+    Core::Duration turn();
+    void takeArrivals();
+    void onEnd(std::uint64_t streamId);
+    void receive(std::uint64_t streamId, const std::string &frame);
+    void choose();
+    void reconcile(const WatchSet &wanted);
+    void open(const Protocol::Member &member);
+    std::vector<std::string> heldInstances() const;
+
+    const AgentWatchParts m_parts;
+    Telemetry::Counter &m_reportsReceived;
+    Telemetry::Counter &m_streamsLost;
+    Telemetry::Counter &m_overruns;
+    std::shared_ptr<Inbox> m_inbox;
+    std::map<std::uint64_t, Stream> m_streams; ///< By a number that is never used again. Used by the duty's thread only, as are the next three.
+    std::uint64_t m_nextStream = 1;
+    std::map<std::string, Core::Instant> m_retryAt; ///< By instance.
+    Control::Offset m_seenApplied = 0;
+    std::uint64_t m_seenMembers = 0;
+    Core::Instant m_nextChoice;
+    mutable std::mutex m_reportsMutex;
+    std::map<std::string, Protocol::AgentReport> m_reports; ///< Of the watched agents.
+    Control::Duty m_duty;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -0,0 +1,474 @@
+/// @file Handlers of callers' requests.
+
+#include "LibEntry/CallerServer.h"
+#include "LibEntry/ConnectionGuard.h"
+#include "LibEntry/Generation.h"
+#include "LibEntry/ServiceCall.h"
+#include "LibTelemetry/AdminServer.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSONString.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+namespace Entry {
+
+namespace {
+
+constexpr const char *JsonType = "application/json";
+constexpr const char *LinesType = "application/x-ndjson";
+constexpr std::size_t ReadBytes = 16384;
+constexpr int ListenBacklog = 1024;
+constexpr int ThreadIdleSeconds = 60;
+constexpr int MinimumThreads = 2;
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+Poco::Net::StreamSocket &socketOf(HTTPServerRequest &request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+}
+
+/// True once the caller has closed its end or the connection is broken.
+bool isClosed(Poco::Net::StreamSocket &socket)
+{
+    try {
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.available() == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+void setStatus(HTTPServerResponse &response, int status)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+}
+
+void sendError(HTTPServerResponse &response, const CallerError &error)
+{
+    setStatus(response, httpStatus(error.m_code));
+    response.setContentType(JsonType);
+    if (error.m_retryAfter) {
+        response.set("Retry-After", std::to_string(retryAfterSeconds(*error.m_retryAfter)));
+    }
+    const std::string body = callerErrorJson(error) + "\n";
+    response.sendBuffer(body.data(), body.size());
+}
+
+CallerError inputError(const Core::Error &error)
+{
+    return CallerError{CallerCode::InvalidInput, error, std::nullopt, {}};
+}
+
+/// Reads a body of at most @p limit bytes; fails with Overloaded if it is longer.
+Core::Result<std::string> readBody(HTTPServerRequest &request, std::size_t limit)
+{
+    const Core::Error tooLarge =
+        Core::makeError(Core::ErrorCode::Overloaded, "read request", "", "the body is larger than " + std::to_string(limit) + " bytes");
+    const bool hasLength = request.getContentLength64() != Poco::Net::HTTPMessage::UNKNOWN_CONTENT_LENGTH;
+    if (hasLength && static_cast<std::uint64_t>(request.getContentLength64()) > limit) {
+        return tooLarge;
+    }
+    std::string body;
+    std::string part(ReadBytes, '\0');
+    std::istream &stream = request.stream();
+    while (stream.good()) {
+        stream.read(part.data(), static_cast<std::streamsize>(part.size()));
+        body.append(part.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > limit) {
+            return tooLarge;
+        }
+    }
+    if (hasLength && body.size() != static_cast<std::size_t>(request.getContentLength64())) {
+        return Core::makeError(Core::ErrorCode::InvalidInput, "read request", "", "the body is shorter than its announced length");
+    }
+    return body;
+}
+
+RequestHeaders headersOf(const HTTPServerRequest &request)
+{
+    RequestHeaders headers;
+    headers.m_account = request.get("Oriolerail-Account", "");
+    headers.m_key = request.get("Idempotency-Key", "");
+    headers.m_timeout = request.get("Oriolerail-Timeout-Ms", "");
+    headers.m_priority = request.get("Oriolerail-Priority", "");
+    return headers;
+}
+
+/// Writes a generated answer as JSON lines in HTTP chunks.
+class LineSink : public AnswerSink
+{
+public:
+    LineSink(HTTPServerRequest &request, HTTPServerResponse &response)
+        : m_socket(socketOf(request))
+        , m_response(response)
+    {
+    }
+
+    bool onVersion(const ServedVersion &version) override
+    {
+        m_response.setChunkedTransferEncoding(true);
+        m_response.setContentType(LinesType);
+        m_stream = &m_response.send();
+        return write(R"({"version":)" + Poco::toJSON(version.m_version) + R"(,"digest":)" + Poco::toJSON(version.m_digest) + "}\n");
+    }
+
+    bool onToken(const std::string &token) override
+    {
+        return write(R"({"token":)" + Poco::toJSON(token) + "}\n");
+    }
+
+    bool onEnd(std::uint64_t tokens, const std::string &digest) override
+    {
+        return write(R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(digest) + "}\n");
+    }
+
+    bool isGone() override
+    {
+        return isClosed(m_socket);
+    }
+
+    /// True once the status line is out, so that an error can only be told as a line.
+    bool hasStarted() const
+    {
+        return m_stream != nullptr;
+    }
+
+    void writeError(const CallerError &error)
+    {
+        write(callerErrorJson(error) + "\n");
+    }
+
+private:
+    bool write(const std::string &line)
+    {
+        m_stream->write(line.data(), static_cast<std::streamsize>(line.size()));
+        m_stream->flush();
+        return m_stream->good();
+    }
+
+    Poco::Net::StreamSocket &m_socket;
+    HTTPServerResponse &m_response;
+    std::ostream *m_stream = nullptr; ///< Owned by the response.
+};
+
+/// Counts a request for work as open while it lives.
+class OpenRequest
+{
+public:
+    explicit OpenRequest(Frontend &frontend)
+        : m_frontend(frontend)
+    {
+        m_frontend.m_openRequests += 1;
+    }
+
+    ~OpenRequest()
+    {
+        m_frontend.m_openRequests -= 1;
+    }
+
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+    Frontend &m_frontend;
+};
+
+class CallerHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    CallerHandler(Frontend &frontend, ConnectionGuard &guard)
+        : m_frontend(frontend)
+        , m_guard(guard)
+    {
+    }
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        const OpenRequest open(m_frontend);
+        try {
+            serve(request, response);
+        } catch (const Poco::Exception &exception) {
+            // The caller's connection failed under the answer; there is nobody left to tell.
+            VLOG(1) << "caller's connection: " << exception.displayText();
+            response.setKeepAlive(false);
+        }
+        m_guard.beginReceiving(socketOf(request));
+    }
+
+private:
+    void serve(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        const Core::Instant arrival = Core::Clock::now();
+        const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBody);
+        m_guard.endReceiving(socketOf(request));
+        if (!body) {
+            response.setKeepAlive(false);
+            const bool tooLarge = body.error().m_code == Core::ErrorCode::Overloaded;
+            sendError(response, tooLarge ? CallerError{CallerCode::TooLarge, body.error(), std::nullopt, {}} : inputError(body.error()));
+            return;
+        }
+        std::string path;
+        try {
+            path = Poco::URI(request.getURI()).getPath();
+        } catch (const Poco::SyntaxException &exception) {
+            sendError(response, inputError(Core::makeError(Core::ErrorCode::InvalidInput, "read request", "", exception.displayText())));
+            return;
+        }
+        if (path == "/v1/addresses" && request.getMethod() == "GET") {
+            sendAddresses(response);
+        } else if (path == "/v1/generate" && request.getMethod() == "POST") {
+            handleGenerate(request, response, body.value(), arrival);
+        } else if (path.starts_with("/v1/call/") && request.getMethod() == "POST") {
+            handleCall(request, response, path, body.value(), arrival);
+        } else {
+            const Core::Error error = Core::makeError(Core::ErrorCode::NotFound, "read request", "", "no such method and path");
+            sendError(response, CallerError{CallerCode::Unknown, error, std::nullopt, {}});
+        }
+    }
+
+    void sendAddresses(HTTPServerResponse &response) const
+    {
+        Poco::JSON::Array::Ptr addresses = new Poco::JSON::Array;
+        for (const std::string &address : callerAddresses(m_frontend, m_frontend.m_settings->m_addressesPerAnswer)) {
+            addresses->add(address);
+        }
+        Poco::JSON::Object::Ptr answer = new Poco::JSON::Object;
+        answer->set("addresses", addresses);
+        answer->set("lifetime_ms", m_frontend.m_settings->m_addressLifetime.count());
+        answer->set("key_epoch", m_frontend.m_claims->keyEpoch());
+        const std::string text = Telemetry::toJsonText(answer);
+        response.setContentType(JsonType);
+        response.sendBuffer(text.data(), text.size());
+    }
+
+    std::optional<CallerError> refusal() const
+    {
+        const std::optional<CallerError> leaving = refusalWhileLeaving(m_frontend);
+        return leaving ? leaving : refusalUnlessReady(m_frontend);
+    }
+
+    void handleGenerate(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &body, Core::Instant arrival)
+    {
+        const RequestHeaders headers = headersOf(request);
+        const Core::Result<GenerateRequest> parsed = parseGenerate(body, headers, m_frontend.m_settings->m_callers);
+        const Core::Result<Core::Duration> timeout = parseTimeout(headers, m_frontend.m_settings->m_callers);
+        if (!parsed || !timeout) {
+            sendError(response, inputError(!parsed ? parsed.error() : timeout.error()));
+            return;
+        }
+        if (const std::optional<CallerError> refused = refusal()) {
+            sendError(response, *refused);
+            return;
+        }
+        LineSink sink(request, response);
+        const std::optional<CallerError> failed = generate(m_frontend, parsed.value(), arrival + timeout.value(), sink);
+        if (!failed) {
+            if (!sink.hasStarted()) {
+                response.setKeepAlive(false);
+            }
+            return;
+        }
+        if (sink.hasStarted()) {
+            sink.writeError(*failed);
+            response.setKeepAlive(false);
+            return;
+        }
+        sendError(response, *failed);
+    }
+
+    void handleCall(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &path, const std::string &body, Core::Instant arrival)
+    {
+        const RequestHeaders headers = headersOf(request);
+        const Core::Result<CallRequest> parsed = parseCall(path, body, headers);
+        const Core::Result<Core::Duration> timeout = parseTimeout(headers, m_frontend.m_settings->m_callers);
+        if (!parsed || !timeout) {
+            sendError(response, inputError(!parsed ? parsed.error() : timeout.error()));
+            return;
+        }
+        if (const std::optional<CallerError> refused = refusal()) {
+            sendError(response, *refused);
+            return;
+        }
+        Poco::Net::StreamSocket &socket = socketOf(request);
+        const ServiceResult result = callService(m_frontend, parsed.value(), arrival + timeout.value(), [&socket] { return isClosed(socket); });
+        if (const CallerError *error = std::get_if<CallerError>(&result)) {
+            sendError(response, *error);
+            return;
+        }
+        const ServiceAnswer &answer = std::get<ServiceAnswer>(result);
+        setStatus(response, answer.m_status);
+        response.setContentType(JsonType);
+        response.sendBuffer(answer.m_body.data(), answer.m_body.size());
+    }
+
+    Frontend &m_frontend;
+    ConnectionGuard &m_guard;
+};
+
+class CallerHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    CallerHandlerFactory(Frontend &frontend, std::shared_ptr<ConnectionGuard> guard)
+        : m_frontend(frontend)
+        , m_guard(std::move(guard))
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+    {
+        return new CallerHandler(m_frontend, *m_guard);
+    }
+
+private:
+    Frontend &m_frontend;
+    std::shared_ptr<ConnectionGuard> m_guard;
+};
+
+/// Lets a connection in, or tells it at once to come back.
+class GuardFilter : public Poco::Net::TCPServerConnectionFilter
+{
+public:
+    explicit GuardFilter(std::shared_ptr<ConnectionGuard> guard)
+        : m_guard(std::move(guard))
+    {
+    }
+
+    bool accept(const Poco::Net::StreamSocket &socket) override
+    {
+        if (m_guard->tryEnter()) {
+            m_guard->beginReceiving(socket);
+            return true;
+        }
+        refuse(socket);
+        return false;
+    }
+
+private:
+    static void refuse(Poco::Net::StreamSocket socket)
+    {
+        const CallerError error{
+            CallerCode::NotRun, Core::makeError(Core::ErrorCode::Overloaded, "accept connection", "", "too many connections"), Core::Duration(1000), {}};
+        const std::string body = callerErrorJson(error) + "\n";
+        const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        try {
+            // A fresh socket takes this much without waiting.
+            socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+            socket.shutdownSend();
+        } catch (const Poco::Exception &) {
+            // The caller is gone already; closing is all that is left.
+        }
+    }
+
+    std::shared_ptr<ConnectionGuard> m_guard;
+};
+
+/// A connection that is counted while it lives.
+class GuardedConnection : public Poco::Net::HTTPServerConnection
+{
+public:
+    GuardedConnection(const Poco::Net::StreamSocket &socket,
+                      const Poco::Net::HTTPServerParams::Ptr &parameters,
+                      const Poco::Net::HTTPRequestHandlerFactory::Ptr &factory,
+                      std::shared_ptr<ConnectionGuard> guard)
+        : HTTPServerConnection(socket, parameters, factory)
+        , m_guard(std::move(guard))
+    {
+    }
+
+    ~GuardedConnection() override
+    {
+        m_guard->endReceiving(socket());
+        m_guard->leave();
+    }
+
+private:
+    std::shared_ptr<ConnectionGuard> m_guard;
+};
+
+class GuardedConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    GuardedConnectionFactory(Poco::Net::HTTPServerParams::Ptr parameters,
+                             Poco::Net::HTTPRequestHandlerFactory::Ptr factory,
+                             std::shared_ptr<ConnectionGuard> guard)
+        : m_parameters(std::move(parameters))
+        , m_factory(std::move(factory))
+        , m_guard(std::move(guard))
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new GuardedConnection(socket, m_parameters, m_factory, m_guard);
+    }
+
+private:
+    Poco::Net::HTTPServerParams::Ptr m_parameters;
+    Poco::Net::HTTPRequestHandlerFactory::Ptr m_factory;
+    std::shared_ptr<ConnectionGuard> m_guard;
+};
+
+}
+
+CallerServer::CallerServer(Frontend &frontend)
+    : m_frontend(frontend)
+    , m_guard(std::make_shared<ConnectionGuard>(frontend.m_settings->m_callers.m_requestTime, frontend.m_settings->m_callers.m_connections, *frontend.m_metrics))
+{
+}
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+Core::Result<void> CallerServer::start()
+{
+    const Core::Address &listen = m_frontend.m_settings->m_instance.m_member.m_callers;
+    const CallerLimits &limits = m_frontend.m_settings->m_callers;
+    const int connections = static_cast<int>(limits.m_connections);
+    try {
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(listen.m_host, listen.m_port), ListenBacklog);
+        Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
+        parameters->setMaxThreads(connections);
+        parameters->setMaxQueued(connections);
+        parameters->setThreadIdleTime(Poco::Timespan(ThreadIdleSeconds, 0));
+        parameters->setTimeout(Poco::Timespan(0, limits.m_requestTime.count() * 1000));
+        parameters->setKeepAlive(true);
+        parameters->setKeepAliveTimeout(Poco::Timespan(0, limits.m_keepAlive.count() * 1000));
+        const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers = new CallerHandlerFactory(m_frontend, m_guard);
+        m_threads = std::make_unique<Poco::ThreadPool>("callers", MinimumThreads, connections + MinimumThreads, ThreadIdleSeconds);
+        m_server = std::make_unique<Poco::Net::TCPServer>(new GuardedConnectionFactory(parameters, handlers, m_guard), *m_threads, socket, parameters);
+        m_server->setConnectionFilter(new GuardFilter(m_guard));
+        m_guard->start();
+        m_server->start();
+    } catch (const Poco::Exception &exception) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "listen for callers", listen.toString(), exception.displayText());
+    }
+    return Core::success();
+}
+
+void CallerServer::stop()
+{
+    if (!m_server) {
+        return;
+    }
+    m_server->stop();
+    m_guard->stop();
+    m_guard->cutAll();
+    m_threads->joinAll();
+    m_server.reset();
+    m_threads.reset();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/ClaimService.cpp
@@ -0,0 +1,111 @@
+/// @file Sending claims to their writers.
+
+#include "LibEntry/ClaimService.h"
+#include "LibClaims/Writers.h"
+#include "LibWire/Pack.h"
+
+#include <future>
+
+namespace Entry {
+
+namespace {
+
+/// Claims and bars that one request from another entry may carry.
+constexpr std::size_t MaximumPerRequest = 64;
+/// Longest time for one writer; then the next one is tried, which is safe with the same attempt.
+constexpr Core::Duration WriterTimeout{3000};
+
+Core::Duration timeLeft(Core::Instant deadline)
+{
+    return std::chrono::duration_cast<Core::Duration>(deadline - Core::Clock::now());
+}
+
+}
+
+ClaimService::ClaimService(const ClaimServiceParts &parts)
+    : m_node(*parts.m_node)
+    , m_store(*parts.m_store)
+    , m_self(parts.m_self)
+    , m_writer(*parts.m_log, parts.m_self.m_id, parts.m_settings, *parts.m_metrics)
+{
+    m_node.handle(Claims::ClaimMethod, [this](const Wire::IncomingCall &call) { answer(call); });
+}
+
+void ClaimService::start()
+{
+    m_writer.start();
+}
+
+void ClaimService::stop()
+{
+    m_writer.stop();
+}
+
+void ClaimService::answer(const Wire::IncomingCall &call)
+{
+    const Core::Result<Claims::ClaimRequest> request = Wire::unpack<Claims::ClaimRequest>(call.m_body, call.m_peer);
+    if (!request) {
+        call.m_responder.fail(request.error());
+        return;
+    }
+    if (request.value().m_claims.size() + request.value().m_bars.size() > MaximumPerRequest) {
+        call.m_responder.fail(Core::makeError(Core::ErrorCode::InvalidInput, "write claims", m_self.m_id, "too many claims in one request"));
+        return;
+    }
+    const Wire::Responder responder = call.m_responder;
+    m_writer.submit(request.value(), [responder](const Core::Result<Claims::ClaimAnswer> &result) {
+        if (result) {
+            responder.reply(Wire::pack(result.value()));
+        } else {
+            responder.fail(result.error());
+        }
+    });
+}
+
+Core::Result<Claims::ClaimAnswer> ClaimService::writeHere(const Claims::ClaimRequest &request, Core::Duration timeout)
+{
+    const std::shared_ptr<std::promise<Core::Result<Claims::ClaimAnswer>>> promise = std::make_shared<std::promise<Core::Result<Claims::ClaimAnswer>>>();
+    std::future<Core::Result<Claims::ClaimAnswer>> future = promise->get_future();
+    m_writer.submit(request, [promise](const Core::Result<Claims::ClaimAnswer> &result) { promise->set_value(result); });
+    if (future.wait_for(timeout) != std::future_status::ready) {
+        return Core::makeError(Core::ErrorCode::Timeout, "write claims", m_self.m_id, "the claim's result did not come in time");
+    }
+    return future.get();
+}
+
+Core::Result<Claims::ClaimAnswer> ClaimService::writeAt(const Protocol::Member &writer, const Claims::ClaimRequest &request, Core::Duration timeout)
+{
+    const std::string bytes = BOOST_OUTCOME_TRYX(m_node.request(writer.m_wire, Claims::ClaimMethod, Wire::pack(request), timeout));
+    const Claims::ClaimAnswer answer = BOOST_OUTCOME_TRYX(Wire::unpack<Claims::ClaimAnswer>(bytes, writer.m_id));
+    if (answer.m_results.size() != request.m_claims.size()) {
+        return Core::makeError(Core::ErrorCode::Corrupt, "write claims", writer.m_id, "the answer does not match the request");
+    }
+    return answer;
+}
+
+Core::Result<Claims::ClaimAnswer> ClaimService::write(const std::string &key, const Claims::ClaimRequest &request, Core::Instant deadline)
+{
+    const std::vector<Protocol::Member> members = m_store.members();
+    Core::Error last = Core::makeError(Core::ErrorCode::Unavailable, "write claims", m_self.m_id, "no claim writer is known");
+    for (const Protocol::Member &writer : Claims::claimWriters(members, key)) {
+        const Core::Duration left = std::min(timeLeft(deadline), WriterTimeout);
+        if (left <= Core::Duration(0)) {
+            break;
+        }
+        const bool here = writer.m_id == m_self.m_id;
+        const Core::Result<Claims::ClaimAnswer> answer = here ? writeHere(request, left) : writeAt(writer, request, left);
+        if (answer) {
+            return answer;
+        }
+        last = answer.error();
+    }
+    return last;
+}
+
+std::string ClaimService::keyEpoch()
+{
+    const Core::Result<Claims::Epoch> epoch = m_writer.epoch();
+    return epoch ? Claims::formatEpoch(epoch.value()) : std::string();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/ConnectionGuard.cpp
@@ -0,0 +1,102 @@
+/// @file Counting and cutting of callers' connections.
+
+#include "LibEntry/ConnectionGuard.h"
+
+namespace Entry {
+
+namespace {
+
+constexpr Core::Duration LookInterval{200};
+
+}
+
+ConnectionGuard::ConnectionGuard(Core::Duration requestTime, std::size_t maximumConnections, Telemetry::Metrics &metrics)
+    : m_requestTime(requestTime)
+    , m_maximumConnections(maximumConnections)
+    , m_refused(metrics.counter("callers_connections_refused_total"))
+    , m_cut(metrics.counter("callers_connections_cut_total"))
+{
+}
+
+ConnectionGuard::~ConnectionGuard()
+{
+    stop();
+}
+
+void ConnectionGuard::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void ConnectionGuard::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_stopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool ConnectionGuard::tryEnter()
+{
+    if (m_connections.fetch_add(1) < m_maximumConnections) {
+        return true;
+    }
+    m_connections.fetch_sub(1);
+    m_refused.add();
+    return false;
+}
+
+void ConnectionGuard::leave()
+{
+    m_connections.fetch_sub(1);
+}
+
+void ConnectionGuard::beginReceiving(const Poco::Net::StreamSocket &socket)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_receiving.insert_or_assign(socket.impl(), Receiving{socket, Core::Clock::now()});
+}
+
+void ConnectionGuard::endReceiving(const Poco::Net::StreamSocket &socket)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_receiving.erase(socket.impl());
+}
+
+void ConnectionGuard::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+        m_changed.wait_for(lock, LookInterval);
+        cutSlow(Core::Clock::now());
+    }
+}
+
+void ConnectionGuard::cutAll()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    cutSlow(Core::Instant::max());
+}
+
+void ConnectionGuard::cutSlow(Core::Instant now)
+{
+    for (std::unordered_map<const void *, Receiving>::iterator it = m_receiving.begin(); it != m_receiving.end();) {
+        if (now - it->second.m_since < m_requestTime) {
+            ++it;
+            continue;
+        }
+        try {
+            it->second.m_socket.shutdown();
+        } catch (const Poco::Exception &) {
+            // The connection is gone already, which is what was wanted.
+        }
+        m_cut.add();
+        it = m_receiving.erase(it);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Entry.cpp
@@ -0,0 +1,215 @@
+/// @file Joining of an entry's duties.
+
+#include "LibEntry/Entry.h"
+#include "LibEntry/StatusPage.h"
+
+#include <Poco/JSON/Array.h>
+#include <glog/logging.h>
+
+namespace Entry {
+
+namespace {
+
+constexpr Core::Duration DrainInterval{20};
+/// How long callers may still come with an address that they got just before the announcement.
+constexpr Core::Duration LifetimeMargin{500};
+/// After the last answer has left the process, the network still needs its connections for a moment.
+constexpr Core::Duration FlushTime{200};
+constexpr Core::Duration ClaimsLogTimeout{1500};
+
+Wire::NodeSettings nodeSettings(const EntrySettings &settings)
+{
+    Wire::NodeSettings node;
+    node.m_listen = settings.m_instance.m_member.m_wire;
+    node.m_network = settings.m_instance.m_network;
+    return node;
+}
+
+Control::LogTailSettings tailSettings(const EntrySettings &settings)
+{
+    Control::LogTailSettings tail;
+    tail.m_author = settings.m_instance.m_member.m_id;
+    return tail;
+}
+
+Control::CheckpointerSettings checkpointerSettings(const EntrySettings &settings)
+{
+    Control::CheckpointerSettings checkpointer;
+    checkpointer.m_author = settings.m_instance.m_member.m_id;
+    return checkpointer;
+}
+
+}
+
+Entry::Entry(EntrySettings settings)
+    : m_settings(std::move(settings))
+    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_log(m_settings.m_instance.m_network, m_settings.m_log)
+    , m_claimsLog(m_settings.m_instance.m_network, m_settings.m_log, ClaimsLogTimeout)
+    , m_instanceList(m_settings.m_instance.m_network, m_settings.m_instances)
+    , m_store(m_metrics)
+    , m_tail(m_log, m_store, m_metrics, tailSettings(m_settings))
+    , m_feed(m_node, m_store, m_metrics)
+    , m_subscriber(m_node, m_store, m_settings.m_instance.m_member, m_settings.m_entries, m_metrics)
+    , m_listDuty(m_instanceList, m_store, m_metrics)
+    , m_planner(m_log, m_store, m_settings.m_instance.m_member, m_metrics)
+    , m_checkpointer(m_log, m_store, m_settings.m_instance.m_member, m_metrics, checkpointerSettings(m_settings))
+    , m_router(m_settings.m_scheduler, m_metrics)
+    , m_versions(m_router)
+    , m_watch(AgentWatchParts{&m_node, &m_store, &m_router, &m_versions, &m_metrics, m_settings.m_instance.m_member.m_id, m_settings.m_watchedPerGroup})
+    , m_claims(ClaimServiceParts{&m_node, &m_store, &m_claimsLog, &m_metrics, m_settings.m_instance.m_member, m_settings.m_claims})
+    , m_callers(m_frontend)
+    , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
+{
+    m_frontend.m_settings = &m_settings;
+    m_frontend.m_node = &m_node;
+    m_frontend.m_store = &m_store;
+    m_frontend.m_router = &m_router;
+    m_frontend.m_versions = &m_versions;
+    m_frontend.m_claims = &m_claims;
+    m_frontend.m_metrics = &m_metrics;
+    m_store.onChange([this] { m_watch.wake(); });
+    registerPages();
+}
+
+Entry::~Entry()
+{
+    stop();
+}
+
+void Entry::registerPages()
+{
+    m_admin.addDumpSection("instance", [this] { return dumpInstance(); });
+    m_admin.addDumpSection("control", [this] { return m_store.dump(); });
+    m_admin.addDumpSection("routing", [this] { return dumpRouting(); });
+    m_admin.addDumpSection("claims", [this] { return dumpClaims(); });
+    m_admin.addPage("/status", [this](const Telemetry::AdminRequest &) { return status(); });
+    m_metrics.gauge("callers_requests_open", [this] { return static_cast<double>(m_frontend.m_openRequests); });
+    m_metrics.gauge("routing_queued", [this] { return static_cast<double>(m_router.queued()); });
+    m_metrics.gauge("control_applied_offset", [this] { return static_cast<double>(m_store.current()->m_applied); });
+}
+
+Core::Result<void> Entry::start()
+{
+    m_started = true;
+    m_store.announce(m_settings.m_instance.m_member);
+    BOOST_OUTCOME_TRYV(m_node.start());
+    m_feed.start();
+    m_tail.start();
+    m_subscriber.start();
+    m_listDuty.start();
+    m_planner.start();
+    m_checkpointer.start();
+    m_claims.start();
+    m_watch.start();
+    BOOST_OUTCOME_TRYV(m_callers.start());
+    BOOST_OUTCOME_TRYV(m_admin.start());
+    LOG(INFO) << "entry " << m_settings.m_instance.m_member.m_id << " runs";
+    return Core::success();
+}
+
+void Entry::startLeaving()
+{
+    LOG(INFO) << "leaving";
+    m_frontend.m_standing = Standing::Announced;
+    Protocol::Member self = m_settings.m_instance.m_member;
+    self.m_leaving = true;
+    m_store.announce(self);
+    m_subscriber.updateSelf(self);
+}
+
+bool Entry::awaitDrained()
+{
+    const Core::Instant announced = Core::Clock::now();
+    std::this_thread::sleep_for(m_settings.m_addressLifetime + LifetimeMargin);
+    m_frontend.m_standing = Standing::Draining;
+    while (m_frontend.m_openRequests > 0) {
+        if (Core::Clock::now() - announced > m_settings.m_drainLimit) {
+            LOG(WARNING) << "the drain limit came before the last answer was complete";
+            return false;
+        }
+        std::this_thread::sleep_for(DrainInterval);
+    }
+    std::this_thread::sleep_for(FlushTime);
+    return true;
+}
+
+void Entry::stop()
+{
+    if (!m_started) {
+        return;
+    }
+    m_started = false;
+    m_admin.stop();
+    m_callers.stop();
+    m_watch.stop();
+    m_claims.stop();
+    m_checkpointer.stop();
+    m_planner.stop();
+    m_listDuty.stop();
+    m_subscriber.stop();
+    m_tail.stop();
+    m_node.stop();
+    m_feed.stop();
+}
+
+Telemetry::AdminAnswer Entry::status() const
+{
+    const std::shared_ptr<const Control::ControlState> state = m_store.current();
+    StatusSituation situation;
+    situation.m_self = m_settings.m_instance.m_member;
+    situation.m_state = state.get();
+    situation.m_members = m_store.members();
+    situation.m_applied = m_feed.applied();
+    situation.m_reports = m_watch.reports();
+    return Telemetry::AdminAnswer{200, "application/json", Telemetry::toJsonText(statusPage(situation))};
+}
+
+Poco::JSON::Object::Ptr Entry::dumpInstance() const
+{
+    const Protocol::Member &self = m_settings.m_instance.m_member;
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("id", self.m_id);
+    object->set("incarnation", self.m_incarnation);
+    object->set("leaving", m_frontend.m_standing != Standing::Serving);
+    object->set("ready", m_store.isReady());
+    object->set("log_up", m_tail.isLogUp());
+    object->set("open_requests", m_frontend.m_openRequests.load());
+    return object;
+}
+
+Poco::JSON::Object::Ptr Entry::dumpRouting() const
+{
+    Poco::JSON::Array::Ptr endpoints = new Poco::JSON::Array;
+    m_router.readTable([&endpoints](const Routing::EndpointTable &table) {
+        const Core::Instant now = Core::Clock::now();
+        for (const Routing::EndpointView &endpoint : table.endpoints()) {
+            Poco::JSON::Object::Ptr item = new Poco::JSON::Object;
+            item->set("instance", endpoint.m_member.m_id);
+            item->set("service", endpoint.m_member.m_service);
+            item->set("available", Routing::isAvailable(endpoint, now));
+            item->set("running", endpoint.m_load.m_running);
+            item->set("queued", endpoint.m_load.m_queued);
+            item->set("capacity", endpoint.m_load.m_capacity);
+            item->set("outstanding", endpoint.m_outstanding);
+            item->set("versions", endpoint.m_attestations.size());
+            endpoints->add(item);
+        }
+    });
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("queued", m_router.queued());
+    object->set("endpoints", endpoints);
+    return object;
+}
+
+Poco::JSON::Object::Ptr Entry::dumpClaims() const
+{
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    const Core::Result<Claims::Epoch> epoch = m_claims.writer().epoch();
+    object->set("current", epoch.has_value());
+    object->set("epoch", epoch ? Claims::formatEpoch(epoch.value()) : std::string());
+    object->set("held_keys", m_claims.writer().heldKeys());
+    return object;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Entry.h
@@ -0,0 +1,65 @@
+/// @file An entry: its duties, joined.
+#pragma once
+
+#include "LibControl/Checkpointer.h"
+#include "LibControl/InstanceListDuty.h"
+#include "LibControl/LogTail.h"
+#include "LibControl/PlannerDuty.h"
+#include "LibControl/StateFeed.h"
+#include "LibControl/StateSubscriber.h"
+#include "LibEntry/AgentWatch.h"
+#include "LibEntry/CallerServer.h"
+#include "LibPlatform/HttpInstanceList.h"
+#include "LibPlatform/HttpLog.h"
+#include "LibTelemetry/AdminServer.h"
+
+namespace Entry {
+
+/// One process on an entry instance. Start once, stop once.
+class Entry
+{
+public:
+    explicit Entry(EntrySettings settings);
+    ~Entry();
+
+    Entry(const Entry &) = delete;
+    Entry &operator=(const Entry &) = delete;
+
+    Core::Result<void> start();
+    /// Announces that the entry is leaving: its address is not handed out any more, but still serves.
+    void startLeaving();
+    /// Serves one address lifetime more, then refuses new work and waits for what runs. False if the drain limit came first.
+    bool awaitDrained();
+    void stop();
+
+private:
+    void registerPages();
+    Telemetry::AdminAnswer status() const;
+    Poco::JSON::Object::Ptr dumpInstance() const;
+    Poco::JSON::Object::Ptr dumpRouting() const;
+    Poco::JSON::Object::Ptr dumpClaims() const;
+
+    const EntrySettings m_settings;
+    Telemetry::Metrics m_metrics;
+    Wire::Node m_node;
+    Platform::HttpLog m_log;
+    Platform::HttpLog m_claimsLog; ///< Gives up sooner, since callers wait for it.
+    Platform::HttpInstanceList m_instanceList;
+    Control::StateStore m_store;
+    Control::LogTail m_tail;
+    Control::StateFeed m_feed;
+    Control::StateSubscriber m_subscriber;
+    Control::InstanceListDuty m_listDuty;
+    Control::PlannerDuty m_planner;
+    Control::Checkpointer m_checkpointer;
+    Router m_router;
+    VersionTracker m_versions;
+    AgentWatch m_watch;
+    ClaimService m_claims;
+    Frontend m_frontend;
+    CallerServer m_callers;
+    Telemetry::AdminServer m_admin;
+    bool m_started = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -0,0 +1,46 @@
+/// @file The settings file of an entry.
+#pragma once
+
+#include "LibClaims/ClaimWriter.h"
+#include "LibProtocol/InstanceSettings.h"
+#include "LibRouting/Scheduler.h"
+
+#include <vector>
+
+namespace Entry {
+
+/// Bounds on what callers can ask of an entry.
+struct CallerLimits
+{
+    std::size_t m_connections = 512; ///< Connections served at once, one thread each; more are refused at once.
+    std::size_t m_maximumBody = 1 << 20; ///< Bytes of a request's body.
+    std::size_t m_maximumAnswer = 16 << 20; ///< Bytes of a plain service's answer.
+    Core::Duration m_requestTime{10000}; ///< Time for a caller to send its request, from the first byte to the last.
+    Core::Duration m_keepAlive{5000}; ///< Idle time after which a connection is closed.
+    Core::Duration m_defaultTimeout{30000};
+    Core::Duration m_maximumTimeout{600000};
+    std::uint32_t m_defaultTokens = 256;
+    std::uint32_t m_maximumTokens = 65536;
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
+struct EntrySettings
+{
+    Protocol::InstanceSettings m_instance;
+    Core::Address m_log;
+    Core::Address m_instances;
+    std::vector<Core::Address> m_entries; ///< Wire addresses of some entries.
+    CallerLimits m_callers;
+    Routing::SchedulerSettings m_scheduler;
+    Claims::WriterSettings m_claims;
+    std::size_t m_watchedPerGroup = 24; ///< Agents watched of each service, or of each version where a service has more.
+    std::size_t m_addressesPerAnswer = 3;
+    Core::Duration m_addressLifetime{3000}; ///< How long callers may keep an address.
+    Core::Duration m_drainLimit{600000}; ///< Longest time for running answers to end when leaving.
+};
+
+/// Reads a whole settings file; problems are noted at the reader.
+EntrySettings readEntrySettings(Settings::Reader &reader);
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Frontend.cpp
@@ -0,0 +1,60 @@
+/// @file Refusals and addresses.
+
+#include "LibEntry/Frontend.h"
+
+namespace Entry {
+
+namespace {
+
+constexpr Core::Duration ShortRetry{1000};
+
+}
+
+std::vector<std::string> callerAddresses(const Frontend &frontend, std::size_t count)
+{
+    const Protocol::Member &self = frontend.m_settings->m_instance.m_member;
+    std::vector<std::string> addresses;
+    for (const Protocol::Member &member : frontend.m_store->members()) {
+        const bool isOther = member.m_role == Protocol::Role::Entry && member.m_id != self.m_id;
+        if (isOther && !member.m_leaving && !member.m_callers.isEmpty()) {
+            addresses.push_back(member.m_callers.toString());
+        }
+    }
+    if (frontend.m_standing == Standing::Serving) {
+        addresses.push_back(self.m_callers.toString());
+    }
+    Core::Random random(Core::stableHash(Core::randomIdentifier()));
+    for (std::size_t index = addresses.size(); index > 1; --index) {
+        std::swap(addresses[index - 1], addresses[random.below(index)]);
+    }
+    addresses.resize(std::min(count, addresses.size()));
+    return addresses;
+}
+
+std::optional<CallerError> refusalWhileLeaving(const Frontend &frontend)
+{
+    if (frontend.m_standing != Standing::Draining) {
+        return std::nullopt;
+    }
+    CallerError error;
+    error.m_code = CallerCode::NotRun;
+    error.m_error = Core::makeError(Core::ErrorCode::Unavailable, "accept request", frontend.m_settings->m_instance.m_member.m_id, "this entry is leaving");
+    error.m_retryAfter = ShortRetry;
+    error.m_addresses = callerAddresses(frontend, frontend.m_settings->m_addressesPerAnswer);
+    return error;
+}
+
+std::optional<CallerError> refusalUnlessReady(const Frontend &frontend)
+{
+    if (frontend.m_store->isReady()) {
+        return std::nullopt;
+    }
+    CallerError error;
+    error.m_code = CallerCode::NotRun;
+    error.m_error =
+        Core::makeError(Core::ErrorCode::Unavailable, "accept request", frontend.m_settings->m_instance.m_member.m_id, "no accepted configuration is known yet");
+    error.m_retryAfter = ShortRetry;
+    return error;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Generation.cpp
@@ -0,0 +1,172 @@
+/// @file Attempts at a generate request.
+
+#include "LibEntry/Generation.h"
+
+#include <Poco/JSON/Object.h>
+
+namespace Entry {
+
+namespace {
+
+constexpr std::size_t MaximumAttempts = 3;
+constexpr Core::Duration ShortRetry{1000};
+
+/// One request on its way through attempts.
+class Generation
+{
+public:
+    Generation(Frontend &frontend, const GenerateRequest &request, Core::Instant deadline, AnswerSink &sink)
+        : m_frontend(frontend)
+        , m_request(request)
+        , m_deadline(deadline)
+        , m_sink(sink)
+    {
+    }
+
+    std::optional<CallerError> run()
+    {
+        while (true) {
+            const Core::Result<ServedVersion> served = m_frontend.m_versions->serve(m_request.m_template, m_request.m_account);
+            if (!served) {
+                return CallerError{CallerCode::Unknown, served.error(), std::nullopt, {}};
+            }
+            if (served.value().m_digest.empty()) {
+                const Core::Error error = Core::makeError(Core::ErrorCode::Unavailable, "route request", m_request.m_template, "no whole version serves yet");
+                return CallerError{CallerCode::NotRun, error, ShortRetry, {}};
+            }
+            const std::variant<Grant, CallerError> acquired = m_frontend.m_router->acquire(submission(served.value()), [this] { return m_sink.isGone(); });
+            if (const CallerError *refused = std::get_if<CallerError>(&acquired)) {
+                return m_maybeRan ? failure(m_lastError) : *refused;
+            }
+            const AttemptOutcome outcome = attempt(served.value(), std::get<Grant>(acquired));
+            if (outcome.m_end == AttemptEnd::Whole || outcome.m_end == AttemptEnd::CallerGone) {
+                return std::nullopt;
+            }
+            m_lastError = outcome.m_error;
+            m_maybeRan = m_maybeRan || outcome.m_end == AttemptEnd::Lost;
+            if (!mayRetry(outcome)) {
+                return failure(outcome.m_error);
+            }
+        }
+    }
+
+private:
+    Routing::Submission submission(const ServedVersion &version) const
+    {
+        Routing::Submission submission;
+        submission.m_waiting.m_account = m_request.m_account;
+        submission.m_waiting.m_weight = version.m_weight;
+        submission.m_waiting.m_priority = m_request.m_priority;
+        submission.m_waiting.m_cost = m_request.m_maximumTokens;
+        submission.m_waiting.m_deadline = m_deadline;
+        submission.m_group = Routing::GroupKey{version.m_service, version.m_digest};
+        submission.m_affinity = Routing::affinityOf(m_request.m_account, m_request.m_prompt);
+        submission.m_excluded = m_failedAt;
+        return submission;
+    }
+
+    Protocol::LiveRequest liveRequest(const ServedVersion &version, const Routing::Granted &granted) const
+    {
+        Poco::JSON::Object body;
+        body.set("prompt", m_request.m_prompt);
+        body.set("max_tokens", m_request.m_maximumTokens);
+        std::ostringstream text;
+        body.stringify(text);
+        Protocol::LiveRequest request;
+        request.m_attempt = Core::randomIdentifier();
+        request.m_account = m_request.m_account;
+        request.m_service = version.m_service;
+        request.m_digest = version.m_digest;
+        request.m_priority = m_request.m_priority;
+        request.m_body = text.str();
+        request.m_agentIncarnation = granted.m_member.m_incarnation;
+        request.m_agentReport = granted.m_report;
+        return request;
+    }
+
+    AttemptOutcome attempt(const ServedVersion &version, const Grant &grant)
+    {
+        const Routing::Granted &granted = grant.m_granted;
+        m_failedAt.push_back(granted.m_member.m_id);
+        LiveAttempt live(*m_frontend.m_node, granted.m_member.m_wire, liveRequest(version, granted), m_deadline);
+        const AttemptOutcome outcome =
+            live.run([this, &version](const Protocol::AnswerFrame &frame) { return onFrame(version, frame); }, [this] { return m_sink.isGone(); });
+        m_frontend.m_router->release(grant, callResult(outcome));
+        return outcome;
+    }
+
+    /// An engine that is merely full, or an answer that took the whole time, is no sign of an endpoint in trouble.
+    static Routing::CallResult callResult(const AttemptOutcome &outcome)
+    {
+        switch (outcome.m_end) {
+        case AttemptEnd::Whole:
+            return Routing::CallResult::Answered;
+        case AttemptEnd::CallerGone:
+            return Routing::CallResult::Abandoned;
+        case AttemptEnd::NotRun:
+        case AttemptEnd::Lost:
+            break;
+        }
+        const Core::ErrorCode code = outcome.m_error.m_code;
+        const bool harmless = code == Core::ErrorCode::Overloaded || code == Core::ErrorCode::InvalidInput || code == Core::ErrorCode::Timeout;
+        return harmless ? Routing::CallResult::Abandoned : Routing::CallResult::Failed;
+    }
+
+    bool onFrame(const ServedVersion &version, const Protocol::AnswerFrame &frame)
+    {
+        if (!m_started) {
+            m_started = true;
+            if (!m_sink.onVersion(version)) {
+                return false;
+            }
+        }
+        if (frame.m_kind == Protocol::AnswerKind::End) {
+            return m_sink.onEnd(m_tokens, frame.m_totalDigest);
+        }
+        m_tokens += 1;
+        return m_sink.onToken(frame.m_data);
+    }
+
+    /// Only before the caller has seen anything: a second attempt's words need not be those of the first.
+    bool mayRetry(const AttemptOutcome &outcome)
+    {
+        const bool hopeless = outcome.m_error.m_code == Core::ErrorCode::InvalidInput || Core::Clock::now() >= m_deadline;
+        if (m_started || hopeless || m_failedAt.size() >= MaximumAttempts) {
+            return false;
+        }
+        return m_frontend.m_router->tryRetry();
+    }
+
+    CallerError failure(const Core::Error &error) const
+    {
+        if (Core::Clock::now() >= m_deadline || error.m_code == Core::ErrorCode::Timeout) {
+            return CallerError{CallerCode::Timeout, error, std::nullopt, {}};
+        }
+        if (error.m_code == Core::ErrorCode::InvalidInput) {
+            return CallerError{CallerCode::InvalidInput, error, std::nullopt, {}};
+        }
+        if (m_maybeRan) {
+            return CallerError{CallerCode::OutcomeUnknown, error, std::nullopt, {}};
+        }
+        return CallerError{CallerCode::NotRun, error, ShortRetry, {}};
+    }
+
+    Frontend &m_frontend;
+    const GenerateRequest &m_request;
+    const Core::Instant m_deadline;
+    AnswerSink &m_sink;
+    std::vector<std::string> m_failedAt; ///< Instances tried so far.
+    Core::Error m_lastError;
+    bool m_maybeRan = false; ///< An attempt was lost, so "not run" would not be true.
+    bool m_started = false; ///< The caller has been sent something of the answer.
+    std::uint64_t m_tokens = 0;
+};
+
+}
+
+std::optional<CallerError> generate(Frontend &frontend, const GenerateRequest &request, Core::Instant deadline, AnswerSink &sink)
+{
+    return Generation(frontend, request, deadline, sink).run();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/ServiceCall.cpp
@@ -0,0 +1,329 @@
+/// @file Attempts at a plain service, and the claims before them.
+
+#include "LibEntry/ServiceCall.h"
+#include "LibClaims/CallProtocol.h"
+
+namespace Entry {
+
+namespace {
+
+constexpr std::size_t MaximumAttempts = 3;
+constexpr Core::Duration ShortRetry{1000};
+constexpr Core::Duration OutcomeInterval{100};
+constexpr Core::Duration OutcomeTimeout{2000};
+constexpr int OutcomeTries = 3;
+
+Core::Duration timeLeft(Core::Instant deadline)
+{
+    return std::chrono::duration_cast<Core::Duration>(deadline - Core::Clock::now());
+}
+
+/// The account's share of the service, or an error if the service's templates don't name the account.
+Core::Result<std::uint32_t> accountWeight(const Control::ControlState &state, const CallRequest &request)
+{
+    bool hasTemplate = false;
+    for (const std::pair<const std::string, Control::AcceptedTemplate> &entry : state.m_templates) {
+        const Control::Template &accepted = entry.second.m_template;
+        if (accepted.m_service != request.m_service || accepted.m_kind != Control::ServiceKind::Plain) {
+            continue;
+        }
+        hasTemplate = true;
+        for (const Control::AccountParameters &parameters : accepted.m_accounts) {
+            if (parameters.m_account == request.m_account) {
+                return parameters.m_weight;
+            }
+        }
+    }
+    if (hasTemplate) {
+        return Core::makeError(Core::ErrorCode::NotFound, "find service", request.m_service, "no template in force names the account " + request.m_account);
+    }
+    return 1;
+}
+
+Routing::Submission makeSubmission(const CallRequest &request, std::uint32_t weight, Core::Instant deadline)
+{
+    Routing::Submission submission;
+    submission.m_waiting.m_account = request.m_account;
+    submission.m_waiting.m_weight = weight;
+    submission.m_waiting.m_priority = request.m_priority;
+    submission.m_waiting.m_deadline = deadline;
+    submission.m_group = Routing::GroupKey{request.m_service, ""};
+    return submission;
+}
+
+Protocol::LiveRequest makeLiveRequest(const CallRequest &request, const Routing::Granted &granted, const std::string &attempt)
+{
+    Protocol::LiveRequest live;
+    live.m_attempt = attempt;
+    live.m_account = request.m_account;
+    live.m_service = request.m_service;
+    live.m_priority = request.m_priority;
+    live.m_path = request.m_path;
+    live.m_body = request.m_body;
+    live.m_agentIncarnation = granted.m_member.m_incarnation;
+    live.m_agentReport = granted.m_report;
+    if (request.m_key) {
+        live.m_repeatable = false;
+        live.m_key = Claims::scopedKey(*request.m_key, request.m_account, request.m_service).m_text;
+    }
+    return live;
+}
+
+/// What an attempt gave, once it has ended.
+struct AttemptReport
+{
+    AttemptOutcome m_outcome;
+    ServiceAnswer m_answer; ///< Meaningful if the outcome is Whole.
+};
+
+Routing::CallResult callResult(const AttemptOutcome &outcome)
+{
+    if (outcome.m_end == AttemptEnd::Whole) {
+        return Routing::CallResult::Answered;
+    }
+    const Core::ErrorCode code = outcome.m_error.m_code;
+    const bool harmless = outcome.m_end == AttemptEnd::CallerGone || code == Core::ErrorCode::Overloaded || code == Core::ErrorCode::InvalidInput
+        || code == Core::ErrorCode::Timeout;
+    return harmless ? Routing::CallResult::Abandoned : Routing::CallResult::Failed;
+}
+
+AttemptReport runAttempt(Frontend &frontend, const Grant &grant, const Protocol::LiveRequest &request, Core::Instant deadline, const std::function<bool()> &isGone)
+{
+    AttemptReport report;
+    LiveAttempt live(*frontend.m_node, grant.m_granted.m_member.m_wire, request, deadline);
+    bool tooLarge = false;
+    const std::size_t limit = frontend.m_settings->m_callers.m_maximumAnswer;
+    report.m_outcome = live.run(
+        [&report, &tooLarge, limit](const Protocol::AnswerFrame &frame) {
+            report.m_answer.m_status = frame.m_status;
+            report.m_answer.m_body += frame.m_data;
+            tooLarge = report.m_answer.m_body.size() > limit;
+            return !tooLarge;
+        },
+        isGone);
+    if (tooLarge) {
+        report.m_outcome.m_end = AttemptEnd::Lost;
+        report.m_outcome.m_error = Core::makeError(Core::ErrorCode::Corrupt, "read answer", grant.m_granted.m_member.m_id, "the answer is too large");
+    }
+    frontend.m_router->release(grant, callResult(report.m_outcome));
+    return report;
+}
+
+CallerError notRun(const Core::Error &error)
+{
+    return CallerError{CallerCode::NotRun, error, ShortRetry, {}};
+}
+
+ServiceResult callRepeatable(Frontend &frontend, const CallRequest &request, Routing::Submission submission, const std::function<bool()> &isGone)
+{
+    const Core::Instant deadline = submission.m_waiting.m_deadline;
+    bool maybeRan = false;
+    Core::Error lastError;
+    while (true) {
+        const std::variant<Grant, CallerError> acquired = frontend.m_router->acquire(submission, isGone);
+        if (const CallerError *refused = std::get_if<CallerError>(&acquired)) {
+            return maybeRan ? CallerError{CallerCode::OutcomeUnknown, lastError, std::nullopt, {}} : *refused;
+        }
+        const Grant &grant = std::get<Grant>(acquired);
+        const Protocol::LiveRequest live = makeLiveRequest(request, grant.m_granted, Core::randomIdentifier());
+        const AttemptReport report = runAttempt(frontend, grant, live, deadline, isGone);
+        if (report.m_outcome.m_end == AttemptEnd::Whole) {
+            return report.m_answer;
+        }
+        lastError = report.m_outcome.m_error;
+        maybeRan = maybeRan || report.m_outcome.m_end != AttemptEnd::NotRun;
+        submission.m_excluded.push_back(grant.m_granted.m_member.m_id);
+        const bool late = Core::Clock::now() >= deadline;
+        const bool hopeless = lastError.m_code == Core::ErrorCode::InvalidInput || report.m_outcome.m_end == AttemptEnd::CallerGone;
+        if (!late && !hopeless && submission.m_excluded.size() < MaximumAttempts && frontend.m_router->tryRetry()) {
+            continue;
+        }
+        if (lastError.m_code == Core::ErrorCode::InvalidInput) {
+            return CallerError{CallerCode::InvalidInput, lastError, std::nullopt, {}};
+        }
+        if (late || lastError.m_code == Core::ErrorCode::Timeout) {
+            return CallerError{CallerCode::Timeout, lastError, std::nullopt, {}};
+        }
+        return maybeRan ? CallerError{CallerCode::OutcomeUnknown, lastError, std::nullopt, {}} : notRun(lastError);
+    }
+}
+
+/// Carries out the actions of the claim protocol for one call.
+class KeyedCall
+{
+public:
+    KeyedCall(Frontend &frontend, const CallRequest &request, Routing::Submission submission, std::function<bool()> isGone)
+        : m_frontend(frontend)
+        , m_request(request)
+        , m_key(Claims::scopedKey(*request.m_key, request.m_account, request.m_service))
+        , m_submission(std::move(submission))
+        , m_deadline(m_submission.m_waiting.m_deadline)
+        , m_isGone(std::move(isGone))
+    {
+    }
+
+    ServiceResult run()
+    {
+        const std::variant<Grant, CallerError> acquired = m_frontend.m_router->acquire(m_submission, m_isGone);
+        if (const CallerError *refused = std::get_if<CallerError>(&acquired)) {
+            return *refused;
+        }
+        m_grant = std::get<Grant>(acquired);
+        Claims::Step step = Claims::begin(Core::randomIdentifier());
+        while (!std::holds_alternative<Claims::Conclude>(step.m_action)) {
+            const Claims::Event event = std::visit([this](const auto &action) { return perform(action); }, step.m_action);
+            step = Claims::advance(step.m_state, event, Core::randomIdentifier());
+        }
+        if (m_grant) {
+            // The endpoint was not used: another attempt holds the key, or the claim failed.
+            m_frontend.m_router->release(*m_grant, Routing::CallResult::Abandoned);
+        }
+        return conclude(std::get<Claims::Conclude>(step.m_action).m_verdict);
+    }
+
+private:
+    Claims::Event perform(const Claims::MakeClaim &action)
+    {
+        const Routing::Granted &granted = agent();
+        Claims::Claim claim;
+        claim.m_key = m_key;
+        claim.m_attempt = action.m_attempt;
+        claim.m_entry = m_frontend.m_settings->m_instance.m_member.m_id;
+        claim.m_agent = granted.m_member.m_id;
+        claim.m_agentIncarnation = granted.m_member.m_incarnation;
+        claim.m_agentReport = granted.m_report;
+        claim.m_agentWire = granted.m_member.m_wire;
+        const Core::Result<Claims::ClaimAnswer> answer = m_frontend.m_claims->write(m_key.m_text, Claims::ClaimRequest{{}, {claim}}, m_deadline);
+        if (!answer || answer.value().m_results.size() != 1) {
+            m_error = answer ? Core::makeError(Core::ErrorCode::Corrupt, "claim key", "", "no result") : answer.error();
+            return Claims::ClaimFailed{};
+        }
+        if (Core::Clock::now() >= m_deadline) {
+            m_error = Core::makeError(Core::ErrorCode::Timeout, "claim key", "", "the time was over before the call could be sent");
+            return Claims::DeadlinePassed{};
+        }
+        return Claims::ClaimJudged{answer.value().m_results.front()};
+    }
+
+    Claims::Event perform(const Claims::Dispatch &action)
+    {
+        const Grant grant = *m_grant;
+        m_used = grant.m_granted;
+        m_grant.reset();
+        const Protocol::LiveRequest live = makeLiveRequest(m_request, grant.m_granted, action.m_attempt);
+        // A caller that goes away does not end the call: its outcome is to be there when the caller comes back with the key.
+        const AttemptReport report = runAttempt(m_frontend, grant, live, m_deadline, [] { return false; });
+        m_error = report.m_outcome.m_error;
+        switch (report.m_outcome.m_end) {
+        case AttemptEnd::Whole:
+            m_answer = report.m_answer;
+            return Claims::WholeAnswer{};
+        case AttemptEnd::NotRun:
+            return Claims::CertainlyNotRun{};
+        case AttemptEnd::Lost:
+        case AttemptEnd::CallerGone:
+            break;
+        }
+        return Claims::AnswerLost{};
+    }
+
+    Claims::Event perform(const Claims::AskOutcome &action)
+    {
+        const bool over = timeLeft(m_deadline) <= Core::Duration(0);
+        if (action.m_later && over) {
+            m_error = Core::makeError(Core::ErrorCode::Timeout, "ask outcome", "", "it was still running when the time was over");
+            return Claims::DeadlinePassed{};
+        }
+        if (action.m_later) {
+            std::this_thread::sleep_for(OutcomeInterval);
+        }
+        const OutcomeQuestion question = action.m_own ? ownQuestion(action) : otherQuestion(action);
+        for (int attempt = 0; attempt < OutcomeTries; ++attempt) {
+            const Core::Result<Protocol::OutcomeAnswer> answer = askOutcome(*m_frontend.m_node, question, OutcomeTimeout);
+            if (answer) {
+                m_answer = ServiceAnswer{answer.value().m_status, answer.value().m_body};
+                return Claims::OutcomeTold{answer.value().m_outcome};
+            }
+            m_error = answer.error();
+        }
+        return Claims::OutcomeUnreachable{};
+    }
+
+    Claims::Event perform(const Claims::WriteBar &action)
+    {
+        const Claims::AttemptBar bar{m_key.m_text, action.m_attempt};
+        const Core::Result<Claims::ClaimAnswer> answer = m_frontend.m_claims->write(m_key.m_text, Claims::ClaimRequest{{bar}, {}}, m_deadline);
+        if (answer) {
+            return Claims::BarWritten{};
+        }
+        m_error = answer.error();
+        return Claims::BarFailed{};
+    }
+
+    Claims::Event perform(const Claims::Conclude &)
+    {
+        return Claims::DeadlinePassed{};
+    }
+
+    const Routing::Granted &agent() const
+    {
+        return m_grant->m_granted;
+    }
+
+    OutcomeQuestion ownQuestion(const Claims::AskOutcome &action) const
+    {
+        const Protocol::OutcomeRequest request{action.m_attempt, m_key.m_text, m_used.m_member.m_incarnation, m_used.m_report};
+        return OutcomeQuestion{m_used.m_member.m_wire, request};
+    }
+
+    OutcomeQuestion otherQuestion(const Claims::AskOutcome &action) const
+    {
+        const Claims::Claim &winner = action.m_winner;
+        return OutcomeQuestion{winner.m_agentWire, Protocol::OutcomeRequest{action.m_attempt, m_key.m_text, winner.m_agentIncarnation, winner.m_agentReport}};
+    }
+
+    ServiceResult conclude(Claims::CallVerdict verdict) const
+    {
+        switch (verdict) {
+        case Claims::CallVerdict::Answered:
+            return m_answer;
+        case Claims::CallVerdict::NotRun:
+            return notRun(m_error);
+        case Claims::CallVerdict::KeyUsed:
+            return CallerError{CallerCode::KeyUsed, m_error, std::nullopt, {}};
+        case Claims::CallVerdict::KeyExpired:
+            return CallerError{CallerCode::KeyExpired, Core::makeError(Core::ErrorCode::Conflict, "claim key", "", "older than the claims kept"), std::nullopt, {}};
+        case Claims::CallVerdict::OutcomeUnknown:
+            break;
+        }
+        return CallerError{CallerCode::OutcomeUnknown, m_error, std::nullopt, {}};
+    }
+
+    Frontend &m_frontend;
+    const CallRequest &m_request;
+    const Claims::ClaimKey m_key;
+    const Routing::Submission m_submission;
+    const Core::Instant m_deadline;
+    const std::function<bool()> m_isGone;
+    std::optional<Grant> m_grant; ///< Held until the dispatch takes it or the call ends without one.
+    Routing::Granted m_used; ///< Where the own attempt was dispatched to.
+    ServiceAnswer m_answer;
+    Core::Error m_error;
+};
+
+}
+
+ServiceResult callService(Frontend &frontend, const CallRequest &request, Core::Instant deadline, const std::function<bool()> &isGone)
+{
+    const Core::Result<std::uint32_t> weight = accountWeight(*frontend.m_store->current(), request);
+    if (!weight) {
+        return CallerError{CallerCode::Unknown, weight.error(), std::nullopt, {}};
+    }
+    Routing::Submission submission = makeSubmission(request, weight.value(), deadline);
+    if (!request.m_key) {
+        return callRepeatable(frontend, request, std::move(submission), isGone);
+    }
+    return KeyedCall(frontend, request, std::move(submission), isGone).run();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/VersionTracker.cpp
@@ -0,0 +1,82 @@
+/// @file Following of rollouts.
+
+#include "LibEntry/VersionTracker.h"
+
+namespace Entry {
+
+VersionTracker::VersionTracker(const Router &router)
+    : m_router(router)
+{
+}
+
+void VersionTracker::onState(const Control::ControlState &state)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (state.m_applied <= m_applied) {
+        return;
+    }
+    m_applied = state.m_applied;
+    std::map<AccountKey, AccountRecord> accounts;
+    for (const std::pair<const std::string, Control::AcceptedTemplate> &entry : state.m_templates) {
+        const Control::Template &accepted = entry.second.m_template;
+        for (const Control::AccountParameters &parameters : accepted.m_accounts) {
+            const AccountKey key{accepted.m_name, parameters.m_account};
+            const std::map<AccountKey, AccountRecord>::const_iterator it = m_accounts.find(key);
+            AccountRecord record;
+            if (it != m_accounts.end()) {
+                record = it->second;
+                // A version that never answered is no version to fall back to: the one before it stays the previous one.
+                if (record.m_parameters.m_digest != parameters.m_digest && record.m_switched) {
+                    record.m_previousDigest = record.m_parameters.m_digest;
+                    record.m_previousVersion = record.m_parameters.m_version;
+                }
+                record.m_switched = record.m_switched && record.m_parameters.m_digest == parameters.m_digest;
+            }
+            record.m_service = accepted.m_service;
+            record.m_parameters = parameters;
+            accounts.emplace(key, std::move(record));
+        }
+    }
+    m_accounts = std::move(accounts);
+}
+
+Core::Result<ServedVersion> VersionTracker::serve(const std::string &templateName, const std::string &account)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const std::map<AccountKey, AccountRecord>::iterator it = m_accounts.find(AccountKey{templateName, account});
+    if (it == m_accounts.end()) {
+        return Core::makeError(Core::ErrorCode::NotFound, "find template", templateName, "no template in force names the account " + account);
+    }
+    AccountRecord &record = it->second;
+    Routing::VersionSituation situation;
+    situation.m_wanted = record.m_parameters.m_digest;
+    situation.m_wantedReplicas = record.m_parameters.m_replicas;
+    situation.m_previous = record.m_previousDigest;
+    situation.m_switched = record.m_switched;
+    m_router.readTable([&situation, &record](const Routing::EndpointTable &table) {
+        const Core::Instant now = Core::Clock::now();
+        situation.m_wantedServing = table.countAvailable(Routing::GroupKey{record.m_service, situation.m_wanted}, now);
+        situation.m_watched = table.countServiceAvailable(record.m_service, now);
+        if (!situation.m_previous.empty()) {
+            situation.m_previousServing = table.countAvailable(Routing::GroupKey{record.m_service, situation.m_previous}, now);
+        }
+    });
+    const std::string digest = Routing::chooseVersion(situation);
+    const bool wanted = digest == record.m_parameters.m_digest;
+    record.m_switched = record.m_switched || wanted;
+    return ServedVersion{record.m_service, digest, wanted ? record.m_parameters.m_version : record.m_previousVersion, record.m_parameters.m_weight};
+}
+
+std::vector<std::string> VersionTracker::previousDigests(const std::string &service) const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::vector<std::string> digests;
+    for (const std::pair<const AccountKey, AccountRecord> &entry : m_accounts) {
+        if (entry.second.m_service == service && !entry.second.m_previousDigest.empty()) {
+            digests.push_back(entry.second.m_previousDigest);
+        }
+    }
+    return digests;
+}
+
+}
--- a/Libraries/LibRouting/EndpointTable.cpp
+++ b/Libraries/LibRouting/EndpointTable.cpp
@@ -56,12 +56,22 @@
     if (it == m_slots.end()) {
         return;
     }
-    m_endpoints[it->second].m_healthy = false;
     m_endpoints[it->second].m_attestations.clear();
-    m_endpoints[it->second].m_lastHeard = Core::Instant();
+    suspect(instance);
     rebuildGroups();
 }
 
+void EndpointTable::suspect(const std::string &instance)
+{
+    const std::map<std::string, EndpointIndex>::const_iterator it = m_slots.find(instance);
+    if (it == m_slots.end()) {
+        return;
+    }
+    EndpointView &endpoint = m_endpoints[it->second];
+    endpoint.m_healthy = false;
+    endpoint.m_sequence = 0;
+}
+
 const EndpointView *EndpointTable::find(const std::string &instance) const
 {
     const std::map<std::string, EndpointIndex>::const_iterator it = m_slots.find(instance);
--- a/Libraries/LibRouting/EndpointTable.h
+++ b/Libraries/LibRouting/EndpointTable.h
@@ -35,6 +35,9 @@
     /// Forgets an instance that is no longer watched. Its slot stays until its outstanding calls have ended.
     void remove(const std::string &instance);
 
+    /// The stream of reports has ended: the endpoint is not available until the next report.
+    void suspect(const std::string &instance);
+
     const EndpointView *find(const std::string &instance) const;
     const EndpointView &at(EndpointIndex index) const
     {
