LibClaims: Keep the parts of a claimed key apart without control characters

A key travels on to the endpoint in an HTTP header, and the agent refuses control characters there; the line breaks that joined account, service and key made every keyed call end as not run.

--- a/Libraries/LibClaims/ClaimKey.cpp
+++ b/Libraries/LibClaims/ClaimKey.cpp
@@ -63,8 +63,9 @@
 
 ClaimKey scopedKey(const ClaimKey &key, const std::string &account, const std::string &service)
 {
-    // A line break cannot occur in any of the three parts.
-    return ClaimKey{key.m_epoch, account + "\n" + service + "\n" + key.m_text};
+    // The key travels on in an HTTP header, so it takes no control character as separator; the lengths keep the parts apart.
+    const std::string lengths = std::to_string(account.size()) + "." + std::to_string(service.size());
+    return ClaimKey{key.m_epoch, lengths + "/" + account + "/" + service + "/" + key.m_text};
 }
 
 }
