LibTransfer: Ask the least loaded neighbour and start sooner

At 64 replicas uplinks stood idle while a few drawers refused: strict rarest-first sent everybody to the newest chunks. The picker now takes the least loaded holder first and the rarest chunk second. Requests for a manifest that come before the plan wait instead of failing, and the stand-in origin gives each connection a thread, since POCO's pool let draws wait behind idle connections.

--- a/Libraries/LibOriginStandIn/OriginServer.cpp
+++ b/Libraries/LibOriginStandIn/OriginServer.cpp
@@ -4,6 +4,8 @@
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/URI.h>
@@ -14,12 +16,18 @@
 
 namespace {
 
-constexpr int MaximumThreads = 4096;
-constexpr int ThreadStackBytes = 256 << 10;
+constexpr int MaximumConnections = 4096;
+constexpr int IdleSeconds = 15;
+constexpr Core::Duration AcceptPause{20};
 constexpr std::size_t MaximumFaultsBytes = 64 << 10;
 constexpr std::size_t WriteBytes = 16 << 10;
 constexpr std::size_t DataPathSegments = 4;
 
+Poco::Timespan toTimespan(Core::Duration duration)
+{
+    return Poco::Timespan(duration.count() * Poco::Timespan::MILLISECONDS);
+}
+
 struct ByteRange
 {
     std::uint64_t m_first = 0;
@@ -214,35 +222,59 @@
 
 OriginServer::OriginServer(OriginStore &store)
     : m_store(store)
-    , m_threads(2, MaximumThreads, 60, ThreadStackBytes)
 {
 }
 
 OriginServer::~OriginServer()
 {
-    if (m_server) {
-        m_server->stopAll(true);
+    m_running = false;
+    if (m_acceptor.joinable()) {
+        m_acceptor.join();
+    }
+    while (m_connections > 0) {
+        std::this_thread::sleep_for(AcceptPause);
     }
-    m_threads.stopAll();
 }
 
 Core::Result<void> OriginServer::start()
 {
     const Core::Address &listen = m_store.settings().m_listen;
     try {
-        Poco::Net::HTTPServerParams::Ptr settings(new Poco::Net::HTTPServerParams);
-        settings->setMaxThreads(MaximumThreads);
-        settings->setMaxQueued(MaximumThreads);
-        settings->setKeepAlive(true);
-        settings->setMaxKeepAliveRequests(0);
-        settings->setKeepAliveTimeout(Poco::Timespan(60, 0));
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(listen.m_host, listen.m_port), MaximumThreads);
-        m_server = std::make_unique<Poco::Net::HTTPServer>(new OriginHandlerFactory(m_store), m_threads, socket, settings);
-        m_server->start();
-        return Core::success();
+        m_listener.emplace(Poco::Net::SocketAddress(listen.m_host, listen.m_port), MaximumConnections);
     } catch (const Poco::Exception &exception) {
         return Core::makeError(Core::ErrorCode::Unavailable, "listen", listen.toString(), exception.displayText());
     }
+    m_running = true;
+    m_acceptor = std::thread([this] { run(); });
+    return Core::success();
+}
+
+void OriginServer::run()
+{
+    const Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new OriginHandlerFactory(m_store));
+    Poco::Net::HTTPServerParams::Ptr settings(new Poco::Net::HTTPServerParams);
+    settings->setKeepAlive(true);
+    settings->setMaxKeepAliveRequests(0);
+    settings->setKeepAliveTimeout(Poco::Timespan(IdleSeconds, 0));
+    while (m_running) {
+        if (!m_listener->poll(toTimespan(AcceptPause), Poco::Net::Socket::SELECT_READ)) {
+            continue;
+        }
+        const Poco::Net::StreamSocket socket = m_listener->acceptConnection();
+        if (m_connections >= MaximumConnections) {
+            continue;
+        }
+        ++m_connections;
+        std::thread([this, socket, settings, factory] {
+            try {
+                Poco::Net::HTTPServerConnection connection(socket, settings, factory);
+                connection.run();
+            } catch (const Poco::Exception &) {
+                // The peer went away.
+            }
+            --m_connections;
+        }).detach();
+    }
 }
 
 }
--- a/Libraries/LibOriginStandIn/OriginServer.h
+++ b/Libraries/LibOriginStandIn/OriginServer.h
@@ -3,13 +3,19 @@
 
 #include "LibOriginStandIn/OriginStore.h"
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
-#include <memory>
+#include <Poco/Net/ServerSocket.h>
+#include <atomic>
+#include <optional>
+#include <thread>
 
 namespace StandIn {
 
-/// Answers requests until it is destroyed.
+/**
+ * Answers requests until it is destroyed, on one thread for each connection.
+ *
+ * POCO's own server hands a new connection to a pool in which it can wait behind idle persistent ones; a draw would then seem
+ * slow though the origin is not.
+ */
 class OriginServer
 {
 public:
@@ -19,9 +25,13 @@
     Core::Result<void> start();
 
 private:
+    void run();
+
     OriginStore &m_store;
-    Poco::ThreadPool m_threads;
-    std::unique_ptr<Poco::Net::HTTPServer> m_server;
+    std::optional<Poco::Net::ServerSocket> m_listener;
+    std::atomic<bool> m_running = false;
+    std::atomic<int> m_connections = 0; ///< Each has a thread that uses m_store.
+    std::thread m_acceptor;
 };
 
 }
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -235,7 +235,7 @@
     if (version.m_exchange) {
         version.m_exchange->setReplicas(deployment.m_replicas, originCopies(deployment));
     }
-    for (std::vector<Stranger>::iterator it = m_strangers.begin(); it != m_strangers.end();) {
+    for (std::vector<Waiter>::iterator it = m_strangers.begin(); it != m_strangers.end();) {
         if (it->m_digest != deployment.m_digest) {
             ++it;
             continue;
@@ -264,12 +264,9 @@
 {
     Version &version = m_versions.at(digest);
     stopTransfer(version);
-    for (const Wire::Responder &waiter : version.m_manifestWaiters) {
-        waiter.fail(Core::makeError(Core::ErrorCode::NotFound, "give manifest", "", "the version is not wanted here any more"));
-    }
     for (const Wire::Responder &follower : version.m_followers) {
         if (m_strangers.size() < MaximumStrangers) {
-            m_strangers.push_back(Stranger{digest, follower});
+            m_strangers.push_back(Waiter{digest, follower});
         }
     }
     LOG(INFO) << "transfer of " << version.m_deployment.m_model << " " << version.m_deployment.m_version << " dropped, digest " << digest;
@@ -380,17 +377,18 @@
 
 void Coordinator::handle(const ManifestAsked &event)
 {
-    Version *version = find(event.m_digest);
-    if (!version || version->m_manifestWaiters.size() >= MaximumManifestWaiters) {
-        event.m_responder.fail(Core::makeError(Core::ErrorCode::NotFound, "give manifest", "", "unknown here"));
+    const Version *version = find(event.m_digest);
+    if (version && version->m_manifest) {
+        event.m_responder.reply(version->m_encodedManifest);
         return;
     }
-    if (version->m_manifest) {
-        event.m_responder.reply(version->m_encodedManifest);
+    // Plans reach replicas at slightly different times, so a version that is unknown now may be wanted in a moment.
+    std::erase_if(m_manifestWaiters, [](const Waiter &waiter) { return waiter.m_responder.isCancelled(); });
+    if (m_manifestWaiters.size() >= MaximumManifestWaiters) {
+        event.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "give manifest", "", "too many wait"));
         return;
     }
-    std::erase_if(version->m_manifestWaiters, [](const Wire::Responder &waiter) { return waiter.isCancelled(); });
-    version->m_manifestWaiters.push_back(event.m_responder);
+    m_manifestWaiters.push_back(Waiter{event.m_digest, event.m_responder});
 }
 
 void Coordinator::handle(const FollowerArrived &event)
@@ -406,7 +404,7 @@
         return;
     }
     event.m_responder.send(Wire::pack(HaveUpdate{}));
-    m_strangers.push_back(Stranger{event.m_digest, event.m_responder});
+    m_strangers.push_back(Waiter{event.m_digest, event.m_responder});
 }
 
 void Coordinator::handle(const ChunkAsked &event)
@@ -517,10 +515,14 @@
 {
     version.m_manifest = manifest;
     version.m_encodedManifest = encoded;
-    for (const Wire::Responder &waiter : version.m_manifestWaiters) {
-        waiter.reply(encoded);
+    for (std::vector<Waiter>::iterator it = m_manifestWaiters.begin(); it != m_manifestWaiters.end();) {
+        if (it->m_digest == version.m_deployment.m_digest) {
+            it->m_responder.reply(encoded);
+            it = m_manifestWaiters.erase(it);
+        } else {
+            ++it;
+        }
     }
-    version.m_manifestWaiters.clear();
     m_isChanged = true;
 }
 
@@ -740,8 +742,8 @@
     if (isSignOfLife) {
         m_nextSignOfLife = now + SignOfLifeInterval;
         m_isChanged = true;
-        std::erase_if(m_strangers, [](const Stranger &stranger) { return stranger.m_responder.isCancelled(); });
-        for (const Stranger &stranger : m_strangers) {
+        std::erase_if(m_strangers, [](const Waiter &stranger) { return stranger.m_responder.isCancelled(); });
+        for (const Waiter &stranger : m_strangers) {
             stranger.m_responder.send(Wire::pack(HaveUpdate{}));
         }
     }
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -39,8 +39,8 @@
     Published published() const;
 
 private:
-    /// A peer that follows a version which this replica does not know.
-    struct Stranger
+    /// A peer that waits for something of a version.
+    struct Waiter
     {
         std::string m_digest;
         Wire::Responder m_responder;
@@ -100,7 +100,8 @@
 
     // From here on, used by the coordinator's thread only.
     std::map<std::string, Version> m_versions; ///< By manifest digest.
-    std::vector<Stranger> m_strangers;
+    std::vector<Waiter> m_strangers; ///< Followers of versions that are unknown here.
+    std::vector<Waiter> m_manifestWaiters;
     std::map<std::string, std::weak_ptr<const std::string>> m_chunkStore; ///< By chunk digest, so that versions share chunks.
     Pacer m_download;
     Core::Random m_random;
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -26,7 +26,7 @@
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
 constexpr double Smoothing = 0.2;
-constexpr std::uint32_t DrawsAhead = 4; ///< Draws that share the origin's link, so that it is never idle between two.
+constexpr std::uint32_t DrawsAhead = 2; ///< Draws that share the origin's link, so that it is never idle between two.
 constexpr std::uint64_t OriginLinkInInstanceLinks = 2; ///< Where the origin's rate is not set: it carries about twice as much as an instance's link.
 
 Core::Duration doubled(Core::Duration base, std::uint32_t failures, std::uint32_t maximumDoublings)
--- a/Libraries/LibTransfer/Picker.cpp
+++ b/Libraries/LibTransfer/Picker.cpp
@@ -80,27 +80,27 @@
 
 std::optional<Pick> pickChunk(const std::vector<PickChunk> &wanted, const std::vector<PickPeer> &peers, Core::Random &random)
 {
-    const PickChunk *best = nullptr;
-    std::uint32_t fewest = 0;
+    std::optional<Pick> best;
+    std::pair<std::uint32_t, std::uint32_t> bestKey;
     TieBreak tie(random);
     for (const PickChunk &chunk : wanted) {
         const Holders holders = countHolders(chunk, peers);
         if (!holders.m_isAvailable) {
             continue;
         }
-        if (!best || holders.m_near < fewest) {
-            best = &chunk;
-            fewest = holders.m_near;
+        const std::optional<PeerIndex> index = pickPeer(chunk, peers, random);
+        const std::vector<PickPeer>::const_iterator peer =
+            std::find_if(peers.begin(), peers.end(), [&index](const PickPeer &candidate) { return candidate.m_peer == *index; });
+        const std::pair<std::uint32_t, std::uint32_t> key(holders.m_near == 0 ? 0 : peer->m_load, holders.m_near);
+        if (!best || key < bestKey) {
+            best = Pick{chunk.m_chunk, *index};
+            bestKey = key;
             tie.restart();
-        } else if (holders.m_near == fewest && tie.takesNext()) {
-            best = &chunk;
+        } else if (key == bestKey && tie.takesNext()) {
+            best = Pick{chunk.m_chunk, *index};
         }
     }
-    if (!best) {
-        return std::nullopt;
-    }
-    const std::optional<PeerIndex> peer = pickPeer(*best, peers, random);
-    return peer ? std::optional<Pick>(Pick{best->m_chunk, *peer}) : std::nullopt;
+    return best;
 }
 
 }
--- a/Libraries/LibTransfer/Version.h
+++ b/Libraries/LibTransfer/Version.h
@@ -54,7 +54,6 @@
     std::map<Core::Address, OpenFollow> m_follows;
     std::vector<Wire::Responder> m_followers;
     std::vector<std::uint32_t> m_unannounced; ///< Chunks that the followers have not been told of.
-    std::vector<Wire::Responder> m_manifestWaiters;
 };
 
 }
--- a/Tests/Benchmarks/SwarmTrial/Main.cpp
+++ b/Tests/Benchmarks/SwarmTrial/Main.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
-constexpr int MillisecondsPerSample = 250;
+constexpr int MillisecondsPerSample = 200;
 
 struct TrialOptions
 {
@@ -59,6 +59,17 @@
     return trial;
 }
 
+std::size_t countKnowing(TestBench::Replicas &replicas)
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+        const Transfer::TransferManager *manager = replicas.at(index).m_manager.get();
+        const std::vector<Protocol::TransferProgress> progress = manager ? manager->progress() : std::vector<Protocol::TransferProgress>();
+        count += !progress.empty() && progress.front().m_chunksTotal > 0 ? 1 : 0;
+    }
+    return count;
+}
+
 void run(const TrialOptions &options)
 {
     const std::uint64_t bytes = options.m_mebibytes * BytesPerMebibyte;
@@ -92,7 +103,7 @@
         if (options.m_verbose && Core::Clock::now() >= nextSample) {
             nextSample += std::chrono::milliseconds(MillisecondsPerSample);
             std::cout << std::fixed << std::setprecision(2) << seconds << "s up_MiB=" << replicas.total("transfer_bytes_uploaded_total") / 1048576.0
-                      << " origin_MiB=" << replicas.total("transfer_bytes_from_origin_total") / 1048576.0
+                      << " origin_MiB=" << replicas.total("transfer_bytes_from_origin_total") / 1048576.0 << " know=" << countKnowing(replicas)
                       << " whole=" << replicas.countHolding(deployment.m_digest) << " refused=" << replicas.total("transfer_uploads_refused_total") << "\n";
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
