--- /dev/null
+++ b/Libraries/LibLoad/AddressBook.cpp
@@ -0,0 +1,104 @@
+/// @file Implementation of the address book.
+
+#include "LibLoad/AddressBook.h"
+
+#include "LibStandIn/Json.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace Load {
+
+namespace {
+
+constexpr std::size_t MaximumAddresses = 1024;
+
+void shuffle(std::vector<Core::Address> &addresses, Core::Random &random)
+{
+    for (std::size_t left = addresses.size(); left > 1; --left) {
+        std::swap(addresses[left - 1], addresses[random.below(left)]);
+    }
+}
+
+}
+
+Core::Result<AddressAnswer> parseAddressAnswer(const std::string &body, const std::string &peer)
+{
+    const Core::Error wrong = Core::makeError(Core::ErrorCode::Corrupt, "read addresses", peer, "not an answer to /v1/addresses");
+    const Core::Result<Poco::JSON::Object::Ptr> object = StandIn::parseJsonObject(body);
+    if (!object) {
+        return wrong;
+    }
+    const Poco::JSON::Array::Ptr list = object.value()->getArray("addresses");
+    const Core::Result<double> lifetime = StandIn::jsonNumber(*object.value(), "lifetime_ms");
+    if (!list || list->size() > MaximumAddresses || !lifetime || !(lifetime.value() >= 0)) {
+        return wrong;
+    }
+    AddressAnswer answer;
+    for (const Poco::Dynamic::Var &item : *list) {
+        answer.m_addresses.push_back(BOOST_OUTCOME_TRYX(Core::parseAddress(item.convert<std::string>())));
+    }
+    constexpr double LongestLifetimeMs = 86400000;
+    answer.m_lifetime = Core::Duration(static_cast<std::int64_t>(std::min(lifetime.value(), LongestLifetimeMs)));
+    answer.m_keyEpoch = object.value()->optValue("key_epoch", std::string());
+    return answer;
+}
+
+bool AddressBook::needsRefresh(Core::Instant now) const
+{
+    if (m_answer.m_addresses.empty() || now >= m_expires) {
+        return true;
+    }
+    for (const Core::Address &address : m_answer.m_addresses) {
+        const std::map<Core::Address, Core::Instant>::const_iterator failed = m_failedUntil.find(address);
+        if (failed == m_failedUntil.end() || failed->second <= now) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<Core::Address> AddressBook::refreshCandidates(Core::Random &random) const
+{
+    std::vector<Core::Address> known = m_answer.m_addresses;
+    std::vector<Core::Address> seeds = m_seeds;
+    shuffle(known, random);
+    shuffle(seeds, random);
+    for (const Core::Address &seed : seeds) {
+        if (std::find(known.begin(), known.end(), seed) == known.end()) {
+            known.push_back(seed);
+        }
+    }
+    return known;
+}
+
+void AddressBook::update(const AddressAnswer &answer, Core::Instant now)
+{
+    m_answer = answer;
+    m_expires = now + answer.m_lifetime;
+    for (std::map<Core::Address, Core::Instant>::iterator it = m_failedUntil.begin(); it != m_failedUntil.end();) {
+        it = it->second <= now ? m_failedUntil.erase(it) : std::next(it);
+    }
+}
+
+std::optional<Core::Address> AddressBook::pick(Core::Random &random, Core::Instant now) const
+{
+    std::vector<Core::Address> usable;
+    for (const Core::Address &address : m_answer.m_addresses) {
+        const std::map<Core::Address, Core::Instant>::const_iterator failed = m_failedUntil.find(address);
+        if (failed == m_failedUntil.end() || failed->second <= now) {
+            usable.push_back(address);
+        }
+    }
+    const std::vector<Core::Address> &choice = usable.empty() ? m_answer.m_addresses : usable;
+    if (choice.empty()) {
+        return std::nullopt;
+    }
+    return choice[random.below(choice.size())];
+}
+
+void AddressBook::noteFailure(const Core::Address &address, Core::Instant now)
+{
+    m_failedUntil[address] = now + FailurePause;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/Caller.h
@@ -0,0 +1,69 @@
+/// @file One caller: keeps the addresses of entries and performs requests at them, one after another.
+#pragma once
+
+#include "LibLoad/AddressBook.h"
+#include "LibLoad/AnswerCheck.h"
+#include "LibLoad/Request.h"
+#include "LibNetwork/NetworkSettings.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <istream>
+#include <mutex>
+
+namespace Load {
+
+/// How callers behave.
+struct CallerSettings
+{
+    std::vector<Core::Address> m_entries; ///< Whom to ask for addresses at first.
+    Network::NetworkSettings m_network;
+    std::uint32_t m_retries = 2; ///< Further tries of a repeatable request that got no whole answer, and of any that was not sent.
+    bool m_honoursRetryAfter = false; ///< A refused request is tried again when the refusal says, within its deadline.
+    std::string m_marker; ///< Unique to the run; part of each idempotency key.
+
+    bool operator==(const CallerSettings &) const = default;
+};
+
+/// Thread-safe: several requests of one caller may run at once and share its addresses.
+class Caller
+{
+public:
+    Caller(CallerSettings settings, std::uint64_t seed, VersionWitness &witness);
+
+    /// Performs the request, which arrived at @p arrival; ends at its deadline plus a grace for the entry's own answer.
+    Observation perform(const Request &request, Core::Instant arrival);
+
+private:
+    /// How a try ended, as far as another may follow.
+    enum class TryEnd {
+        Final,
+        NotSent, ///< Nothing reached the entry.
+        Refused, ///< The entry says that it did not run.
+        Broken, ///< The answer is not whole.
+    };
+
+    struct Timing
+    {
+        Core::Instant m_arrival;
+        Core::Instant m_deadline;
+    };
+
+    TryEnd tryOnce(const Request &request, const Timing &timing, Observation &observation);
+    TryEnd exchange(const Request &request, const Timing &timing, const Core::Address &entry, Observation &observation);
+    TryEnd readAnswer(const Request &request, const Timing &timing, const Poco::Net::HTTPResponse &response, std::istream &body, Observation &observation);
+    static void readLines(const Request &request, const Timing &timing, std::istream &body, Observation &observation);
+    bool mayTryAgain(const Request &request, const Timing &timing, TryEnd end, const Observation &observation) const;
+    static void pauseBeforeRetry(TryEnd end, const Timing &timing, const Observation &observation);
+    Core::Result<Core::Address> chooseEntry(const Timing &timing);
+    void refreshAddresses(const Timing &timing);
+    std::string nextKey(const Request &request, std::uint32_t attempt);
+
+    CallerSettings m_settings;
+    VersionWitness &m_witness;
+    std::mutex m_mutex;
+    AddressBook m_book;
+    Core::Random m_random;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLoad/LoadRun.cpp
@@ -0,0 +1,93 @@
+/// @file Implementation of a run.
+
+#include "LibLoad/LoadRun.h"
+
+#include "LibCore/Ring.h"
+
+#include <thread>
+
+namespace Load {
+
+namespace {
+
+constexpr Core::Duration RingPatience{100};
+constexpr Core::Duration FullRingPause{1};
+constexpr double MillisecondsPerSecond = 1000;
+
+struct Arrival
+{
+    Request m_request;
+    Core::Instant m_time;
+};
+
+/// The workers' shared parts.
+struct Shared
+{
+    Core::Ring<Arrival> m_arrivals;
+    std::vector<std::unique_ptr<Caller>> m_callers;
+    Core::Instant m_start;
+    bool m_isClosedLoop;
+    Report &m_report;
+    std::mutex m_observationMutex;
+    const OnObservation &m_onObservation;
+    std::atomic<bool> m_isOver = false; ///< No further arrivals will come.
+};
+
+void work(Shared &shared)
+{
+    for (;;) {
+        const std::optional<Arrival> arrival = shared.m_arrivals.pop(RingPatience);
+        if (!arrival) {
+            if (shared.m_isOver) {
+                return;
+            }
+            continue;
+        }
+        const Request &request = arrival->m_request;
+        Caller &caller = *shared.m_callers[request.m_index % shared.m_callers.size()];
+        const Core::Instant started = Core::Clock::now();
+        Observation observation = caller.perform(request, shared.m_isClosedLoop ? started : arrival->m_time);
+        observation.m_startedMs = Core::secondsBetween(shared.m_start, started) * MillisecondsPerSecond;
+        shared.m_report.add(request, observation);
+        const std::lock_guard<std::mutex> lock(shared.m_observationMutex);
+        shared.m_onObservation(request, observation);
+    }
+}
+
+/// Hands out arrivals at their times.
+void arrive(Shared &shared, const NextRequest &next)
+{
+    while (std::optional<Request> request = next()) {
+        const Core::Instant due = shared.m_start + request->m_at;
+        if (!shared.m_isClosedLoop) {
+            std::this_thread::sleep_until(due);
+        }
+        while (!shared.m_arrivals.tryPush(Arrival{*request, due})) {
+            std::this_thread::sleep_for(FullRingPause);
+        }
+    }
+}
+
+}
+
+void performLoad(const LoadRunSettings &settings, const NextRequest &next, Report &report, const OnObservation &onObservation)
+{
+    VersionWitness witness;
+    Shared shared{Core::Ring<Arrival>(settings.m_concurrency), {}, Core::Clock::now(), settings.m_isClosedLoop, report, {}, onObservation};
+    for (std::uint32_t index = 0; index < std::max<std::uint32_t>(settings.m_callerCount, 1); ++index) {
+        shared.m_callers.push_back(std::make_unique<Caller>(settings.m_callers, settings.m_seed + index, witness));
+    }
+    std::vector<std::thread> workers;
+    for (std::uint32_t index = 0; index < settings.m_concurrency; ++index) {
+        workers.emplace_back([&shared] { work(shared); });
+    }
+    arrive(shared, next);
+    shared.m_isOver = true;
+    shared.m_arrivals.close();
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
+    report.finish(Core::secondsBetween(shared.m_start, Core::Clock::now()));
+}
+
+}
