--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -116,6 +116,7 @@
 
     bool onVersion(const ServedVersion &version) override
     {
+        m_digest = version.m_digest;
         m_response.setChunkedTransferEncoding(true);
         m_response.setContentType(LinesType);
         m_stream = &m_response.send();
@@ -129,7 +130,8 @@
 
     bool onEnd(std::uint64_t tokens, const std::string &digest) override
     {
-        return write(R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(digest) + "}\n");
+        return write(R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(m_digest) + R"(,"sha256":)" + Poco::toJSON(digest)
+                     + "}\n");
     }
 
     bool isGone() override
@@ -149,6 +151,7 @@
     }
 
 private:
+    std::string m_digest; ///< Version that the answer started with.
     bool write(const std::string &line)
     {
         m_stream->write(line.data(), static_cast<std::streamsize>(line.size()));
