LibControl, LibEntry: Remember an account's earlier versions in the control state

Cause: an entry learned what an account ran before only from requests that it had answered itself, so that an entry without such requests refused the account until the new version was attested.

--- a/Libraries/LibControl/Fold.cpp
+++ b/Libraries/LibControl/Fold.cpp
@@ -80,6 +80,32 @@
     state.m_removals.erase(oldest);
 }
 
+/// What the accounts of @p next ran before it, given what is in force still.
+std::vector<EarlierVersion> earlierVersions(const ControlState &state, const Template &next)
+{
+    std::vector<EarlierVersion> result;
+    const std::map<std::string, AcceptedTemplate>::const_iterator before = state.m_templates.find(next.m_name);
+    if (before == state.m_templates.end()) {
+        return result;
+    }
+    for (const AccountParameters &account : next.m_accounts) {
+        std::vector<EarlierVersion> candidates;
+        for (const AccountParameters &old : before->second.m_template.m_accounts) {
+            candidates.push_back(EarlierVersion{old.m_account, old.m_version, old.m_digest});
+        }
+        candidates.insert(candidates.end(), before->second.m_earlier.begin(), before->second.m_earlier.end());
+        std::size_t kept = 0;
+        for (const EarlierVersion &candidate : candidates) {
+            const bool isOther = candidate.m_account == account.m_account && candidate.m_digest != account.m_digest && !candidate.m_digest.empty();
+            if (isOther && kept < MaximumEarlierVersions) {
+                result.push_back(candidate);
+                ++kept;
+            }
+        }
+    }
+    return result;
+}
+
 void apply(ControlState &state, const PublishTemplate &change, const std::string &author, RecordOutcome &outcome)
 {
     const std::string problem = templateProblem(change.m_template);
@@ -96,7 +122,8 @@
         return;
     }
     state.m_removals.erase(name);
-    state.m_templates[name] = AcceptedTemplate{change.m_template, outcome.m_offset, author};
+    std::vector<EarlierVersion> earlier = earlierVersions(state, change.m_template);
+    state.m_templates[name] = AcceptedTemplate{change.m_template, outcome.m_offset, author, std::move(earlier)};
 }
 
 void apply(ControlState &state, const RemoveTemplate &change, const std::string &author, RecordOutcome &outcome)
--- a/Libraries/LibControl/Model.h
+++ b/Libraries/LibControl/Model.h
@@ -66,16 +66,40 @@
                        MSGPACK_NVP("accounts", m_accounts));
 };
 
+/// How many earlier versions of each account are remembered; enough for versions that were superseded before they served.
+inline constexpr std::size_t MaximumEarlierVersions = 3;
+
+/**
+ * A version that an account's parameters named before.
+ *
+ * During a rollout the earlier version answers until enough replicas of the new one do. An entry that has just been replaced,
+ * or that saw no request of the account, knows it only from here; without, it would refuse the account for the rollout.
+ */
+struct EarlierVersion
+{
+    std::string m_account;
+    std::string m_version;
+    std::string m_digest;
+
+    bool operator==(const EarlierVersion &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("account", m_account), MSGPACK_NVP("version", m_version), MSGPACK_NVP("digest", m_digest));
+};
+
 /// A template in force.
 struct AcceptedTemplate
 {
     Template m_template;
     Offset m_revision = 0; ///< Offset of the record that put it in force.
     std::string m_operator; ///< Who published it.
+    std::vector<EarlierVersion> m_earlier; ///< Newest first for each account, without the version in force.
 
     bool operator==(const AcceptedTemplate &) const = default;
 
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("template", m_template), MSGPACK_NVP("revision", m_revision), MSGPACK_NVP("operator", m_operator));
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("template", m_template),
+                       MSGPACK_NVP("revision", m_revision),
+                       MSGPACK_NVP("operator", m_operator),
+                       MSGPACK_NVP("earlier", m_earlier));
 };
 
 /// An instance that is to hold a version.
--- a/Libraries/LibEntry/VersionTracker.cpp
+++ b/Libraries/LibEntry/VersionTracker.cpp
@@ -23,17 +23,14 @@
             const AccountKey key{accepted.m_name, parameters.m_account};
             const std::map<AccountKey, AccountRecord>::const_iterator it = m_accounts.find(key);
             AccountRecord record;
-            if (it != m_accounts.end()) {
-                record = it->second;
-                // A version that never answered is no version to fall back to: the one before it stays the previous one.
-                if (record.m_parameters.m_digest != parameters.m_digest && record.m_switched) {
-                    record.m_previousDigest = record.m_parameters.m_digest;
-                    record.m_previousVersion = record.m_parameters.m_version;
-                }
-                record.m_switched = record.m_switched && record.m_parameters.m_digest == parameters.m_digest;
-            }
+            record.m_switched = it != m_accounts.end() && it->second.m_switched && it->second.m_parameters.m_digest == parameters.m_digest;
             record.m_service = accepted.m_service;
             record.m_parameters = parameters;
+            for (const Control::EarlierVersion &earlier : entry.second.m_earlier) {
+                if (earlier.m_account == parameters.m_account) {
+                    record.m_earlier.push_back(earlier);
+                }
+            }
             accounts.emplace(key, std::move(record));
         }
     }
@@ -51,20 +48,25 @@
     Routing::VersionSituation situation;
     situation.m_wanted = record.m_parameters.m_digest;
     situation.m_wantedReplicas = record.m_parameters.m_replicas;
-    situation.m_previous = record.m_previousDigest;
+    std::string previousVersion;
     situation.m_switched = record.m_switched;
-    m_router.readTable([&situation, &record](const Routing::EndpointTable &table) {
+    m_router.readTable([&situation, &record, &previousVersion](const Routing::EndpointTable &table) {
         const Core::Instant now = Core::Clock::now();
         situation.m_wantedServing = table.countAvailable(Routing::GroupKey{record.m_service, situation.m_wanted}, now);
         situation.m_watched = table.countServiceAvailable(record.m_service, now);
-        if (!situation.m_previous.empty()) {
-            situation.m_previousServing = table.countAvailable(Routing::GroupKey{record.m_service, situation.m_previous}, now);
+        for (const Control::EarlierVersion &earlier : record.m_earlier) {
+            situation.m_previousServing = table.countAvailable(Routing::GroupKey{record.m_service, earlier.m_digest}, now);
+            if (situation.m_previousServing > 0) {
+                situation.m_previous = earlier.m_digest;
+                previousVersion = earlier.m_version;
+                break;
+            }
         }
     });
     const std::string digest = Routing::chooseVersion(situation);
     const bool wanted = digest == record.m_parameters.m_digest;
     record.m_switched = record.m_switched || wanted;
-    return ServedVersion{record.m_service, digest, wanted ? record.m_parameters.m_version : record.m_previousVersion, record.m_parameters.m_weight};
+    return ServedVersion{record.m_service, digest, wanted ? record.m_parameters.m_version : previousVersion, record.m_parameters.m_weight};
 }
 
 std::vector<std::string> VersionTracker::previousDigests(const std::string &service) const
@@ -72,8 +74,11 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     std::vector<std::string> digests;
     for (const std::pair<const AccountKey, AccountRecord> &entry : m_accounts) {
-        if (entry.second.m_service == service && !entry.second.m_previousDigest.empty()) {
-            digests.push_back(entry.second.m_previousDigest);
+        if (entry.second.m_service != service) {
+            continue;
+        }
+        for (const Control::EarlierVersion &earlier : entry.second.m_earlier) {
+            digests.push_back(earlier.m_digest);
         }
     }
     return digests;
--- a/Libraries/LibEntry/VersionTracker.h
+++ b/Libraries/LibEntry/VersionTracker.h
@@ -23,7 +23,7 @@
     bool operator==(const ServedVersion &) const = default;
 };
 
-/// Thread-safe. Remembers the version before the wanted one, so that a rollout does not interrupt an account.
+/// Thread-safe. Falls back to earlier versions of the control state, so that a rollout does not interrupt an account.
 class VersionTracker
 {
 public:
@@ -50,8 +50,7 @@
     {
         std::string m_service;
         Control::AccountParameters m_parameters; ///< In force.
-        std::string m_previousDigest; ///< What answered before m_parameters came into force; empty if none is known.
-        std::string m_previousVersion;
+        std::vector<Control::EarlierVersion> m_earlier; ///< Versions before it, newest first.
         bool m_switched = false; ///< The version in force has answered.
     };
 
