LibControl: Keep accepted state through a log that loses records

Cause: a log that comes back with records missing hands their offsets out again; readers would take accepted changes back or drift apart without noticing.

Change: each read starts at the last record folded and compares its digest; what the stream does not cover is joined and put back by a Restore record that holds only right behind the position it names.

Conclusion: state is only exchanged for one that covers it, and readers end equal.

--- a/Libraries/LibControl/Fold.cpp
+++ b/Libraries/LibControl/Fold.cpp
@@ -156,10 +156,8 @@
         refuse(outcome, restored.error().m_detail);
         return;
     }
-    if (restored.value().m_applied < outcome.m_offset) {
-        refuse(outcome, "the restored state is older than this log");
-        return;
-    }
+    // Whatever the reader had before, it has exactly this state now, so that all readers agree. One whose state is not
+    // covered by it sees that, keeps its own, and puts the difference back.
     state = std::move(restored.value());
     state.m_checkpoint = change.m_position + 1;
     outcome.m_offset = state.m_applied;
@@ -228,16 +226,18 @@
 
 RecordOutcome fold(ControlState &state, Offset position, std::string_view body)
 {
-    const Offset next = state.m_applied + 1;
     RecordOutcome outcome;
-    outcome.m_offset = next;
+    outcome.m_offset = state.m_applied + 1;
     const Core::Result<Record> record = decodeRecord(body);
     if (record) {
         outcome = foldDecoded(state, record.value());
     } else {
         refuse(outcome, record.error().m_detail);
     }
-    state.m_applied = std::max(next, state.m_applied);
+    const bool isRestored = record && outcome.m_accepted && std::holds_alternative<Restore>(record.value().m_change);
+    if (!isRestored) {
+        ++state.m_applied;
+    }
     state.m_position = position;
     state.m_lastDigest = Core::sha256Hex(body);
     state.m_chain = Core::sha256Hex(state.m_chain + std::to_string(position) + ":" + state.m_lastDigest);
--- a/Libraries/LibControl/LogTail.cpp
+++ b/Libraries/LibControl/LogTail.cpp
@@ -1,8 +1,8 @@
 /// @file Implementation of the control stream's reader.
 
 #include "LibControl/LogTail.h"
+#include "LibControl/LogFollowing.h"
 #include "LibControl/Recovery.h"
-#include "LibCore/Digest.h"
 #include "LibCore/Random.h"
 
 #include <glog/logging.h>
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t PageRecords = 256;
 constexpr Core::Duration AtOnce{0};
 
 }
@@ -69,80 +68,61 @@
     return wait;
 }
 
-bool LogTail::holdsOurHistory(const Platform::LogPage &page, const ControlState &state) const
+void LogTail::noteDivergence(const ControlState &state)
 {
-    if (page.m_next <= state.m_position) {
-        return false;
+    if (m_divergedSince) {
+        return;
     }
-    if (page.m_first > state.m_position) {
-        // The last record that was folded has expired; nothing was missed if the very next one is the oldest.
-        return page.m_first == state.m_position + 1;
-    }
-    return !page.m_records.empty() && Core::sha256Hex(page.m_records.front().m_body) == state.m_lastDigest;
+    m_divergedSince = Core::Clock::now();
+    m_divergences.add();
+    LOG(ERROR) << "the control stream does not continue the history in force here, which ends at its position " << state.m_position;
+}
+
+/// Waits for the next record. What comes is not used, but read again together with the record before it.
+Core::Result<void> LogTail::awaitRecord(Platform::Offset next)
+{
+    BOOST_OUTCOME_TRY(m_log.read(ControlStream, next, Platform::ReadOptions{1, m_settings.m_longPoll}));
+    return Core::success();
 }
 
 Core::Result<void> LogTail::readOn()
 {
     const std::shared_ptr<const ControlState> state = m_store.current();
-    const Platform::Offset from = state->m_position;
-    Platform::LogPage page = BOOST_OUTCOME_TRYX(m_log.read(ControlStream, from, Platform::ReadOptions{PageRecords, AtOnce}));
-    if (!holdsOurHistory(page, *state)) {
-        m_divergences.add();
-        LOG(ERROR) << "the control stream no longer holds the history in force here: position " << from << ", log " << page.m_first << " to " << page.m_next;
-        m_divergedSince = Core::Clock::now();
+    const Following following = BOOST_OUTCOME_TRYX(followLog(m_log, *state));
+    if (!following.m_holdsHistory) {
+        noteDivergence(*state);
         return Core::success();
     }
-    std::span<const Protocol::LogRecord> records(page.m_records);
-    if (!records.empty()) {
-        records = records.subspan(1);
-    } else if (page.m_next > from + 1) {
-        page = BOOST_OUTCOME_TRYX(m_log.read(ControlStream, from + 1, Platform::ReadOptions{PageRecords, AtOnce}));
-        records = page.m_records;
-    }
-    if (records.empty()) {
-        // Nothing new: wait for the next record. What is returned is read again, together with the record before it.
-        BOOST_OUTCOME_TRY(m_log.read(ControlStream, from + 1, Platform::ReadOptions{1, m_settings.m_longPoll}));
-        return Core::success();
+    if (following.m_records.empty()) {
+        return awaitRecord(state->m_position + 1);
     }
-    const ApplyResult result = m_store.applyRecords(state->m_chain, records);
-    if (result == ApplyResult::Refused) {
-        m_divergences.add();
-        m_divergedSince = Core::Clock::now();
+    if (m_store.applyRecords(state->m_chain, following.m_records) == ApplyResult::Refused) {
+        noteDivergence(*state);
     }
     return Core::success();
 }
 
 Core::Result<void> LogTail::readAfresh()
 {
-    FreshState fresh = BOOST_OUTCOME_TRYX(readFresh(m_log, ControlStream));
     const std::shared_ptr<const ControlState> state = m_store.current();
-    if (fresh.m_state && fresh.m_state->m_applied > 0 && covers(*fresh.m_state, *state)) {
+    Reconciliation found = BOOST_OUTCOME_TRYX(reconcile(m_log, *state));
+    if (found.m_adopted) {
         m_divergedSince.reset();
-        m_store.applySnapshot(std::move(*fresh.m_state));
-        return Core::success();
+        const ApplyResult result = m_store.applySnapshot(std::move(*found.m_adopted), SnapshotSource::Log);
+        return result == ApplyResult::AlreadyKnown ? awaitRecord(state->m_position + 1) : Core::success();
     }
-    if (state->m_applied == 0) {
+    if (!found.m_restored) {
         // Nothing here and nothing on the log that can be relied on: wait, while peers are asked by other duties.
-        BOOST_OUTCOME_TRY(m_log.read(ControlStream, fresh.m_next, Platform::ReadOptions{1, m_settings.m_longPoll}));
-        return Core::success();
-    }
-    if (!m_divergedSince) {
-        m_divergedSince = Core::Clock::now();
+        return awaitRecord(1);
     }
+    noteDivergence(*state);
     if (Core::Clock::now() - *m_divergedSince < m_settings.m_restorePatience) {
         return Core::success();
     }
-    return putBack(fresh.m_state, fresh.m_first);
-}
-
-Core::Result<void> LogTail::putBack(const std::optional<ControlState> &onLog, Platform::Offset first)
-{
-    const std::shared_ptr<const ControlState> state = m_store.current();
-    const ControlState base = onLog ? *onLog : BOOST_OUTCOME_TRYX(foldRetained(m_log, ControlStream, *state, first));
-    const Record record = makeRestore(joinStates(base, *state), m_settings.m_author, Core::randomIdentifier());
+    const Record record = makeRestore(*found.m_restored, m_settings.m_author, Core::randomIdentifier());
     BOOST_OUTCOME_TRY(m_log.append(ControlStream, encodeRecord(record)));
     m_restores.add();
-    LOG(WARNING) << "put control state back into the log behind position " << base.m_position;
+    LOG(WARNING) << "put control state back into the log behind position " << found.m_restored->m_position;
     return Core::success();
 }
 
--- a/Libraries/LibControl/LogTail.h
+++ b/Libraries/LibControl/LogTail.h
@@ -23,10 +23,7 @@
  * Folds the control stream into the store, on a thread of its own.
  *
  * The log can be down or slow; then this duty counts and backs off, and the process goes on with the state that it has.
- * The log can come back with records missing, and give their offsets to others. Read on as if nothing had happened,
- * readers would disagree for good without noticing. So every read begins at the last record that was folded, and its
- * digest must be the one remembered; otherwise the log is read afresh and, if that does not cover what is in force here,
- * the joined state is put back by a Restore record.
+ * If the log no longer holds the history in force, state is kept, and put back after peers have been heard.
  */
 class LogTail
 {
@@ -44,8 +41,8 @@
     Core::Duration turn();
     Core::Result<void> readOn();
     Core::Result<void> readAfresh();
-    Core::Result<void> putBack(const std::optional<ControlState> &onLog, Platform::Offset first);
-    bool holdsOurHistory(const Platform::LogPage &page, const ControlState &state) const;
+    Core::Result<void> awaitRecord(Platform::Offset next);
+    void noteDivergence(const ControlState &state);
 
     Platform::Log &m_log;
     StateStore &m_store;
--- a/Libraries/LibControl/Recovery.cpp
+++ b/Libraries/LibControl/Recovery.cpp
@@ -59,18 +59,49 @@
     return true;
 }
 
-void joinTemplates(ControlState &joined, const ControlState &kept)
+/// Whether both states hold the same under the name.
+bool agreeOn(const ControlState &left, const ControlState &right, const std::string &name)
+{
+    const std::map<std::string, AcceptedTemplate>::const_iterator leftTemplate = left.m_templates.find(name);
+    const std::map<std::string, AcceptedTemplate>::const_iterator rightTemplate = right.m_templates.find(name);
+    const bool isInLeft = leftTemplate != left.m_templates.end();
+    const bool isInRight = rightTemplate != right.m_templates.end();
+    if (isInLeft != isInRight) {
+        return false;
+    }
+    return !isInLeft || leftTemplate->second == rightTemplate->second;
+}
+
+/**
+ * Revision that something kept gets in the joined state; 0 if the joined state has something newer.
+ *
+ * Where two histories gave one revision to different things, both were in force somewhere. One has to yield, and its
+ * readers must be able to tell: so the other gets the revision of the join, as if it had been published once more.
+ */
+Offset joinedRevision(Offset kept, Offset onLog, bool agree, Offset joinRevision)
+{
+    if (kept < onLog) {
+        return 0;
+    }
+    return kept > onLog || agree ? kept : joinRevision;
+}
+
+void joinTemplates(ControlState &joined, const ControlState &base, const ControlState &kept)
 {
     for (const std::pair<const std::string, AcceptedTemplate> &entry : kept.m_templates) {
-        if (entry.second.m_revision >= templateRevision(joined, entry.first)) {
+        const bool agree = agreeOn(base, kept, entry.first);
+        const Offset revision = joinedRevision(entry.second.m_revision, templateRevision(base, entry.first), agree, joined.m_applied);
+        if (revision > 0) {
             joined.m_removals.erase(entry.first);
-            joined.m_templates[entry.first] = entry.second;
+            joined.m_templates[entry.first] = AcceptedTemplate{entry.second.m_template, revision, entry.second.m_operator};
         }
     }
     for (const std::pair<const std::string, Removal> &entry : kept.m_removals) {
-        if (entry.second.m_revision >= templateRevision(joined, entry.first)) {
+        const bool agree = agreeOn(base, kept, entry.first);
+        const Offset revision = joinedRevision(entry.second.m_revision, templateRevision(base, entry.first), agree, joined.m_applied);
+        if (revision > 0) {
             joined.m_templates.erase(entry.first);
-            joined.m_removals[entry.first] = entry.second;
+            joined.m_removals[entry.first] = Removal{revision, entry.second.m_operator};
         }
     }
     while (joined.m_removals.size() > MaximumRemovals) {
@@ -82,8 +113,12 @@
 {
     for (const std::pair<const std::string, Plan> &entry : kept.m_plans) {
         const std::map<std::string, Plan>::const_iterator found = joined.m_plans.find(entry.first);
-        if (found == joined.m_plans.end() || entry.second.m_offset >= found->second.m_offset) {
+        const Offset onLog = found == joined.m_plans.end() ? 0 : found->second.m_offset;
+        const bool agree = found != joined.m_plans.end() && found->second == entry.second;
+        const Offset offset = joinedRevision(entry.second.m_offset, onLog, agree, joined.m_applied);
+        if (offset > 0) {
             joined.m_plans[entry.first] = entry.second;
+            joined.m_plans[entry.first].m_offset = offset;
         }
     }
 }
@@ -103,21 +138,33 @@
     }
 }
 
+/// Digests of the records that a fresh reader has seen so far, the first of them at m_first.
+struct SeenRecords
+{
+    Platform::Offset m_first = 1;
+    std::vector<std::string> m_digests;
+
+    bool holds(Platform::Offset offset, const std::string &digest) const
+    {
+        return offset >= m_first && offset - m_first < m_digests.size() && m_digests[offset - m_first] == digest;
+    }
+};
+
 /// The encoded state that a record carries for fresh readers, if it may be used.
-std::optional<ControlState> usableState(const Protocol::LogRecord &entry, Platform::Offset first)
+std::optional<ControlState> usableState(const Protocol::LogRecord &entry, const SeenRecords &seen)
 {
     const Core::Result<Record> record = decodeRecord(entry.m_body);
     if (!record) {
         return std::nullopt;
     }
     if (const Checkpoint *checkpoint = std::get_if<Checkpoint>(&record.value().m_change)) {
-        const bool isUsable = checkpoint->m_position + 1 >= first && checkpoint->m_position < entry.m_offset;
-        if (!isUsable || Core::sha256Hex(checkpoint->m_state) != checkpoint->m_digest) {
+        if (checkpoint->m_position < seen.m_first || Core::sha256Hex(checkpoint->m_state) != checkpoint->m_digest) {
             return std::nullopt;
         }
         Core::Result<ControlState> state = decodeState(checkpoint->m_state, "");
-        const bool isSound = state && state.value().m_position == checkpoint->m_position;
-        return isSound ? std::optional<ControlState>(std::move(state.value())) : std::nullopt;
+        const bool isOfThisHistory =
+            state && state.value().m_position == checkpoint->m_position && seen.holds(checkpoint->m_position, state.value().m_lastDigest);
+        return isOfThisHistory ? std::optional<ControlState>(std::move(state.value())) : std::nullopt;
     }
     if (const Restore *restore = std::get_if<Restore>(&record.value().m_change)) {
         if (restore->m_position + 1 != entry.m_offset) {
@@ -154,10 +201,10 @@
 ControlState joinStates(const ControlState &base, const ControlState &kept)
 {
     ControlState joined = base;
-    joinTemplates(joined, kept);
+    joined.m_applied = std::max(base.m_applied, kept.m_applied) + 1;
+    joinTemplates(joined, base, kept);
     joinPlans(joined, kept);
     joinOutcomes(joined, kept);
-    joined.m_applied = std::max(base.m_applied, kept.m_applied) + 1;
     joined.m_generation = std::max(base.m_generation, kept.m_generation) + 1;
     return joined;
 }
@@ -195,13 +242,15 @@
     Platform::LogPage page = BOOST_OUTCOME_TRYX(log.read(stream, 1, Platform::ReadOptions{PageRecords, Core::Duration(0)}));
     fresh.m_first = page.m_first;
     Platform::Offset from = page.m_first;
+    SeenRecords seen{page.m_first, {}};
     while (true) {
         page = BOOST_OUTCOME_TRYX(log.read(stream, from, Platform::ReadOptions{PageRecords, Core::Duration(0)}));
         if (page.m_first > from) {
             return trimmed(from);
         }
         for (const Protocol::LogRecord &record : page.m_records) {
-            std::optional<ControlState> candidate = usableState(record, fresh.m_first);
+            std::optional<ControlState> candidate = usableState(record, seen);
+            seen.m_digests.push_back(Core::sha256Hex(record.m_body));
             if (candidate && isBetterStart(*candidate, start)) {
                 start = std::move(candidate);
             }
--- a/Libraries/LibControl/Recovery.h
+++ b/Libraries/LibControl/Recovery.h
@@ -16,7 +16,11 @@
  */
 bool covers(const ControlState &newer, const ControlState &older);
 
-/// Of two histories, everything that is newest in either; @p base is what the log holds. Where both gave one revision to different things, @p kept wins.
+/**
+ * Of two histories, everything that is newest in either; @p base is what the log holds.
+ *
+ * Where both gave one revision to different things, @p kept wins and gets a new revision. The joined state covers both.
+ */
 ControlState joinStates(const ControlState &base, const ControlState &kept);
 
 /// A Restore record that puts @p state behind everything that it was joined with.
@@ -33,8 +37,9 @@
 /**
  * Reads the whole log as a fresh instance does: the newest usable checkpoint and every record after it.
  *
- * A checkpoint is usable if the record after its position is still there, its digest holds, and it stands behind its own
- * position; one that a paused writer appended late fails the first of these, and does no harm.
+ * A checkpoint is usable if its own digest holds and the record at its position is still there with the digest that its
+ * state remembers. One that a paused writer appended late fails that: either its records have expired, or the log lost the
+ * history that it was made in and holds another record there.
  */
 Core::Result<FreshState> readFresh(Platform::Log &log, const std::string &stream);
 
--- a/Libraries/LibControl/StateStore.cpp
+++ b/Libraries/LibControl/StateStore.cpp
@@ -88,11 +88,12 @@
     return ApplyResult::Applied;
 }
 
-ApplyResult StateStore::applySnapshot(ControlState snapshot)
+ApplyResult StateStore::applySnapshot(ControlState snapshot, SnapshotSource source)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        if (snapshot.m_applied <= m_state->m_applied) {
+        const bool switchesHistory = source == SnapshotSource::Log && snapshot.m_applied == m_state->m_applied && snapshot.m_chain != m_state->m_chain;
+        if (snapshot.m_applied <= m_state->m_applied && !switchesHistory) {
             return ApplyResult::AlreadyKnown;
         }
         if (!covers(snapshot, *m_state)) {
--- a/Libraries/LibControl/StateStore.h
+++ b/Libraries/LibControl/StateStore.h
@@ -26,6 +26,12 @@
     Refused, ///< A snapshot that would take back something accepted.
 };
 
+/// Where a snapshot comes from.
+enum class SnapshotSource {
+    Peer,
+    Log, ///< It was folded from the log, which decides between histories that cover each other.
+};
+
 /**
  * Holds what is in force. Thread-safe; the state is replaced as a whole and never changed in place.
  *
@@ -47,7 +53,7 @@
     /// Folds records that follow the history with the digest @p baseChain. Records that were folded before are passed over.
     ApplyResult applyRecords(const std::string &baseChain, std::span<const Protocol::LogRecord> records);
     /// Takes a whole state if it is newer than and covers the one in force.
-    ApplyResult applySnapshot(ControlState snapshot);
+    ApplyResult applySnapshot(ControlState snapshot, SnapshotSource source = SnapshotSource::Peer);
 
     std::vector<Protocol::Member> members() const;
     MemberKnowledge memberKnowledge() const;
--- a/Libraries/LibEndpoint/EngineMessages.cpp
+++ b/Libraries/LibEndpoint/EngineMessages.cpp
@@ -138,7 +138,8 @@
 Core::Result<void> checkPath(const std::string &path)
 {
     if (path.empty() || path.front() != '/' || path.size() > MaximumPath) {
-        return Core::makeError(Core::ErrorCode::InvalidInput, "check path", "", "it must start with a slash and be at most " + std::to_string(MaximumPath) + " long");
+        return Core::makeError(
+            Core::ErrorCode::InvalidInput, "check path", "", "it must start with a slash and be at most " + std::to_string(MaximumPath) + " long");
     }
     for (const char character : path) {
         const unsigned char code = static_cast<unsigned char>(character);
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -45,7 +45,8 @@
 int main(int argc, char **argv)
 {
     cxxopts::Options options("oriolerail-agent", "Holds weights, orders the local endpoint and relays calls to it");
-    options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())("check", "only check the settings")("help", "show this help");
+    options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())("check", "only check the settings")("help",
+                                                                                                                                        "show this help");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         if (arguments.count("help") != 0 || arguments.count("settings") == 0) {
@@ -53,8 +54,8 @@
             return arguments.count("help") != 0 ? 0 : ExitUsage;
         }
         Endpoint::AgentSettings settings;
-        const Settings::Problems problems =
-            Settings::readFile(arguments["settings"].as<std::string>(), [&settings](Settings::Reader &reader) { settings = Endpoint::readAgentSettings(reader); });
+        const Settings::Problems problems = Settings::readFile(arguments["settings"].as<std::string>(),
+                                                               [&settings](Settings::Reader &reader) { settings = Endpoint::readAgentSettings(reader); });
         for (const Settings::Problem &problem : problems) {
             std::cerr << problem.message() << "\n";
         }
--- /dev/null
+++ b/Tests/LibControl/TestFold.cpp
@@ -0,0 +1,91 @@
+/// @file The fold: one winner among racing changes, the same everywhere, and nothing fatal.
+
+#include "Examples.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Examples;
+
+TEST_CASE("of two operators who change the same revision, the first in the log wins and the other learns by whom")
+{
+    // Two operators start from the same revision and publish within the same second.
+    // Without the check, the later record would silently undo a change that its operator was told is accepted.
+    Control::ControlState state;
+    REQUIRE(foldNext(state, publish("r1", 0, document("t", {account("a", '1', 1)}), "ann")).m_accepted);
+    REQUIRE(foldNext(state, publish("r2", 1, document("t", {account("a", '2', 1)}), "bea")).m_accepted);
+    const Control::RecordOutcome lost = foldNext(state, publish("r3", 1, document("t", {account("a", '3', 1)}), "cid"));
+    REQUIRE_FALSE(lost.m_accepted);
+    REQUIRE(lost.m_winner == 2);
+    REQUIRE(lost.m_winnerAuthor == "bea");
+    REQUIRE(state.m_templates.at("t").m_template.m_accounts.front().m_digest == std::string(64, '2'));
+    REQUIRE(*Control::findOutcome(state, "r3") == lost);
+}
+
+TEST_CASE("a change based on a template from before its removal is refused")
+{
+    // One operator removes a template while another, who still sees it, changes a parameter. The change must not bring it back.
+    Control::ControlState state;
+    foldNext(state, publish("r1", 0, document("t", {account("a", '1', 1)})));
+    REQUIRE(foldNext(state, Control::Record{"r2", "bea", Control::RemoveTemplate{"t", 1}}).m_accepted);
+    const Control::RecordOutcome late = foldNext(state, publish("r3", 1, document("t", {account("a", '2', 1)})));
+    REQUIRE_FALSE(late.m_accepted);
+    REQUIRE(late.m_winnerAuthor == "bea");
+    REQUIRE(state.m_templates.empty());
+    REQUIRE(foldNext(state, publish("r4", 2, document("t", {account("a", '2', 1)}))).m_accepted);
+}
+
+TEST_CASE("a record that was appended twice takes effect once")
+{
+    // A writer that lost the answer appends again after all. The copy must not count as a second change over somebody else's.
+    Control::ControlState state;
+    const Control::Record once = publish("r1", 0, document("t", {account("a", '1', 1)}));
+    foldNext(state, once);
+    const Control::RecordOutcome again = foldNext(state, once);
+    REQUIRE(again.m_accepted);
+    REQUIRE(again.m_offset == 1);
+    REQUIRE(state.m_templates.at("t").m_revision == 1);
+    REQUIRE(state.m_outcomes.size() == 1);
+}
+
+TEST_CASE("malformed and oversized records are refused and passed over")
+{
+    // A broken writer appends bytes that are no record. If a reader stopped there, no later change would come into force anywhere.
+    Control::ControlState state;
+    REQUIRE_FALSE(Control::fold(state, 1, "nonsense").m_accepted);
+    REQUIRE_FALSE(Control::fold(state, 2, std::string(100, '\x91')).m_accepted);
+    REQUIRE_FALSE(Control::fold(state, 3, "").m_accepted);
+    Control::Template invalid = document("t", {account("a", '1', 0)});
+    REQUIRE_FALSE(foldNext(state, publish("r4", 0, invalid)).m_accepted);
+    invalid = document("t", {account("a", 'x', 1)});
+    REQUIRE_FALSE(foldNext(state, publish("r5", 0, invalid)).m_accepted);
+    invalid = document("t", {account("a", '1', 1), account("a", '2', 1)});
+    REQUIRE_FALSE(foldNext(state, publish("r6", 0, invalid)).m_accepted);
+    REQUIRE(state.m_applied == 6);
+    REQUIRE(foldNext(state, publish("r7", 0, document("t", {account("a", '1', 1)}))).m_accepted);
+    REQUIRE(state.m_templates.at("t").m_revision == 7);
+}
+
+TEST_CASE("of two entries that plan at once, one plan holds and its offset fences")
+{
+    Control::ControlState state;
+    Control::Plan plan;
+    plan.m_service = "drafts";
+    REQUIRE(foldNext(state, Control::Record{"p1", "e1", Control::PublishPlan{0, plan}}).m_accepted);
+    REQUIRE_FALSE(foldNext(state, Control::Record{"p2", "e2", Control::PublishPlan{0, plan}}).m_accepted);
+    REQUIRE(state.m_plans.at("drafts").m_offset == 1);
+    REQUIRE(foldNext(state, Control::Record{"p3", "e2", Control::PublishPlan{1, plan}}).m_accepted);
+    REQUIRE(state.m_plans.at("drafts").m_offset == 3);
+}
+
+TEST_CASE("a state survives its encoding, and outcomes stay bounded")
+{
+    Control::ControlState state;
+    for (int number = 0; number < 400; ++number) {
+        foldNext(state, publish("r" + std::to_string(number), static_cast<Control::Offset>(number), document("t", {account("a", '1', 1)})));
+    }
+    REQUIRE(state.m_outcomes.size() == Control::MaximumOutcomes);
+    const Core::Result<Control::ControlState> decoded = Control::decodeState(Control::encodeState(state), "");
+    REQUIRE(decoded);
+    REQUIRE(decoded.value() == state);
+    REQUIRE_FALSE(Control::decodeState("nonsense", "peer"));
+}
--- /dev/null
+++ b/Tests/LibControl/TestMemberTable.cpp
@@ -0,0 +1,70 @@
+/// @file The member table: direct notice counts before the lagging list, and nobody who left comes back.
+
+#include "Examples.h"
+#include "LibControl/MemberTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Examples;
+
+namespace {
+
+const Core::Instant Start = Core::Instant() + std::chrono::hours(1);
+
+Protocol::Member listed(Protocol::Member member)
+{
+    member.m_incarnation.clear();
+    member.m_leaving = false;
+    return member;
+}
+
+}
+
+TEST_CASE("a list that lags does not make a leaving instance live again")
+{
+    // An instance says that it leaves and the list shows it as live for some seconds more. New work sent there would be cut off.
+    Control::MemberTable table;
+    Protocol::Member member = agent(1, "hcm-a");
+    table.announce(member, Start);
+    member.m_leaving = true;
+    REQUIRE(table.announce(member, Start));
+    REQUIRE_FALSE(table.applyList(std::vector<Protocol::Member>{listed(member)}, Start));
+    REQUIRE(table.members().front().m_leaving);
+    Protocol::Member early = member;
+    early.m_leaving = false;
+    table.merge(Control::MemberKnowledge{{early}, {}}, Start);
+    REQUIRE(table.members().front().m_leaving);
+}
+
+TEST_CASE("a replaced incarnation does not come back from another entry's table")
+{
+    // An instance is replaced under the same name. Another entry that has not heard of it passes on the old one.
+    Control::MemberTable table;
+    const Protocol::Member old = agent(1, "hcm-a");
+    Protocol::Member replacement = old;
+    replacement.m_incarnation = "second life";
+    table.announce(old, Start);
+    table.announce(replacement, Start);
+    table.merge(Control::MemberKnowledge{{old}, {}}, Start);
+    REQUIRE(table.members() == std::vector<Protocol::Member>{replacement});
+    REQUIRE_FALSE(table.announce(old, Start));
+
+    Control::MemberTable other;
+    other.announce(old, Start);
+    REQUIRE(other.merge(table.knowledge(), Start));
+    REQUIRE(other.members() == std::vector<Protocol::Member>{replacement});
+}
+
+TEST_CASE("an instance that the list has dropped goes, one that it does not show yet stays for a while")
+{
+    Control::MemberTable table;
+    table.applyList(std::vector<Protocol::Member>{listed(agent(1, "hcm-a"))}, Start);
+    table.announce(agent(1, "hcm-a"), Start);
+    table.announce(agent(2, "hcm-a"), Start);
+    table.applyList({}, Start);
+    REQUIRE(table.members() == std::vector<Protocol::Member>{agent(2, "hcm-a")});
+    table.merge(Control::MemberKnowledge{{agent(1, "hcm-a")}, {}}, Start);
+    REQUIRE(table.members().size() == 1);
+    table.applyList({}, Start + Control::UnlistedPatience);
+    REQUIRE(table.members().empty());
+}
--- /dev/null
+++ b/Tests/LibControl/TestRecovery.cpp
@@ -0,0 +1,191 @@
+/// @file A log that expires, loses records or brings late checkpoints: state never reverts, and a fresh reader knows all or nothing.
+
+#include "Examples.h"
+#include "LibControl/LogFollowing.h"
+#include "LibControl/Recovery.h"
+#include "LibStandInLog/LogStore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Examples;
+
+namespace {
+
+constexpr const char *Stream = Control::ControlStream;
+
+void append(StandIn::LogStore &log, const Control::Record &record)
+{
+    REQUIRE(log.append(Stream, Control::encodeRecord(record)));
+}
+
+void appendChange(StandIn::LogStore &log, int number)
+{
+    append(log, publish("r" + std::to_string(number), static_cast<Control::Offset>(number - 1), document("t", {account("a", '1', 1)})));
+}
+
+/// A reader that has followed the log to its end.
+Control::ControlState followAll(StandIn::LogStore &log, Control::ControlState state)
+{
+    const Core::Result<Control::Following> following = Control::followLog(log, state);
+    REQUIRE(following);
+    REQUIRE(following.value().m_holdsHistory);
+    for (const Protocol::LogRecord &record : following.value().m_records) {
+        Control::fold(state, record.m_offset, record.m_body);
+    }
+    return state;
+}
+
+Control::ControlState readWhole(StandIn::LogStore &log)
+{
+    const Core::Result<Control::FreshState> fresh = Control::readFresh(log, Stream);
+    REQUIRE(fresh);
+    REQUIRE(fresh.value().m_state.has_value());
+    return *fresh.value().m_state;
+}
+
+}
+
+TEST_CASE("a fresh reader with a checkpoint and every record after it has the same state as one that saw all")
+{
+    StandIn::LogStore log;
+    for (int number = 1; number <= 5; ++number) {
+        appendChange(log, number);
+    }
+    const Control::ControlState atFive = readWhole(log);
+    append(log, Control::makeCheckpoint(atFive, "e1", "c1"));
+    append(log, publish("r6", 5, document("t", {account("a", '2', 1)})));
+    const Control::ControlState old = followAll(log, atFive);
+    log.expireRecordsBefore(5);
+    REQUIRE(readWhole(log) == old);
+    REQUIRE(old.m_checkpoint == 5);
+    // Without the record at its position, nothing shows that the checkpoint belongs to this log's history.
+    log.expireRecordsBefore(6);
+    REQUIRE_FALSE(Control::readFresh(log, Stream).value().m_state.has_value());
+}
+
+TEST_CASE("a fresh reader without a usable checkpoint is not ready, and does not start from defaults")
+{
+    // The log was down for longer than it keeps records. What is left follows a state that a fresh instance cannot know.
+    // Taking the rest for the whole would put an empty configuration in force.
+    StandIn::LogStore log;
+    for (int number = 1; number <= 5; ++number) {
+        appendChange(log, number);
+    }
+    const Control::ControlState paused = readWhole(log);
+    for (int number = 6; number <= 9; ++number) {
+        appendChange(log, number);
+    }
+    log.expireRecordsBefore(8);
+    REQUIRE_FALSE(Control::readFresh(log, Stream).value().m_state.has_value());
+    // A checkpoint that a paused writer appends late stands for a position whose next records are gone.
+    append(log, Control::makeCheckpoint(paused, "e1", "c1"));
+    REQUIRE_FALSE(Control::readFresh(log, Stream).value().m_state.has_value());
+    REQUIRE_FALSE(Control::reconcile(log, Control::ControlState()).value().m_adopted.has_value());
+}
+
+TEST_CASE("a late checkpoint by a paused writer takes nothing back")
+{
+    // A writer is paused between reading its state and appending it, while changes are accepted.
+    StandIn::LogStore log;
+    appendChange(log, 1);
+    const Control::ControlState paused = readWhole(log);
+    append(log, Control::makeCheckpoint(paused, "e1", "c1"));
+    appendChange(log, 2);
+    const Control::ControlState current = readWhole(log);
+    append(log, Control::makeCheckpoint(paused, "e1", "c2"));
+    REQUIRE(followAll(log, current).m_templates == current.m_templates);
+    REQUIRE(readWhole(log).m_templates == current.m_templates);
+}
+
+TEST_CASE("a checkpoint that does not match its digest is not used")
+{
+    StandIn::LogStore log;
+    appendChange(log, 1);
+    Control::Record record = Control::makeCheckpoint(readWhole(log), "e1", "c1");
+    std::get<Control::Checkpoint>(record.m_change).m_state.back() ^= 1;
+    append(log, record);
+    log.expireRecordsBefore(2);
+    REQUIRE_FALSE(Control::readFresh(log, Stream).value().m_state.has_value());
+}
+
+TEST_CASE("a log that comes back without accepted records does not take them back")
+{
+    // The log loses its newest records in an outage and gives their offsets to others. The change was reported as accepted and
+    // is in force; a reader that went on with the log would drop it, and one that compared offsets only would not notice.
+    StandIn::LogStore log;
+    appendChange(log, 1);
+    append(log, publish("lost", 0, document("kept", {account("a", '7', 1)})));
+    const Control::ControlState inForce = readWhole(log);
+    log.dropRecordsFrom(2);
+    SECTION("nothing was appended since")
+    {
+    }
+    SECTION("other records took the lost one's offset and the next")
+    {
+        append(log, publish("other", 0, document("other", {account("a", '8', 1)})));
+        append(log, publish("other2", 0, document("other2", {account("a", '9', 1)})));
+    }
+    REQUIRE_FALSE(Control::followLog(log, inForce).value().m_holdsHistory);
+    const std::optional<Control::ControlState> joined = Control::reconcile(log, inForce).value().m_restored;
+    REQUIRE(joined.has_value());
+    append(log, Control::makeRestore(*joined, "e1", "restore"));
+
+    const Control::ControlState restored = readWhole(log);
+    REQUIRE(Control::covers(restored, inForce));
+    REQUIRE(restored.m_applied > inForce.m_applied);
+    REQUIRE(restored.m_templates.contains("kept"));
+    REQUIRE(Control::reconcile(log, inForce).value().m_adopted.has_value());
+    // The next change goes on above everything that was ever handed out.
+    append(log, publish("next", restored.m_templates.at("t").m_revision, document("t", {account("a", '3', 1)})));
+    REQUIRE(readWhole(log).m_templates.at("t").m_revision > restored.m_applied);
+}
+
+TEST_CASE("a restore that was overtaken is refused")
+{
+    // Two entries put state back at once, or an operator's record comes between reading and restoring. Taken, it would undo that record.
+    StandIn::LogStore log;
+    appendChange(log, 1);
+    Control::ControlState inForce = readWhole(log);
+    foldNext(inForce, publish("lost", 0, document("kept", {account("a", '7', 1)})));
+    const Control::Record restore = Control::makeRestore(*Control::reconcile(log, inForce).value().m_restored, "e1", "restore");
+    append(log, publish("between", 1, document("t", {account("a", '5', 1)})));
+    append(log, restore);
+    const Control::ControlState state = readWhole(log);
+    REQUIRE(state.m_templates.at("t").m_revision == 2);
+    REQUIRE_FALSE(state.m_templates.contains("kept"));
+    append(log, Control::makeRestore(*Control::reconcile(log, inForce).value().m_restored, "e1", "again"));
+    REQUIRE(readWhole(log).m_templates.size() == 2);
+}
+
+TEST_CASE("an outage longer than retention costs nothing that was in force")
+{
+    // While the log is away its records expire, the checkpoint with them. A process that has state puts it back; a fresh one
+    // is not ready until then.
+    StandIn::LogStore log;
+    for (int number = 1; number <= 5; ++number) {
+        appendChange(log, number);
+    }
+    const Control::ControlState inForce = readWhole(log);
+    appendChange(log, 6);
+    appendChange(log, 7);
+    log.expireRecordsBefore(8);
+    const Control::Reconciliation found = Control::reconcile(log, inForce).value();
+    REQUIRE(found.m_restored.has_value());
+    append(log, Control::makeRestore(*found.m_restored, "e1", "restore"));
+    REQUIRE(Control::covers(readWhole(log), inForce));
+}
+
+TEST_CASE("a snapshot that would take something back is refused")
+{
+    Telemetry::Metrics metrics;
+    Control::StateStore store(metrics);
+    Control::ControlState ours;
+    foldNext(ours, publish("r1", 0, document("kept", {account("a", '1', 1)})));
+    REQUIRE(store.applySnapshot(ours) == Control::ApplyResult::Applied);
+    Control::ControlState other;
+    foldNext(other, publish("x1", 0, document("other", {account("a", '1', 1)})));
+    foldNext(other, publish("x2", 0, document("other2", {account("a", '1', 1)})));
+    REQUIRE(store.applySnapshot(other) == Control::ApplyResult::Refused);
+    REQUIRE(store.current()->m_templates.contains("kept"));
+    REQUIRE(metrics.counter("control_snapshots_refused_total").value() == 1);
+}
