--- a/Libraries/LibEntry/Entry.cpp
+++ b/Libraries/LibEntry/Entry.cpp
@@ -58,16 +58,10 @@
     , m_versions(m_router)
     , m_watch(AgentWatchParts{&m_node, &m_store, &m_router, &m_versions, &m_metrics, m_settings.m_instance.m_member.m_id, m_settings.m_watchedPerGroup})
     , m_claims(ClaimServiceParts{&m_node, &m_store, &m_claimsLog, &m_metrics, m_settings.m_instance.m_member, m_settings.m_claims})
+    , m_frontend{&m_settings, &m_node, &m_store, &m_router, &m_versions, &m_claims, &m_metrics}
     , m_callers(m_frontend)
     , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
 {
-    m_frontend.m_settings = &m_settings;
-    m_frontend.m_node = &m_node;
-    m_frontend.m_store = &m_store;
-    m_frontend.m_router = &m_router;
-    m_frontend.m_versions = &m_versions;
-    m_frontend.m_claims = &m_claims;
-    m_frontend.m_metrics = &m_metrics;
     m_store.onChange([this] { m_watch.wake(); });
     registerPages();
 }
--- /dev/null
+++ b/Tests/Entry/TestLeaving.cpp
@@ -0,0 +1,45 @@
+/// @file An entry that leaves while callers still hold its address.
+
+#include "Site.h"
+
+using namespace EntryTest;
+
+TEST_CASE("a leaving entry hands out others' addresses, serves one lifetime more, refuses then, and cuts nothing off")
+{
+    // A technician restarts an entry during the day. Callers hold its address for a while yet, and one is in the middle of a long draft.
+    FakePlatform platform;
+    platform.publish();
+    FakeAgent agent("engine-1", ModelService);
+    platform.list(agent.member());
+    TestEntry stays("entry-1", platform, {});
+    TestEntry leaves("entry-2", platform, {stays.member().m_wire});
+    await([&stays, &leaves] { return stays.sees(1) && leaves.sees(1); });
+    await([&leaves, &stays] { return leaves.addresses().find(stays.member().m_callers.toString()) != std::string::npos; });
+
+    std::promise<Wire::Responder> started;
+    std::promise<Protocol::LiveRequest> asked;
+    agent.setConduct([&started, &asked](FakeAgent &, const Protocol::LiveRequest &request, const Wire::Responder &responder) {
+        asked.set_value(request);
+        started.set_value(responder);
+    });
+    std::future<HttpReply> running = std::async(std::launch::async, [&leaves] { return leaves.generate(); });
+    const Wire::Responder responder = started.get_future().get();
+    agent.setConduct([](FakeAgent &self, const Protocol::LiveRequest &request, const Wire::Responder &answer) { self.answer(request, answer); });
+
+    leaves.entry().startLeaving();
+    REQUIRE(leaves.addresses().find(leaves.member().m_callers.toString()) == std::string::npos);
+    REQUIRE(leaves.generate().isWhole());
+    std::future<bool> drained = std::async(std::launch::async, [&leaves] { return leaves.entry().awaitDrained(); });
+    HttpReply refused = leaves.generate();
+    while (refused.m_status == 200) {
+        refused = leaves.generate();
+    }
+    REQUIRE(refused.m_status == 503);
+    REQUIRE(refused.code() == "not-run");
+    REQUIRE(refused.m_body.find(stays.member().m_callers.toString()) != std::string::npos);
+    await([&stays, &leaves] { return stays.addresses().find(leaves.member().m_callers.toString()) == std::string::npos; });
+
+    agent.answer(asked.get_future().get(), responder);
+    REQUIRE(running.get().isWhole());
+    REQUIRE(drained.get());
+}
