--- a/Tests/Agent/TestModelAgent.cpp
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -50,6 +50,11 @@
         await("the version to be attested", [this, &version] { return m_caller->sees(version); });
     }
 
+    std::size_t loadedModels() const
+    {
+        return Rig::request(m_engine.m_address, "GET", "/status")->getArray("models")->size();
+    }
+
     std::string metrics() const
     {
         Poco::Net::HTTPClientSession session(m_settings.m_instance.m_member.m_admin.m_host, m_settings.m_instance.m_member.m_admin.m_port);
@@ -83,7 +88,8 @@
     REQUIRE(call->m_frames.back().m_totalDigest == Core::sha256Hex(text));
 
     rig.serve(rig.m_new);
-    await("the old version to go", [&rig] { return !rig.m_caller->sees(rig.m_old); });
+    await("the old version to go", [&rig] { return rig.loadedModels() == 1; });
+    REQUIRE_FALSE(rig.m_caller->sees(rig.m_old));
     REQUIRE(rig.m_caller->call(Rig::draft("a2", rig.m_old, 5))->end().m_error.m_code == Core::ErrorCode::NotFound);
     REQUIRE(rig.m_caller->call(Rig::draft("a3", rig.m_new, 5))->end().m_succeeded);
 }
@@ -105,7 +111,7 @@
     });
     REQUIRE_FALSE(rig.m_caller->sees(rig.m_new));
     REQUIRE(rig.m_caller->sees(rig.m_old));
-    REQUIRE(Rig::request(rig.m_engine.m_address, "GET", "/status")->getArray("models")->size() == 1);
+    REQUIRE(rig.loadedModels() == 1);
     rig.m_origin.m_heldFrom = SIZE_MAX;
     await("the new version", [&rig] { return rig.m_caller->sees(rig.m_new); });
 }
--- a/Tests/Agent/TestPlainAgent.cpp
+++ b/Tests/Agent/TestPlainAgent.cpp
@@ -109,7 +109,7 @@
     rig.m_service.setFaults(R"({"slow_ms":100})");
     const Protocol::LiveRequest request = Rig::booking("b1", "key", "life-1");
     const std::shared_ptr<Caller::Call> call = rig.m_caller->call(request);
-    await("it to run", [&rig, &request] { return rig.m_caller->outcome(request).m_outcome == Outcome::Running; });
+    await("it to be at the service", [&rig] { return Rig::request(rig.m_service.m_address, "GET", "/status")->getValue<int>("running") == 1; });
     rig.m_caller->cancel(*call);
     await("it to finish", [&rig, &request] { return rig.m_caller->outcome(request).m_outcome == Outcome::Finished; });
     REQUIRE(rig.effects() == 1);
