--- a/Libraries/LibEndpoint/Agent.cpp
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -3,6 +3,8 @@
 #include "LibEndpoint/Agent.h"
 #include "LibWire/Pack.h"
 
+#include <glog/logging.h>
+
 namespace Endpoint {
 
 namespace {
--- a/Libraries/LibEndpoint/AgentState.cpp
+++ b/Libraries/LibEndpoint/AgentState.cpp
@@ -2,6 +2,8 @@
 
 #include "LibEndpoint/AgentState.h"
 
+#include <glog/logging.h>
+
 namespace Endpoint {
 
 std::vector<Protocol::Attestation> attestationsOf(const AgentFacts &facts)
--- a/Libraries/LibEndpoint/Exchange.cpp
+++ b/Libraries/LibEndpoint/Exchange.cpp
@@ -3,9 +3,16 @@
 #include "LibEndpoint/Exchange.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <glog/logging.h>
 
 namespace Endpoint {
 
+namespace {
+
+constexpr std::size_t PieceBytes = 16 << 10;
+
+}
+
 void ExchangeBreaker::arm(const Poco::Net::StreamSocket &socket)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -125,7 +132,6 @@
 
 Core::Result<std::string> Exchange::readAll(std::size_t maximumBytes)
 {
-    constexpr std::size_t PieceBytes = 16 << 10;
     std::string body;
     std::string piece(PieceBytes, '\0');
     try {
--- a/Libraries/LibEndpoint/LiveRelay.cpp
+++ b/Libraries/LibEndpoint/LiveRelay.cpp
@@ -4,6 +4,8 @@
 #include "LibEndpoint/EngineMessages.h"
 #include "LibWire/Pack.h"
 
+#include <glog/logging.h>
+
 namespace Endpoint {
 
 namespace {
--- a/Libraries/LibEndpoint/OrderDuty.cpp
+++ b/Libraries/LibEndpoint/OrderDuty.cpp
@@ -2,6 +2,8 @@
 
 #include "LibEndpoint/OrderDuty.h"
 
+#include <glog/logging.h>
+
 namespace Endpoint {
 
 namespace {
--- a/Libraries/LibEndpoint/StatusDuty.cpp
+++ b/Libraries/LibEndpoint/StatusDuty.cpp
@@ -2,6 +2,8 @@
 
 #include "LibEndpoint/StatusDuty.h"
 
+#include <glog/logging.h>
+
 namespace Endpoint {
 
 namespace {
--- a/Tests/Agent/Rig.h
+++ b/Tests/Agent/Rig.h
@@ -245,20 +245,29 @@
         , m_node(settings(), m_metrics)
     {
         REQUIRE(m_node.start());
+        watch();
+    }
+
+    ~Caller()
+    {
+        m_node.stop();
+    }
+
+    /// Follows the agent's reports, unless that is under way.
+    void watch()
+    {
+        if (m_watching.exchange(true)) {
+            return;
+        }
         Wire::CallEvents events;
         events.m_onFrame = [this](const std::string &frame) {
             const std::lock_guard<std::mutex> lock(m_mutex);
             m_report = Wire::unpack<Protocol::AgentReport>(frame, "agent").value();
         };
-        events.m_onEnd = [](const Wire::CallEnd &) {};
+        events.m_onEnd = [this](const Wire::CallEnd &) { m_watching = false; };
         m_node.call(m_agent, "control.watch", Wire::pack(Protocol::WatchRequest{"test"}), Wire::CallOptions{Core::Duration(0)}, events);
     }
 
-    ~Caller()
-    {
-        m_node.stop();
-    }
-
     Protocol::AgentReport report() const
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -337,6 +346,7 @@
 
     const Core::Address m_agent;
     Telemetry::Metrics m_metrics;
+    std::atomic<bool> m_watching = false;
     mutable std::mutex m_mutex;
     Protocol::AgentReport m_report;
     Wire::Node m_node; ///< Last member: its thread uses the others.
--- /dev/null
+++ b/Tests/Agent/SilentRelay.h
@@ -0,0 +1,85 @@
+/// @file A TCP relay that can go silent: sockets stay open and bytes vanish.
+#pragma once
+
+#include "LibCore/Address.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <atomic>
+#include <list>
+#include <mutex>
+#include <thread>
+
+namespace Rig {
+
+class SilentRelay
+{
+public:
+    explicit SilentRelay(const Core::Address &target)
+        : m_target(target)
+        , m_listener(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , m_accepting([this] { accept(); })
+    {
+    }
+
+    ~SilentRelay()
+    {
+        m_stopping = true;
+        m_accepting.join();
+        for (std::thread &thread : m_pumps) {
+            thread.join();
+        }
+    }
+
+    Core::Address address() const
+    {
+        return Core::Address{"127.0.0.1", m_listener.address().port()};
+    }
+
+    std::atomic<bool> m_isSilent = false; ///< Bytes are read and dropped.
+
+private:
+    void accept()
+    {
+        while (!m_stopping) {
+            if (!m_listener.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            const Poco::Net::StreamSocket near = m_listener.acceptConnection();
+            const Poco::Net::StreamSocket far{Poco::Net::SocketAddress(m_target.m_host, m_target.m_port)};
+            m_pumps.emplace_back([this, near, far] { pump(near, far); });
+            m_pumps.emplace_back([this, near, far] { pump(far, near); });
+        }
+    }
+
+    void pump(Poco::Net::StreamSocket from, Poco::Net::StreamSocket to)
+    {
+        std::array<char, 4096> buffer;
+        try {
+            while (!m_stopping) {
+                if (!from.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ)) {
+                    continue;
+                }
+                const int bytes = from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+                if (bytes <= 0) {
+                    break;
+                }
+                if (!m_isSilent) {
+                    to.sendBytes(buffer.data(), bytes);
+                }
+            }
+        } catch (const Poco::Exception &) {
+            // One side is gone; silent relays do not tell the other.
+            return;
+        }
+    }
+
+    const Core::Address m_target;
+    Poco::Net::ServerSocket m_listener;
+    std::atomic<bool> m_stopping = false;
+    std::list<std::thread> m_pumps;
+    std::thread m_accepting; ///< Last member: it uses the others.
+};
+
+}
--- a/Tests/Agent/TestModelAgent.cpp
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -1,6 +1,7 @@
 /// @file An agent beside a model engine: from a plan to attested weights, and answers under faults.
 
 #include "Rig.h"
+#include "SilentRelay.h"
 
 namespace {
 
@@ -210,3 +211,21 @@
     const std::string metrics = rig.metrics();
     REQUIRE(metrics.find("orders_total{end=\"done\"} 0") != std::string::npos);
 }
+
+TEST_CASE("a draft whose entry has gone silent stops at the engine")
+{
+    // Something between entry and agent has lost track of their connection: both sockets stay open and nothing arrives any more.
+    // An agent that trusted its socket would keep the engine drafting for nobody.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    Rig::SilentRelay relay(rig.m_settings.m_instance.m_member.m_wire);
+    Caller far(relay.address());
+    const std::shared_ptr<Caller::Call> call = far.call(Rig::draft("a1", rig.m_old, 100'000));
+    await("the first tokens", [&call] { return call->frames() > 2; });
+    relay.m_isSilent = true;
+    await("the engine to stop", [&rig] {
+        const Poco::JSON::Array::Ptr ran = Rig::request(rig.m_engine.m_address, "GET", "/journal")->getArray("ran");
+        return ran->size() == 1 && !ran->getObject(0)->getValue<bool>("completed");
+    });
+    REQUIRE_FALSE(call->isWhole());
+}
