--- a/Libraries/LibLoad/Caller.cpp
+++ b/Libraries/LibLoad/Caller.cpp
@@ -152,6 +152,7 @@
     }
     observation.m_entry = entry.value().toString();
     const TryEnd end = exchange(request, timing, entry.value(), observation);
+    observation.m_brokenTries += end == TryEnd::Broken ? 1 : 0;
     if (end == TryEnd::NotSent || end == TryEnd::Broken) {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_book.noteFailure(entry.value(), Core::Clock::now());
--- a/Libraries/LibLoad/Request.h
+++ b/Libraries/LibLoad/Request.h
@@ -58,6 +58,7 @@
     std::string m_weights; ///< Part of the tokens that tells the weights.
     std::uint64_t m_tokens = 0;
     std::uint32_t m_retries = 0; ///< Tries beyond the first.
+    std::uint32_t m_brokenTries = 0; ///< Tries that were sent and got no whole answer: each may have run.
     Core::Duration m_retryAfter{0}; ///< What the last refusal asked for.
     double m_startedMs = 0; ///< From the start of the run.
     double m_waitedMs = 0; ///< From arrival to the first try; large if the load tool itself falls behind.
--- a/Libraries/LibLoad/Trace.cpp
+++ b/Libraries/LibLoad/Trace.cpp
@@ -69,6 +69,7 @@
     observed.set("digest", observation.m_digest);
     observed.set("tokens", observation.m_tokens);
     observed.set("retries", observation.m_retries);
+    observed.set("broken_tries", observation.m_brokenTries);
     observed.set("first_token_ms", observation.m_firstTokenMs);
     observed.set("total_ms", observation.m_totalMs);
     object.set("observed", observed);
--- a/Libraries/LibStandIn/Engine.cpp
+++ b/Libraries/LibStandIn/Engine.cpp
@@ -269,6 +269,7 @@
         Poco::JSON::Object object;
         object.set("request", run.m_request);
         object.set("account", run.m_account);
+        object.set("question", run.m_question);
         object.set("digest", run.m_digest);
         object.set("tokens", run.m_tokens);
         object.set("completed", run.m_completed);
@@ -462,7 +463,8 @@
         leaveBatch(generation);
     }
     const GenerateRequest &asked = generation.m_request;
-    m_journal.add(EngineRun{asked.m_request, asked.m_account, generation.m_trueDigest, generation.m_sent, completed});
+    m_journal.add(
+        EngineRun{asked.m_request, asked.m_account, questionName(asked.m_account, asked.m_prompt), generation.m_trueDigest, generation.m_sent, completed});
     if (!completed) {
         dropConnection(request);
     }
--- a/Libraries/LibStandIn/Engine.h
+++ b/Libraries/LibStandIn/Engine.h
@@ -37,6 +37,7 @@
 {
     std::string m_request;
     std::string m_account;
+    std::string m_question; ///< questionName() of account and prompt.
     std::string m_digest;
     std::uint64_t m_tokens = 0;
     bool m_completed = false;
@@ -88,7 +89,7 @@
     bool enterBatch(Generation &generation);
     void leaveBatch(const Generation &generation);
     void stream(Generation &generation, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
-    /// Sends the lines of the tokens; returns how many were sent.
+    /// Sends the lines of the tokens; false if the answer cannot be completed.
     bool sendTokens(Generation &generation, std::ostream &output);
     /// False if the engine stops, dies or the request is cancelled before.
     bool sleepFor(const Generation &generation, double milliseconds);
--- a/Libraries/LibStandIn/Tokens.cpp
+++ b/Libraries/LibStandIn/Tokens.cpp
@@ -16,6 +16,14 @@
 
 }
 
+std::string questionName(std::string_view account, std::string_view prompt)
+{
+    constexpr int Digits = 16;
+    std::ostringstream text;
+    text << std::hex << std::setw(Digits) << std::setfill('0') << Core::stableHash(prompt, Core::stableHash(account));
+    return text.str();
+}
+
 std::string questionPart(std::string_view account, std::string_view prompt, std::uint64_t index)
 {
     const std::uint64_t hash = Core::stableHash(prompt, Core::stableHash(account) + index * IndexStep);
--- a/Libraries/LibStandIn/Tokens.h
+++ b/Libraries/LibStandIn/Tokens.h
@@ -15,6 +15,9 @@
  */
 std::string generateToken(std::string_view account, std::string_view prompt, std::uint64_t index, std::string_view weightsDigest);
 
+/// Identifies a question in journals, so that a caller's record can be matched with what ran.
+std::string questionName(std::string_view account, std::string_view prompt);
+
 /// The first part of such a token.
 std::string questionPart(std::string_view account, std::string_view prompt, std::uint64_t index);
 
--- /dev/null
+++ b/Tests/StandIns/TestGateway.cpp
@@ -0,0 +1,251 @@
+/// @file The gateway carries bytes unchanged, and each of its faults does what it says, over real sockets.
+
+#include "LibStandIn/Json.h"
+#include "LibStandInNetwork/Gateway.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace {
+
+constexpr const char *NorthHost = "127.77.0.1";
+constexpr const char *SouthHost = "127.77.0.2";
+
+Core::Address freeAddress(const std::string &host)
+{
+    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(host, 0));
+    return Core::Address{host, socket.address().port()};
+}
+
+std::string receiveAll(Poco::Net::StreamSocket &socket, std::size_t wanted)
+{
+    std::string received;
+    std::array<char, 65536> buffer;
+    while (received.size() < wanted) {
+        const int bytes = socket.receiveBytes(buffer.data(), static_cast<int>(std::min(buffer.size(), wanted - received.size())));
+        if (bytes <= 0) {
+            break;
+        }
+        received.append(buffer.data(), static_cast<std::size_t>(bytes));
+    }
+    return received;
+}
+
+bool staysQuiet(Poco::Net::StreamSocket &socket)
+{
+    constexpr int QuietMs = 100;
+    return !socket.poll(Poco::Timespan(QuietMs * 1000), Poco::Net::Socket::SELECT_READ);
+}
+
+/// A tunnel from the north host to a listener on the south host.
+struct Tunnel
+{
+    Poco::Net::StreamSocket m_near;
+    Poco::Net::StreamSocket m_far;
+};
+
+struct Site
+{
+    Core::Address m_address = freeAddress("127.77.0.9");
+    Poco::Net::ServerSocket m_target{Poco::Net::SocketAddress(SouthHost, 0)};
+    std::unique_ptr<StandIn::Gateway> m_gateway;
+
+    explicit Site(double latencyMs = 0)
+    {
+        StandIn::GatewaySettings settings;
+        settings.m_listen = m_address;
+        settings.m_instanceBytesPerSecond = 500e6;
+        settings.m_regionPairBytesPerSecond = 500e6;
+        settings.m_crossRegionLatencyMs = latencyMs;
+        settings.m_hosts = {{NorthHost, "north", "n1"}, {SouthHost, "south", "s1"}};
+        m_gateway = std::make_unique<StandIn::Gateway>(settings);
+        REQUIRE(m_gateway->start());
+    }
+
+    /// The connection to the gateway with its answer read; the answer's first line is returned.
+    std::string connect(Poco::Net::StreamSocket &socket) const
+    {
+        const Poco::Net::SocketAddress source(NorthHost, 0);
+        socket.impl()->bind(source, true);
+        socket.connect(Poco::Net::SocketAddress(m_address.m_host, m_address.m_port));
+        socket.setReceiveTimeout(Poco::Timespan(20, 0));
+        const std::string request = "CONNECT " + m_target.address().toString() + " HTTP/1.1\r\nHost: x\r\n\r\n";
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::string head;
+        while (head.find("\r\n\r\n") == std::string::npos) {
+            const std::string byte = receiveAll(socket, 1);
+            if (byte.empty()) {
+                break;
+            }
+            head += byte;
+        }
+        return head.substr(0, head.find('\r'));
+    }
+
+    Tunnel open()
+    {
+        Tunnel tunnel;
+        const std::string status = connect(tunnel.m_near);
+        REQUIRE(status.find(" 200 ") != std::string::npos);
+        tunnel.m_far = m_target.acceptConnection();
+        tunnel.m_far.setReceiveTimeout(Poco::Timespan(20, 0));
+        return tunnel;
+    }
+
+    std::string ask(const std::string &method, const std::string &path, const std::string &body) const
+    {
+        Poco::Net::HTTPClientSession session(m_address.m_host, m_address.m_port);
+        Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::istream &stream = session.receiveResponse(response);
+        std::string answer(std::istreambuf_iterator<char>(stream), {});
+        return std::to_string(response.getStatus()) + " " + answer;
+    }
+
+    void setFaults(const std::string &json) const
+    {
+        const std::string answer = ask("POST", "/faults", json);
+        REQUIRE(answer.starts_with("200"));
+    }
+};
+
+std::string pattern(std::size_t bytes)
+{
+    Core::Random random(7);
+    std::string text(bytes, '\0');
+    for (char &byte : text) {
+        byte = static_cast<char>(random.next());
+    }
+    return text;
+}
+
+/// Sends on a thread of its own, since neither end takes everything at once.
+bool carriesWhole(Poco::Net::StreamSocket &from, Poco::Net::StreamSocket &to, const std::string &bytes)
+{
+    std::thread sender([&from, &bytes] { from.sendBytes(bytes.data(), static_cast<int>(bytes.size())); });
+    const std::string received = receiveAll(to, bytes.size());
+    sender.join();
+    return received == bytes;
+}
+
+}
+
+TEST_CASE("bytes pass unchanged both ways, and the journal counts them by region and host")
+{
+    Site site(1);
+    Tunnel tunnel = site.open();
+    const std::string bytes = pattern(3 << 20);
+    REQUIRE(carriesWhole(tunnel.m_near, tunnel.m_far, bytes));
+    REQUIRE(carriesWhole(tunnel.m_far, tunnel.m_near, bytes));
+    const std::string answer = site.ask("GET", "/journal", "");
+    const Poco::JSON::Object::Ptr journal = StandIn::parseJsonObject(answer.substr(4)).value();
+    for (const Poco::Dynamic::Var &item : *journal->getArray("region_pairs")) {
+        const std::uint64_t counted = item.extract<Poco::JSON::Object::Ptr>()->getValue<std::uint64_t>("bytes");
+        REQUIRE(counted >= bytes.size());
+        REQUIRE(counted < bytes.size() + 200);
+    }
+    REQUIRE(journal->getArray("region_pairs")->size() == 2);
+    REQUIRE(journal->getArray("hosts")->getObject(0)->getValue<std::uint64_t>("up") >= bytes.size());
+}
+
+TEST_CASE("the end of one direction is passed on after its last byte, and the other goes on")
+{
+    Site site;
+    Tunnel tunnel = site.open();
+    tunnel.m_near.sendBytes("question", 8);
+    tunnel.m_near.shutdownSend();
+    REQUIRE(receiveAll(tunnel.m_far, 100) == "question");
+    tunnel.m_far.sendBytes("answer", 6);
+    tunnel.m_far.shutdownSend();
+    REQUIRE(receiveAll(tunnel.m_near, 100) == "answer");
+}
+
+TEST_CASE("a target that refuses is a refusal, not a silent connection")
+{
+    Site site;
+    site.m_target.close();
+    site.m_target = Poco::Net::ServerSocket(Poco::Net::SocketAddress(SouthHost, 0));
+    const Core::Address nobody = freeAddress(SouthHost);
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(site.m_address.m_host, site.m_address.m_port));
+    const std::string request = "CONNECT " + nobody.toString() + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    REQUIRE(receiveAll(socket, 12) == "HTTP/1.1 502");
+}
+
+TEST_CASE("a cut link refuses new connections and resets open ones")
+{
+    // Two regions lose each other. Whoever has an open connection sees it reset, and dialing fails at once.
+    Site site;
+    Tunnel tunnel = site.open();
+    site.setFaults(R"({"cut":[{"from":"south","to":"north"}]})");
+    REQUIRE_THROWS_AS(receiveAll(tunnel.m_near, 1), Poco::Net::NetException);
+    Poco::Net::StreamSocket refused;
+    const std::string status = site.connect(refused);
+    REQUIRE(status.find(" 502 ") != std::string::npos);
+    site.setFaults(R"({"cut":[]})");
+    Tunnel again = site.open();
+    REQUIRE(carriesWhole(again.m_near, again.m_far, "back"));
+}
+
+TEST_CASE("a silenced connection stays open and carries nothing, also no end, while a new one works")
+{
+    // Something between the two ends has lost track of the connection. Both sockets look established; the peer of a process
+    // that has gone away never learns of it, and waits for good unless it judges by heartbeats.
+    Site site;
+    Tunnel tunnel = site.open();
+    REQUIRE(carriesWhole(tunnel.m_near, tunnel.m_far, "before"));
+    site.setFaults(R"({"silent":[{"from":"north","to":"south"},{"from":"south","to":"north"}]})");
+    tunnel.m_near.sendBytes("lost", 4);
+    tunnel.m_far.sendBytes("lost", 4);
+    REQUIRE(staysQuiet(tunnel.m_far));
+    REQUIRE(staysQuiet(tunnel.m_near));
+    Tunnel fresh = site.open();
+    REQUIRE(carriesWhole(fresh.m_near, fresh.m_far, "new connections work"));
+    site.setFaults(R"({"silent":[]})");
+    tunnel.m_near.sendBytes("lost", 4);
+    REQUIRE(staysQuiet(tunnel.m_far));
+    tunnel.m_near.close();
+    REQUIRE(staysQuiet(tunnel.m_far));
+}
+
+TEST_CASE("a frozen host's bytes wait and arrive after the freeze")
+{
+    // A machine is paused for a while. Nothing is lost and nothing is refused; everything just takes as long as the pause.
+    Site site;
+    Tunnel tunnel = site.open();
+    site.setFaults(R"({"freeze":["127.77.0.2"]})");
+    tunnel.m_near.sendBytes("patience", 8);
+    REQUIRE(staysQuiet(tunnel.m_far));
+    site.setFaults(R"({"freeze":[]})");
+    REQUIRE(receiveAll(tunnel.m_far, 8) == "patience");
+}
+
+TEST_CASE("corruption changes bytes and keeps their number")
+{
+    Site site;
+    Tunnel tunnel = site.open();
+    site.setFaults(R"({"corrupt_percent":100})");
+    const std::string bytes = pattern(100000);
+    REQUIRE_FALSE(carriesWhole(tunnel.m_near, tunnel.m_far, bytes));
+    site.setFaults(R"({"corrupt_percent":0})");
+    REQUIRE(carriesWhole(tunnel.m_near, tunnel.m_far, bytes));
+}
+
+TEST_CASE("a misspelt fault is refused and changes nothing")
+{
+    Site site;
+    REQUIRE(site.ask("POST", "/faults", R"({"cutt":[]})").starts_with("400"));
+    REQUIRE(site.ask("POST", "/faults", R"({"cut":[{"from":"north"}]})").starts_with("400"));
+    REQUIRE(site.ask("POST", "/faults", R"({"freeze":"north"})").starts_with("400"));
+    REQUIRE(site.ask("POST", "/faults", "[").starts_with("400"));
+    REQUIRE(site.ask("GET", "/faults", "").starts_with(R"(200 {"corrupt_percent":0,"cut":[],"freeze":[],"silent":[]})"));
+}
