--- /dev/null
+++ b/Tests/LibLoad/TestCaller.cpp
@@ -0,0 +1,199 @@
+/// @file A caller repeats what may be repeated, elsewhere, and never what may not.
+
+#include "LibLoad/LoadRun.h"
+#include "LibStandIn/HttpServer.h"
+#include "LibStandIn/Json.h"
+#include "LibStandIn/Tokens.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using HttpRequest = Poco::Net::HTTPServerRequest;
+using HttpResponse = Poco::Net::HTTPServerResponse;
+
+/// An entry that answers as a test tells it.
+class FakeEntry
+{
+public:
+    std::function<void(HttpRequest &, HttpResponse &)> m_onWork;
+    std::atomic<int> m_work = 0; ///< Requests for work that arrived.
+    std::vector<std::string> m_keys; ///< Of all requests for work; read after they have ended.
+    std::mutex m_mutex;
+
+    FakeEntry()
+    {
+        Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+        m_address = Core::Address{"127.0.0.1", socket.address().port()};
+    }
+
+    void start(const std::vector<Core::Address> &named)
+    {
+        REQUIRE(m_server.listen(m_address, [this, named](HttpRequest &request, HttpResponse &response) {
+            if (request.getURI() == "/v1/addresses") {
+                std::string list;
+                for (const Core::Address &address : named) {
+                    list += (list.empty() ? "\"" : ",\"") + address.toString() + "\"";
+                }
+                return StandIn::sendAnswer(response, 200, "application/json", R"({"addresses":[)" + list + R"(],"lifetime_ms":60000,"key_epoch":"9"})");
+            }
+            ++m_work;
+            {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                m_keys.push_back(request.get("Idempotency-Key", ""));
+            }
+            m_onWork(request, response);
+        }));
+    }
+
+    Core::Address m_address;
+
+private:
+    StandIn::HttpServer m_server{8};
+};
+
+void answerWhole(HttpRequest &request, HttpResponse &response)
+{
+    const Poco::JSON::Object::Ptr asked = StandIn::parseJsonObject(StandIn::readBody(request, 100000).value()).value();
+    std::string body = R"({"version":"1","digest":"m"})"
+                       "\n";
+    for (std::uint64_t index = 0; index < 2; ++index) {
+        body += R"({"token":")" + StandIn::generateToken(asked->getValue<std::string>("account"), asked->getValue<std::string>("prompt"), index, "c") + "\"}\n";
+    }
+    StandIn::sendAnswer(response, 200, "application/x-ndjson", body + R"({"end":true,"tokens":2,"digest":"m"})" + "\n");
+}
+
+void drop(HttpRequest &request, HttpResponse &)
+{
+    StandIn::discardBody(request);
+    StandIn::dropConnection(request);
+}
+
+void refuse(HttpRequest &request, HttpResponse &response)
+{
+    StandIn::discardBody(request);
+    response.set("Retry-After", "0");
+    StandIn::sendAnswer(response, 503, "application/json", R"({"error":{"code":"not-run"}})");
+}
+
+Load::Request makeRequest(Load::RequestKind kind, bool keyed)
+{
+    Load::Request request;
+    request.m_kind = kind;
+    request.m_account = "a";
+    request.m_name = "n";
+    request.m_path = "p";
+    request.m_prompt = "marker";
+    request.m_maximumTokens = 2;
+    request.m_isKeyed = keyed;
+    request.m_timeout = Core::Duration(10000);
+    return request;
+}
+
+Load::Observation perform(const std::vector<Core::Address> &entries, const Load::Request &request, bool honoursRetryAfter = false)
+{
+    Load::CallerSettings settings;
+    settings.m_entries = entries;
+    settings.m_marker = "run";
+    settings.m_honoursRetryAfter = honoursRetryAfter;
+    Load::VersionWitness witness;
+    Load::Caller caller(settings, 1, witness);
+    return caller.perform(request, Core::Clock::now());
+}
+
+}
+
+TEST_CASE("a generation whose connection is lost is repeated at another entry")
+{
+    // An entry dies with an answer under way. The buyer's program asks another entry and gets the whole draft.
+    FakeEntry broken;
+    FakeEntry well;
+    broken.m_onWork = drop;
+    well.m_onWork = answerWhole;
+    broken.start({broken.m_address, well.m_address});
+    well.start({broken.m_address, well.m_address});
+    for (int turn = 0; turn < 5; ++turn) {
+        const Load::Observation observation = perform({broken.m_address}, makeRequest(Load::RequestKind::Generate, false));
+        REQUIRE(observation.m_outcome == Load::Outcome::Ok);
+        REQUIRE(observation.m_entry == well.m_address.toString());
+        REQUIRE(observation.m_brokenTries == observation.m_retries);
+    }
+    REQUIRE(well.m_work == 5);
+}
+
+TEST_CASE("a call that may not be repeated is never sent twice, and its loss is no claim that it did not run")
+{
+    // The answer to a booking is lost. A caller that sends it again books twice; one that reports "not run" lets a person book again.
+    FakeEntry broken;
+    broken.m_onWork = drop;
+    broken.start({broken.m_address});
+    const Load::Observation observation = perform({broken.m_address}, makeRequest(Load::RequestKind::Call, true));
+    REQUIRE(observation.m_outcome == Load::Outcome::Unknown);
+    REQUIRE(broken.m_work == 1);
+    REQUIRE(broken.m_keys == std::vector<std::string>{"9.run-0-0"});
+}
+
+TEST_CASE("an entry that cannot be reached is passed over, also by a call that may not be repeated")
+{
+    FakeEntry gone;
+    FakeEntry well;
+    well.m_onWork = [](HttpRequest &request, HttpResponse &response) {
+        StandIn::sendAnswer(response, 200, "application/json", R"({"effect":1,"echo":")" + StandIn::readBody(request, 1000).value() + "\"}");
+    };
+    well.start({gone.m_address, well.m_address});
+    for (int turn = 0; turn < 5; ++turn) {
+        REQUIRE(perform({gone.m_address, well.m_address}, makeRequest(Load::RequestKind::Call, true)).m_outcome == Load::Outcome::Ok);
+    }
+    REQUIRE(well.m_work == 5);
+}
+
+TEST_CASE("a refusal is taken as told, or waited out with a key of its own for each try")
+{
+    FakeEntry entry;
+    entry.m_onWork = [&entry](HttpRequest &request, HttpResponse &response) {
+        if (entry.m_work < 3) {
+            return refuse(request, response);
+        }
+        StandIn::sendAnswer(response, 200, "application/json", R"({"effect":1,"echo":")" + StandIn::readBody(request, 1000).value() + "\"}");
+    };
+    entry.start({entry.m_address});
+    const Load::Observation refused = perform({entry.m_address}, makeRequest(Load::RequestKind::Call, true));
+    REQUIRE(refused.m_outcome == Load::Outcome::NotRun);
+    REQUIRE(entry.m_work == 1);
+    const Load::Observation waited = perform({entry.m_address}, makeRequest(Load::RequestKind::Call, true), true);
+    REQUIRE(waited.m_outcome == Load::Outcome::Ok);
+    REQUIRE(entry.m_keys == std::vector<std::string>{"9.run-0-0", "9.run-0-0", "9.run-0-1"});
+}
+
+TEST_CASE("a run performs every request once and reports each")
+{
+    FakeEntry entry;
+    entry.m_onWork = answerWhole;
+    entry.start({entry.m_address});
+    Load::LoadRunSettings settings;
+    settings.m_callers.m_entries = {entry.m_address};
+    settings.m_concurrency = 4;
+    settings.m_isClosedLoop = true;
+    std::uint64_t made = 0;
+    std::set<std::uint64_t> ended;
+    Load::Report report;
+    Load::performLoad(
+        settings,
+        [&made]() -> std::optional<Load::Request> {
+            if (made == 40) {
+                return std::nullopt;
+            }
+            Load::Request request = makeRequest(Load::RequestKind::Generate, false);
+            request.m_index = made++;
+            request.m_prompt += std::to_string(request.m_index);
+            return request;
+        },
+        report,
+        [&ended](const Load::Request &request, const Load::Observation &) { ended.insert(request.m_index); });
+    REQUIRE(ended.size() == 40);
+    REQUIRE(report.count(Load::Outcome::Ok) == 40);
+    REQUIRE(entry.m_work == 40);
+    REQUIRE(report.json().find(R"("ok":40)") != std::string::npos);
+}
