--- a/Libraries/LibClaims/CallProtocol.h
+++ b/Libraries/LibClaims/CallProtocol.h
@@ -103,16 +103,8 @@
 {
 };
 
-using Event = std::variant<ClaimJudged,
-                           ClaimFailed,
-                           WholeAnswer,
-                           CertainlyNotRun,
-                           AnswerLost,
-                           OutcomeTold,
-                           OutcomeUnreachable,
-                           BarWritten,
-                           BarFailed,
-                           DeadlinePassed>;
+using Event =
+    std::variant<ClaimJudged, ClaimFailed, WholeAnswer, CertainlyNotRun, AnswerLost, OutcomeTold, OutcomeUnreachable, BarWritten, BarFailed, DeadlinePassed>;
 
 /// How often one call may claim its key anew after an agent has confirmed that the holder never ran.
 inline constexpr std::uint32_t MaximumReclaims = 2;
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -359,7 +359,8 @@
         const CallerError error{
             CallerCode::NotRun, Core::makeError(Core::ErrorCode::Overloaded, "accept connection", "", "too many connections"), Core::Duration(1000), {}};
         const std::string body = callerErrorJson(error) + "\n";
-        const std::string answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: "
+        const std::string answer =
+            "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
         try {
             // A fresh socket takes this much without waiting.
@@ -423,7 +424,8 @@
 
 CallerServer::CallerServer(Frontend &frontend)
     : m_frontend(frontend)
-    , m_guard(std::make_shared<ConnectionGuard>(frontend.m_settings->m_callers.m_requestTime, frontend.m_settings->m_callers.m_connections, *frontend.m_metrics))
+    , m_guard(
+          std::make_shared<ConnectionGuard>(frontend.m_settings->m_callers.m_requestTime, frontend.m_settings->m_callers.m_connections, *frontend.m_metrics))
 {
 }
 
--- a/Libraries/LibEntry/Frontend.cpp
+++ b/Libraries/LibEntry/Frontend.cpp
@@ -51,8 +51,8 @@
     }
     CallerError error;
     error.m_code = CallerCode::NotRun;
-    error.m_error =
-        Core::makeError(Core::ErrorCode::Unavailable, "accept request", frontend.m_settings->m_instance.m_member.m_id, "no accepted configuration is known yet");
+    error.m_error = Core::makeError(
+        Core::ErrorCode::Unavailable, "accept request", frontend.m_settings->m_instance.m_member.m_id, "no accepted configuration is known yet");
     error.m_retryAfter = ShortRetry;
     return error;
 }
--- a/Libraries/LibEntry/ServiceCall.cpp
+++ b/Libraries/LibEntry/ServiceCall.cpp
@@ -87,7 +87,8 @@
     return harmless ? Routing::CallResult::Abandoned : Routing::CallResult::Failed;
 }
 
-AttemptReport runAttempt(Frontend &frontend, const Grant &grant, const Protocol::LiveRequest &request, Core::Instant deadline, const std::function<bool()> &isGone)
+AttemptReport
+runAttempt(Frontend &frontend, const Grant &grant, const Protocol::LiveRequest &request, Core::Instant deadline, const std::function<bool()> &isGone)
 {
     AttemptReport report;
     LiveAttempt live(*frontend.m_node, grant.m_granted.m_member.m_wire, request, deadline);
@@ -292,7 +293,8 @@
         case Claims::CallVerdict::KeyUsed:
             return CallerError{CallerCode::KeyUsed, m_error, std::nullopt, {}};
         case Claims::CallVerdict::KeyExpired:
-            return CallerError{CallerCode::KeyExpired, Core::makeError(Core::ErrorCode::Conflict, "claim key", "", "older than the claims kept"), std::nullopt, {}};
+            return CallerError{
+                CallerCode::KeyExpired, Core::makeError(Core::ErrorCode::Conflict, "claim key", "", "older than the claims kept"), std::nullopt, {}};
         case Claims::CallVerdict::OutcomeUnknown:
             break;
         }
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -21,7 +21,11 @@
 constexpr std::uint32_t MaximumBackoffDoublings = 4;
 constexpr Core::Duration BusyPause{60};
 constexpr Core::Duration LostPause{1000};
+constexpr std::uint32_t FailuresUntilSetAside = 3;
+constexpr Core::Duration SetAsideFor{30000};
 constexpr Core::Duration OriginRetry{250};
+constexpr std::uint32_t OriginFailuresUntilOthersTry = 3;
+constexpr Core::Duration LastResort{60000}; ///< A chunk that is due and unseen for this long is drawn though the first in rank seems well.
 constexpr std::uint32_t MaximumOriginDoublings = 5;
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
@@ -126,7 +130,7 @@
 void Exchange::want(PeerIndex index)
 {
     Peer &peer = m_peers[index];
-    peer.m_isWanted = peer.m_isListed && !peer.m_isSelf && !peer.m_isSetAside;
+    peer.m_isWanted = peer.m_isListed && !peer.m_isSelf && !peer.m_sentBadChunk;
 }
 
 void Exchange::chooseFollowed()
@@ -215,6 +219,7 @@
     }
     if (found->second.m_peer) {
         const double seconds = Core::secondsBetween(found->second.m_asked, now);
+        m_peers[*found->second.m_peer].m_failuresInRow = 0;
         m_usualSeconds = m_usualSeconds == 0 ? seconds : m_usualSeconds + Smoothing * (seconds - m_usualSeconds);
     } else {
         m_originFailures = 0;
@@ -245,16 +250,37 @@
         peer.m_usableAfter = now + BusyPause;
         break;
     case Failure::Lost:
-        peer.m_usableAfter = now + LostPause;
+        noteFailure(peer, now);
         break;
     case Failure::Corrupt:
         // One bad chunk can be a damaged link, but nothing tells it from a peer whose memory is bad, and there are other peers.
-        peer.m_isSetAside = true;
+        peer.m_sentBadChunk = true;
         peer.m_isWanted = false;
         break;
     }
 }
 
+void Exchange::noteFailure(Peer &peer, Core::Instant now)
+{
+    peer.m_usableAfter = now + LostPause;
+    if (++peer.m_failuresInRow < FailuresUntilSetAside) {
+        return;
+    }
+    // A peer that announces chunks and never delivers them would keep everybody from fetching them elsewhere.
+    peer.m_failuresInRow = 0;
+    peer.m_setAsideUntil = now + SetAsideFor;
+}
+
+bool Exchange::isSetAside(const Peer &peer, Core::Instant now)
+{
+    return peer.m_sentBadChunk || now < peer.m_setAsideUntil;
+}
+
+bool Exchange::drawsFromOrigin() const
+{
+    return m_originFailures < OriginFailuresUntilOthersTry;
+}
+
 void Exchange::requestProgressed(RequestId id, std::uint64_t bytes, Core::Instant now)
 {
     const std::map<RequestId, Request>::iterator found = m_requests.find(id);
@@ -317,7 +343,7 @@
 
 bool Exchange::isAbsent(const Peer &peer, Core::Instant now) const
 {
-    if (!peer.m_isListed || peer.m_isSetAside) {
+    if (!peer.m_isListed || isSetAside(peer, now)) {
         return true;
     }
     return peer.m_absentSince && now - *peer.m_absentSince >= TakeoverGrace;
@@ -338,9 +364,9 @@
     return false;
 }
 
-bool Exchange::isVisible(Weights::ChunkIndex index) const
+bool Exchange::isVisible(Weights::ChunkIndex index, Core::Instant now) const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(), [index](const Peer &peer) { return peer.m_holds[index] && !peer.m_isSetAside; });
+    return std::any_of(m_peers.begin(), m_peers.end(), [index, now](const Peer &peer) { return peer.m_holds[index] && !isSetAside(peer, now); });
 }
 
 bool Exchange::knowsNeighbours(Core::Instant now) const
@@ -376,7 +402,10 @@
         return !m_parent;
     }
     if (isFirstPresent(chunk.m_drawers, true, now)) {
-        return isDrawTime(index, 0, now) && knowsNeighbours(now) && !isVisible(index);
+        return isDrawTime(index, 0, now) && knowsNeighbours(now) && !isVisible(index, now);
+    }
+    if (isDrawTime(index, 0, now - LastResort * (chunk.m_originRank + 1)) && !isVisible(index, now)) {
+        return true;
     }
     // Within the origin budget, further ranks draw a second and later copy when nothing nearer has brought the chunk by their turn.
     return chunk.m_originRank < m_originCopies && isDrawTime(index, chunk.m_originRank, now);
@@ -388,7 +417,7 @@
     for (PeerIndex index = 0; index < m_peers.size(); ++index) {
         const Peer &peer = m_peers[index];
         const bool waitsForAll = m_settings.m_strategy == Strategy::Tree && peer.m_heldCount < m_manifest.chunkCount();
-        if (peer.m_follow != FollowState::Open || peer.m_heldCount == 0 || peer.m_isSetAside || waitsForAll) {
+        if (peer.m_follow != FollowState::Open || peer.m_heldCount == 0 || isSetAside(peer, now) || waitsForAll) {
             continue;
         }
         PickPeer pick;
@@ -466,7 +495,7 @@
     }
     const bool isRanked = std::find(chunk.m_drawers.begin(), chunk.m_drawers.end(), *m_self) != chunk.m_drawers.end()
         || std::find(chunk.m_importers.begin(), chunk.m_importers.end(), *m_self) != chunk.m_importers.end();
-    if (!isRanked || !isDrawTime(index, 0, now - ProbeAfter) || isVisible(index)) {
+    if (!isRanked || !isDrawTime(index, 0, now - ProbeAfter) || isVisible(index, now)) {
         return;
     }
     // The chunk should be about by now. Look at everybody who could have brought it, also by way of a third region.
@@ -492,7 +521,7 @@
             continue;
         }
         ++m_counts.m_stalls;
-        m_peers[*request.m_peer].m_usableAfter = now + LostPause;
+        noteFailure(m_peers[*request.m_peer], now);
         actions.push_back(Action{ActionKind::Cancel, {}, current->first, request.m_chunk, false});
         closeRequest(current);
     }
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -110,10 +110,8 @@
     {
         return m_held;
     }
-    bool drawsFromOrigin() const
-    {
-        return m_originFailures == 0;
-    }
+    /// False if several draws in a row failed, so that others should try.
+    bool drawsFromOrigin() const;
     const ExchangeCounts &counts() const
     {
         return m_counts;
@@ -146,7 +144,9 @@
         Core::Instant m_heard;
         bool m_hasAnswered = false; ///< An update has come since it was first followed.
         bool m_drawsFromOrigin = true;
-        bool m_isSetAside = false; ///< It sent a bad chunk.
+        bool m_sentBadChunk = false; ///< Set aside for good.
+        Core::Instant m_setAsideUntil; ///< Set aside for a while, because it held requests up again and again.
+        std::uint32_t m_failuresInRow = 0; ///< Requests that stalled or broke off since the last good chunk.
         Core::Instant m_usableAfter;
         std::uint32_t m_outstanding = 0;
         std::uint32_t m_queued = 0;
@@ -182,7 +182,9 @@
     bool isFirstPresent(const std::vector<PeerIndex> &ranked, bool needsOrigin, Core::Instant now) const;
     bool mayImport(const Chunk &chunk, Core::Instant now) const;
     bool mayDraw(Weights::ChunkIndex index, Core::Instant now) const;
-    bool isVisible(Weights::ChunkIndex index) const;
+    bool isVisible(Weights::ChunkIndex index, Core::Instant now) const;
+    void noteFailure(Peer &peer, Core::Instant now);
+    static bool isSetAside(const Peer &peer, Core::Instant now);
     bool knowsNeighbours(Core::Instant now) const;
     void followSources(Weights::ChunkIndex index, Core::Instant now);
     bool isDrawTime(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const;
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -45,7 +45,8 @@
 int main(int argc, char **argv)
 {
     cxxopts::Options options("oriolerail-entry", "Answers callers, routes their requests and takes part in control decisions");
-    options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())("check", "only check the settings")("help", "show this help");
+    options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())("check", "only check the settings")("help",
+                                                                                                                                        "show this help");
     try {
         const cxxopts::ParseResult arguments = options.parse(argc, argv);
         if (arguments.count("help") != 0 || arguments.count("settings") == 0) {
