Meta: Measure bursts with real processes

Meta/measure-burst starts a fleet behind shaped links, publishes a version through the operators' program, polls every engine until it serves the content, and reads the origin's and the network's journals. Faults, a live load beside the burst and a plot are options.

--- /dev/null
+++ b/Tests/Benchmarks/Burst/BurstOptions.cpp
@@ -0,0 +1,56 @@
+/// @file The command line of the burst measurement.
+
+#include "BurstOptions.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace Burst {
+
+std::optional<Options> parseOptions(int argc, char **argv)
+{
+    const Options defaults;
+    cxxopts::Options options("burst-bench", "Measures how long new weights take to N serving replicas, with real processes");
+    options.add_options()("programs", "directory of the binaries", cxxopts::value<std::string>())(
+        "agents", "replicas", cxxopts::value<int>()->default_value(std::to_string(defaults.m_agents)))(
+        "policy", "bytes or time", cxxopts::value<std::string>()->default_value(defaults.m_policy))(
+        "strategy", "swarm, origin or tree", cxxopts::value<std::string>()->default_value(defaults.m_strategy))(
+        "mebibytes", "size of the weights", cxxopts::value<std::uint64_t>()->default_value(std::to_string(defaults.m_mebibytes)))(
+        "kill", "percent of the agents killed after a third of the bound", cxxopts::value<int>()->default_value("0"))(
+        "corrupt", "percent of the origin's answers damaged", cxxopts::value<int>()->default_value("0"))(
+        "stall", "percent of the agents frozen after a third of the bound", cxxopts::value<int>()->default_value("0"))(
+        "down-after-copies", "the origin goes down after as many copies", cxxopts::value<double>()->default_value("0"))(
+        "live", "requests a second beside the burst", cxxopts::value<double>()->default_value("0"))(
+        "patience", "seconds until the run is given up", cxxopts::value<double>()->default_value("300"))(
+        "plot", "SVG of serving replicas over time", cxxopts::value<std::string>()->default_value(""))(
+        "keep", "directory for the processes' dumps", cxxopts::value<std::string>()->default_value(""))("direct", "without the gateway that shapes links")(
+        "help", "print this text");
+    try {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0 || parsed.count("programs") == 0) {
+            std::cout << options.help();
+            return std::nullopt;
+        }
+        Options run;
+        run.m_programs = parsed["programs"].as<std::string>();
+        run.m_agents = parsed["agents"].as<int>();
+        run.m_policy = parsed["policy"].as<std::string>();
+        run.m_strategy = parsed["strategy"].as<std::string>();
+        run.m_mebibytes = parsed["mebibytes"].as<std::uint64_t>();
+        run.m_killPercent = parsed["kill"].as<int>();
+        run.m_corruptPercent = parsed["corrupt"].as<int>();
+        run.m_stallPercent = parsed["stall"].as<int>();
+        run.m_downAfterCopies = parsed["down-after-copies"].as<double>();
+        run.m_liveRate = parsed["live"].as<double>();
+        run.m_patienceSeconds = parsed["patience"].as<double>();
+        run.m_plotFile = parsed["plot"].as<std::string>();
+        run.m_keepDirectory = parsed["keep"].as<std::string>();
+        run.m_isDirect = parsed.count("direct") > 0;
+        return run;
+    } catch (const std::exception &exception) {
+        std::cerr << exception.what() << "\n";
+        return std::nullopt;
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Benchmarks/Burst/BurstRun.h
@@ -0,0 +1,62 @@
+/// @file One measured burst: a fleet, a published version, and what became of it.
+#pragma once
+
+#include "BurstOptions.h"
+#include "LibBench/Fleet.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Burst {
+
+/// Outcome of a load run.
+struct LiveFigures
+{
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_failed = 0; ///< Everything but whole answers.
+    double m_p99Ms = 0; ///< Of whole answers.
+};
+
+struct Figures
+{
+    std::vector<double> m_servingSeconds; ///< When each surviving replica served, ascending, after the publication.
+    std::size_t m_expected = 0; ///< Replicas that should serve in the end.
+    double m_boundSeconds = 0;
+    double m_originCopies = 0;
+    double m_regionCopies = 0; ///< The largest of all ordered pairs; all traffic counts.
+    double m_processorSeconds = 0; ///< Of all agents together, during the burst.
+    LiveFigures m_before;
+    LiveFigures m_during;
+    bool m_hasLive = false;
+};
+
+class Run
+{
+public:
+    explicit Run(Options options);
+
+    Core::Result<Figures> perform();
+
+private:
+    Core::Result<void> publish(const std::string &version);
+    Core::Result<void> awaitMembers();
+    Core::Result<std::string> contentDigest(const std::string &version);
+    Core::Result<Bench::Process> startLoad(double seconds, const std::string &name);
+    Core::Result<LiveFigures> readLoad(Bench::Process &process, double seconds, const std::string &name);
+    void awaitServing(const std::string &contentDigest, Figures &figures, bool hasFaults);
+    bool serves(const Bench::ProcessSpec &engine, const std::string &contentDigest) const;
+    void breakSome();
+    void keepDumps();
+    double agentProcessorSeconds();
+    std::map<std::string, std::uint64_t> regionBytes() const;
+    std::uint64_t originBytes() const;
+
+    const Options m_options;
+    std::unique_ptr<Bench::Fleet> m_fleet;
+    std::set<std::string> m_broken; ///< Instances that were killed or frozen.
+    Core::Instant m_published;
+};
+
+}
