--- a/Libraries/LibLoad/AddressBook.cpp
+++ b/Libraries/LibLoad/AddressBook.cpp
@@ -37,8 +37,8 @@
     for (const Poco::Dynamic::Var &item : *list) {
         answer.m_addresses.push_back(BOOST_OUTCOME_TRYX(Core::parseAddress(item.convert<std::string>())));
     }
-    constexpr double LongestLifetimeMs = 86400000;
-    answer.m_lifetime = Core::Duration(static_cast<std::int64_t>(std::min(lifetime.value(), LongestLifetimeMs)));
+    constexpr double longestLifetimeMs = 86400000;
+    answer.m_lifetime = Core::Duration(static_cast<std::int64_t>(std::min(lifetime.value(), longestLifetimeMs)));
     answer.m_keyEpoch = object.value()->optValue("key_epoch", std::string());
     return answer;
 }
--- a/Libraries/LibLoad/Trace.cpp
+++ b/Libraries/LibLoad/Trace.cpp
@@ -85,7 +85,7 @@
     if (kind != "generate" && kind != "call") {
         return Core::makeError(Core::ErrorCode::InvalidInput, "read trace", "", "kind: expected generate or call");
     }
-    constexpr double DefaultTimeoutMs = 30000;
+    constexpr double defaultTimeoutMs = 30000;
     Request request;
     request.m_index = index;
     request.m_kind = kind == "call" ? RequestKind::Call : RequestKind::Generate;
@@ -97,7 +97,7 @@
     request.m_prompt = BOOST_OUTCOME_TRYX(StandIn::jsonText(*object, "prompt"));
     request.m_maximumTokens = static_cast<std::uint32_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "max_tokens", 0, MaximumTokens, 0)));
     request.m_priority = static_cast<std::int32_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "priority", -PriorityBound, PriorityBound, 0)));
-    request.m_timeout = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "timeout_ms", 1, LongestMs, DefaultTimeoutMs))));
+    request.m_timeout = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "timeout_ms", 1, LongestMs, defaultTimeoutMs))));
     request.m_expected = BOOST_OUTCOME_TRYX(expectedOf(*object));
     return request;
 }
--- a/Libraries/LibStandIn/Engine.cpp
+++ b/Libraries/LibStandIn/Engine.cpp
@@ -145,8 +145,8 @@
     }
     request.m_maximumTokens = static_cast<std::uint64_t>(tokens);
     if (object->has("priority")) {
-        constexpr double PriorityBound = 1000000;
-        request.m_priority = static_cast<std::int32_t>(std::clamp(BOOST_OUTCOME_TRYX(jsonNumber(*object, "priority")), -PriorityBound, PriorityBound));
+        constexpr double priorityBound = 1000000;
+        request.m_priority = static_cast<std::int32_t>(std::clamp(BOOST_OUTCOME_TRYX(jsonNumber(*object, "priority")), -priorityBound, priorityBound));
     }
     return request;
 }
--- a/Libraries/LibStandIn/EngineSettings.cpp
+++ b/Libraries/LibStandIn/EngineSettings.cpp
@@ -36,8 +36,8 @@
 /// Enough threads for full batches and queues, with some to spare for orders and status.
 int defaultThreads(const std::vector<EngineSettings> &engines)
 {
-    constexpr int Spare = 16;
-    std::int64_t threads = Spare;
+    constexpr int spare = 16;
+    std::int64_t threads = spare;
     for (const EngineSettings &engine : engines) {
         threads += engine.m_capacity + std::int64_t(engine.m_maximumQueued) + engine.m_slots;
     }
--- a/Libraries/LibStandIn/HttpServer.cpp
+++ b/Libraries/LibStandIn/HttpServer.cpp
@@ -19,6 +19,7 @@
 constexpr int MaximumWaiting = 4096;
 constexpr int ListenBacklog = 512;
 constexpr int ThreadIdleSeconds = 10;
+constexpr std::size_t StoppingThreads = 64;
 
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
 {
@@ -97,8 +98,17 @@
 
 void HttpServer::stop()
 {
-    for (const std::unique_ptr<Poco::Net::HTTPServer> &server : m_servers) {
-        server->stopAll(true);
+    // Each server waits for the next look of its accepting thread, so that hundreds would take half a minute one after another.
+    std::vector<std::thread> stoppers;
+    for (std::size_t first = 0; first < std::min(m_servers.size(), StoppingThreads); ++first) {
+        stoppers.emplace_back([this, first] {
+            for (std::size_t index = first; index < m_servers.size(); index += StoppingThreads) {
+                m_servers[index]->stopAll(true);
+            }
+        });
+    }
+    for (std::thread &stopper : stoppers) {
+        stopper.join();
     }
     m_pool.joinAll();
     m_servers.clear();
--- a/Libraries/LibStandIn/PlainService.cpp
+++ b/Libraries/LibStandIn/PlainService.cpp
@@ -34,8 +34,8 @@
 
 int defaultThreads(const std::vector<ServiceSettings> &services)
 {
-    constexpr int Spare = 16;
-    std::int64_t threads = Spare;
+    constexpr int spare = 16;
+    std::int64_t threads = spare;
     for (const ServiceSettings &service : services) {
         threads += service.m_capacity + std::int64_t(service.m_maximumQueued);
     }
--- a/Libraries/LibStandIn/Sha256.cpp
+++ b/Libraries/LibStandIn/Sha256.cpp
@@ -22,12 +22,12 @@
     std::array<unsigned char, EVP_MAX_MD_SIZE> bytes;
     unsigned int length = 0;
     EVP_DigestFinal_ex(m_context.get(), bytes.data(), &length);
-    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
     for (unsigned int index = 0; index < length; ++index) {
         const unsigned char byte = bytes.at(index);
-        text += Digits[byte >> 4U];
-        text += Digits[byte & 15U];
+        text += digits[byte >> 4U];
+        text += digits[byte & 15U];
     }
     return text;
 }
--- a/Libraries/LibStandIn/Tokens.cpp
+++ b/Libraries/LibStandIn/Tokens.cpp
@@ -18,9 +18,9 @@
 
 std::string questionName(std::string_view account, std::string_view prompt)
 {
-    constexpr int Digits = 16;
+    constexpr int digits = 16;
     std::ostringstream text;
-    text << std::hex << std::setw(Digits) << std::setfill('0') << Core::stableHash(prompt, Core::stableHash(account));
+    text << std::hex << std::setw(digits) << std::setfill('0') << Core::stableHash(prompt, Core::stableHash(account));
     return text.str();
 }
 
--- a/Libraries/LibStandInNetwork/Gateway.cpp
+++ b/Libraries/LibStandInNetwork/Gateway.cpp
@@ -143,8 +143,8 @@
         next = std::min(next, m_timers.top().m_time);
     }
     const std::int64_t nanoseconds = std::max<std::int64_t>(std::chrono::nanoseconds(next - now).count(), 0);
-    constexpr std::int64_t NanosecondsPerSecond = 1000000000;
-    return timespec{nanoseconds / NanosecondsPerSecond, nanoseconds % NanosecondsPerSecond};
+    constexpr std::int64_t nanosecondsPerSecond = 1000000000;
+    return timespec{nanoseconds / nanosecondsPerSecond, nanoseconds % nanosecondsPerSecond};
 }
 
 void Gateway::acceptConnections()
@@ -469,8 +469,8 @@
         m_totals.m_vanishedBytes += bytes.size();
         return;
     }
-    constexpr double Percent = 100;
-    if (m_faults.m_corruptPercent > 0 && m_random.unit() * Percent < m_faults.m_corruptPercent) {
+    constexpr double percent = 100;
+    if (m_faults.m_corruptPercent > 0 && m_random.unit() * percent < m_faults.m_corruptPercent) {
         std::string changed(bytes);
         char &byte = changed[m_random.below(changed.size())];
         byte = static_cast<char>(~byte);
--- a/Libraries/LibStandInNetwork/TokenBucket.h
+++ b/Libraries/LibStandInNetwork/TokenBucket.h
@@ -39,8 +39,8 @@
         if (m_tokens > 0) {
             return m_updated;
         }
-        constexpr double RoundUpSeconds = 1e-6;
-        const double seconds = -m_tokens / m_bytesPerSecond + RoundUpSeconds;
+        constexpr double roundUpSeconds = 1e-6;
+        const double seconds = -m_tokens / m_bytesPerSecond + roundUpSeconds;
         return m_updated + std::chrono::duration_cast<Core::Clock::duration>(std::chrono::duration<double>(seconds));
     }
 
--- a/Tests/StandIns/TestGateway.cpp
+++ b/Tests/StandIns/TestGateway.cpp
@@ -39,8 +39,8 @@
 
 bool staysQuiet(Poco::Net::StreamSocket &socket)
 {
-    constexpr int QuietMs = 100;
-    return !socket.poll(Poco::Timespan(QuietMs * 1000), Poco::Net::Socket::SELECT_READ);
+    constexpr int quietMs = 100;
+    return !socket.poll(Poco::Timespan(quietMs * 1000), Poco::Net::Socket::SELECT_READ);
 }
 
 /// A tunnel from the north host to a listener on the south host.
--- a/Utilities/oriolerail-load/Arguments.cpp
+++ b/Utilities/oriolerail-load/Arguments.cpp
@@ -164,8 +164,8 @@
 
 Core::Result<Arguments> readArguments(const cxxopts::ParseResult &parsed)
 {
-    constexpr std::size_t MarkerDigits = 16;
-    const std::string marker = Core::randomIdentifier().substr(0, MarkerDigits);
+    constexpr std::size_t markerDigits = 16;
+    const std::string marker = Core::randomIdentifier().substr(0, markerDigits);
     Arguments arguments;
     arguments.m_mix = BOOST_OUTCOME_TRYX(readMix(parsed, marker));
     arguments.m_run.m_callers = BOOST_OUTCOME_TRYX(readCallers(parsed, marker));
