StandIns: Prove that a draining model holds its slot

The test of a running answer passed with the drain taken out (slot freed at once). It now has one slot and shows that a load is refused until the answer has ended.

--- a/Tests/StandIns/TestEngine.cpp
+++ b/Tests/StandIns/TestEngine.cpp
@@ -164,16 +164,20 @@
     REQUIRE(engine.load(third, 2).m_status == 200);
 }
 
-TEST_CASE("a running answer ends whole although its model is removed")
+TEST_CASE("a running answer ends whole although its model is removed, and holds the slot until then")
 {
-    RunningEngine engine(makeSettings());
+    StandIn::EngineSettings settings = makeSettings();
+    settings.m_slots = 1;
+    RunningEngine engine(settings);
     REQUIRE(engine.load(Weights, 1).m_status == 200);
-    std::future<Answer> answer = std::async(std::launch::async, [&engine] { return engine.generate("long", digestOf(Weights), 200); });
+    std::future<Answer> answer = std::async(std::launch::async, [&engine] { return engine.generate("long", digestOf(Weights), 1000); });
     engine.waitUntilRunning(R"("running":1)");
     REQUIRE(engine.ask("DELETE", "/models/" + digestOf(Weights), "", 2).m_status == 200);
     REQUIRE(engine.generate("late", digestOf(Weights), 1).m_status == 404);
+    REQUIRE(engine.load(OtherWeights, 2).m_status == 507);
     REQUIRE(endsWhole(answer.get()));
     engine.waitUntilRunning(R"("models":[])");
+    REQUIRE(engine.load(OtherWeights, 2).m_status == 200);
 }
 
 TEST_CASE("the journal tells the digest of the bytes held, whatever name they were ordered under")
