LibControl: Keep members that announce themselves, and encode updates once

Cause: an instance that the list never shows was dropped after 30 s although its stream was open, and marked as ended for good; each subscriber's update was encoded anew; the operators' program could not read the entries' page.

Change: a feed announces its open subscriptions again and again, and only the entries that hear an instance directly let it expire; updates are encoded once for all subscribers at the same point; the program reads the page that entries make and combines several of them.

--- a/Libraries/LibControl/MemberTable.cpp
+++ b/Libraries/LibControl/MemberTable.cpp
@@ -48,7 +48,15 @@
     if (known != m_rows.end() && known->second.m_member.m_incarnation != member.m_incarnation) {
         markGone(known->second.m_member.m_incarnation);
     }
-    return put(member, now);
+    const bool hasChanged = put(member, now);
+    m_rows[member.m_id].m_isDirect = true;
+    return hasChanged;
+}
+
+/// Whether an instance that the list does not show is gone.
+bool MemberTable::hasExpired(const Row &row, Core::Instant now)
+{
+    return row.m_wasListed || now - row.m_lastHeard >= (row.m_isDirect ? UnlistedPatience : HearsayPatience);
 }
 
 bool MemberTable::merge(const MemberKnowledge &knowledge, Core::Instant now)
@@ -99,9 +107,7 @@
         }
     }
     for (std::map<std::string, Row>::iterator it = m_rows.begin(); it != m_rows.end();) {
-        const bool isRecent = now - it->second.m_lastHeard < UnlistedPatience;
-        const bool isMissing = !ids.contains(it->first) && (it->second.m_wasListed || !isRecent);
-        if (!isMissing) {
+        if (ids.contains(it->first) || !hasExpired(it->second, now)) {
             ++it;
             continue;
         }
--- a/Libraries/LibControl/MemberTable.h
+++ b/Libraries/LibControl/MemberTable.h
@@ -31,7 +31,7 @@
 class MemberTable
 {
 public:
-    /// A process announced itself. It supersedes any other incarnation under its id.
+    /// A process announced itself, again if it did before. It supersedes any other incarnation under its id.
     bool announce(const Protocol::Member &member, Core::Instant now);
     /// Another process passed on what it knows.
     bool merge(const MemberKnowledge &knowledge, Core::Instant now);
@@ -46,7 +46,8 @@
     {
         Protocol::Member m_member;
         bool m_wasListed = false;
-        Core::Instant m_lastHeard; ///< Of the process itself or of others that know it.
+        bool m_isDirect = false; ///< The process announced itself here, and is expected to do so again and again.
+        Core::Instant m_lastHeard; ///< From the process itself or from others that know it.
 
         bool operator==(const Row &) const = default;
     };
@@ -54,6 +55,7 @@
     bool isGone(const std::string &incarnation) const;
     void markGone(const std::string &incarnation);
     bool put(const Protocol::Member &member, Core::Instant now);
+    static bool hasExpired(const Row &row, Core::Instant now);
 
     std::map<std::string, Row> m_rows; ///< By id.
     std::deque<std::string> m_gone; ///< At most MaximumGone; none of them is in m_rows.
@@ -61,7 +63,9 @@
 
 /// Incarnations that a table remembers as ended.
 inline constexpr std::size_t MaximumGone = 1024;
-/// How long an announced instance may be missing from the list before it counts as gone; the list's lag is well below.
+/// How long an instance that the list does not show may be silent before it counts as gone, where it announces itself.
 inline constexpr Core::Duration UnlistedPatience{30000};
+/// The same where it is only known from others, who would say that it is gone.
+inline constexpr Core::Duration HearsayPatience{600000};
 
 }
--- a/Libraries/LibControl/StateFeed.cpp
+++ b/Libraries/LibControl/StateFeed.cpp
@@ -11,6 +11,8 @@
 /// Members change in bursts when many instances come or go; they are sent whole, so not more often than this.
 constexpr Core::Duration MembersInterval{200};
 constexpr Core::Duration IdleTurn{500};
+/// An open stream shows that its subscriber is there, even if the instance list does not.
+constexpr Core::Duration AnnounceInterval{5000};
 
 }
 
@@ -134,48 +136,77 @@
                 found->second.m_applied = std::max(found->second.m_applied, arrival->m_request.m_appliedOffset);
             }
         }
-        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, 0, Core::Instant()});
+        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, 0, Core::Instant(), Core::Clock::now()});
     }
 }
 
+const std::string &StateFeed::stateUpdate(const std::string &chain, const ControlState &state)
+{
+    const std::string key = chain + ">" + state.m_chain;
+    if (m_stateUpdate.m_key == key) {
+        return m_stateUpdate.m_update;
+    }
+    Protocol::StateUpdate update;
+    std::optional<std::vector<Protocol::LogRecord>> records = chain.empty() ? std::nullopt : m_store.recordsSince(chain);
+    if (records) {
+        update.m_baseChain = chain;
+        update.m_records = std::move(*records);
+    } else {
+        update.m_snapshotOffset = state.m_applied;
+        update.m_snapshot = encodeState(state);
+    }
+    m_stateUpdate = Encoded{key, Wire::pack(update)};
+    return m_stateUpdate.m_update;
+}
+
+const std::string &StateFeed::membersUpdate(std::uint64_t version)
+{
+    const std::string key = std::to_string(version);
+    if (m_membersUpdate.m_key == key) {
+        return m_membersUpdate.m_update;
+    }
+    MemberKnowledge knowledge = m_store.memberKnowledge();
+    Protocol::StateUpdate update;
+    update.m_membersVersion = version;
+    update.m_members = std::move(knowledge.m_members);
+    update.m_gone = std::move(knowledge.m_gone);
+    m_membersUpdate = Encoded{key, Wire::pack(update)};
+    return m_membersUpdate.m_update;
+}
+
+bool StateFeed::deliver(const Subscription &subscription, const std::string &update)
+{
+    m_updatesSent.add();
+    if (subscription.m_responder.send(update)) {
+        return true;
+    }
+    m_subscribersCut.add();
+    subscription.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "send state", "", "the subscriber is too far behind"));
+    return false;
+}
+
 bool StateFeed::serve(Subscription &subscription, Core::Instant now)
 {
     if (subscription.m_responder.isCancelled()) {
         return false;
     }
-    Protocol::StateUpdate update;
-    bool hasNews = false;
+    if (now - subscription.m_announced >= AnnounceInterval) {
+        subscription.m_announced = now;
+        m_store.announce(subscription.m_member);
+    }
     const std::shared_ptr<const ControlState> state = m_store.current();
     if (state->m_applied > 0 && subscription.m_chain != state->m_chain) {
-        const std::optional<std::vector<Protocol::LogRecord>> records = m_store.recordsSince(subscription.m_chain);
-        if (records && !subscription.m_chain.empty()) {
-            update.m_baseChain = subscription.m_chain;
-            update.m_records = *records;
-        } else {
-            update.m_snapshotOffset = state->m_applied;
-            update.m_snapshot = encodeState(*state);
-        }
+        const std::string &update = stateUpdate(subscription.m_chain, *state);
         subscription.m_chain = state->m_chain;
-        hasNews = true;
+        if (!deliver(subscription, update)) {
+            return false;
+        }
     }
     const std::uint64_t version = m_store.membersVersion();
     if (version != subscription.m_membersVersion && now - subscription.m_membersSent >= MembersInterval) {
-        MemberKnowledge knowledge = m_store.memberKnowledge();
-        update.m_membersVersion = version;
-        update.m_members = std::move(knowledge.m_members);
-        update.m_gone = std::move(knowledge.m_gone);
         subscription.m_membersVersion = version;
         subscription.m_membersSent = now;
-        hasNews = true;
-    }
-    if (!hasNews) {
-        return true;
-    }
-    m_updatesSent.add();
-    if (!subscription.m_responder.send(Wire::pack(update))) {
-        m_subscribersCut.add();
-        subscription.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "send state", "", "the subscriber is too far behind"));
-        return false;
+        return deliver(subscription, membersUpdate(version));
     }
     return true;
 }
--- a/Libraries/LibControl/StateFeed.h
+++ b/Libraries/LibControl/StateFeed.h
@@ -46,6 +46,14 @@
         std::string m_chain; ///< History that the subscriber has, or is being sent.
         std::uint64_t m_membersVersion = 0; ///< Last sent.
         Core::Instant m_membersSent; ///< When.
+        Core::Instant m_announced; ///< When the store was last told that the subscriber is there.
+    };
+
+    /// An update that is the same for many subscribers, encoded once.
+    struct Encoded
+    {
+        std::string m_key;
+        std::string m_update;
     };
 
     struct Arrival
@@ -60,6 +68,9 @@
     Core::Duration turn();
     void admitArrivals();
     bool serve(Subscription &subscription, Core::Instant now);
+    const std::string &stateUpdate(const std::string &chain, const ControlState &state);
+    const std::string &membersUpdate(std::uint64_t version);
+    bool deliver(const Subscription &subscription, const std::string &update);
     void noteSubscribed(const Protocol::Member &member, bool isSubscribed);
 
     StateStore &m_store;
@@ -68,6 +79,8 @@
     Telemetry::Counter &m_subscribersRefused;
     Core::Ring<Arrival> m_arrivals;
     std::vector<Subscription> m_subscriptions; ///< Used by the duty's thread only.
+    Encoded m_stateUpdate; ///< Used by the duty's thread only, as is the following.
+    Encoded m_membersUpdate;
     mutable std::mutex m_appliedMutex;
     std::map<std::string, AppliedAt> m_applied; ///< By instance; at most MaximumSubscribers.
     Duty m_duty;
--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -76,11 +76,25 @@
 Core::Duration StateSubscriber::turn()
 {
     takeArrivals();
+    announceSelf();
     chooseAndOpen();
     acknowledge();
     return m_arrivals->size() > 0 ? AtOnce : m_settings.m_turn;
 }
 
+/// An entry is a member of its own table; nobody else would keep it there while the list does not show it.
+void StateSubscriber::announceSelf()
+{
+    Protocol::Member self;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        self = m_self;
+    }
+    if (self.m_role == Protocol::Role::Entry) {
+        m_store.announce(self);
+    }
+}
+
 void StateSubscriber::takeArrivals()
 {
     while (std::optional<Arrival> arrival = m_arrivals->pop(AtOnce)) {
--- a/Libraries/LibControl/StateSubscriber.h
+++ b/Libraries/LibControl/StateSubscriber.h
@@ -62,6 +62,7 @@
     };
 
     Core::Duration turn();
+    void announceSelf();
     void takeArrivals();
     void receive(std::uint64_t feedId, const std::string &frame);
     void retire(std::uint64_t feedId, bool failed);
--- a/Libraries/LibControl/StatusPage.h
+++ b/Libraries/LibControl/StatusPage.h
@@ -1,10 +1,10 @@
-/// @file What an entry shows operators of the configuration in force: its page /status, and how pages of several entries combine.
+/// @file What operators' tools read from the entries' pages /status, and how pages of several entries combine.
 #pragma once
 
 #include "LibControl/ControlState.h"
-#include "LibProtocol/Report.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -16,36 +16,14 @@
 {
     std::string m_id;
     std::string m_role; ///< "entry" or "agent".
-    std::string m_service;
-    std::string m_region;
     std::string m_failureDomain;
-    std::string m_admin; ///< Address of its administrative page; empty if unknown.
     bool m_leaving = false;
-    Offset m_applied = 0; ///< Revision in force there, as far as this entry knows; 0 if it has not heard.
+    Offset m_applied = 0; ///< Revision in force there, as far as the entry knows; 0 if it has not heard.
 
     bool operator==(const InstanceStatus &) const = default;
 };
 
-struct TemplateStatus
-{
-    std::string m_name;
-    std::string m_service;
-    Offset m_revision = 0;
-    std::string m_operator;
-
-    bool operator==(const TemplateStatus &) const = default;
-};
-
-/// Replicas of one version in one place.
-struct PlaceStatus
-{
-    std::string m_failureDomain;
-    std::uint32_t m_wanted = 0;
-    std::uint32_t m_serving = 0;
-
-    bool operator==(const PlaceStatus &) const = default;
-};
-
+/// One version and the instances that are to hold it.
 struct DeploymentStatus
 {
     std::string m_service;
@@ -53,51 +31,57 @@
     std::string m_version;
     std::string m_digest;
     Offset m_plan = 0; ///< Offset of the plan in force.
-    std::vector<PlaceStatus> m_places; ///< Sorted by failure domain.
-    std::uint64_t m_chunksHeld = 0; ///< Over all replicas that are still to serve.
-    std::uint64_t m_chunksTotal = 0;
+    std::uint32_t m_wanted = 0; ///< Replicas.
+    std::set<std::string> m_serving; ///< Instances known to serve it.
+    std::set<std::string> m_waiting; ///< Instances known not to serve it yet.
 
     bool operator==(const DeploymentStatus &) const = default;
+};
 
-    std::uint32_t wanted() const;
-    std::uint32_t serving() const;
+/// How much of some weights an instance holds.
+struct TransferStatus
+{
+    std::string m_instance;
+    std::string m_digest;
+    std::uint64_t m_held = 0; ///< Chunks.
+    std::uint64_t m_total = 0;
+
+    bool operator==(const TransferStatus &) const = default;
 };
 
 struct StatusPage
 {
-    std::string m_entry; ///< Whose page it is.
-    bool m_ready = false;
-    bool m_logUp = false;
+    std::string m_entry; ///< Whose page it is; empty if combined.
     Offset m_applied = 0;
-    std::uint64_t m_generation = 0;
     std::vector<InstanceStatus> m_instances; ///< Sorted by id.
-    std::vector<TemplateStatus> m_templates; ///< Sorted by name.
     std::vector<DeploymentStatus> m_deployments; ///< Sorted by service and digest.
+    std::vector<TransferStatus> m_transfers;
 
     bool operator==(const StatusPage &) const = default;
 };
 
-/// What an entry knows; reports of agents that it does not watch are missing.
-struct StatusInputs
-{
-    std::string m_entry;
-    bool m_logUp = false;
-    const ControlState *m_state = nullptr; ///< Never null.
-    std::vector<Protocol::Member> m_members;
-    std::map<std::string, Offset> m_applied; ///< By instance.
-    std::map<std::string, Protocol::AgentReport> m_reports; ///< Newest, by instance.
-};
-
-StatusPage makeStatusPage(const StatusInputs &inputs);
-
-std::string encodeStatusPage(const StatusPage &page);
-/// Fails with Corrupt.
+/// Parses the JSON text of one page; docs/PROCESSES.md gives its shape. Fails with Corrupt.
 Core::Result<StatusPage> parseStatusPage(const std::string &text, const std::string &peer);
 
-/// The most that any entry knows.
+/// The most that any entry knows. An entry hears from some instances only, so one page alone does not tell.
 StatusPage combineStatusPages(std::span<const StatusPage> pages);
 
 /// Live instances where @p revision is not in force, by id.
 std::vector<std::string> instancesBehind(const StatusPage &page, Offset revision);
 
+/// Replicas of one deployment in one place.
+struct PlaceStatus
+{
+    std::uint32_t m_wanted = 0; ///< Those whose instance is known.
+    std::uint32_t m_serving = 0;
+
+    bool operator==(const PlaceStatus &) const = default;
+};
+
+/// By failure domain.
+std::map<std::string, PlaceStatus> placesOf(const StatusPage &page, const DeploymentStatus &deployment);
+
+/// Share of a deployment that is done, from 0 to 1: replicas that serve, and what the others hold of the weights.
+double progressOf(const StatusPage &page, const DeploymentStatus &deployment);
+
 }
--- a/Tests/LibControl/TestMemberTable.cpp
+++ b/Tests/LibControl/TestMemberTable.cpp
@@ -68,3 +68,20 @@
     table.applyList({}, Start + Control::UnlistedPatience);
     REQUIRE(table.members().empty());
 }
+
+TEST_CASE("an instance that the list never shows stays while it announces itself, here and where others tell of it")
+{
+    // The list has forgotten a live instance, or has not caught up for long. Dropped, it would stand idle while it could serve.
+    Control::MemberTable table;
+    Control::MemberTable other;
+    table.announce(agent(1, "hcm-a"), Start);
+    other.merge(table.knowledge(), Start);
+    const Core::Instant later = Start + Control::UnlistedPatience;
+    REQUIRE_FALSE(table.announce(agent(1, "hcm-a"), later));
+    REQUIRE_FALSE(table.applyList({}, later));
+    REQUIRE_FALSE(other.applyList({}, later));
+    // Once it is silent, the entry that knew it directly tells the others.
+    REQUIRE(table.applyList({}, later + Control::UnlistedPatience));
+    REQUIRE(other.merge(table.knowledge(), later + Control::UnlistedPatience));
+    REQUIRE(other.members().empty());
+}
--- a/Utilities/oriolerail/Show.cpp
+++ b/Utilities/oriolerail/Show.cpp
@@ -31,32 +31,20 @@
     return "[" + std::string(static_cast<std::size_t>(filled), '#') + std::string(static_cast<std::size_t>(BarWidth - filled), '.') + "]";
 }
 
-/// Share of a deployment that is done: replicas that serve, and what the others hold of the weights.
-double progressOf(const Control::DeploymentStatus &status)
-{
-    const std::uint32_t wanted = status.wanted();
-    if (wanted == 0) {
-        return 1;
-    }
-    const double missing = wanted - status.serving();
-    const double held = status.m_chunksTotal == 0 ? 0 : static_cast<double>(status.m_chunksHeld) / static_cast<double>(status.m_chunksTotal);
-    return (status.serving() + missing * std::min(held, 1.0)) / wanted;
-}
-
 double totalProgress(const Control::StatusPage &page)
 {
     double done = 0;
     double wanted = 0;
     for (const Control::DeploymentStatus &status : page.m_deployments) {
-        done += progressOf(status) * status.wanted();
-        wanted += status.wanted();
+        done += Control::progressOf(page, status) * status.m_wanted;
+        wanted += status.m_wanted;
     }
     return wanted == 0 ? 1 : done / wanted;
 }
 
 bool servesEverything(const Control::StatusPage &page)
 {
-    const auto isWhole = [](const Control::DeploymentStatus &status) { return status.serving() >= status.wanted(); };
+    const auto isWhole = [](const Control::DeploymentStatus &status) { return status.m_serving.size() >= status.m_wanted; };
     return std::all_of(page.m_deployments.begin(), page.m_deployments.end(), isWhole);
 }
 
@@ -64,15 +52,13 @@
 {
     const Control::StatusPage &page = status.m_page;
     std::ostringstream text;
-    text << "revision " << page.m_applied << (page.m_ready ? "" : ", not ready") << (page.m_logUp ? "" : ", log down") << "\n";
-    for (const Control::TemplateStatus &accepted : page.m_templates) {
-        text << "template " << accepted.m_name << " (" << accepted.m_service << "): revision " << accepted.m_revision << " by " << accepted.m_operator << "\n";
-    }
+    text << "revision " << page.m_applied << "\n";
     for (const Control::DeploymentStatus &deployment : page.m_deployments) {
         text << deployment.m_service << " " << deployment.m_model << " " << deployment.m_version << " (" << shortDigest(deployment.m_digest)
-             << "): " << deployment.serving() << " of " << deployment.wanted() << " replicas serve " << bar(progressOf(deployment)) << "\n";
-        for (const Control::PlaceStatus &place : deployment.m_places) {
-            text << "  " << place.m_failureDomain << ": " << place.m_serving << " of " << place.m_wanted << "\n";
+             << "): " << deployment.m_serving.size() << " of " << deployment.m_wanted << " replicas serve " << bar(Control::progressOf(page, deployment))
+             << "\n";
+        for (const std::pair<const std::string, Control::PlaceStatus> &place : Control::placesOf(page, deployment)) {
+            text << "  " << place.first << ": " << place.second.m_serving << " of " << place.second.m_wanted << "\n";
         }
     }
     const std::vector<std::string> behind = Control::instancesBehind(page, page.m_applied);
@@ -86,6 +72,43 @@
     return text.str();
 }
 
+/// The same in JSON.
+Poco::JSON::Object::Ptr statusJson(const EntryStatus &status)
+{
+    const Control::StatusPage &page = status.m_page;
+    Poco::JSON::Array::Ptr deployments = new Poco::JSON::Array;
+    for (const Control::DeploymentStatus &deployment : page.m_deployments) {
+        Poco::JSON::Object::Ptr places = new Poco::JSON::Object;
+        for (const std::pair<const std::string, Control::PlaceStatus> &entry : Control::placesOf(page, deployment)) {
+            Poco::JSON::Object::Ptr place = new Poco::JSON::Object;
+            place->set("wanted", entry.second.m_wanted);
+            place->set("serving", entry.second.m_serving);
+            places->set(entry.first, place);
+        }
+        Poco::JSON::Object::Ptr row = new Poco::JSON::Object;
+        row->set("service", deployment.m_service);
+        row->set("model", deployment.m_model);
+        row->set("version", deployment.m_version);
+        row->set("digest", deployment.m_digest);
+        row->set("plan", static_cast<Poco::UInt64>(deployment.m_plan));
+        row->set("wanted", deployment.m_wanted);
+        row->set("serving", static_cast<Poco::UInt64>(deployment.m_serving.size()));
+        row->set("progress", Control::progressOf(page, deployment));
+        row->set("places", places);
+        deployments->add(row);
+    }
+    Poco::JSON::Object::Ptr applied = new Poco::JSON::Object;
+    for (const Control::InstanceStatus &instance : page.m_instances) {
+        applied->set(instance.m_id, static_cast<Poco::UInt64>(instance.m_applied));
+    }
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("applied", static_cast<Poco::UInt64>(page.m_applied));
+    object->set("deployments", deployments);
+    object->set("applied_at", applied);
+    object->set("unreachable_entries", static_cast<Poco::UInt64>(status.m_errors.size()));
+    return object;
+}
+
 /// Shows one line that is rewritten until everything serves.
 int watchStatus(const Arguments &arguments)
 {
@@ -220,11 +243,7 @@
     if (status.m_answered == 0) {
         return reportError(arguments, status.m_errors.front());
     }
-    if (arguments.m_json) {
-        std::cout << Control::encodeStatusPage(status.m_page) << "\n";
-    } else {
-        std::cout << statusText(status);
-    }
+    print(arguments, statusJson(status), statusText(status));
     return ExitOk;
 }
 
