--- a/Libraries/LibControl/MemberTable.cpp
+++ b/Libraries/LibControl/MemberTable.cpp
@@ -84,6 +84,18 @@
     return hasChanged;
 }
 
+bool MemberTable::replace(std::span<const Protocol::Member> members, Core::Instant now)
+{
+    std::set<std::string> ids;
+    bool hasChanged = false;
+    for (const Protocol::Member &member : members) {
+        ids.insert(member.m_id);
+        hasChanged = put(member, now) || hasChanged;
+    }
+    const std::size_t erased = std::erase_if(m_rows, [&ids](const std::pair<const std::string, Row> &entry) { return !ids.contains(entry.first); });
+    return hasChanged || erased > 0;
+}
+
 bool MemberTable::applyList(std::span<const Protocol::Member> listed, Core::Instant now)
 {
     bool hasChanged = false;
--- a/Libraries/LibControl/MemberTable.h
+++ b/Libraries/LibControl/MemberTable.h
@@ -35,6 +35,8 @@
     bool announce(const Protocol::Member &member, Core::Instant now);
     /// Another process passed on what it knows.
     bool merge(const MemberKnowledge &knowledge, Core::Instant now);
+    /// An entry told an agent all that it needs to know. The agent has no other source, so this replaces what it had.
+    bool replace(std::span<const Protocol::Member> members, Core::Instant now);
     /// The platform's list, whole.
     bool applyList(std::span<const Protocol::Member> listed, Core::Instant now);
 
--- a/Libraries/LibControl/StateFeed.cpp
+++ b/Libraries/LibControl/StateFeed.cpp
@@ -136,7 +136,7 @@
                 found->second.m_applied = std::max(found->second.m_applied, arrival->m_request.m_appliedOffset);
             }
         }
-        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, 0, Core::Instant(), Core::Clock::now()});
+        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, "", Core::Instant(), Core::Clock::now()});
     }
 }
 
@@ -159,19 +159,31 @@
     return m_stateUpdate.m_update;
 }
 
-const std::string &StateFeed::membersUpdate(std::uint64_t version)
+void StateFeed::refreshMembers()
 {
-    const std::string key = std::to_string(version);
-    if (m_membersUpdate.m_key == key) {
-        return m_membersUpdate.m_update;
+    const std::uint64_t version = m_store.membersVersion();
+    if (version == m_membersVersion) {
+        return;
     }
+    m_membersVersion = version;
     MemberKnowledge knowledge = m_store.memberKnowledge();
     Protocol::StateUpdate update;
     update.m_membersVersion = version;
     update.m_members = std::move(knowledge.m_members);
     update.m_gone = std::move(knowledge.m_gone);
-    m_membersUpdate = Encoded{key, Wire::pack(update)};
-    return m_membersUpdate.m_update;
+    m_membersForEntries = Encoded{std::to_string(version), Wire::pack(update)};
+
+    std::erase_if(update.m_members, [](const Protocol::Member &member) { return member.m_role != Protocol::Role::Entry; });
+    update.m_gone.clear();
+    const std::string entries = Wire::pack(update.m_members);
+    if (m_membersForAgents.m_key != entries) {
+        m_membersForAgents = Encoded{entries, Wire::pack(update)};
+    }
+}
+
+const StateFeed::Encoded &StateFeed::membersFor(const Subscription &subscription) const
+{
+    return subscription.m_member.m_role == Protocol::Role::Agent ? m_membersForAgents : m_membersForEntries;
 }
 
 bool StateFeed::deliver(const Subscription &subscription, const std::string &update)
@@ -202,11 +214,11 @@
             return false;
         }
     }
-    const std::uint64_t version = m_store.membersVersion();
-    if (version != subscription.m_membersVersion && now - subscription.m_membersSent >= MembersInterval) {
-        subscription.m_membersVersion = version;
+    const Encoded &members = membersFor(subscription);
+    if (members.m_key != subscription.m_membersKey && now - subscription.m_membersSent >= MembersInterval) {
+        subscription.m_membersKey = members.m_key;
         subscription.m_membersSent = now;
-        return deliver(subscription, membersUpdate(version));
+        return deliver(subscription, members.m_update);
     }
     return true;
 }
@@ -214,12 +226,12 @@
 Core::Duration StateFeed::turn()
 {
     admitArrivals();
+    refreshMembers();
     const Core::Instant now = Core::Clock::now();
-    const std::uint64_t version = m_store.membersVersion();
     bool owesMembers = false;
     for (std::vector<Subscription>::iterator it = m_subscriptions.begin(); it != m_subscriptions.end();) {
         if (serve(*it, now)) {
-            owesMembers = owesMembers || it->m_membersVersion != version;
+            owesMembers = owesMembers || it->m_membersKey != membersFor(*it).m_key;
             ++it;
             continue;
         }
--- a/Libraries/LibControl/StateFeed.h
+++ b/Libraries/LibControl/StateFeed.h
@@ -44,7 +44,7 @@
         Protocol::Member m_member;
         Wire::Responder m_responder;
         std::string m_chain; ///< History that the subscriber has, or is being sent.
-        std::uint64_t m_membersVersion = 0; ///< Last sent.
+        std::string m_membersKey; ///< Of the update on members that was sent last.
         Core::Instant m_membersSent; ///< When.
         Core::Instant m_announced; ///< When the store was last told that the subscriber is there.
     };
@@ -52,7 +52,7 @@
     /// An update that is the same for many subscribers, encoded once.
     struct Encoded
     {
-        std::string m_key;
+        std::string m_key; ///< Of what is in it; empty if there is none yet.
         std::string m_update;
     };
 
@@ -69,7 +69,8 @@
     void admitArrivals();
     bool serve(Subscription &subscription, Core::Instant now);
     const std::string &stateUpdate(const std::string &chain, const ControlState &state);
-    const std::string &membersUpdate(std::uint64_t version);
+    void refreshMembers();
+    const Encoded &membersFor(const Subscription &subscription) const;
     bool deliver(const Subscription &subscription, const std::string &update);
     void noteSubscribed(const Protocol::Member &member, bool isSubscribed);
 
@@ -79,8 +80,11 @@
     Telemetry::Counter &m_subscribersRefused;
     Core::Ring<Arrival> m_arrivals;
     std::vector<Subscription> m_subscriptions; ///< Used by the duty's thread only.
-    Encoded m_stateUpdate; ///< Used by the duty's thread only, as is the following.
-    Encoded m_membersUpdate;
+    Encoded m_stateUpdate; ///< Used by the duty's thread only, as are the following.
+    Encoded m_membersForEntries;
+    /// Agents need to know entries only. Sent all members, each would get hundreds of kilobytes whenever any instance came or went.
+    Encoded m_membersForAgents;
+    std::uint64_t m_membersVersion = 0; ///< Of the store's members when they were last encoded.
     mutable std::mutex m_appliedMutex;
     std::map<std::string, AppliedAt> m_applied; ///< By instance; at most MaximumSubscribers.
     Duty m_duty;
--- a/Libraries/LibControl/StateStore.cpp
+++ b/Libraries/LibControl/StateStore.cpp
@@ -150,6 +150,11 @@
     changeMembers([&knowledge](MemberTable &table) { return table.merge(knowledge, Core::Clock::now()); });
 }
 
+void StateStore::replaceMembers(std::span<const Protocol::Member> members)
+{
+    changeMembers([members](MemberTable &table) { return table.replace(members, Core::Clock::now()); });
+}
+
 void StateStore::applyInstanceList(std::span<const Protocol::Member> listed)
 {
     changeMembers([listed](MemberTable &table) { return table.applyList(listed, Core::Clock::now()); });
--- a/Libraries/LibControl/StateStore.h
+++ b/Libraries/LibControl/StateStore.h
@@ -61,6 +61,7 @@
     std::uint64_t membersVersion() const;
     void announce(const Protocol::Member &member);
     void mergeMembers(const MemberKnowledge &knowledge);
+    void replaceMembers(std::span<const Protocol::Member> members);
     void applyInstanceList(std::span<const Protocol::Member> listed);
 
     /// Records that lead from the history with the digest @p baseChain to the state in force; empty optional if that is not remembered.
--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -114,7 +114,9 @@
         return;
     }
     const Protocol::StateUpdate &update = decoded.value();
-    if (update.m_membersVersion > 0) {
+    if (update.m_membersVersion > 0 && isAgent()) {
+        m_store.replaceMembers(update.m_members);
+    } else if (update.m_membersVersion > 0) {
         m_store.mergeMembers(MemberKnowledge{update.m_members, update.m_gone});
     }
     if (update.m_snapshotOffset > 0) {
@@ -132,6 +134,12 @@
     }
 }
 
+bool StateSubscriber::isAgent() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_self.m_role == Protocol::Role::Agent;
+}
+
 void StateSubscriber::retire(std::uint64_t feedId, bool failed)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/Libraries/LibControl/StateSubscriber.h
+++ b/Libraries/LibControl/StateSubscriber.h
@@ -65,6 +65,7 @@
     void announceSelf();
     void takeArrivals();
     void receive(std::uint64_t feedId, const std::string &frame);
+    bool isAgent() const;
     void retire(std::uint64_t feedId, bool failed);
     void chooseAndOpen();
     void open(const Core::Address &address);
