--- /dev/null
+++ b/Tests/LibControl/TestTemplateDocument.cpp
@@ -0,0 +1,61 @@
+/// @file Template documents: what they mean, and that every mistake is reported at once.
+
+#include "LibControl/Fold.h"
+#include "LibControl/TemplateDocument.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+Settings::Problems read(const std::string &content, Control::Template &document)
+{
+    return Settings::readDocument(content, "t.yaml", [&document](Settings::Reader &reader) { document = Control::readTemplateDocument(reader); });
+}
+
+}
+
+TEST_CASE("a document gives the template with its accounts")
+{
+    Control::Template document;
+    REQUIRE(read(R"(
+name: drafts
+service: drafting-models
+policy: time
+origin_copies: 3
+accounts:
+  - {account: garments, model: moodboard, version: "7", replicas: 4, places: [hcm-a, hanoi-a], weight: 2}
+  - {account: retail, model: moodboard, version: "7", replicas: 1}
+)",
+                 document)
+                .empty());
+    REQUIRE(document.m_policy == Control::BurstPolicy::Time);
+    REQUIRE(document.m_originCopies == 3);
+    REQUIRE(document.m_accounts.size() == 2);
+    REQUIRE(document.m_accounts.front().m_failureDomains == std::vector<std::string>{"hcm-a", "hanoi-a"});
+    REQUIRE(document.m_accounts.front().m_weight == 2);
+    REQUIRE(document.m_accounts.back().m_weight == 1);
+    REQUIRE_FALSE(Control::templateProblem(document).empty());
+}
+
+TEST_CASE("every mistake of a document is reported at once")
+{
+    Control::Template document;
+    const Settings::Problems problems = read(R"(
+name: drafts
+kind: engine
+origin_copies: 0
+accounts:
+  - {account: a, model: m, version: "1", replicas: 0}
+  - {account: a, model: m, version: "1", replicas: 1, place: hcm-a}
+)",
+                                             document);
+    REQUIRE(problems.size() == 6);
+}
+
+TEST_CASE("accounts of a plain service name no model")
+{
+    Control::Template document;
+    REQUIRE(read("name: bookings\nservice: booking-desk\nkind: plain\naccounts: [{account: a}]\n", document).empty());
+    REQUIRE(Control::templateProblem(document).empty());
+    REQUIRE(read("name: bookings\nservice: booking-desk\nkind: plain\naccounts: [{account: a, model: m}]\n", document).size() == 1);
+}
