--- a/Libraries/LibRouting/Scheduler.cpp
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -60,7 +60,7 @@
         m_retryBudget.onRequest();
     }
     Group &group = groupOf(submission.m_group);
-    if (m_table.countAvailable(submission.m_group, now) == 0) {
+    if (!hasCandidate(submission, now)) {
         return Refused{ticket, RefusalReason::NoEndpoint, m_settings.m_minimumRetryAfter};
     }
     if (group.m_queue.size() == 0) {
@@ -77,10 +77,21 @@
     if (!group.m_queue.push(submission.m_waiting)) {
         return Refused{ticket, RefusalReason::QueueFull, retryAfter(submission.m_group)};
     }
-    group.m_submissions.emplace(ticket, submission);
+    // In the queue nothing is excluded: a request that may not use the endpoint that is free would hold up all behind it.
+    group.m_submissions.emplace(ticket, submission).first->second.m_excluded.clear();
     return Queued{};
 }
 
+bool Scheduler::hasCandidate(const Submission &submission, Core::Instant now) const
+{
+    const std::span<const EndpointIndex> members = m_table.group(submission.m_group);
+    const std::vector<std::string> &excluded = submission.m_excluded;
+    return std::any_of(members.begin(), members.end(), [this, now, &excluded](EndpointIndex index) {
+        const EndpointView &endpoint = m_table.at(index);
+        return isAvailable(endpoint, now) && std::find(excluded.begin(), excluded.end(), endpoint.m_member.m_id) == excluded.end();
+    });
+}
+
 void Scheduler::finish(const Granted &granted, CallResult result, Core::Instant started, Core::Instant now)
 {
     const double seconds = Core::secondsBetween(started, now);
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -133,6 +133,8 @@
     };
 
     Group &groupOf(const GroupKey &key);
+    /// Whether any endpoint could take the request, now or once it has room.
+    bool hasCandidate(const Submission &submission, Core::Instant now) const;
     std::optional<Granted> tryGrant(const Submission &submission, Core::Instant now);
     void refuseExpired(const GroupKey &key, Group &group, Core::Instant now, std::vector<Resolution> &resolutions);
     void refuseAll(const GroupKey &key, Group &group, std::vector<Resolution> &resolutions);
--- a/Tests/Entry/Site.h
+++ b/Tests/Entry/Site.h
@@ -17,7 +17,8 @@
 
 namespace EntryTest {
 
-inline constexpr const char *Digest = "digest-7";
+inline const std::string Digest(64, '7');
+inline const std::string OtherDigest(64, '6');
 inline constexpr const char *ModelService = "drafting-models";
 inline constexpr const char *PlainService = "client-portal";
 
--- a/Tests/Entry/TestAnswers.cpp
+++ b/Tests/Entry/TestAnswers.cpp
@@ -53,7 +53,7 @@
     Pair pair;
     const HttpReply reply = pair.m_entry.generate();
     REQUIRE(reply.m_status == 200);
-    REQUIRE(reply.m_body.starts_with("{\"version\":\"7\",\"digest\":\"digest-7\"}\n{\"token\":\"red \"}\n"));
+    REQUIRE(reply.m_body.starts_with("{\"version\":\"7\",\"digest\":\"" + Digest + "\"}\n{\"token\":\"red \"}\n"));
     REQUIRE(reply.isWhole());
 }
 
@@ -79,7 +79,7 @@
     }
     SECTION("another version in the middle")
     {
-        pair.setConduct(changedAnswer([](std::vector<Protocol::AnswerFrame> &frames) { frames[2].m_version = "digest-6"; }));
+        pair.setConduct(changedAnswer([](std::vector<Protocol::AnswerFrame> &frames) { frames[2].m_version = OtherDigest; }));
     }
     const HttpReply reply = pair.m_entry.generate();
     REQUIRE(reply.m_status == 200);
@@ -92,13 +92,13 @@
     Pair pair;
     pair.m_first.setConduct(changedAnswer([](std::vector<Protocol::AnswerFrame> &frames) {
         for (Protocol::AnswerFrame &frame : frames) {
-            frame.m_version = "digest-6";
+            frame.m_version = OtherDigest;
         }
     }));
     for (int request = 0; request < 6; ++request) {
         const HttpReply reply = pair.m_entry.generate();
         REQUIRE(reply.isWhole());
-        REQUIRE(reply.m_body.find("digest-6") == std::string::npos);
+        REQUIRE(reply.m_body.find(OtherDigest) == std::string::npos);
     }
 }
 
@@ -135,6 +135,7 @@
     std::future<HttpReply> running = std::async(std::launch::async, [&pair] { return pair.m_entry.generate(); });
     const Wire::Responder responder = started.get_future().get();
     pair.m_first.change([](Protocol::AgentReport &report) { report.m_member.m_leaving = true; });
+    await([&pair] { return pair.m_entry.sees(0); });
     pair.m_second.change([](Protocol::AgentReport &report) { report.m_endpointHealthy = true; });
     await([&pair] { return pair.m_entry.sees(1); });
     for (int request = 0; request < 10; ++request) {
--- a/Tests/LibRouting/TestScheduler.cpp
+++ b/Tests/LibRouting/TestScheduler.cpp
@@ -212,3 +212,13 @@
         REQUIRE(std::get<Routing::Granted>(scheduler.submit(makeSubmission(ticket, "a"), Start)).m_endpoint != first.m_endpoint);
     }
 }
+
+TEST_CASE("a request that has failed at every endpoint is refused at once, and does not wait for its deadline")
+{
+    // The only endpoints that are left have just refused the request. Queued, it would sit there until its deadline although nothing can come of it.
+    Routing::Scheduler scheduler = makeScheduler(2);
+    Routing::Submission submission = makeSubmission(1, "a");
+    submission.m_excluded = {nameOf(0), nameOf(1)};
+    const Routing::Admission refused = scheduler.submit(submission, Start);
+    REQUIRE(std::get<Routing::Refused>(refused).m_reason == Routing::RefusalReason::NoEndpoint);
+}
