--- a/Libraries/LibRouting/Endpoint.cpp
+++ b/Libraries/LibRouting/Endpoint.cpp
@@ -6,6 +6,13 @@
 
 namespace Routing {
 
+namespace {
+
+/// Cost of an idle endpoint, as a share of that of a full one.
+constexpr double IdleCost = 0.5;
+
+}
+
 bool isAvailable(const EndpointView &endpoint, Core::Instant now)
 {
     return endpoint.m_healthy && !endpoint.m_member.m_leaving && now - endpoint.m_lastHeard < SilenceLimit && now >= endpoint.m_avoidUntil;
@@ -38,6 +45,11 @@
     return static_cast<double>(estimatedRequests(endpoint)) / std::max(1U, endpoint.m_load.m_capacity);
 }
 
+double estimatedCost(const EndpointView &endpoint)
+{
+    return endpoint.m_serviceSeconds * (IdleCost + estimatedLoad(endpoint));
+}
+
 bool hasRoom(const EndpointView &endpoint)
 {
     return estimatedRequests(endpoint) < std::max(1U, endpoint.m_load.m_capacity);
--- a/Libraries/LibRouting/Endpoint.h
+++ b/Libraries/LibRouting/Endpoint.h
@@ -46,6 +46,9 @@
 /// estimatedRequests() relative to the requests that the endpoint runs at once.
 double estimatedLoad(const EndpointView &endpoint);
 
+/// How long another request would take, relative to other endpoints: its own calls' time so far, and more the fuller it is. 0 until a call has ended.
+double estimatedCost(const EndpointView &endpoint);
+
 /// True if another request would start at once, as far as the entry can tell.
 bool hasRoom(const EndpointView &endpoint);
 
--- a/Libraries/LibRouting/FairQueue.cpp
+++ b/Libraries/LibRouting/FairQueue.cpp
@@ -32,6 +32,7 @@
     if (account.m_waiting.empty()) {
         account.m_nextStart = std::max(account.m_nextStart, m_virtualTime);
     }
+    account.m_weight = std::max(1U, waiting.m_weight);
     const std::int32_t priority = waiting.m_priority;
     const std::deque<Waiting>::const_iterator position =
         std::find_if(account.m_waiting.begin(), account.m_waiting.end(), [priority](const Waiting &other) { return other.m_priority < priority; });
@@ -110,6 +111,20 @@
     return expired;
 }
 
+double FairQueue::requestsAhead(const std::string &account, std::uint32_t weight) const
+{
+    const double own = static_cast<double>(sizeOf(account));
+    double ahead = own;
+    for (const std::pair<const std::string, Account> &entry : m_accounts) {
+        if (entry.first == account) {
+            continue;
+        }
+        const double share = (own + 1) * entry.second.m_weight / std::max(1U, weight);
+        ahead += std::min(static_cast<double>(entry.second.m_waiting.size()), share);
+    }
+    return ahead;
+}
+
 std::size_t FairQueue::sizeOf(const std::string &account) const
 {
     const std::map<std::string, Account>::const_iterator it = m_accounts.find(account);
--- a/Libraries/LibRouting/FairQueue.h
+++ b/Libraries/LibRouting/FairQueue.h
@@ -56,11 +56,14 @@
     {
         return m_size;
     }
+    /// Requests that would be served before the next one of an account, if all ask for the same work and no others come.
+    double requestsAhead(const std::string &account, std::uint32_t weight) const;
     std::size_t sizeOf(const std::string &account) const;
 
 private:
     struct Account
     {
+        std::uint32_t m_weight = 1; ///< Of its newest request.
         double m_nextStart = 0; ///< Virtual time at which its next request may start.
         std::deque<Waiting> m_waiting; ///< By falling priority, then by arrival; at most m_maximumPerAccount.
     };
--- a/Libraries/LibRouting/Pick.cpp
+++ b/Libraries/LibRouting/Pick.cpp
@@ -13,6 +13,8 @@
 constexpr int MaximumSamples = 6;
 /// Load above the mean, relative to it, up to which affinity outweighs balance.
 constexpr double AffinitySlack = 0.25;
+/// An endpoint whose calls take this many times the mean does not keep its prefixes.
+constexpr double SlowFactor = 2;
 /// Bytes of the prompt that count as its prefix.
 constexpr std::size_t PrefixBytes = 256;
 
@@ -95,9 +97,9 @@
             first = index;
             continue;
         }
-        return estimatedLoad(choice.m_table.at(index)) < estimatedLoad(choice.m_table.at(*first)) ? index : *first;
+        return estimatedCost(choice.m_table.at(index)) < estimatedCost(choice.m_table.at(*first)) ? index : *first;
     }
-    return first ? first : cheapest(choice, random, estimatedLoad);
+    return first ? first : cheapest(choice, random, estimatedCost);
 }
 
 std::uint64_t affinityWeight(std::uint64_t affinity, std::uint64_t endpointHash)
@@ -113,12 +115,16 @@
     std::uint64_t ownerWeight = 0;
     std::uint64_t requests = 0;
     std::uint64_t capacity = 0;
+    std::uint64_t available = 0;
+    double seconds = 0;
     for (const EndpointIndex index : choice.m_members) {
         const EndpointView &endpoint = choice.m_table.at(index);
         if (!isAvailable(endpoint, choice.m_now)) {
             continue;
         }
         requests += estimatedRequests(endpoint);
+        seconds += endpoint.m_serviceSeconds;
+        available += 1;
         capacity += std::max(1U, endpoint.m_load.m_capacity);
         const std::uint64_t weight = affinityWeight(choice.m_request.m_affinity, endpoint.m_hash);
         if (!owner || weight > ownerWeight) {
@@ -132,11 +138,17 @@
     const EndpointView &endpoint = choice.m_table.at(*owner);
     const double bound = (1 + AffinitySlack) * static_cast<double>(requests + 1) / static_cast<double>(capacity);
     const bool withinBound = estimatedRequests(endpoint) == 0 || estimatedLoad(endpoint) <= bound;
-    return withinBound ? owner : pickOfTwo(choice, random);
+    const bool isSlow = endpoint.m_serviceSeconds > SlowFactor * seconds / static_cast<double>(available);
+    return withinBound && !isSlow ? owner : pickOfTwo(choice, random);
 }
 
 }
 
+bool waitsForRoom(Strategy strategy)
+{
+    return strategy != Strategy::Random && strategy != Strategy::LeastReportedLoad;
+}
+
 std::optional<EndpointIndex>
 pick(Strategy strategy, const EndpointTable &table, const GroupKey &group, const PickRequest &request, Core::Instant now, Core::Random &random)
 {
--- a/Libraries/LibRouting/Pick.h
+++ b/Libraries/LibRouting/Pick.h
@@ -16,6 +16,9 @@
     PrefixAffinity, ///< The prompt prefix's own endpoint while its load is near the mean, else as PowerOfTwoChoices.
 };
 
+/// Whether requests wait at the entry until an endpoint has room. The baselines that look at reports only cannot tell, and send at once.
+bool waitsForRoom(Strategy strategy);
+
 /// What the choice depends on besides the endpoints.
 struct PickRequest
 {
--- a/Libraries/LibRouting/Scheduler.cpp
+++ b/Libraries/LibRouting/Scheduler.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t MaximumGroups = 1024;
 /// Weight of the newest call in the moving average of call times.
 constexpr double AverageShare = 0.05;
+/// Time that a call may take once it starts, in mean call times; a request that would not end in time is refused rather than queued.
+constexpr double CallMargin = 2;
 
 }
 
@@ -41,7 +43,7 @@
 
 std::optional<Granted> Scheduler::tryGrant(const Submission &submission, Core::Instant now)
 {
-    const PickRequest request{submission.m_affinity, submission.m_excluded, true};
+    const PickRequest request{submission.m_affinity, submission.m_excluded, waitsForRoom(m_settings.m_strategy)};
     const std::optional<EndpointIndex> index = pick(m_settings.m_strategy, m_table, submission.m_group, request, now, m_random);
     if (!index) {
         return std::nullopt;
@@ -70,8 +72,8 @@
             return *granted;
         }
     }
-    const Core::Duration wait = expectedWait(group);
-    if (now + wait >= submission.m_waiting.m_deadline) {
+    const double ahead = group.m_queue.requestsAhead(submission.m_waiting.m_account, submission.m_waiting.m_weight);
+    if (now + expectedWait(group, ahead) + expectedCall(group) >= submission.m_waiting.m_deadline) {
         return Refused{ticket, RefusalReason::TooLate, retryAfter(submission.m_group)};
     }
     if (!group.m_queue.push(submission.m_waiting)) {
@@ -168,19 +170,27 @@
     }
 }
 
-Core::Duration Scheduler::expectedWait(const Group &group) const
+Core::Duration Scheduler::expectedWait(const Group &group, double ahead) const
 {
-    if (group.m_running == 0 || group.m_callSeconds == 0) {
+    if (group.m_running == 0) {
         return Core::Duration(0);
     }
-    const double seconds = group.m_callSeconds * static_cast<double>(group.m_queue.size()) / static_cast<double>(group.m_running);
+    const double seconds = group.m_callSeconds * ahead / static_cast<double>(group.m_running);
     return Core::Duration(static_cast<std::int64_t>(seconds * 1000));
 }
 
-Core::Duration Scheduler::retryAfter(const GroupKey &group) const
+Core::Duration Scheduler::expectedCall(const Group &group)
 {
-    const std::map<GroupKey, Group>::const_iterator it = m_groups.find(group);
-    const Core::Duration wait = it == m_groups.end() ? Core::Duration(0) : expectedWait(it->second);
+    return Core::Duration(static_cast<std::int64_t>(CallMargin * group.m_callSeconds * 1000));
+}
+
+Core::Duration Scheduler::retryAfter(const GroupKey &key) const
+{
+    const std::map<GroupKey, Group>::const_iterator it = m_groups.find(key);
+    if (it == m_groups.end()) {
+        return m_settings.m_minimumRetryAfter;
+    }
+    const Core::Duration wait = expectedWait(it->second, static_cast<double>(it->second.m_queue.size()));
     return std::clamp(wait, m_settings.m_minimumRetryAfter, m_settings.m_maximumRetryAfter);
 }
 
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -121,7 +121,7 @@
     }
     std::size_t queued() const;
     /// Estimate of when a request that is refused now is worth trying again.
-    Core::Duration retryAfter(const GroupKey &group) const;
+    Core::Duration retryAfter(const GroupKey &key) const;
 
 private:
     struct Group
@@ -139,7 +139,9 @@
     void refuseExpired(const GroupKey &key, Group &group, Core::Instant now, std::vector<Resolution> &resolutions);
     void refuseAll(const GroupKey &key, Group &group, std::vector<Resolution> &resolutions);
     void grantWaiting(Group &group, Core::Instant now, std::vector<Resolution> &resolutions);
-    Core::Duration expectedWait(const Group &group) const;
+    /// Time until @p ahead requests have started, at the rate of the moment.
+    Core::Duration expectedWait(const Group &group, double ahead) const;
+    static Core::Duration expectedCall(const Group &group);
     void forgetIdleGroups();
 
     const SchedulerSettings m_settings;
--- a/Tests/Agent/Rig.h
+++ b/Tests/Agent/Rig.h
@@ -83,7 +83,8 @@
         : m_versions(std::move(versions))
         , m_server(8)
     {
-        REQUIRE(m_server.listen(m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { answer(request, response); }));
+        REQUIRE(
+            m_server.listen(m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { answer(request, response); }));
     }
 
     const Core::Address m_address = freeAddress();
@@ -186,8 +187,8 @@
         : m_endpoint((settings.m_listen = m_address, settings))
         , m_server(64)
     {
-        REQUIRE(m_server.listen(m_address,
-                                [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_endpoint.handle(request, response); }));
+        REQUIRE(m_server.listen(
+            m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_endpoint.handle(request, response); }));
     }
 
     ~Hosted()
@@ -209,8 +210,8 @@
 };
 
 /// Settings of an agent beside an endpoint, with short times.
-inline Endpoint::AgentSettings
-agentSettings(const Core::Address &entry, const Core::Address &origin, const Core::Address &endpoint, Endpoint::EndpointKind kind, const std::string &incarnation)
+inline Endpoint::AgentSettings agentSettings(
+    const Core::Address &entry, const Core::Address &origin, const Core::Address &endpoint, Endpoint::EndpointKind kind, const std::string &incarnation)
 {
     Endpoint::AgentSettings settings;
     Protocol::Member &self = settings.m_instance.m_member;
