--- /dev/null
+++ b/Utilities/measure-entry/QuickAgent.h
@@ -0,0 +1,45 @@
+/// @file An agent that answers every request at once, so that a measurement sees the entry alone.
+#pragma once
+
+#include "LibCore/Address.h"
+#include "LibProtocol/Live.h"
+#include "LibProtocol/Report.h"
+#include "LibWire/Node.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace MeasureEntry {
+
+class QuickAgent
+{
+public:
+    QuickAgent(const std::string &id, const std::string &service, const std::string &digest, int tokens);
+    ~QuickAgent();
+
+    Core::Result<void> start();
+    const Protocol::Member &member() const
+    {
+        return m_report.m_member;
+    }
+
+private:
+    void answer(const Wire::IncomingCall &call) const;
+    void reportLoop();
+
+    const int m_tokens;
+    Telemetry::Metrics m_metrics;
+    Protocol::AgentReport m_report;
+    std::unique_ptr<Wire::Node> m_node;
+    std::mutex m_mutex;
+    std::vector<Wire::Responder> m_watchers;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+/// A free port on the loopback address.
+Core::Address freeAddress();
+
+}
