--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -25,6 +25,7 @@
 constexpr const char *JsonType = "application/json";
 constexpr const char *LinesType = "application/x-ndjson";
 constexpr std::size_t ReadBytes = 16384;
+constexpr std::size_t FlushBytes = 8192;
 constexpr int ListenBacklog = 1024;
 constexpr int ThreadIdleSeconds = 60;
 constexpr int MinimumThreads = 2;
@@ -120,18 +121,21 @@
         m_response.setChunkedTransferEncoding(true);
         m_response.setContentType(LinesType);
         m_stream = &m_response.send();
-        return write(R"({"version":)" + Poco::toJSON(version.m_version) + R"(,"digest":)" + Poco::toJSON(version.m_digest) + "}\n");
+        m_lines += R"({"version":)" + Poco::toJSON(version.m_version) + R"(,"digest":)" + Poco::toJSON(version.m_digest) + "}\n";
+        return true;
     }
 
     bool onToken(const std::string &token) override
     {
-        return write(R"({"token":)" + Poco::toJSON(token) + "}\n");
+        m_lines += R"({"token":)" + Poco::toJSON(token) + "}\n";
+        return m_lines.size() < FlushBytes || flush();
     }
 
     bool onEnd(std::uint64_t tokens, const std::string &digest) override
     {
-        return write(R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(m_digest) + R"(,"sha256":)" + Poco::toJSON(digest)
-                     + "}\n");
+        m_lines +=
+            R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(m_digest) + R"(,"sha256":)" + Poco::toJSON(digest) + "}\n";
+        return flush();
     }
 
     bool isGone() override
@@ -147,21 +151,28 @@
 
     void writeError(const CallerError &error)
     {
-        write(callerErrorJson(error) + "\n");
+        m_lines += callerErrorJson(error) + "\n";
+        flush();
     }
 
-private:
-    std::string m_digest; ///< Version that the answer started with.
-    bool write(const std::string &line)
+    /// Lines that came together go out in one chunk: a write for each token is most of what an answer costs.
+    bool flush() override
     {
-        m_stream->write(line.data(), static_cast<std::streamsize>(line.size()));
+        if (m_lines.empty()) {
+            return true;
+        }
+        m_stream->write(m_lines.data(), static_cast<std::streamsize>(m_lines.size()));
         m_stream->flush();
+        m_lines.clear();
         return m_stream->good();
     }
 
+private:
     Poco::Net::StreamSocket &m_socket;
     HTTPServerResponse &m_response;
     std::ostream *m_stream = nullptr; ///< Owned by the response.
+    std::string m_digest; ///< Version that the answer started with.
+    std::string m_lines; ///< Not written yet; below FlushBytes.
 };
 
 /// Counts a request for work as open while it lives.
--- a/Libraries/LibEntry/Generation.cpp
+++ b/Libraries/LibEntry/Generation.cpp
@@ -89,8 +89,8 @@
         const Routing::Granted &granted = grant.m_granted;
         m_failedAt.push_back(granted.m_member.m_id);
         LiveAttempt live(*m_frontend.m_node, granted.m_member.m_wire, liveRequest(version, granted), m_deadline);
-        const AttemptOutcome outcome =
-            live.run([this, &version](const Protocol::AnswerFrame &frame) { return onFrame(version, frame); }, [this] { return m_sink.isGone(); });
+        const AttemptOutcome outcome = live.run([this, &version](const Protocol::AnswerFrame &frame) { return onFrame(version, frame); },
+                                                [this] { return !m_sink.flush() || m_sink.isGone(); });
         m_frontend.m_router->release(grant, callResult(outcome));
         return outcome;
     }
--- a/Libraries/LibEntry/Generation.h
+++ b/Libraries/LibEntry/Generation.h
@@ -17,6 +17,8 @@
     virtual bool onVersion(const ServedVersion &version) = 0;
     virtual bool onToken(const std::string &token) = 0;
     virtual bool onEnd(std::uint64_t tokens, const std::string &digest) = 0;
+    /// Nothing more is there for now: what was given goes out.
+    virtual bool flush() = 0;
     virtual bool isGone() = 0;
 };
 
--- a/Libraries/LibEntry/LiveAttempt.cpp
+++ b/Libraries/LibEntry/LiveAttempt.cpp
@@ -92,10 +92,13 @@
     return Core::makeError(Core::ErrorCode::Ambiguous, "read answer", m_peer, detail);
 }
 
-AttemptOutcome LiveAttempt::run(const Consumer &consume, const GoneCheck &isGone)
+AttemptOutcome LiveAttempt::run(const Consumer &consume, const IdleCheck &isGone)
 {
+    bool idle = false;
     while (true) {
-        const std::optional<std::string> arrival = m_inbox->m_frames.pop(GoneInterval);
+        // Without waiting first: what has arrived together is handed on together.
+        const std::optional<std::string> arrival = m_inbox->m_frames.pop(idle ? GoneInterval : Core::Duration(0));
+        idle = !arrival;
         if (m_inbox->m_overrun) {
             return AttemptOutcome{AttemptEnd::Lost, lost("the caller reads too slowly")};
         }
--- a/Libraries/LibEntry/LiveAttempt.h
+++ b/Libraries/LibEntry/LiveAttempt.h
@@ -49,11 +49,11 @@
 
     /// Receives checked frames; false if the caller is gone.
     using Consumer = std::function<bool(const Protocol::AnswerFrame &frame)>;
-    /// Asked while nothing arrives; true if the caller is gone.
-    using GoneCheck = std::function<bool()>;
+    /// Asked whenever nothing more has arrived yet, and now and then while that lasts; true if the caller is gone.
+    using IdleCheck = std::function<bool()>;
 
     /// Reads the answer to its end.
-    AttemptOutcome run(const Consumer &consume, const GoneCheck &isGone);
+    AttemptOutcome run(const Consumer &consume, const IdleCheck &isGone);
 
 private:
     /// Shared with the call's callbacks, which may outlive this object.
--- a/Utilities/measure-entry/Main.cpp
+++ b/Utilities/measure-entry/Main.cpp
@@ -54,8 +54,7 @@
         : m_log(logSettings(m_platform))
         , m_server(32)
     {
-        m_server
-            .listen(m_platform, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_log.handle(request, response); })
+        m_server.listen(m_platform, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_log.handle(request, response); })
             .value();
         for (int index = 0; index < Agents; ++index) {
             m_agents.push_back(std::make_unique<QuickAgent>("engine-" + std::to_string(index), Service, Digest, tokens));
@@ -64,7 +63,8 @@
         }
         publish();
         const std::string settings = writeSettings();
-        m_entry.emplace(Bench::Process::start("/usr/bin/taskset", {"-c", "0", programs + "/oriolerail-entry", "--settings", settings}, settings + ".log").value());
+        m_entry.emplace(
+            Bench::Process::start("/usr/bin/taskset", {"-c", "0", programs + "/oriolerail-entry", "--settings", settings}, settings + ".log").value());
         awaitAnswer();
     }
 
