--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -121,7 +121,7 @@
     }
     std::size_t queued() const;
     /// Estimate of when a request that is refused now is worth trying again.
-    Core::Duration retryAfter(const GroupKey &group) const;
+    Core::Duration retryAfter(const GroupKey &key) const;
 
 private:
     struct Group
@@ -133,11 +133,15 @@
     };
 
     Group &groupOf(const GroupKey &key);
+    /// Whether any endpoint could take the request, now or once it has room.
+    bool hasCandidate(const Submission &submission, Core::Instant now) const;
     std::optional<Granted> tryGrant(const Submission &submission, Core::Instant now);
     void refuseExpired(const GroupKey &key, Group &group, Core::Instant now, std::vector<Resolution> &resolutions);
     void refuseAll(const GroupKey &key, Group &group, std::vector<Resolution> &resolutions);
     void grantWaiting(Group &group, Core::Instant now, std::vector<Resolution> &resolutions);
-    Core::Duration expectedWait(const Group &group) const;
+    /// Time until @p ahead requests have started, at the rate of the moment.
+    Core::Duration expectedWait(const Group &group, double ahead) const;
+    static Core::Duration expectedCall(const Group &group);
     void forgetIdleGroups();
 
     const SchedulerSettings m_settings;
