LibClaims, LibEntry: Refuse keyed calls as not run, not as malformed, while claims cannot be read

With the log down an entry handed out no key epoch, and a caller's key without one was answered 400. The last epoch known stays good, since it only grows, and a key without one is refused with 503 and Retry-After.

--- a/Libraries/LibClaims/ClaimKey.cpp
+++ b/Libraries/LibClaims/ClaimKey.cpp
@@ -50,6 +50,10 @@
     if (dot == std::string_view::npos || dot + 1 == text.size()) {
         return badKey("the key must be a key_epoch from /v1/addresses, a dot, and a text of the caller's own");
     }
+    if (dot == 0) {
+        // Its caller was given no epoch, since the claims could not be read then. The key is well formed, but not yet of use.
+        return Core::makeError(Core::ErrorCode::Unavailable, "check key", "", "the key has no epoch; ask /v1/addresses for one again");
+    }
     const std::string_view epochText = text.substr(0, dot);
     const std::size_t dash = epochText.find('-');
     ClaimKey key;
--- a/Libraries/LibClaims/ClaimKey.h
+++ b/Libraries/LibClaims/ClaimKey.h
@@ -45,7 +45,7 @@
 
 inline constexpr std::size_t MaximumKeyBytes = 256;
 
-/// Reads "E.text". Fails with InvalidInput.
+/// Reads "E.text". Fails with InvalidInput, or with Unavailable if E is empty.
 Core::Result<ClaimKey> parseClaimKey(std::string_view text);
 
 /// The key as it is claimed: two accounts, or two services, may use the same text without meeting.
--- a/Libraries/LibClaims/ClaimWriter.cpp
+++ b/Libraries/LibClaims/ClaimWriter.cpp
@@ -105,8 +105,8 @@
 Core::Result<Epoch> ClaimWriter::epoch() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (!m_current) {
-        return unavailable("the claims have not been read to their end");
+    if (!m_wasCurrent) {
+        return unavailable("the claims have never been read to their end");
     }
     return m_table.epoch();
 }
@@ -302,6 +302,7 @@
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_current = m_table.position() + 1 >= page.m_next;
+    m_wasCurrent = m_wasCurrent || m_current;
 }
 
 void ClaimWriter::settle(OpenBatch batch, const FoldedBatch &folded, const Epoch &epoch)
@@ -348,6 +349,7 @@
     m_lastBody.clear();
     m_newGeneration = true;
     m_current = false;
+    m_wasCurrent = false;
 }
 
 }
--- a/Libraries/LibClaims/ClaimWriter.h
+++ b/Libraries/LibClaims/ClaimWriter.h
@@ -99,6 +99,9 @@
     ClaimTable m_table;
     std::string m_lastBody; ///< The record at m_table.position().
     bool m_current = false; ///< The stream has been read to its end, and reading works.
+    /// m_current was true once. An epoch only ever grows, so that the last one known stays good for callers while the log is down;
+    /// without one they could not even form the key of the call that is to be refused as not run.
+    bool m_wasCurrent = false;
     bool m_newGeneration = false; ///< The next batch starts a generation.
     std::unordered_map<std::string, OpenBatch> m_open; ///< By id.
     Core::Instant m_downUntil;
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -22,6 +22,9 @@
 
 namespace {
 
+/// When a caller without a key epoch should ask for one again; an entry reads the claims to their end within a second of the log's return.
+constexpr Core::Duration MissingEpochRetryAfter{1000};
+
 constexpr const char *JsonType = "application/json";
 constexpr const char *LinesType = "application/x-ndjson";
 constexpr std::size_t ReadBytes = 16384;
@@ -67,6 +70,9 @@
 
 CallerError inputError(const Core::Error &error)
 {
+    if (error.m_code == Core::ErrorCode::Unavailable) {
+        return CallerError{CallerCode::NotRun, error, MissingEpochRetryAfter, {}};
+    }
     return CallerError{CallerCode::InvalidInput, error, std::nullopt, {}};
 }
 
