LibEntry, LibClaims: Read claims at few entries, and answer oversized bodies

Every entry read the whole claims stream. Now the three writers and three that stand by do; others ask a writer for the epoch of new keys once a second.

--- a/Libraries/LibClaims/ClaimWriter.cpp
+++ b/Libraries/LibClaims/ClaimWriter.cpp
@@ -216,32 +216,53 @@
     }
 }
 
+void ClaimWriter::setReading(bool reading)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_reading == reading) {
+        return;
+    }
+    m_reading = reading;
+    m_started = false;
+    m_current = false;
+}
+
 void ClaimWriter::readLoop()
 {
-    startReading();
     Core::Instant nextCheck = Core::Clock::now() + m_settings.m_checkInterval;
     while (m_running) {
+        failOldBatches(Core::Clock::now());
+        if (!startReading()) {
+            std::this_thread::sleep_for(m_settings.m_downPause);
+            continue;
+        }
         readOnce();
-        const Core::Instant now = Core::Clock::now();
-        failOldBatches(now);
-        if (now >= nextCheck) {
+        if (Core::Clock::now() >= nextCheck) {
             checkLastRecord();
-            nextCheck = now + m_settings.m_checkInterval;
+            nextCheck = Core::Clock::now() + m_settings.m_checkInterval;
         }
     }
 }
 
-void ClaimWriter::startReading()
+bool ClaimWriter::startReading()
 {
-    while (m_running) {
-        const Core::Result<Platform::LogPage> page = m_log.read(ClaimsStream, 1, Platform::ReadOptions{1, Core::Duration(0)});
-        if (page) {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            m_table.startAt(page.value().m_first);
-            return;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (!m_reading || m_started) {
+            return m_started;
         }
-        std::this_thread::sleep_for(m_settings.m_downPause);
     }
+    const Core::Result<Platform::LogPage> page = m_log.read(ClaimsStream, 1, Platform::ReadOptions{1, Core::Duration(0)});
+    if (!page) {
+        return false;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_table = ClaimTable(m_settings.m_window);
+    m_table.startAt(page.value().m_first);
+    m_lastBody.clear();
+    m_newGeneration = false;
+    m_started = m_reading;
+    return m_started;
 }
 
 void ClaimWriter::readOnce()
@@ -301,7 +322,7 @@
         settle(std::move(batch), folded, epoch);
     }
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_current = m_table.position() + 1 >= page.m_next;
+    m_current = m_started && m_table.position() + 1 >= page.m_next;
 }
 
 void ClaimWriter::settle(OpenBatch batch, const FoldedBatch &folded, const Epoch &epoch)
--- a/Libraries/LibClaims/ClaimWriter.h
+++ b/Libraries/LibClaims/ClaimWriter.h
@@ -48,6 +48,12 @@
     void start();
     void stop();
 
+    /**
+     * Starts or stops reading the stream. An entry that is no reader refuses claims, and forgets what it has read: a later start begins at the
+     * oldest record that the log holds, so that nothing in between is missed. Off at first.
+     */
+    void setReading(bool reading);
+
     /// Queues a request. While the log is down or slow it is refused at once with Unavailable.
     void submit(ClaimRequest request, ClaimCallback callback);
 
@@ -75,7 +81,7 @@
     void readLoop();
     void readOnce();
     void checkLastRecord();
-    void startReading();
+    bool startReading();
     void restart(Offset first);
     void foldPage(const Platform::LogPage &page);
     void settle(OpenBatch batch, const FoldedBatch &folded, const Epoch &epoch);
@@ -98,6 +104,8 @@
     mutable std::mutex m_mutex; ///< Guards what follows.
     ClaimTable m_table;
     std::string m_lastBody; ///< The record at m_table.position().
+    bool m_reading = false; ///< Asked for by setReading().
+    bool m_started = false; ///< The oldest record is known, and m_table begins there.
     bool m_current = false; ///< The stream has been read to its end, and reading works.
     bool m_newGeneration = false; ///< The next batch starts a generation.
     std::unordered_map<std::string, OpenBatch> m_open; ///< By id.
--- a/Libraries/LibClaims/Writers.cpp
+++ b/Libraries/LibClaims/Writers.cpp
@@ -17,9 +17,8 @@
     const Protocol::Member *m_member = nullptr;
 };
 
-}
-
-std::vector<Protocol::Member> claimWriters(std::span<const Protocol::Member> members, const std::string &key)
+/// The live entries that come first in the election, at most @p count.
+std::vector<Ranked> rankEntries(std::span<const Protocol::Member> members, std::size_t count)
 {
     std::vector<Ranked> ranked;
     for (const Protocol::Member &member : members) {
@@ -30,9 +29,21 @@
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
         return left.m_weight != right.m_weight ? left.m_weight > right.m_weight : left.m_member->m_id < right.m_member->m_id;
     });
-    if (ranked.size() > WriterCount) {
-        ranked.resize(WriterCount);
-    }
+    ranked.resize(std::min(count, ranked.size()));
+    return ranked;
+}
+
+}
+
+bool isClaimReader(std::span<const Protocol::Member> members, const std::string &entry)
+{
+    const std::vector<Ranked> ranked = rankEntries(members, ReaderCount);
+    return std::any_of(ranked.begin(), ranked.end(), [&entry](const Ranked &reader) { return reader.m_member->m_id == entry; });
+}
+
+std::vector<Protocol::Member> claimWriters(std::span<const Protocol::Member> members, const std::string &key)
+{
+    std::vector<Ranked> ranked = rankEntries(members, WriterCount);
     for (Ranked &writer : ranked) {
         writer.m_weight = Core::rendezvousWeight(key, writer.m_member->m_id);
     }
--- a/Libraries/LibClaims/Writers.h
+++ b/Libraries/LibClaims/Writers.h
@@ -12,6 +12,12 @@
 /// Entries that write at the same time. Each appends at most a batch every batching interval, which keeps the appends within the log's rate.
 inline constexpr std::size_t WriterCount = 3;
 
+/// Entries that read the claims stream: the writers and as many that stand by, so that one that takes over knows the claims already.
+inline constexpr std::size_t ReaderCount = 2 * WriterCount;
+
+/// Whether an entry should read the claims stream; all others would pay for it without use.
+bool isClaimReader(std::span<const Protocol::Member> members, const std::string &entry);
+
 /**
  * The entries to try for a claim on @p key, best first.
  *
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -25,6 +25,7 @@
 constexpr const char *JsonType = "application/json";
 constexpr const char *LinesType = "application/x-ndjson";
 constexpr std::size_t ReadBytes = 16384;
+constexpr std::size_t MaximumDiscarded = 64 << 20;
 constexpr std::size_t FlushBytes = 8192;
 constexpr int ListenBacklog = 1024;
 constexpr int ThreadIdleSeconds = 60;
@@ -95,6 +96,17 @@
     return body;
 }
 
+/// Reads the rest of a body and forgets it. Closing a connection that holds unread bytes resets it, and the caller, still sending, would see a
+/// failure in place of the refusal. The guard's limit on the time of a request bounds this too.
+void discardBody(HTTPServerRequest &request)
+{
+    std::string part(ReadBytes, '\0');
+    std::size_t discarded = 0;
+    while (discarded < MaximumDiscarded && request.stream().read(part.data(), static_cast<std::streamsize>(part.size()))) {
+        discarded += part.size();
+    }
+}
+
 RequestHeaders headersOf(const HTTPServerRequest &request)
 {
     RequestHeaders headers;
@@ -224,13 +236,14 @@
     {
         const Core::Instant arrival = Core::Clock::now();
         const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBody);
-        m_guard.endReceiving(socketOf(request));
         if (!body) {
             response.setKeepAlive(false);
             const bool tooLarge = body.error().m_code == Core::ErrorCode::Overloaded;
             sendError(response, tooLarge ? CallerError{CallerCode::TooLarge, body.error(), std::nullopt, {}} : inputError(body.error()));
+            discardBody(request);
             return;
         }
+        m_guard.endReceiving(socketOf(request));
         std::string path;
         try {
             path = Poco::URI(request.getURI()).getPath();
--- a/Libraries/LibEntry/ClaimService.cpp
+++ b/Libraries/LibEntry/ClaimService.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t MaximumPerRequest = 64;
 /// Longest time for one writer; then the next one is tried, which is safe with the same attempt.
 constexpr Core::Duration WriterTimeout{3000};
+constexpr Core::Duration EpochTimeout{1000};
+/// How old the epoch handed out for new keys may be, besides the way it takes. An older one only shortens the lives of keys.
+constexpr Core::Duration EpochInterval{1000};
+constexpr Core::Duration EpochRetry{100};
 
 Core::Duration timeLeft(Core::Instant deadline)
 {
@@ -34,10 +38,12 @@
 void ClaimService::start()
 {
     m_writer.start();
+    m_duty.start([this] { return turn(); });
 }
 
 void ClaimService::stop()
 {
+    m_duty.stop();
     m_writer.stop();
 }
 
@@ -102,10 +108,28 @@
     return last;
 }
 
-std::string ClaimService::keyEpoch()
+Core::Duration ClaimService::turn()
+{
+    const std::vector<Protocol::Member> members = m_store.members();
+    m_writer.setReading(Claims::isClaimReader(members, m_self.m_id));
+    Core::Result<Claims::Epoch> epoch = m_writer.epoch();
+    if (!epoch) {
+        const Core::Result<Claims::ClaimAnswer> answer = write(m_self.m_id, Claims::ClaimRequest(), Core::Clock::now() + EpochTimeout);
+        epoch = answer ? Core::Result<Claims::Epoch>(answer.value().m_epoch) : Core::Result<Claims::Epoch>(answer.error());
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_epoch = epoch ? std::optional<Claims::Epoch>(epoch.value()) : std::nullopt;
+    return epoch ? EpochInterval : EpochRetry;
+}
+
+std::string ClaimService::keyEpoch() const
 {
     const Core::Result<Claims::Epoch> epoch = m_writer.epoch();
-    return epoch ? Claims::formatEpoch(epoch.value()) : std::string();
+    if (epoch) {
+        return Claims::formatEpoch(epoch.value());
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_epoch ? Claims::formatEpoch(*m_epoch) : std::string();
 }
 
 }
--- a/Libraries/LibEntry/ClaimService.h
+++ b/Libraries/LibEntry/ClaimService.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibClaims/ClaimWriter.h"
+#include "LibControl/Duty.h"
 #include "LibControl/StateStore.h"
 #include "LibWire/Node.h"
 
@@ -29,7 +30,7 @@
     /// Has a request written that concerns one key; blocks until the result stands in the log, at most until the deadline.
     Core::Result<Claims::ClaimAnswer> write(const std::string &key, const Claims::ClaimRequest &request, Core::Instant deadline);
     /// The epoch for new keys, as of a moment ago; empty until it is known.
-    std::string keyEpoch();
+    std::string keyEpoch() const;
 
     const Claims::ClaimWriter &writer() const
     {
@@ -40,11 +41,15 @@
     Core::Result<Claims::ClaimAnswer> writeHere(const Claims::ClaimRequest &request, Core::Duration timeout);
     Core::Result<Claims::ClaimAnswer> writeAt(const Protocol::Member &writer, const Claims::ClaimRequest &request, Core::Duration timeout);
     void answer(const Wire::IncomingCall &call);
+    Core::Duration turn();
 
     Wire::Node &m_node;
     Control::StateStore &m_store;
     const Protocol::Member m_self;
     Claims::ClaimWriter m_writer;
+    mutable std::mutex m_mutex;
+    std::optional<Claims::Epoch> m_epoch; ///< For new keys, as a writer told it; empty while none can be asked.
+    Control::Duty m_duty; ///< Looks whether this entry is a reader, and asks for the epoch if it is not.
 };
 
 }
--- a/Tests/Entry/TestAnswers.cpp
+++ b/Tests/Entry/TestAnswers.cpp
@@ -172,6 +172,43 @@
     }
 }
 
+TEST_CASE("a caller that goes away stops its request")
+{
+    // A buyer closes the window. The engine would go on writing for nobody, and everyone behind would wait for it.
+    Pair pair;
+    std::promise<Wire::Responder> started;
+    pair.m_first.setConduct([&started](FakeAgent &, const Protocol::LiveRequest &, const Wire::Responder &responder) { started.set_value(responder); });
+    pair.m_second.change([](Protocol::AgentReport &report) { report.m_endpointHealthy = false; });
+    await([&pair] { return pair.m_entry.sees(1); });
+    const Core::Address &callers = pair.m_entry.member().m_callers;
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(callers.m_host, callers.m_port));
+    const std::string body = R"({"account":"sao-mai","template":"season","prompt":"moodboard"})";
+    const std::string text = "POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    const Wire::Responder responder = started.get_future().get();
+    REQUIRE_FALSE(responder.isCancelled());
+    socket.close();
+    await([&responder] { return responder.isCancelled(); });
+}
+
+TEST_CASE("a request without an answer ends at its deadline, and the agent is told the time that is left")
+{
+    Pair pair;
+    std::vector<Wire::Responder> held;
+    std::mutex mutex;
+    pair.setConduct([&held, &mutex](FakeAgent &, const Protocol::LiveRequest &, const Wire::Responder &responder) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        held.push_back(responder);
+    });
+    const HttpReply reply = pair.m_entry.generate({{"Oriolerail-Timeout-Ms", "300"}});
+    REQUIRE(reply.m_status == 504);
+    REQUIRE(reply.code() == "timeout");
+    await([&held, &mutex] {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return held.size() == 1 && held[0].isCancelled();
+    });
+}
+
 TEST_CASE("nothing is served before accepted configuration is known, and nothing by default")
 {
     FakePlatform platform;
--- a/Tests/LibClaims/TestClaimWriter.cpp
+++ b/Tests/LibClaims/TestClaimWriter.cpp
@@ -35,6 +35,7 @@
         settings.m_checkInterval = Core::Duration(20);
         m_writer = std::make_unique<Claims::ClaimWriter>(m_log, "entry-1", settings, m_metrics);
         m_writer->start();
+        m_writer->setReading(true);
         awaitEpoch();
     }
 
@@ -144,6 +145,31 @@
     REQUIRE(site.verdict("third", after, "new") == Claims::Verdict::Won);
 }
 
+TEST_CASE("a writer that stood aside misses no claim that was made meanwhile")
+{
+    // Other entries rank higher for a while, and this one stops reading. When it is a writer again it must not take a key for free that was claimed.
+    Site site;
+    site.m_writer->setReading(false);
+    REQUIRE_FALSE(site.m_writer->epoch());
+    REQUIRE(site.claim("refused", {0, 0}).error().m_code == Core::ErrorCode::Unavailable);
+    Telemetry::Metrics metrics;
+    Claims::ClaimWriter other(site.m_log, "entry-2", Claims::WriterSettings(), metrics);
+    other.start();
+    other.setReading(true);
+    while (!other.epoch()) {
+        std::this_thread::yield();
+    }
+    Claims::Claim claim;
+    claim.m_key = Claims::ClaimKey{{0, 0}, "k"};
+    claim.m_attempt = "first";
+    std::promise<bool> won;
+    other.submit(Claims::ClaimRequest{{}, {claim}}, [&won](const Core::Result<Claims::ClaimAnswer> &answer) { won.set_value(answer.has_value()); });
+    REQUIRE(won.get_future().get());
+    site.m_writer->setReading(true);
+    site.awaitEpoch();
+    REQUIRE(site.verdict("second", {0, 0}) == Claims::Verdict::Lost);
+}
+
 TEST_CASE("few entries write claims, and one key meets at one of them")
 {
     std::vector<Protocol::Member> members;
