--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -76,11 +76,25 @@
 Core::Duration StateSubscriber::turn()
 {
     takeArrivals();
+    announceSelf();
     chooseAndOpen();
     acknowledge();
     return m_arrivals->size() > 0 ? AtOnce : m_settings.m_turn;
 }
 
+/// An entry is a member of its own table; nobody else would keep it there while the list does not show it.
+void StateSubscriber::announceSelf()
+{
+    Protocol::Member self;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        self = m_self;
+    }
+    if (self.m_role == Protocol::Role::Entry) {
+        m_store.announce(self);
+    }
+}
+
 void StateSubscriber::takeArrivals()
 {
     while (std::optional<Arrival> arrival = m_arrivals->pop(AtOnce)) {
@@ -100,7 +114,9 @@
         return;
     }
     const Protocol::StateUpdate &update = decoded.value();
-    if (update.m_membersVersion > 0) {
+    if (update.m_membersVersion > 0 && isAgent()) {
+        m_store.replaceMembers(update.m_members);
+    } else if (update.m_membersVersion > 0) {
         m_store.mergeMembers(MemberKnowledge{update.m_members, update.m_gone});
     }
     if (update.m_snapshotOffset > 0) {
@@ -118,6 +134,12 @@
     }
 }
 
+bool StateSubscriber::isAgent() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_self.m_role == Protocol::Role::Agent;
+}
+
 void StateSubscriber::retire(std::uint64_t feedId, bool failed)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
