--- a/Libraries/LibControl/Fold.cpp
+++ b/Libraries/LibControl/Fold.cpp
@@ -80,6 +80,32 @@
     state.m_removals.erase(oldest);
 }
 
+/// What the accounts of @p next ran before it, given what is in force still.
+std::vector<EarlierVersion> earlierVersions(const ControlState &state, const Template &next)
+{
+    std::vector<EarlierVersion> result;
+    const std::map<std::string, AcceptedTemplate>::const_iterator before = state.m_templates.find(next.m_name);
+    if (before == state.m_templates.end()) {
+        return result;
+    }
+    for (const AccountParameters &account : next.m_accounts) {
+        std::vector<EarlierVersion> candidates;
+        for (const AccountParameters &old : before->second.m_template.m_accounts) {
+            candidates.push_back(EarlierVersion{old.m_account, old.m_version, old.m_digest});
+        }
+        candidates.insert(candidates.end(), before->second.m_earlier.begin(), before->second.m_earlier.end());
+        std::size_t kept = 0;
+        for (const EarlierVersion &candidate : candidates) {
+            const bool isOther = candidate.m_account == account.m_account && candidate.m_digest != account.m_digest && !candidate.m_digest.empty();
+            if (isOther && kept < MaximumEarlierVersions) {
+                result.push_back(candidate);
+                ++kept;
+            }
+        }
+    }
+    return result;
+}
+
 void apply(ControlState &state, const PublishTemplate &change, const std::string &author, RecordOutcome &outcome)
 {
     const std::string problem = templateProblem(change.m_template);
@@ -96,7 +122,8 @@
         return;
     }
     state.m_removals.erase(name);
-    state.m_templates[name] = AcceptedTemplate{change.m_template, outcome.m_offset, author};
+    std::vector<EarlierVersion> earlier = earlierVersions(state, change.m_template);
+    state.m_templates[name] = AcceptedTemplate{change.m_template, outcome.m_offset, author, std::move(earlier)};
 }
 
 void apply(ControlState &state, const RemoveTemplate &change, const std::string &author, RecordOutcome &outcome)
@@ -156,10 +183,8 @@
         refuse(outcome, restored.error().m_detail);
         return;
     }
-    if (restored.value().m_applied < outcome.m_offset) {
-        refuse(outcome, "the restored state is older than this log");
-        return;
-    }
+    // Whatever the reader had before, it has exactly this state now, so that all readers agree. One whose state is not
+    // covered by it sees that, keeps its own, and puts the difference back.
     state = std::move(restored.value());
     state.m_checkpoint = change.m_position + 1;
     outcome.m_offset = state.m_applied;
@@ -228,16 +253,18 @@
 
 RecordOutcome fold(ControlState &state, Offset position, std::string_view body)
 {
-    const Offset next = state.m_applied + 1;
     RecordOutcome outcome;
-    outcome.m_offset = next;
+    outcome.m_offset = state.m_applied + 1;
     const Core::Result<Record> record = decodeRecord(body);
     if (record) {
         outcome = foldDecoded(state, record.value());
     } else {
         refuse(outcome, record.error().m_detail);
     }
-    state.m_applied = std::max(next, state.m_applied);
+    const bool isRestored = record && outcome.m_accepted && std::holds_alternative<Restore>(record.value().m_change);
+    if (!isRestored) {
+        ++state.m_applied;
+    }
     state.m_position = position;
     state.m_lastDigest = Core::sha256Hex(body);
     state.m_chain = Core::sha256Hex(state.m_chain + std::to_string(position) + ":" + state.m_lastDigest);
--- a/Libraries/LibControl/StateStore.cpp
+++ b/Libraries/LibControl/StateStore.cpp
@@ -88,11 +88,12 @@
     return ApplyResult::Applied;
 }
 
-ApplyResult StateStore::applySnapshot(ControlState snapshot)
+ApplyResult StateStore::applySnapshot(ControlState snapshot, SnapshotSource source)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        if (snapshot.m_applied <= m_state->m_applied) {
+        const bool switchesHistory = source == SnapshotSource::Log && snapshot.m_applied == m_state->m_applied && snapshot.m_chain != m_state->m_chain;
+        if (snapshot.m_applied <= m_state->m_applied && !switchesHistory) {
             return ApplyResult::AlreadyKnown;
         }
         if (!covers(snapshot, *m_state)) {
@@ -149,6 +150,11 @@
     changeMembers([&knowledge](MemberTable &table) { return table.merge(knowledge, Core::Clock::now()); });
 }
 
+void StateStore::replaceMembers(std::span<const Protocol::Member> members)
+{
+    changeMembers([members](MemberTable &table) { return table.replace(members, Core::Clock::now()); });
+}
+
 void StateStore::applyInstanceList(std::span<const Protocol::Member> listed)
 {
     changeMembers([listed](MemberTable &table) { return table.applyList(listed, Core::Clock::now()); });
