LibControl: Let agents give back what the log and all entries lost

Cause: all entries can be replaced while the log loses records; agents then refused the older state, rightly, but were cut off from every later change. Joining two histories also dropped the earlier versions of an account.

Change: an entry that is behind a subscriber for 2 s asks for its state (control.offer); what the log does not cover is joined and put back. A joined template is copied whole.

Conclusion: accepted state survives in any one process.

--- a/Libraries/LibControl/LogTail.cpp
+++ b/Libraries/LibControl/LogTail.cpp
@@ -51,7 +51,11 @@
 {
     const bool isFresh = m_store.current()->m_position == 0;
     const bool needsWhole = isFresh || m_divergedSince.has_value();
-    const Core::Result<void> result = needsWhole ? readAfresh() : readOn();
+    const std::optional<ControlState> offered = m_store.offered();
+    Core::Result<void> result = needsWhole ? readAfresh() : readOn();
+    if (result && offered && !needsWhole) {
+        result = settleOffer(*offered);
+    }
     if (result) {
         if (!m_isLogUp.exchange(true)) {
             LOG(INFO) << "reading the control stream";
@@ -119,10 +123,28 @@
     if (Core::Clock::now() - *m_divergedSince < m_settings.m_restorePatience) {
         return Core::success();
     }
-    const Record record = makeRestore(*found.m_restored, m_settings.m_author, Core::randomIdentifier());
+    return putBack(*found.m_restored);
+}
+
+/// A peer has something in force that the log does not hold, and that nobody who reads the log knew of.
+Core::Result<void> LogTail::settleOffer(const ControlState &offered)
+{
+    const Reconciliation found = BOOST_OUTCOME_TRYX(reconcile(m_log, offered));
+    if (found.m_restored) {
+        return putBack(*found.m_restored);
+    }
+    if (found.m_adopted) {
+        m_store.dropOffered();
+    }
+    return Core::success();
+}
+
+Core::Result<void> LogTail::putBack(const ControlState &joined)
+{
+    const Record record = makeRestore(joined, m_settings.m_author, Core::randomIdentifier());
     BOOST_OUTCOME_TRY(m_log.append(ControlStream, encodeRecord(record)));
     m_restores.add();
-    LOG(WARNING) << "put control state back into the log behind position " << found.m_restored->m_position;
+    LOG(WARNING) << "put control state back into the log behind position " << joined.m_position;
     return Core::success();
 }
 
--- a/Libraries/LibControl/LogTail.h
+++ b/Libraries/LibControl/LogTail.h
@@ -41,6 +41,8 @@
     Core::Duration turn();
     Core::Result<void> readOn();
     Core::Result<void> readAfresh();
+    Core::Result<void> settleOffer(const ControlState &offered);
+    Core::Result<void> putBack(const ControlState &joined);
     Core::Result<void> awaitRecord(Platform::Offset next);
     void noteDivergence(const ControlState &state);
 
--- a/Libraries/LibControl/Recovery.cpp
+++ b/Libraries/LibControl/Recovery.cpp
@@ -93,7 +93,8 @@
         const Offset revision = joinedRevision(entry.second.m_revision, templateRevision(base, entry.first), agree, joined.m_applied);
         if (revision > 0) {
             joined.m_removals.erase(entry.first);
-            joined.m_templates[entry.first] = AcceptedTemplate{entry.second.m_template, revision, entry.second.m_operator};
+            joined.m_templates[entry.first] = entry.second;
+            joined.m_templates[entry.first].m_revision = revision;
         }
     }
     for (const std::pair<const std::string, Removal> &entry : kept.m_removals) {
@@ -101,7 +102,8 @@
         const Offset revision = joinedRevision(entry.second.m_revision, templateRevision(base, entry.first), agree, joined.m_applied);
         if (revision > 0) {
             joined.m_templates.erase(entry.first);
-            joined.m_removals[entry.first] = Removal{revision, entry.second.m_operator};
+            joined.m_removals[entry.first] = entry.second;
+            joined.m_removals[entry.first].m_revision = revision;
         }
     }
     while (joined.m_removals.size() > MaximumRemovals) {
--- a/Libraries/LibControl/StateFeed.cpp
+++ b/Libraries/LibControl/StateFeed.cpp
@@ -11,6 +11,9 @@
 /// Members change in bursts when many instances come or go; they are sent whole, so not more often than this.
 constexpr Core::Duration MembersInterval{200};
 constexpr Core::Duration IdleTurn{500};
+constexpr std::size_t OfferCapacity = 4;
+/// An entry that reads the log is often a moment behind a subscriber that heard of a record elsewhere. It asks only if that lasts.
+constexpr Core::Duration AheadPatience{2000};
 /// An open stream shows that its subscriber is there, even if the instance list does not.
 constexpr Core::Duration AnnounceInterval{5000};
 
@@ -22,9 +25,11 @@
     , m_subscribersCut(metrics.counter("control_subscribers_cut_total"))
     , m_subscribersRefused(metrics.counter("control_subscribers_refused_total"))
     , m_arrivals(ArrivalCapacity)
+    , m_offers(OfferCapacity)
 {
     node.handle("control.state", [this](const Wire::IncomingCall &call) { onSubscribe(call); });
     node.handle("control.applied", [this](const Wire::IncomingCall &call) { onApplied(call); });
+    node.handle("control.offer", [this](const Wire::IncomingCall &call) { onOffer(call); });
     node.handle("control.fence", [this](const Wire::IncomingCall &call) { onFence(call); });
     store.onChange([this] { m_duty.wake(); });
 }
@@ -83,6 +88,50 @@
     call.m_responder.reply("");
 }
 
+void StateFeed::onOffer(const Wire::IncomingCall &call)
+{
+    Core::Result<Protocol::StateOffer> offer = Wire::unpack<Protocol::StateOffer>(call.m_body, call.m_peer);
+    if (!offer) {
+        call.m_responder.fail(offer.error());
+        return;
+    }
+    if (!m_offers.tryPush(std::move(offer.value().m_snapshot))) {
+        call.m_responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "offer state", "", "other offers are waiting"));
+        return;
+    }
+    m_duty.wake();
+    call.m_responder.reply("");
+}
+
+void StateFeed::takeOffers()
+{
+    while (std::optional<std::string> encoded = m_offers.pop(Core::Duration(0))) {
+        Core::Result<ControlState> state = decodeState(*encoded, "");
+        if (state) {
+            m_store.offer(std::move(state.value()));
+        }
+    }
+}
+
+/// Whether the subscriber has had more in force than this entry for so long that the entry should ask for it.
+bool StateFeed::isAhead(Subscription &subscription, Offset applied, Core::Instant now) const
+{
+    const std::lock_guard<std::mutex> lock(m_appliedMutex);
+    const std::map<std::string, AppliedAt>::const_iterator found = m_applied.find(subscription.m_member.m_id);
+    if (found == m_applied.end() || found->second.m_applied <= applied) {
+        subscription.m_aheadSince = Core::Instant();
+        return false;
+    }
+    if (subscription.m_aheadSince == Core::Instant()) {
+        subscription.m_aheadSince = now;
+    }
+    if (now - subscription.m_aheadSince < AheadPatience) {
+        return false;
+    }
+    subscription.m_aheadSince = now;
+    return true;
+}
+
 void StateFeed::onFence(const Wire::IncomingCall &call) const
 {
     const Core::Result<Protocol::FenceRequest> request = Wire::unpack<Protocol::FenceRequest>(call.m_body, call.m_peer);
@@ -136,7 +185,8 @@
                 found->second.m_applied = std::max(found->second.m_applied, arrival->m_request.m_appliedOffset);
             }
         }
-        m_subscriptions.push_back(Subscription{member, arrival->m_responder, arrival->m_request.m_chain, "", Core::Instant(), Core::Clock::now()});
+        m_subscriptions.push_back(
+            Subscription{member, arrival->m_responder, arrival->m_request.m_chain, "", Core::Instant(), Core::Clock::now(), Core::Instant()});
     }
 }
 
@@ -214,6 +264,13 @@
             return false;
         }
     }
+    if (isAhead(subscription, state->m_applied, now)) {
+        Protocol::StateUpdate question;
+        question.m_wantsState = true;
+        if (!deliver(subscription, Wire::pack(question))) {
+            return false;
+        }
+    }
     const Encoded &members = membersFor(subscription);
     if (members.m_key != subscription.m_membersKey && now - subscription.m_membersSent >= MembersInterval) {
         subscription.m_membersKey = members.m_key;
@@ -226,6 +283,7 @@
 Core::Duration StateFeed::turn()
 {
     admitArrivals();
+    takeOffers();
     refreshMembers();
     const Core::Instant now = Core::Clock::now();
     bool owesMembers = false;
--- a/Libraries/LibControl/StateFeed.h
+++ b/Libraries/LibControl/StateFeed.h
@@ -21,7 +21,7 @@
 };
 
 /**
- * Answers control.state, control.applied and control.fence.
+ * Answers control.state, control.applied, control.offer and control.fence.
  *
  * Must be constructed before the node is started, and stopped after it. A subscriber that falls behind is cut off, and
  * gets a snapshot when it subscribes anew.
@@ -47,6 +47,7 @@
         std::string m_membersKey; ///< Of the update on members that was sent last.
         Core::Instant m_membersSent; ///< When.
         Core::Instant m_announced; ///< When the store was last told that the subscriber is there.
+        Core::Instant m_aheadSince; ///< Since when the subscriber has been seen to be ahead of this entry; none if it is not.
     };
 
     /// An update that is the same for many subscribers, encoded once.
@@ -64,9 +65,12 @@
 
     void onSubscribe(const Wire::IncomingCall &call);
     void onApplied(const Wire::IncomingCall &call);
+    void onOffer(const Wire::IncomingCall &call);
     void onFence(const Wire::IncomingCall &call) const;
     Core::Duration turn();
     void admitArrivals();
+    void takeOffers();
+    bool isAhead(Subscription &subscription, Offset applied, Core::Instant now) const;
     bool serve(Subscription &subscription, Core::Instant now);
     const std::string &stateUpdate(const std::string &chain, const ControlState &state);
     void refreshMembers();
@@ -79,6 +83,7 @@
     Telemetry::Counter &m_subscribersCut;
     Telemetry::Counter &m_subscribersRefused;
     Core::Ring<Arrival> m_arrivals;
+    Core::Ring<std::string> m_offers; ///< Encoded states.
     std::vector<Subscription> m_subscriptions; ///< Used by the duty's thread only.
     Encoded m_stateUpdate; ///< Used by the duty's thread only, as are the following.
     Encoded m_membersForEntries;
--- a/Libraries/LibControl/StateStore.cpp
+++ b/Libraries/LibControl/StateStore.cpp
@@ -109,6 +109,30 @@
     return ApplyResult::Applied;
 }
 
+void StateStore::offer(ControlState state)
+{
+    if (covers(*current(), state)) {
+        return;
+    }
+    if (applySnapshot(state) == ApplyResult::Applied) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_offered = std::move(state);
+}
+
+std::optional<ControlState> StateStore::offered() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_offered;
+}
+
+void StateStore::dropOffered()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_offered.reset();
+}
+
 std::vector<Protocol::Member> StateStore::members() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/Libraries/LibControl/StateStore.h
+++ b/Libraries/LibControl/StateStore.h
@@ -55,6 +55,14 @@
     /// Takes a whole state if it is newer than and covers the one in force.
     ApplyResult applySnapshot(ControlState snapshot, SnapshotSource source = SnapshotSource::Peer);
 
+    /// A peer has @p state in force. Taken as a snapshot if it covers the state here; else kept, if it holds something that is
+    /// not in force here, until it has been put back into the log.
+    void offer(ControlState state);
+    /// What is to be put back into the log, if anything.
+    std::optional<ControlState> offered() const;
+    /// The log covers what was offered.
+    void dropOffered();
+
     std::vector<Protocol::Member> members() const;
     MemberKnowledge memberKnowledge() const;
     /// Grows with every change of members(); starts at 1.
@@ -96,6 +104,7 @@
     std::shared_ptr<const ControlState> m_state; ///< m_applied only grows; each state covers the one before.
     std::deque<Step> m_steps; ///< Newest last, each following the one before; the last ends at m_state. Bounded in number and bytes.
     std::size_t m_stepBytes = 0;
+    std::optional<ControlState> m_offered; ///< Holds something that m_state does not cover.
     MemberTable m_members;
     std::uint64_t m_membersVersion = 1;
     std::vector<std::function<void()>> m_callbacks; ///< Fixed once threads run.
--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -125,7 +125,12 @@
             retire(feedId, true);
             return;
         }
-        m_store.applySnapshot(std::move(snapshot.value()));
+        if (m_store.applySnapshot(std::move(snapshot.value())) == ApplyResult::Refused) {
+            offer(feedId);
+        }
+    }
+    if (update.m_wantsState) {
+        offer(feedId);
     }
     if (!update.m_records.empty() && m_store.applyRecords(update.m_baseChain, update.m_records) == ApplyResult::Gap) {
         // The entry folded another history than this process: its snapshot decides which of the two covers the other.
@@ -134,6 +139,35 @@
     }
 }
 
+/**
+ * Hands the state in force here to an entry that lacks something of it.
+ *
+ * All entries can be replaced while the log loses records. Agents, which never read the log, are then the only ones that
+ * still know what was accepted.
+ */
+void StateSubscriber::offer(std::uint64_t feedId)
+{
+    const std::shared_ptr<const ControlState> state = m_store.current();
+    Protocol::StateOffer message;
+    Core::Address address;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const std::map<std::uint64_t, Feed>::iterator found = m_feeds.find(feedId);
+        if (found == m_feeds.end() || found->second.m_offered == state->m_chain) {
+            return;
+        }
+        found->second.m_offered = state->m_chain;
+        address = found->second.m_address;
+        message.m_instance = m_self.m_id;
+    }
+    message.m_snapshot = encodeState(*state);
+    Wire::CallEvents events;
+    events.m_onEnd = [](const Wire::CallEnd &) {
+        // Several instances have the same to offer; one of them gets through.
+    };
+    m_node.call(address, "control.offer", Wire::pack(message), Wire::CallOptions{NoticeTimeout}, std::move(events));
+}
+
 bool StateSubscriber::isAgent() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -199,7 +233,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         request.m_subscriber = m_self;
-        m_feeds[feedId] = Feed{address, 0, state->m_applied, Core::Clock::now()};
+        m_feeds[feedId] = Feed{address, 0, state->m_applied, Core::Clock::now(), ""};
     }
     request.m_appliedOffset = state->m_applied;
     request.m_chain = state->m_chain;
--- a/Libraries/LibControl/StateSubscriber.h
+++ b/Libraries/LibControl/StateSubscriber.h
@@ -59,6 +59,7 @@
         Wire::CallId m_call = 0;
         Offset m_acknowledged = 0; ///< Last offset that this entry was told is in force here.
         Core::Instant m_acknowledgedAt; ///< When.
+        std::string m_offered; ///< Chain of the state that this entry was offered last.
     };
 
     Core::Duration turn();
@@ -66,6 +67,7 @@
     void takeArrivals();
     void receive(std::uint64_t feedId, const std::string &frame);
     bool isAgent() const;
+    void offer(std::uint64_t feedId);
     void retire(std::uint64_t feedId, bool failed);
     void chooseAndOpen();
     void open(const Core::Address &address);
--- a/Libraries/LibProtocol/StateFeed.h
+++ b/Libraries/LibProtocol/StateFeed.h
@@ -40,6 +40,7 @@
     std::uint64_t m_membersVersion = 0; ///< 0 if there are no members in this update.
     std::vector<Member> m_members; ///< Every known member, not a difference.
     std::vector<std::string> m_gone; ///< Incarnations that have ended; the newest ones.
+    bool m_wantsState = false; ///< The entry is behind the subscriber and asks for its state (control.offer).
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("snapshot_offset", m_snapshotOffset),
                        MSGPACK_NVP("snapshot", m_snapshot),
@@ -47,7 +48,17 @@
                        MSGPACK_NVP("records", m_records),
                        MSGPACK_NVP("members_version", m_membersVersion),
                        MSGPACK_NVP("members", m_members),
-                       MSGPACK_NVP("gone", m_gone));
+                       MSGPACK_NVP("gone", m_gone),
+                       MSGPACK_NVP("wants_state", m_wantsState));
+};
+
+/// A subscriber has something in force that the entry does not have (method control.offer).
+struct StateOffer
+{
+    std::string m_instance;
+    std::string m_snapshot; ///< Encoded control state in force at the subscriber.
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("instance", m_instance), MSGPACK_NVP("snapshot", m_snapshot));
 };
 
 /// An agent asks for the fencing number that its orders must not fall below (method control.fence).
--- a/Tests/LibControl/TestPropagation.cpp
+++ b/Tests/LibControl/TestPropagation.cpp
@@ -66,6 +66,17 @@
         return true;
     }
 
+    /// Whether a fresh reader of the log finds the template with this digest, put back after a loss.
+    bool isPutBack(char digest)
+    {
+        const Core::Result<Control::FreshState> fresh = Control::readFresh(m_log, Control::ControlStream);
+        if (!fresh || !fresh.value().m_state || fresh.value().m_state->m_generation == 0) {
+            return false;
+        }
+        const std::map<std::string, Control::AcceptedTemplate> &templates = fresh.value().m_state->m_templates;
+        return templates.contains("t") && templates.at("t").m_template.m_accounts.front().m_digest == std::string(64, digest);
+    }
+
     void setLogDown(bool down)
     {
         StandIn::LogFaults faults;
@@ -208,16 +219,38 @@
     Control::StateStore &watched = site.m_agents.front()->m_store;
     watched.onChange([&watched, &hasReverted] { hasReverted = hasReverted || !holdsTemplate(watched, "t", '1'); });
     site.m_log.dropRecordsFrom(outcome.value().m_offset);
-    REQUIRE(eventually([&site] {
-        const Core::Result<Control::FreshState> fresh = Control::readFresh(site.m_log, Control::ControlStream);
-        return fresh && fresh.value().m_state && fresh.value().m_state->m_templates.contains("t") && fresh.value().m_state->m_generation > 0;
-    }));
+    REQUIRE(eventually([&site] { return site.isPutBack('1'); }));
     REQUIRE(site.publishAs("bea", outcome.value().m_offset, '2').value().m_accepted);
     REQUIRE_FALSE(hasReverted);
     REQUIRE(eventually([&site] { return site.isInForceEverywhere('2'); }));
     REQUIRE(site.m_entries.front()->m_store.current()->m_generation > 0);
 }
 
+TEST_CASE("what only agents still know is put back when all entries were replaced and the log lost it")
+{
+    // Every entry is replaced during an outage, and the log comes back without the newest change, or without anything.
+    Site site(2);
+    site.startEntry(0, site.m_log);
+    site.startAgent(0);
+    const Core::Result<Control::RecordOutcome> first = site.publishAs("ann", 0, '1');
+    REQUIRE(eventually([&site] { return site.isInForceEverywhere('1'); }));
+    const Core::Result<Control::RecordOutcome> second = site.publishAs("ann", first.value().m_offset, '2');
+    REQUIRE(eventually([&site] { return site.isInForceEverywhere('2'); }));
+    site.m_entries.clear();
+    SECTION("without the newest change")
+    {
+        site.m_log.dropRecordsFrom(second.value().m_offset);
+    }
+    SECTION("without anything")
+    {
+        site.m_log.dropRecordsFrom(1);
+    }
+    site.startEntry(1, site.m_log);
+    REQUIRE(eventually([&site] { return site.isInForceEverywhere('2') && site.isPutBack('2'); }));
+    REQUIRE(site.publishAs("bea", second.value().m_offset, '3').value().m_accepted);
+    REQUIRE(eventually([&site] { return site.isInForceEverywhere('3'); }));
+}
+
 TEST_CASE("a leaving agent gets no replica in the next plan")
 {
     Site site(1);
--- a/Tests/LibControl/TestRecovery.cpp
+++ b/Tests/LibControl/TestRecovery.cpp
@@ -97,6 +97,21 @@
     REQUIRE(readWhole(log).m_templates == current.m_templates);
 }
 
+TEST_CASE("a checkpoint made in a history that the log has lost is not used")
+{
+    // A writer makes a checkpoint and is paused. The log loses records and others take their offsets; then the checkpoint arrives.
+    // A fresh instance that began with it would serve something that no other instance has.
+    StandIn::LogStore log;
+    appendChange(log, 1);
+    append(log, publish("lost", 0, document("lost", {account("a", '7', 1)})));
+    const Control::Record late = Control::makeCheckpoint(readWhole(log), "e1", "c1");
+    log.dropRecordsFrom(2);
+    append(log, publish("other", 0, document("other", {account("a", '8', 1)})));
+    append(log, late);
+    REQUIRE(readWhole(log).m_templates.contains("other"));
+    REQUIRE_FALSE(readWhole(log).m_templates.contains("lost"));
+}
+
 TEST_CASE("a checkpoint that does not match its digest is not used")
 {
     StandIn::LogStore log;
