LibEndpoint: Bound the rate of reports and stop in the middle of a load

With 12 watching entries an idle agent used 6,395 control bytes a second, 523 for each watcher, over the bound of 6 KB/s. The interval of reports without news now stretches from one to at most two seconds, so that they take at most 4,096 bytes a second; news goes out at once as before. A leaving agent no longer waits for the end of a load order.

--- a/Libraries/LibEndpoint/Agent.cpp
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -23,6 +23,15 @@
     return node;
 }
 
+ReportSettings reportSettings(const DutySettings &duties)
+{
+    ReportSettings settings;
+    settings.m_interval = duties.m_reportInterval;
+    settings.m_bytesPerSecond = duties.m_reportBytesPerSecond;
+    settings.m_maximumWatchers = duties.m_maximumWatchers;
+    return settings;
+}
+
 Transfer::TransferParts transferParts(const AgentSettings &settings, Wire::Node &node, Telemetry::Metrics &metrics)
 {
     Transfer::TransferParts parts;
@@ -50,11 +59,7 @@
     , m_status(m_client, m_state, m_settings.m_duties.m_statusInterval, m_metrics)
     , m_orders(OrderParts{m_settings.m_duties, &m_client, &m_state, this, &m_metrics})
     , m_reports(
-          m_settings.m_instance.m_member,
-          m_state,
-          [this] { return m_transfer.progress(); },
-          ReportSettings{m_settings.m_duties.m_reportInterval, m_settings.m_duties.m_maximumWatchers},
-          m_metrics)
+          m_settings.m_instance.m_member, m_state, [this] { return m_transfer.progress(); }, reportSettings(m_settings.m_duties), m_metrics)
     , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
 {
     m_state.onLiveTraffic([this](std::uint64_t bytes) { m_transfer.noteLiveBytes(bytes); });
--- a/Libraries/LibEndpoint/AgentSettings.cpp
+++ b/Libraries/LibEndpoint/AgentSettings.cpp
@@ -18,6 +18,7 @@
     DutySettings settings;
     settings.m_statusInterval = readDuration(reader, "status_interval_ms", settings.m_statusInterval);
     settings.m_reportInterval = readDuration(reader, "report_interval_ms", settings.m_reportInterval);
+    settings.m_reportBytesPerSecond = static_cast<std::uint64_t>(reader.integer("report_bytes_per_second", 256, 1 << 30, 4096));
     settings.m_fenceAge = readDuration(reader, "fence_age_ms", settings.m_fenceAge);
     settings.m_orderRetry = readDuration(reader, "order_retry_ms", settings.m_orderRetry);
     settings.m_retirementGrace = readDuration(reader, "retirement_grace_ms", settings.m_retirementGrace);
--- a/Libraries/LibEndpoint/AgentSettings.h
+++ b/Libraries/LibEndpoint/AgentSettings.h
@@ -16,6 +16,7 @@
 {
     Core::Duration m_statusInterval{500}; ///< Between two inquiries of the endpoint's status.
     Core::Duration m_reportInterval{1000}; ///< Between two reports without a change.
+    std::uint64_t m_reportBytesPerSecond = 4096; ///< Bound on those, which stretches the interval when many watch.
     Core::Duration m_fenceAge{2000}; ///< Oldest confirmation of the newest plan on which an order may go out.
     Core::Duration m_orderRetry{2000}; ///< Pause after an order that failed.
     Core::Duration m_retirementGrace{5000}; ///< How long weights that the plan leaves out stay loaded.
--- a/Libraries/LibEndpoint/EngineClient.cpp
+++ b/Libraries/LibEndpoint/EngineClient.cpp
@@ -104,7 +104,7 @@
     return parseStatus(body, m_settings.m_address.toString());
 }
 
-Core::Result<void> EngineClient::load(const Order &order, const Weights::HeldVersion &weights) const
+Core::Result<void> EngineClient::load(const Order &order, const Weights::HeldVersion &weights, const std::shared_ptr<ExchangeBreaker> &breaker) const
 {
     ExchangeRequest request;
     request.m_method = "PUT";
@@ -112,7 +112,7 @@
     request.m_bodyBytes = weights.m_manifest.m_totalBytes;
     request.m_writeBody = WeightsWriter(weights, m_settings.m_pauseLimit);
     addFence(request, order);
-    const std::unique_ptr<Exchange> exchange = BOOST_OUTCOME_TRYX(send(request, m_settings.m_loadTimeout));
+    const std::unique_ptr<Exchange> exchange = BOOST_OUTCOME_TRYX(Exchange::open(m_network, m_settings.m_address, request, m_settings.m_loadTimeout, breaker));
     BOOST_OUTCOME_TRYV(checkOrderAnswer(*exchange, "load weights"));
     const std::string body = BOOST_OUTCOME_TRYX(exchange->readAll(MaximumOrderAnswerBytes));
     const std::string named = BOOST_OUTCOME_TRYX(parseLoadAnswer(body, m_settings.m_address.toString()));
--- a/Libraries/LibEndpoint/EngineClient.h
+++ b/Libraries/LibEndpoint/EngineClient.h
@@ -54,7 +54,7 @@
      * Fails with Conflict if the engine has seen a newer order, Overloaded if it has no room, Corrupt if it received something else than was sent,
      * and Ambiguous if its answer was lost.
      */
-    Core::Result<void> load(const Order &order, const Weights::HeldVersion &weights) const;
+    Core::Result<void> load(const Order &order, const Weights::HeldVersion &weights, const std::shared_ptr<ExchangeBreaker> &breaker) const;
     /// Fails as load() does; weights that the engine doesn't have count as unloaded.
     Core::Result<void> unload(const Order &order) const;
 
--- a/Libraries/LibEndpoint/OrderDuty.cpp
+++ b/Libraries/LibEndpoint/OrderDuty.cpp
@@ -24,6 +24,7 @@
     , m_ordersGiven(m_parts.m_metrics->counter("orders_total{end=\"done\"}"))
     , m_ordersFailed(m_parts.m_metrics->counter("orders_total{end=\"failed\"}"))
     , m_ordersFenced(m_parts.m_metrics->counter("orders_total{end=\"fenced\"}"))
+    , m_breaker(std::make_shared<ExchangeBreaker>())
 {
 }
 
@@ -39,6 +40,10 @@
 
 void OrderDuty::stop()
 {
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_breaker->breakOff();
+    }
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -118,6 +123,16 @@
     return checked;
 }
 
+std::shared_ptr<ExchangeBreaker> OrderDuty::newBreaker()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_breaker = std::make_shared<ExchangeBreaker>();
+    if (m_parts.m_state->isClosed()) {
+        m_breaker->breakOff();
+    }
+    return m_breaker;
+}
+
 Core::Result<void> OrderDuty::load(const Order &order)
 {
     const std::shared_ptr<const Weights::HeldVersion> weights = m_parts.m_host->heldWeights(order.m_manifestDigest);
@@ -126,7 +141,7 @@
     }
     BOOST_OUTCOME_TRYV(confirmFence(order));
     LOG(INFO) << "load " << order.m_manifestDigest << " under plan " << order.m_fence;
-    BOOST_OUTCOME_TRYV(m_parts.m_client->load(order, *weights));
+    BOOST_OUTCOME_TRYV(m_parts.m_client->load(order, *weights, newBreaker()));
     m_parts.m_state->change([&order](AgentFacts &facts) {
         facts.m_loadedUnder[order.m_contentDigest] = order.m_fence;
         facts.m_distrusted.erase(order.m_contentDigest);
--- a/Libraries/LibEndpoint/OrderDuty.h
+++ b/Libraries/LibEndpoint/OrderDuty.h
@@ -52,7 +52,7 @@
     OrderDuty &operator=(const OrderDuty &) = delete;
 
     void start();
-    /// Waits for the order that is being carried out. The state must have been closed before.
+    /// Breaks off a load that is under way and joins the thread. The state must have been closed before.
     void stop();
 
     /// Decides and carries out the next order; false if there was none or it failed. Used by the duty's own thread, and by tests.
@@ -65,6 +65,7 @@
     OrderSituation situation(const AgentFacts &facts, Core::Instant now);
     Core::Result<void> carryOut(const Order &order);
     Core::Result<void> confirmFence(const Order &order);
+    std::shared_ptr<ExchangeBreaker> newBreaker();
     Core::Result<void> load(const Order &order);
     Core::Result<void> unload(const Order &order);
     void noteEnd(const Order &order, const Core::Result<void> &result, bool wasDistrusted);
@@ -82,6 +83,7 @@
     std::map<std::string, int> m_failures; ///< Failed orders in a row, by content digest; emptied by a new plan.
     Control::Offset m_planOffset = 0; ///< Of the plan that the two above belong to.
     std::string m_lastError;
+    std::shared_ptr<ExchangeBreaker> m_breaker; ///< Of the load that is under way, or of the last one.
     std::thread m_thread;
 };
 
--- a/Libraries/LibEndpoint/ReportDuty.cpp
+++ b/Libraries/LibEndpoint/ReportDuty.cpp
@@ -14,6 +14,13 @@
 
 }
 
+Core::Duration reportInterval(const ReportSettings &settings, std::size_t watchers, std::size_t reportBytes)
+{
+    const std::uint64_t bytes = watchers * reportBytes;
+    const Core::Duration affordable(static_cast<std::int64_t>(bytes * 1000 / settings.m_bytesPerSecond));
+    return std::max(settings.m_interval, std::min(affordable, settings.m_longestInterval));
+}
+
 bool isUrgent(const Protocol::AgentReport &last, const Protocol::AgentReport &next)
 {
     return last.m_member != next.m_member || last.m_endpointHealthy != next.m_endpointHealthy || last.m_attestations != next.m_attestations
@@ -27,6 +34,7 @@
     , m_settings(settings)
     , m_reportsSent(metrics.counter("reports_sent_total"))
     , m_watchersRefused(metrics.counter("report_watchers_refused_total"))
+    , m_wait(settings.m_interval)
 {
     m_last = makeReport(m_state.facts());
     m_last.m_sequence = 1;
@@ -79,7 +87,7 @@
 {
     std::uint64_t seen = 0;
     while (!m_state.isClosed()) {
-        const Core::Instant due = m_lastSent + m_settings.m_interval;
+        const Core::Instant due = m_lastSent + m_wait;
         const Core::Duration patience = std::chrono::ceil<Core::Duration>(due - Core::Clock::now());
         seen = m_state.waitForChange(seen, std::max(patience, Core::Duration(0)));
         Protocol::AgentReport next = makeReport(m_state.facts());
@@ -115,6 +123,7 @@
         }
     }
     std::erase_if(m_watchers, [](const Wire::Responder &watcher) { return watcher.isCancelled(); });
+    m_wait = reportInterval(m_settings, m_watchers.size(), bytes.size());
     m_last = std::move(report);
     m_lastSent = Core::Clock::now();
 }
--- a/Libraries/LibEndpoint/ReportDuty.h
+++ b/Libraries/LibEndpoint/ReportDuty.h
@@ -16,9 +16,14 @@
 struct ReportSettings
 {
     Core::Duration m_interval{1000}; ///< Between two reports without a change.
+    Core::Duration m_longestInterval{2000}; ///< The same when many watch; well below the silence after which an entry avoids an endpoint.
+    std::uint64_t m_bytesPerSecond = 4096; ///< What reports without a change may take, as long as m_longestInterval allows it.
     std::size_t m_maximumWatchers = 64;
 };
 
+/// Time until the next report without a change, when the last one had @p reportBytes and went to @p watchers.
+Core::Duration reportInterval(const ReportSettings &settings, std::size_t watchers, std::size_t reportBytes);
+
 /// True if @p next has news that watchers should learn at once, and not just other load or progress.
 bool isUrgent(const Protocol::AgentReport &last, const Protocol::AgentReport &next);
 
@@ -57,6 +62,7 @@
     mutable std::mutex m_mutex;
     std::vector<Wire::Responder> m_watchers; ///< At most m_maximumWatchers.
     Protocol::AgentReport m_last;
+    Core::Duration m_wait; ///< From m_lastSent to the next report without a change.
     Core::Instant m_lastSent;
     std::thread m_thread;
 };
--- a/Tests/Agent/Rig.h
+++ b/Tests/Agent/Rig.h
@@ -227,6 +227,7 @@
     settings.m_origin = origin;
     settings.m_engine.m_address = endpoint;
     settings.m_engine.m_kind = kind;
+    settings.m_engine.m_answerTimeout = Core::Duration(600'000); // Ends no test: what frees a place must be something else.
     settings.m_duties.m_statusInterval = Core::Duration(20);
     settings.m_duties.m_orderRetry = Core::Duration(50);
     settings.m_duties.m_retirementGrace = Core::Duration(50);
@@ -310,7 +311,7 @@
         }
     };
 
-    std::shared_ptr<Call> call(const Protocol::LiveRequest &request)
+    std::shared_ptr<Call> call(const Protocol::LiveRequest &request, Core::Duration timeout = Patience)
     {
         const std::shared_ptr<Call> call = std::make_shared<Call>();
         Wire::CallEvents events;
@@ -319,7 +320,7 @@
             call->m_frames.push_back(Wire::unpack<Protocol::AnswerFrame>(frame, "agent").value());
         };
         events.m_onEnd = [call](const Wire::CallEnd &end) { call->m_end.set_value(end); };
-        call->m_id = m_node.call(m_agent, "live.call", Wire::pack(request), Wire::CallOptions{Patience}, events);
+        call->m_id = m_node.call(m_agent, "live.call", Wire::pack(request), Wire::CallOptions{timeout}, events);
         return call;
     }
 
--- a/Tests/Agent/TestModelAgent.cpp
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -9,6 +9,9 @@
 using Rig::Caller;
 using Rig::Version;
 
+/// Tokens of a draft that takes much longer than an agent needs to stop.
+constexpr int LongDraft = 3000;
+
 StandIn::EngineSettings engineSettings()
 {
     StandIn::EngineSettings settings;
@@ -56,6 +59,12 @@
         return Rig::request(m_engine.m_address, "GET", "/status")->getArray("models")->size();
     }
 
+    int runningCalls() const
+    {
+        const Poco::JSON::Object::Ptr dump = Rig::request(m_settings.m_instance.m_member.m_admin, "GET", "/dump");
+        return dump->getObject("live")->getValue<int>("running");
+    }
+
     std::string metrics() const
     {
         Poco::Net::HTTPClientSession session(m_settings.m_instance.m_member.m_admin.m_host, m_settings.m_instance.m_member.m_admin.m_port);
@@ -169,26 +178,35 @@
     });
 }
 
-TEST_CASE("a call to an engine that hangs ends at its deadline and frees its place")
+TEST_CASE("a call to a hanging engine frees its place when its entry gives up, and the engine counts as unhealthy")
 {
+    // The engine stops answering in the middle of everything. Calls that waited for it for good would take all places.
     ModelRig rig;
     rig.serve(rig.m_old);
     rig.m_engine.setFaults(R"({"hang":true})");
     const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 5));
+    await("the call to run", [&rig] { return rig.runningCalls() == 1; });
     rig.m_caller->cancel(*call);
-    await("the place to be free", [&rig] {
-        const Poco::JSON::Object::Ptr dump = Rig::request(rig.m_settings.m_instance.m_member.m_admin, "GET", "/dump");
-        return dump->getObject("live")->getValue<int>("running") == 0;
-    });
+    await("the place to be free", [&rig] { return rig.runningCalls() == 0; });
     await("the engine to be unhealthy", [&rig] { return !rig.m_caller->report().m_endpointHealthy; });
 }
 
+TEST_CASE("a call to a hanging engine ends at its deadline")
+{
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    rig.m_engine.setFaults(R"({"hang":true})");
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 5), Core::Duration(300));
+    REQUIRE_FALSE(call->end().m_succeeded);
+    await("the place to be free", [&rig] { return rig.runningCalls() == 0; });
+}
+
 TEST_CASE("a leaving agent says so, refuses new calls and finishes the running one")
 {
     // The instance is replaced in the middle of a draft. Cutting it off would cost the analyst the whole draft.
     ModelRig rig;
     rig.serve(rig.m_old);
-    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, 300));
+    const std::shared_ptr<Caller::Call> call = rig.m_caller->call(Rig::draft("a1", rig.m_old, LongDraft));
     await("the first tokens", [&call] { return call->frames() > 2; });
     rig.m_agent->startLeaving();
     await("the notice", [&rig] { return rig.m_caller->report().m_member.m_leaving; });
@@ -199,7 +217,7 @@
     rig.m_agent->stop();
     REQUIRE(call->end().m_succeeded);
     REQUIRE(call->isWhole());
-    REQUIRE(call->frames() == 301);
+    REQUIRE(call->frames() == LongDraft + 1);
 }
 
 TEST_CASE("a restarted agent finds its engine's weights again and does not unload them")
@@ -220,7 +238,7 @@
     rig.serve(rig.m_old);
     Rig::SilentRelay relay(rig.m_settings.m_instance.m_member.m_wire);
     Caller far(relay.address());
-    const std::shared_ptr<Caller::Call> call = far.call(Rig::draft("a1", rig.m_old, 100'000));
+    const std::shared_ptr<Caller::Call> call = far.call(Rig::draft("a1", rig.m_old, 100'000), Core::Duration(0));
     await("the first tokens", [&call] { return call->frames() > 2; });
     relay.m_isSilent = true;
     await("the engine to stop", [&rig] {
--- a/Tests/Agent/TestProgram.cpp
+++ b/Tests/Agent/TestProgram.cpp
@@ -62,12 +62,12 @@
         caller.watch();
         return caller.sees(version);
     });
-    const std::shared_ptr<Caller::Call> call = caller.call(Rig::draft("a1", version, 300));
+    const std::shared_ptr<Caller::Call> call = caller.call(Rig::draft("a1", version, 3000));
     await("the first tokens", [&call] { return call->frames() > 2; });
     process.value().signal(SIGTERM);
     REQUIRE(call->end().m_succeeded);
     REQUIRE(call->isWhole());
-    REQUIRE(call->frames() == 301);
+    REQUIRE(call->frames() == 3001);
     REQUIRE(process.value().wait(Rig::Patience) == 0);
     std::filesystem::remove(settings.path() + ".log");
 }
--- a/Tests/Entry/Site.h
+++ b/Tests/Entry/Site.h
@@ -260,9 +260,8 @@
         : m_service(settings(m_address))
         , m_server(64)
     {
-        REQUIRE(m_server.listen(m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
-            m_service.handle(request, response);
-        }));
+        REQUIRE(m_server.listen(
+            m_address, [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) { m_service.handle(request, response); }));
     }
 
     ~FakePlatform()
@@ -324,7 +323,10 @@
 class TestEntry
 {
 public:
-    TestEntry(const std::string &id, const FakePlatform &platform, const std::vector<Core::Address> &seeds, const std::function<void(Entry::EntrySettings &)> &adjust = {})
+    TestEntry(const std::string &id,
+              const FakePlatform &platform,
+              const std::vector<Core::Address> &seeds,
+              const std::function<void(Entry::EntrySettings &)> &adjust = {})
     {
         Protocol::Member &member = m_settings.m_instance.m_member;
         member.m_id = id;
