--- a/Libraries/LibControl/Publisher.cpp
+++ b/Libraries/LibControl/Publisher.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t PageRecords = 256;
 constexpr Core::Duration LongPoll{500};
 constexpr Core::Duration RetryInterval{100};
+constexpr Core::Duration CheckpointPatience{5000};
 
 }
 
@@ -28,7 +29,13 @@
 
 Core::Result<void> Publisher::load()
 {
+    // Between the loss of the oldest records and the next checkpoint a reader finds no state. Entries append one within a few looks.
+    const Core::Instant deadline = Core::Clock::now() + CheckpointPatience;
     FreshState fresh = BOOST_OUTCOME_TRYX(readFresh(m_log, ControlStream));
+    while (!fresh.m_state && Core::Clock::now() < deadline) {
+        std::this_thread::sleep_for(RetryInterval);
+        fresh = BOOST_OUTCOME_TRYX(readFresh(m_log, ControlStream));
+    }
     if (!fresh.m_state) {
         return Core::makeError(Core::ErrorCode::Unavailable, "read control state", "", "the log holds no usable checkpoint; an entry will append one");
     }
--- a/Libraries/LibScenario/Runner.cpp
+++ b/Libraries/LibScenario/Runner.cpp
@@ -96,11 +96,19 @@
     }
     m_originBytesBefore = originBytes(*m_fleet);
     m_publishedAt = Core::Clock::now();
+    for (int time = 0; time < publish.m_times; ++time) {
+        BOOST_OUTCOME_TRYV(publishOnce(publication, publish.m_refused));
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::publishOnce(const Bench::Publication &publication, bool refused)
+{
     const Bench::ToolOutcome outcome = BOOST_OUTCOME_TRYX(Bench::publish(*m_fleet, m_programs, publication));
-    if ((outcome.m_exitCode != 0) != publish.m_refused) {
+    if ((outcome.m_exitCode != 0) != refused) {
         return notHeld("publish", "exit code " + std::to_string(outcome.m_exitCode) + ": " + outcome.m_output);
     }
-    if (!publish.m_refused) {
+    if (!refused) {
         m_lastRevision = BOOST_OUTCOME_TRYX(publishedRevision(outcome.m_output));
     }
     return Core::success();
--- a/Libraries/LibScenario/Runner.h
+++ b/Libraries/LibScenario/Runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibBench/Fleet.h"
+#include "LibBench/Publication.h"
 #include "LibScenario/Script.h"
 
 #include <map>
@@ -42,6 +43,7 @@
     Core::Result<void> perform(const ExpectOrigin &expect);
     Core::Result<void> perform(const Report &report);
 
+    Core::Result<void> publishOnce(const Bench::Publication &publication, bool refused);
     std::vector<std::string> loadArguments(const Load &load) const;
     Core::Result<void> finishLoad(const std::string &name);
     bool holds(const Wait &wait);
--- a/Libraries/LibScenario/Script.cpp
+++ b/Libraries/LibScenario/Script.cpp
@@ -59,6 +59,7 @@
     publish.m_operator = reader.text("operator", "technician");
     publish.m_basedOn = reader.integer("based_on", -1, MaximumNumber, -1);
     publish.m_refused = reader.flag("refused", false);
+    publish.m_times = static_cast<int>(reader.integer("times", 1, 1000, 1));
     return publish;
 }
 
--- a/Libraries/LibScenario/Script.h
+++ b/Libraries/LibScenario/Script.h
@@ -27,6 +27,7 @@
     std::string m_operator;
     std::int64_t m_basedOn = -1; ///< -1: whatever is in force.
     bool m_refused = false; ///< The step holds only if the publication is refused.
+    int m_times = 1; ///< Published so many times, one after another.
 
     bool operator==(const Publish &) const = default;
 };
