--- a/Libraries/LibScenario/FleetView.cpp
+++ b/Libraries/LibScenario/FleetView.cpp
@@ -3,6 +3,7 @@
 #include "LibScenario/FleetView.h"
 #include "LibBench/Http.h"
 #include "LibBench/Sample.h"
+#include "LibPlatform/HttpLog.h"
 #include "LibWeights/Manifest.h"
 
 #include <Poco/JSON/Array.h>
@@ -79,6 +80,13 @@
     return journal ? journal.value()->optValue<Poco::UInt64>("data_bytes", 0) : 0;
 }
 
+Core::Result<std::uint64_t> controlRecords(const Bench::Fleet &fleet)
+{
+    Platform::HttpLog log({}, fleet.layout().m_log);
+    const Platform::LogPage page = BOOST_OUTCOME_TRYX(log.read("control", 1, Platform::ReadOptions{1, Core::Duration(0)}));
+    return page.m_next;
+}
+
 int servingReplicas(const Bench::Fleet &fleet, const std::string &version)
 {
     const std::string digest = contentDigestOf(fleet, version);
--- a/Libraries/LibScenario/FleetView.h
+++ b/Libraries/LibScenario/FleetView.h
@@ -12,6 +12,9 @@
 /// Bytes of weights that have left the origin, by its own journal; 0 if it cannot be asked.
 std::uint64_t originBytes(const Bench::Fleet &fleet);
 
+/// Offset that the log gives to the next record of the control stream.
+Core::Result<std::uint64_t> controlRecords(const Bench::Fleet &fleet);
+
 /// Engines that serve the version of the fleet's first model, by what the engines themselves hold.
 int servingReplicas(const Bench::Fleet &fleet, const std::string &version);
 
--- a/Libraries/LibScenario/Runner.cpp
+++ b/Libraries/LibScenario/Runner.cpp
@@ -17,6 +17,9 @@
 
 constexpr Core::Duration LoadPatience{180000};
 
+/// Counts of a load that a report shows; a failed expectation shows all of them.
+constexpr std::array<std::string_view, 8> ReportedFields = {"sent", "ok", "not_run", "unknown", "failed", "wrong", "first_token_ms.p95", "total_ms.p95"};
+
 Core::Error notHeld(const std::string &step, const std::string &detail)
 {
     return Core::makeError(Core::ErrorCode::Internal, step, "", detail);
@@ -284,9 +287,12 @@
         m_output << "  " << std::left << std::setw(48) << figure.first << std::right << std::setw(10) << figure.second << "\n";
     }
     for (const std::pair<const std::string, LoadResult> &load : m_results) {
-        for (const std::pair<const std::string, double> &count : load.second) {
-            m_output << "  " << std::left << std::setw(48) << ("load " + load.first + ": " + count.first) << std::right << std::setw(10) << count.second
-                     << "\n";
+        for (const std::string_view field : ReportedFields) {
+            const LoadResult::const_iterator count = load.second.find(std::string(field));
+            if (count != load.second.end()) {
+                m_output << "  " << std::left << std::setw(48) << ("load " + load.first + ": " + count->first) << std::right << std::setw(10) << count->second
+                         << "\n";
+            }
         }
     }
     m_output << std::endl;
