--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -25,10 +25,16 @@
 constexpr std::size_t MaximumManifestWaiters = 1024;
 constexpr std::size_t MaximumChunksTaken = 4096;
 constexpr Core::Duration ChunkTimeout{30000}; ///< Only a last bound; stalls are judged by progress.
-constexpr std::uint64_t DownloadBurst = 128 << 10;
+constexpr std::uint64_t MinimumDownloadBurst = 128 << 10;
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
 constexpr std::uint64_t MaximumCopies = 64;
 
+/// Half a second's worth: asking is bounded by the requests ahead, so a larger bucket only makes up for moments without anything to ask for.
+std::uint64_t downloadBurst(const TransferSettings &settings)
+{
+    return std::max(MinimumDownloadBurst, settings.m_downloadBytesPerSecond / 2);
+}
+
 std::uint32_t originCopies(const Control::Deployment &deployment)
 {
     if (deployment.m_policy == Control::BurstPolicy::OriginBytes || deployment.m_originCopies < 1) {
@@ -49,7 +55,7 @@
     , m_events(std::make_shared<EventSink>(EventCapacity, m_parts.m_metrics->counter("transfer_events_lost_total")))
     , m_origin(m_parts.m_network, m_parts.m_origin, m_parts.m_settings.m_originTimeout, m_parts.m_settings.m_originConnections)
     , m_uploads(m_parts.m_settings, *m_parts.m_metrics)
-    , m_download(m_parts.m_settings.m_downloadBytesPerSecond, DownloadBurst, Core::Clock::now())
+    , m_download(m_parts.m_settings.m_downloadBytesPerSecond, downloadBurst(m_parts.m_settings), Core::Clock::now())
     , m_random(Core::stableHash(m_parts.m_self.m_id + m_parts.m_self.m_incarnation))
     , m_bytesFromOrigin(m_parts.m_metrics->counter("transfer_bytes_from_origin_total"))
     , m_bytesFromPeers(m_parts.m_metrics->counter("transfer_bytes_from_peers_total"))
@@ -231,6 +237,9 @@
     if (version.m_deployment == deployment) {
         return;
     }
+    if (version.m_deployment.m_digest.empty()) {
+        LOG(INFO) << "transfer of " << deployment.m_model << " " << deployment.m_version << " wanted, digest " << deployment.m_digest;
+    }
     version.m_deployment = deployment;
     if (version.m_exchange) {
         version.m_exchange->setReplicas(deployment.m_replicas, originCopies(deployment));
@@ -513,6 +522,7 @@
 
 void Coordinator::adoptManifest(Version &version, const std::string &encoded, const Weights::Manifest &manifest)
 {
+    LOG(INFO) << "manifest of digest " << version.m_deployment.m_digest << " known, " << manifest.chunkCount() << " chunks";
     version.m_manifest = manifest;
     version.m_encodedManifest = encoded;
     for (std::vector<Waiter>::iterator it = m_manifestWaiters.begin(); it != m_manifestWaiters.end();) {
--- a/Tests/Benchmarks/Burst/BurstRun.cpp
+++ b/Tests/Benchmarks/Burst/BurstRun.cpp
@@ -7,6 +7,7 @@
 
 #include <Poco/JSON/Parser.h>
 #include <filesystem>
+#include <glog/logging.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -280,7 +281,7 @@
         return;
     }
     std::filesystem::create_directories(m_options.m_keepDirectory);
-    std::filesystem::copy(m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy(m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive);
     for (const Bench::ProcessSpec *agent : m_fleet->ofKind(Bench::ProcessKind::Agent)) {
         if (m_broken.contains(agent->m_instance)) {
             continue;
@@ -328,6 +329,7 @@
     }
     BOOST_OUTCOME_TRYV(publish(version));
     m_published = Core::Clock::now();
+    LOG(INFO) << "published";
     awaitServing(digest, figures, m_options.m_killPercent + m_options.m_stallPercent > 0);
     if (load) {
         figures.m_during = BOOST_OUTCOME_TRYX(readLoad(*load, LiveSeconds, "load-during"));
