--- a/Tests/Agent/TestModelAgent.cpp
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -1,6 +1,7 @@
 /// @file An agent beside a model engine: from a plan to attested weights, and answers under faults.
 
 #include "Rig.h"
+#include "SilentRelay.h"
 
 namespace {
 
@@ -50,6 +51,11 @@
         await("the version to be attested", [this, &version] { return m_caller->sees(version); });
     }
 
+    std::size_t loadedModels() const
+    {
+        return Rig::request(m_engine.m_address, "GET", "/status")->getArray("models")->size();
+    }
+
     std::string metrics() const
     {
         Poco::Net::HTTPClientSession session(m_settings.m_instance.m_member.m_admin.m_host, m_settings.m_instance.m_member.m_admin.m_port);
@@ -83,7 +89,8 @@
     REQUIRE(call->m_frames.back().m_totalDigest == Core::sha256Hex(text));
 
     rig.serve(rig.m_new);
-    await("the old version to go", [&rig] { return !rig.m_caller->sees(rig.m_old); });
+    await("the old version to go", [&rig] { return rig.loadedModels() == 1; });
+    REQUIRE_FALSE(rig.m_caller->sees(rig.m_old));
     REQUIRE(rig.m_caller->call(Rig::draft("a2", rig.m_old, 5))->end().m_error.m_code == Core::ErrorCode::NotFound);
     REQUIRE(rig.m_caller->call(Rig::draft("a3", rig.m_new, 5))->end().m_succeeded);
 }
@@ -105,7 +112,7 @@
     });
     REQUIRE_FALSE(rig.m_caller->sees(rig.m_new));
     REQUIRE(rig.m_caller->sees(rig.m_old));
-    REQUIRE(Rig::request(rig.m_engine.m_address, "GET", "/status")->getArray("models")->size() == 1);
+    REQUIRE(rig.loadedModels() == 1);
     rig.m_origin.m_heldFrom = SIZE_MAX;
     await("the new version", [&rig] { return rig.m_caller->sees(rig.m_new); });
 }
@@ -204,3 +211,21 @@
     const std::string metrics = rig.metrics();
     REQUIRE(metrics.find("orders_total{end=\"done\"} 0") != std::string::npos);
 }
+
+TEST_CASE("a draft whose entry has gone silent stops at the engine")
+{
+    // Something between entry and agent has lost track of their connection: both sockets stay open and nothing arrives any more.
+    // An agent that trusted its socket would keep the engine drafting for nobody.
+    ModelRig rig;
+    rig.serve(rig.m_old);
+    Rig::SilentRelay relay(rig.m_settings.m_instance.m_member.m_wire);
+    Caller far(relay.address());
+    const std::shared_ptr<Caller::Call> call = far.call(Rig::draft("a1", rig.m_old, 100'000));
+    await("the first tokens", [&call] { return call->frames() > 2; });
+    relay.m_isSilent = true;
+    await("the engine to stop", [&rig] {
+        const Poco::JSON::Array::Ptr ran = Rig::request(rig.m_engine.m_address, "GET", "/journal")->getArray("ran");
+        return ran->size() == 1 && !ran->getObject(0)->getValue<bool>("completed");
+    });
+    REQUIRE_FALSE(call->isWhole());
+}
