Tests: Measure bursts from a quiet fleet, and leave entries' links wide

At 200 agents the members' lists of the starting fleet (about 50 KB to every agent on each change) filled the entries' links, which are scaled down with the weights, and the plan reached the last agent after 43 s. The measurement now waits until the network is quiet, and entries' links are not scaled down with the weights, since control messages are not.

--- a/Libraries/LibBench/Layout.cpp
+++ b/Libraries/LibBench/Layout.cpp
@@ -96,7 +96,13 @@
     text << "listen: \"" << layout.m_network.toString() << "\"\ninstance_link_bytes_per_second: " << links.m_instance
          << "\nregion_pair_bytes_per_second: " << links.m_regionPair << "\nlatency_ms: {same_region: " << links.m_sameRegionLatencyMs
          << ", cross_region: " << links.m_crossRegionLatencyMs << "}\noverrides:\n  - {host: " << layout.m_origin.m_host << ", up: " << links.m_origin
-         << ", down: " << links.m_origin << "}\nhosts:\n  - {host: " << layout.m_origin.m_host << ", region: " << topology.m_failureDomains.front().m_region
+         << ", down: " << links.m_origin << "}\n";
+    for (const ProcessSpec &member : members) {
+        if (member.m_kind == ProcessKind::Entry) {
+            text << "  - {host: " << member.m_wire.m_host << ", up: " << links.m_entry << ", down: " << links.m_entry << "}\n";
+        }
+    }
+    text << "hosts:\n  - {host: " << layout.m_origin.m_host << ", region: " << topology.m_failureDomains.front().m_region
          << ", failure_domain: " << topology.m_failureDomains.front().m_name << "}\n";
     for (const ProcessSpec &member : members) {
         text << "  - {host: " << member.m_wire.m_host << ", region: " << member.m_region << ", failure_domain: " << member.m_failureDomain << "}\n";
--- a/Libraries/LibBench/Topology.h
+++ b/Libraries/LibBench/Topology.h
@@ -44,6 +44,7 @@
 {
     std::uint64_t m_instance = 1 << 20;
     std::uint64_t m_origin = 2 << 20;
+    std::uint64_t m_entry = 16 << 20; ///< Of entry instances. Weights and links are scaled down for tests, control messages are not, so theirs is wider.
     std::uint64_t m_regionPair = 26'000'000 / 8;
     int m_sameRegionLatencyMs = 0;
     int m_crossRegionLatencyMs = 0;
--- a/Tests/Benchmarks/Burst/BurstRun.cpp
+++ b/Tests/Benchmarks/Burst/BurstRun.cpp
@@ -25,6 +25,9 @@
 constexpr double LiveSeconds = 20;
 constexpr double FaultAtBoundShare = 1.0 / 3;
 constexpr int ProbeThreads = 4;
+constexpr Core::Duration QuietInterval{1000};
+constexpr int MaximumQuietTurns = 60;
+constexpr std::uint64_t QuietBytes = 2048; ///< Across regions, for each agent and second.
 
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text, const std::string &step)
 {
@@ -117,6 +120,28 @@
     return Core::success();
 }
 
+/// Waits until the members' greetings are over, so that the burst alone is measured.
+void Run::awaitQuiet()
+{
+    const auto total = [this] {
+        std::uint64_t sum = 0;
+        for (const std::pair<const std::string, std::uint64_t> &pair : regionBytes()) {
+            sum += pair.second;
+        }
+        return sum;
+    };
+    std::uint64_t before = total();
+    for (int turn = 0; turn < MaximumQuietTurns; ++turn) {
+        std::this_thread::sleep_for(QuietInterval);
+        const std::uint64_t now = total();
+        if (now - before < QuietBytes * static_cast<std::uint64_t>(m_options.m_agents)) {
+            return;
+        }
+        before = now;
+    }
+    std::cerr << "the network did not become quiet\n";
+}
+
 bool Run::serves(const Bench::ProcessSpec &engine, const std::string &contentDigest) const
 {
     const Core::Result<std::string> body = Bench::httpGet(engine.m_health, "/status");
@@ -296,6 +321,7 @@
     const Bench::Topology topology = makeTopology(m_options);
     m_fleet = BOOST_OUTCOME_TRYX(Bench::Fleet::start(topology, m_options.m_programs));
     BOOST_OUTCOME_TRYV(awaitMembers());
+    awaitQuiet();
     Figures figures;
     const double weightBytes = static_cast<double>(topology.m_versions.front().m_bytes);
     figures.m_boundSeconds = weightBytes / static_cast<double>(topology.m_links.m_instance);
--- a/Tests/Benchmarks/Burst/BurstRun.h
+++ b/Tests/Benchmarks/Burst/BurstRun.h
@@ -42,6 +42,7 @@
 private:
     Core::Result<void> publish(const std::string &version);
     Core::Result<void> awaitMembers();
+    void awaitQuiet();
     Core::Result<std::string> contentDigest(const std::string &version);
     Core::Result<Bench::Process> startLoad(double seconds, const std::string &name);
     Core::Result<LiveFigures> readLoad(Bench::Process &process, double seconds, const std::string &name);
