LibTransfer: Judge answers that have not begun by a longer limit

At 200 agents behind 256 KiB/s links 4870 requests were given up while they waited in a peer's queue, and 19% of what was uploaded was thrown away. An answer that has begun is judged by its progress; one that has not may wait three times as long while the peer shows signs of life.

--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t MaximumBackoffDoublings = 4;
 constexpr Core::Duration BusyPause{60};
 constexpr Core::Duration LostPause{1000};
+constexpr int QueueLimitInStallLimits = 3; ///< How much longer an answer may wait to begin than to go on.
 constexpr std::uint32_t FailuresUntilSetAside = 3;
 constexpr Core::Duration SetAsideFor{30000};
 constexpr Core::Duration OriginRetry{250};
@@ -512,12 +513,22 @@
     }
 }
 
+bool Exchange::isStalled(const Request &request, Core::Instant now) const
+{
+    if (request.m_bytes > 0) {
+        return now - request.m_progressed >= m_settings.m_stallLimit;
+    }
+    // The answer has not begun: it waits behind others at a peer that shows signs of life, or at one that froze.
+    const bool isSilent = now - m_peers[*request.m_peer].m_heard > PeerSilence;
+    return now - request.m_asked >= (isSilent ? m_settings.m_stallLimit : QueueLimitInStallLimits * m_settings.m_stallLimit);
+}
+
 void Exchange::decideStalls(std::vector<Action> &actions, Core::Instant now)
 {
     for (std::map<RequestId, Request>::iterator it = m_requests.begin(); it != m_requests.end();) {
         const std::map<RequestId, Request>::iterator current = it++;
         const Request &request = current->second;
-        if (!request.m_peer || now - request.m_progressed < m_settings.m_stallLimit) {
+        if (!request.m_peer || !isStalled(request, now)) {
             continue;
         }
         ++m_counts.m_stalls;
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -190,6 +190,7 @@
     bool isDrawTime(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const;
     std::vector<PickPeer> pickPeers(Core::Instant now) const;
     void decideFollows(std::vector<Action> &actions, Core::Instant now);
+    bool isStalled(const Request &request, Core::Instant now) const;
     void decideStalls(std::vector<Action> &actions, Core::Instant now);
     void decideDraws(std::vector<Action> &actions, Pacer &download, Core::Instant now);
     void decideRequests(std::vector<Action> &actions, Pacer &download, Core::Instant now);
--- a/Tests/Benchmarks/Burst/BurstOptions.cpp
+++ b/Tests/Benchmarks/Burst/BurstOptions.cpp
@@ -16,6 +16,9 @@
         "policy", "bytes or time", cxxopts::value<std::string>()->default_value(defaults.m_policy))(
         "strategy", "swarm, origin or tree", cxxopts::value<std::string>()->default_value(defaults.m_strategy))(
         "mebibytes", "size of the weights", cxxopts::value<std::uint64_t>()->default_value(std::to_string(defaults.m_mebibytes)))(
+        "link", "KiB a second of an instance's link; the other links keep their proportion to it",
+        cxxopts::value<std::uint64_t>()->default_value(std::to_string(defaults.m_linkKibibytes)))(
+        "chunk", "KiB of a chunk", cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.m_chunkKibibytes)))(
         "kill", "percent of the agents killed after a third of the bound", cxxopts::value<int>()->default_value("0"))(
         "corrupt", "percent of the origin's answers damaged", cxxopts::value<int>()->default_value("0"))(
         "stall", "percent of the agents frozen after a third of the bound", cxxopts::value<int>()->default_value("0"))(
@@ -37,6 +40,8 @@
         run.m_policy = parsed["policy"].as<std::string>();
         run.m_strategy = parsed["strategy"].as<std::string>();
         run.m_mebibytes = parsed["mebibytes"].as<std::uint64_t>();
+        run.m_linkKibibytes = parsed["link"].as<std::uint64_t>();
+        run.m_chunkKibibytes = parsed["chunk"].as<std::uint32_t>();
         run.m_killPercent = parsed["kill"].as<int>();
         run.m_corruptPercent = parsed["corrupt"].as<int>();
         run.m_stallPercent = parsed["stall"].as<int>();
--- a/Tests/Benchmarks/Burst/BurstOptions.h
+++ b/Tests/Benchmarks/Burst/BurstOptions.h
@@ -14,6 +14,8 @@
     std::string m_policy = "bytes";
     std::string m_strategy = "swarm";
     std::uint64_t m_mebibytes = 8;
+    std::uint64_t m_linkKibibytes = 1024; ///< Rate of an instance's link each way, a second; the other links keep their proportion to it.
+    std::uint32_t m_chunkKibibytes = 64;
     int m_killPercent = 0;
     int m_corruptPercent = 0;
     int m_stallPercent = 0;
--- a/Tests/Benchmarks/Burst/BurstRun.cpp
+++ b/Tests/Benchmarks/Burst/BurstRun.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
+constexpr std::uint32_t BytesPerKibibyte = 1 << 10;
 constexpr int Percent = 100;
 constexpr Core::Duration PollInterval{100};
 constexpr Core::Duration CommandPatience{60000};
@@ -52,6 +53,11 @@
     Bench::Topology topology = Bench::burstTopology(options.m_agents);
     topology.m_transferStrategy = options.m_strategy;
     topology.m_limitsLinks = !options.m_isDirect;
+    topology.m_chunkBytes = options.m_chunkKibibytes * BytesPerKibibyte;
+    const std::uint64_t link = options.m_linkKibibytes * BytesPerKibibyte;
+    topology.m_links.m_origin = topology.m_links.m_origin * link / topology.m_links.m_instance;
+    topology.m_links.m_regionPair = topology.m_links.m_regionPair * link / topology.m_links.m_instance;
+    topology.m_links.m_instance = link;
     for (Bench::StoredVersion &version : topology.m_versions) {
         version.m_bytes = options.m_mebibytes * BytesPerMebibyte;
         version.m_changedPercent = Percent;
