LibTransfer: Look for missing chunks later on slow links, and decide less often

Four seconds after a chunk was due, hundreds of replicas opened 2700 further connections to look for chunks that were merely on their way, and uplinks fell from 45 to 33 of 50 MiB/s. They look after the time of a whole burst now. Decisions run at most every 4 ms.

--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t EventsPerTurn = 512;
 constexpr Core::Duration BusyPatience{5};
 constexpr Core::Duration IdlePatience{100};
+constexpr Core::Duration TurnInterval{4}; ///< Decisions cost more than events; most events change none.
 constexpr Core::Duration AnnouncementInterval{20};
 constexpr Core::Duration SignOfLifeInterval{500};
 constexpr Core::Duration ManifestTimeout{1500};
@@ -169,6 +170,7 @@
 
 void Coordinator::run()
 {
+    Core::Instant nextTurn;
     while (m_running) {
         std::optional<Event> event = m_events->pop(isBusy() ? BusyPatience : IdlePatience);
         for (std::size_t count = 0; event && count < EventsPerTurn; ++count) {
@@ -179,7 +181,11 @@
             std::visit([this](const auto &concrete) { handle(concrete); }, *event);
         }
         takeOrders();
-        turn(Core::Clock::now());
+        const Core::Instant now = Core::Clock::now();
+        if (now >= nextTurn) {
+            turn(now);
+            nextTurn = now + TurnInterval;
+        }
         if (m_isChanged) {
             m_isChanged = false;
             publish();
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -15,8 +15,9 @@
 constexpr Core::Duration PeerSilence{2500}; ///< Signs of life come every half second.
 constexpr Core::Duration TakeoverGrace{400}; ///< Lets a chunk that its first drawer passed on just before it died become visible.
 constexpr Core::Duration JoinGrace{3000}; ///< Replicas learn of a plan at slightly different times.
-constexpr Core::Duration ProbeAfter{4000}; ///< A chunk that is due and unseen for this long makes higher ranks look at the lower ones.
+constexpr Core::Duration MinimumProbeAfter{4000};
 constexpr Core::Duration NeighboursAnswerWithin{400};
+constexpr Core::Duration SourcesInterval{100};
 constexpr Core::Duration FollowRetry{250};
 constexpr std::uint32_t MaximumBackoffDoublings = 4;
 constexpr Core::Duration BusyPause{60};
@@ -51,6 +52,17 @@
     return Core::Duration(chunkBytes * millisecondsPerSecond / rate);
 }
 
+/// A chunk that is due and unseen for as long as a whole burst should take makes higher ranks look at the lower ones. Sooner, hundreds
+/// of replicas would look for chunks that are merely on their way, and the connections would slow the burst down.
+Core::Duration probeAfter(const TransferSettings &settings, const Weights::Manifest &manifest)
+{
+    if (settings.m_downloadBytesPerSecond == 0) {
+        return MinimumProbeAfter;
+    }
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    return std::max(MinimumProbeAfter, Core::Duration(manifest.m_totalBytes * millisecondsPerSecond / settings.m_downloadBytesPerSecond));
+}
+
 }
 
 Exchange::Exchange(const TransferSettings &settings, Identity identity, const Weights::Manifest &manifest, Core::Instant now)
@@ -60,6 +72,7 @@
     , m_started(now)
     , m_random(m_identity.m_seed)
     , m_drawSlot(drawSlot(settings, manifest.m_chunkBytes))
+    , m_probeAfter(probeAfter(settings, manifest))
     , m_chunks(manifest.chunkCount())
     , m_held(manifest.chunkCount(), false)
     , m_nextRequest(m_random.next() >> 8U)
@@ -118,6 +131,8 @@
         const std::uint64_t item = itemHash(m_identity.m_digest, index);
         chunk.m_drawers = topRanked(item, everybody, RankedPeers);
         chunk.m_importers = topRanked(item, near, RankedPeers);
+        chunk.m_isDrawer = m_self && std::find(chunk.m_drawers.begin(), chunk.m_drawers.end(), *m_self) != chunk.m_drawers.end();
+        chunk.m_isImporter = m_self && std::find(chunk.m_importers.begin(), chunk.m_importers.end(), *m_self) != chunk.m_importers.end();
         chunk.m_originRank = m_self ? static_cast<std::uint32_t>(rankOf(m_peers[*m_self].m_candidate, item, everybody)) : ~std::uint32_t{0};
     }
     if (m_settings.m_strategy != Strategy::Tree || !m_self) {
@@ -390,7 +405,7 @@
 
 bool Exchange::mayImport(const Chunk &chunk, Core::Instant now) const
 {
-    return isFirstPresent(chunk.m_importers, false, now);
+    return chunk.m_isImporter && isFirstPresent(chunk.m_importers, false, now);
 }
 
 bool Exchange::mayDraw(Weights::ChunkIndex index, Core::Instant now) const
@@ -402,7 +417,7 @@
     if (m_settings.m_strategy == Strategy::Tree) {
         return !m_parent;
     }
-    if (isFirstPresent(chunk.m_drawers, true, now)) {
+    if (chunk.m_isDrawer && isFirstPresent(chunk.m_drawers, true, now)) {
         return isDrawTime(index, 0, now) && knowsNeighbours(now) && !isVisible(index, now);
     }
     if (isDrawTime(index, 0, now - LastResort * (chunk.m_originRank + 1)) && !isVisible(index, now)) {
@@ -460,7 +475,9 @@
 
 void Exchange::decideFollows(std::vector<Action> &actions, Core::Instant now)
 {
-    for (Weights::ChunkIndex index = 0; m_settings.m_strategy == Strategy::Swarm && index < m_manifest.chunkCount(); ++index) {
+    const bool looks = m_settings.m_strategy == Strategy::Swarm && now >= m_nextSources;
+    m_nextSources = looks ? now + SourcesInterval : m_nextSources;
+    for (Weights::ChunkIndex index = 0; looks && index < m_manifest.chunkCount(); ++index) {
         if (!m_held[index] && m_chunks[index].m_requests == 0) {
             followSources(index, now);
         }
@@ -494,9 +511,7 @@
             }
         }
     }
-    const bool isRanked = std::find(chunk.m_drawers.begin(), chunk.m_drawers.end(), *m_self) != chunk.m_drawers.end()
-        || std::find(chunk.m_importers.begin(), chunk.m_importers.end(), *m_self) != chunk.m_importers.end();
-    if (!isRanked || !isDrawTime(index, 0, now - ProbeAfter) || isVisible(index, now)) {
+    if (!(chunk.m_isDrawer || chunk.m_isImporter) || !isDrawTime(index, 0, now - m_probeAfter) || isVisible(index, now)) {
         return;
     }
     // The chunk should be about by now. Look at everybody who could have brought it, also by way of a third region.
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -160,6 +160,8 @@
         std::vector<PeerIndex> m_importers; ///< Of the own region, in the same order; the first drawer is the first importer of its region.
         std::uint32_t m_requests = 0;
         std::uint32_t m_originRank = 0; ///< Own rank as a drawer.
+        bool m_isDrawer = false; ///< The own replica is in m_drawers.
+        bool m_isImporter = false; ///< The own replica is in m_importers.
         Core::Instant m_originAfter; ///< No draw before.
     };
 
@@ -204,6 +206,7 @@
     const Core::Instant m_started;
     Core::Random m_random;
     Core::Duration m_drawSlot{0}; ///< Time that one chunk takes on the origin's link.
+    Core::Duration m_probeAfter{0};
     std::uint32_t m_originCopies = 1;
     std::vector<Peer> m_peers; ///< Positions never change; peers that left the plan stay, unlisted.
     std::optional<PeerIndex> m_self;
@@ -218,6 +221,7 @@
     std::uint32_t m_originRequests = 0; ///< Open requests to the origin.
     std::uint32_t m_originFailures = 0; ///< In a row.
     Core::Instant m_originAfter; ///< No draw before.
+    Core::Instant m_nextSources; ///< When to look again at whom to follow for chunks that are missing.
     double m_usualSeconds = 0; ///< Smoothed time from asking a peer to the whole chunk; 0 while unknown.
     ExchangeCounts m_counts;
 };
--- /dev/null
+++ b/Tests/LibTransfer/TestFaults.cpp
@@ -0,0 +1,306 @@
+/// @file Bursts among real transfer managers while something goes wrong: each ends, and nothing partial or foreign is ever handed out.
+
+#include "LibTransfer/Messages.h"
+#include "LibWire/Pack.h"
+#include "Replicas.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+constexpr std::uint32_t ChunkSize = 4096;
+constexpr std::uint64_t WeightBytes = 24 * ChunkSize + 100;
+
+StandIn::OriginSettings originSettings()
+{
+    StandIn::OriginSettings settings;
+    settings.m_chunkBytes = ChunkSize;
+    settings.m_objects.push_back(StandIn::ObjectRecipe{"drafts", "1", WeightBytes, 7, 0, 100});
+    settings.m_objects.push_back(StandIn::ObjectRecipe{"drafts", "2", WeightBytes, 8, 7, 25});
+    return settings;
+}
+
+Transfer::TransferSettings quickSettings()
+{
+    Transfer::TransferSettings settings;
+    settings.m_stallLimit = Core::Duration(200);
+    return settings;
+}
+
+/// A replica that announces every chunk of a version and answers requests as the test says.
+class Liar
+{
+public:
+    using Answer = std::function<void(const Transfer::ChunkRequest &, const std::string &chunk, const Wire::Responder &)>;
+
+    Liar(const Core::Address &address, const Weights::Manifest &manifest, const std::string &content, const Answer &answer)
+    {
+        Wire::NodeSettings settings;
+        settings.m_listen = address;
+        m_node = std::make_unique<Wire::Node>(settings, m_metrics);
+        const std::string encoded = Weights::encodeManifest(manifest);
+        m_node->handle("transfer.manifest", [encoded](const Wire::IncomingCall &call) { call.m_responder.reply(encoded); });
+        m_node->handle("transfer.have", [this, manifest](const Wire::IncomingCall &call) {
+            Transfer::HaveUpdate update;
+            update.m_takesPart = true;
+            update.m_isSnapshot = true;
+            update.m_bitmap = Transfer::encodeBitmap(std::vector<bool>(manifest.chunkCount(), true));
+            call.m_responder.send(Wire::pack(update));
+            m_followers.push_back(call.m_responder);
+        });
+        m_node->handle("transfer.chunk", [this, manifest, content, answer](const Wire::IncomingCall &call) {
+            const Transfer::ChunkRequest request = Wire::unpack<Transfer::ChunkRequest>(call.m_body, call.m_peer).value();
+            ++m_asked;
+            answer(request, content.substr(manifest.chunkOffset(request.m_chunk), manifest.chunkLength(request.m_chunk)), call.m_responder);
+        });
+        m_node->start().value();
+    }
+
+    ~Liar()
+    {
+        m_node->stop();
+    }
+
+    int asked() const
+    {
+        return m_asked;
+    }
+
+private:
+    Telemetry::Metrics m_metrics;
+    std::vector<Wire::Responder> m_followers; ///< Keeps the streams open; used on the node's thread only.
+    std::atomic<int> m_asked = 0;
+    std::unique_ptr<Wire::Node> m_node;
+};
+
+/// Two honest replicas and a planned third one whose place a liar takes.
+struct LiarBench
+{
+    TestBench::Replicas m_replicas{originSettings()};
+    Control::Deployment m_deployment;
+    std::unique_ptr<Liar> m_liar;
+
+    explicit LiarBench(const Liar::Answer &answer)
+    {
+        for (int index = 0; index < 3; ++index) {
+            m_replicas.plan("hcm");
+        }
+        m_deployment = m_replicas.deployment("drafts", "1");
+        const std::shared_ptr<const StandIn::StoredObject> object = m_replicas.origin().manifest("drafts", "1").m_object;
+        m_liar = std::make_unique<Liar>(m_replicas.at(2).m_planned.m_wire, object->m_manifest, object->m_content, answer);
+        m_replicas.start(0, quickSettings());
+        m_replicas.start(1, quickSettings());
+        m_replicas.setTargets({m_deployment});
+    }
+
+    bool ends()
+    {
+        return TestBench::waitFor([this] { return m_replicas.countHolding(m_deployment.m_digest) == 2; });
+    }
+
+    bool isWhole(std::size_t index)
+    {
+        return m_replicas.at(index).m_manager->held(m_deployment.m_digest)->wholeContent() == m_replicas.content("drafts", "1");
+    }
+};
+
+void startAll(TestBench::Replicas &replicas, std::size_t count, const Transfer::TransferSettings &settings = quickSettings())
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        replicas.plan(index % 2 == 0 ? "hcm" : "hanoi");
+        replicas.start(index, settings);
+    }
+}
+
+bool endsEverywhere(TestBench::Replicas &replicas, const Control::Deployment &deployment)
+{
+    return TestBench::waitFor([&] { return replicas.countHolding(deployment.m_digest) == replicas.size(); });
+}
+
+}
+
+TEST_CASE("damaged chunks from one peer never become part of a version")
+{
+    // A peer's memory is bad: the first chunk, the last one, or all that it sends are damaged. An engine that loaded them would
+    // write drafts from weights that nobody published.
+    const Weights::ChunkIndex damaged = GENERATE(Weights::ChunkIndex{0}, Weights::ChunkIndex{24}, ~Weights::ChunkIndex{0});
+    LiarBench bench([damaged](const Transfer::ChunkRequest &request, std::string chunk, const Wire::Responder &responder) {
+        if (damaged == request.m_chunk || damaged == ~Weights::ChunkIndex{0}) {
+            chunk[chunk.size() / 2] ^= 1;
+        }
+        responder.reply(chunk);
+    });
+    REQUIRE(bench.ends());
+    REQUIRE(bench.isWhole(0));
+    REQUIRE(bench.isWhole(1));
+    if (damaged == ~Weights::ChunkIndex{0}) {
+        REQUIRE(bench.m_replicas.total("transfer_chunks_bad_total") > 0);
+        // Each honest replica sets the peer aside at once; only what was already asked still comes.
+        REQUIRE(bench.m_liar->asked() <= 8);
+    }
+}
+
+TEST_CASE("chunks that are cut short or too long are not taken")
+{
+    const bool isShort = GENERATE(true, false);
+    LiarBench bench([isShort](const Transfer::ChunkRequest &, const std::string &chunk, const Wire::Responder &responder) {
+        responder.reply(isShort ? chunk.substr(0, chunk.size() / 2) : chunk + chunk);
+    });
+    REQUIRE(bench.ends());
+    REQUIRE(bench.isWhole(0));
+    REQUIRE(bench.isWhole(1));
+}
+
+TEST_CASE("a peer that never answers does not hold up the burst")
+{
+    // The peer froze. Its connection stays open, so that only the missing progress shows it.
+    LiarBench bench([kept = std::make_shared<std::vector<Wire::Responder>>()](
+                        const Transfer::ChunkRequest &, const std::string &, const Wire::Responder &responder) { kept->push_back(responder); });
+    REQUIRE(bench.ends());
+    REQUIRE(bench.isWhole(0));
+    REQUIRE(bench.isWhole(1));
+}
+
+TEST_CASE("a version that changed under its name is never handed out")
+{
+    // The store's object is replaced after the version was published. Its chunks are sound in themselves, but not those that were published.
+    TestBench::Replicas replicas(originSettings());
+    startAll(replicas, 4);
+    const Control::Deployment published = replicas.deployment("drafts", "1");
+    const std::string content = replicas.content("drafts", "1");
+    replicas.origin().setFaults(R"({"swap":{"model":"drafts","version":"1","seed":99}})").value();
+    replicas.setTargets({published});
+    REQUIRE(TestBench::waitFor([&] {
+        return replicas.total("transfer_chunks_bad_total") > 0 || replicas.origin().journalJson().find("\"manifest_requests\":9") != std::string::npos;
+    }));
+    REQUIRE(replicas.countHolding(published.m_digest) == 0);
+}
+
+TEST_CASE("a version that changes while it is fetched is never mixed, and completes once the store has it again")
+{
+    TestBench::Replicas replicas(originSettings());
+    Transfer::TransferSettings settings = quickSettings();
+    settings.m_originBytesPerSecond = 100'000;
+    startAll(replicas, 4, settings);
+    const Control::Deployment published = replicas.deployment("drafts", "1");
+    const std::string content = replicas.content("drafts", "1");
+    replicas.setTargets({published});
+    REQUIRE(TestBench::waitFor([&] { return replicas.total("transfer_bytes_from_origin_total") > 4 * ChunkSize; }));
+    replicas.origin().setFaults(R"({"swap":{"model":"drafts","version":"1","seed":99}})").value();
+    REQUIRE(TestBench::waitFor([&] { return replicas.total("transfer_chunks_bad_total") > 0; }));
+    REQUIRE(replicas.countHolding(published.m_digest) == 0);
+    replicas.origin().setFaults(R"({"swap":{"model":"drafts","version":"1","seed":7}})").value();
+    REQUIRE(endsEverywhere(replicas, published));
+    REQUIRE(replicas.at(0).m_manager->held(published.m_digest)->wholeContent() == content);
+}
+
+TEST_CASE("once one copy is out, the burst ends without the origin, and a replaced replica is served by its peers")
+{
+    // The store goes down for a long time in the middle of a burst. What the replicas hold together is enough.
+    TestBench::Replicas replicas(originSettings());
+    startAll(replicas, 6);
+    const Control::Deployment deployment = replicas.deployment("drafts", "1");
+    replicas.origin().setFaults(R"({"down_after_copies":1.0})").value();
+    replicas.setTargets({deployment});
+    REQUIRE(endsEverywhere(replicas, deployment));
+    replicas.start(3, quickSettings());
+    REQUIRE(replicas.at(3).m_manager->held(deployment.m_digest) == nullptr);
+    replicas.at(3).m_manager->setTargets({deployment});
+    REQUIRE(endsEverywhere(replicas, deployment));
+    REQUIRE(replicas.at(3).m_metrics->counter("transfer_bytes_from_origin_total").value() == 0);
+}
+
+TEST_CASE("a burst waits for an origin that is down and ends once it is back")
+{
+    TestBench::Replicas replicas(originSettings());
+    startAll(replicas, 4);
+    const Control::Deployment deployment = replicas.deployment("drafts", "1");
+    replicas.origin().setFaults(R"({"down":true})").value();
+    replicas.setTargets({deployment});
+    REQUIRE(TestBench::waitFor([&] { return replicas.origin().journalJson().find("\"manifest_requests\":0") == std::string::npos; }));
+    REQUIRE(replicas.countHolding(deployment.m_digest) == 0);
+    replicas.origin().setFaults(R"({"down":false,"slow_ms":20,"truncate_percent":20})").value();
+    REQUIRE(endsEverywhere(replicas, deployment));
+}
+
+TEST_CASE("the burst ends for the others when replicas die in the middle")
+{
+    // Among the dead are drawers and importers of chunks that nobody else has yet.
+    TestBench::Replicas replicas(originSettings());
+    Transfer::TransferSettings settings = quickSettings();
+    settings.m_originBytesPerSecond = 100'000;
+    startAll(replicas, 8, settings);
+    const Control::Deployment deployment = replicas.deployment("drafts", "1");
+    replicas.setTargets({deployment});
+    REQUIRE(TestBench::waitFor([&] { return replicas.total("transfer_bytes_from_origin_total") > 4 * ChunkSize; }));
+    for (const std::size_t dead : {std::size_t{1}, std::size_t{2}}) {
+        replicas.at(dead).stop();
+        replicas.at(dead).m_manager.reset();
+    }
+    REQUIRE(TestBench::waitFor([&] { return replicas.countHolding(deployment.m_digest) == 6; }));
+    REQUIRE(replicas.at(0).m_manager->held(deployment.m_digest)->wholeContent() == replicas.content("drafts", "1"));
+}
+
+TEST_CASE("a superseded version stops at once, and chunks that the new one shares are not fetched again")
+{
+    // Operators publish a correction while a burst is under way. Going on with the old version would take the links from the new one.
+    TestBench::Replicas replicas(originSettings());
+    Transfer::TransferSettings settings = quickSettings();
+    settings.m_originBytesPerSecond = 100'000;
+    startAll(replicas, 4, settings);
+    const Control::Deployment first = replicas.deployment("drafts", "1");
+    const Control::Deployment second = replicas.deployment("drafts", "2");
+    replicas.setTargets({first});
+    REQUIRE(TestBench::waitFor([&] { return replicas.total("transfer_bytes_from_origin_total") > 4 * ChunkSize; }));
+    replicas.setTargets({second});
+    REQUIRE(endsEverywhere(replicas, second));
+    REQUIRE(replicas.countHolding(first.m_digest) == 0);
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+        REQUIRE(replicas.at(index).m_manager->progress().size() == 1);
+    }
+}
+
+TEST_CASE("a rollback to a held version moves no bytes")
+{
+    TestBench::Replicas replicas(originSettings());
+    startAll(replicas, 4);
+    const Control::Deployment first = replicas.deployment("drafts", "1");
+    const Control::Deployment second = replicas.deployment("drafts", "2");
+    replicas.setTargets({first});
+    REQUIRE(endsEverywhere(replicas, first));
+    replicas.setTargets({second});
+    REQUIRE(endsEverywhere(replicas, second));
+    // A quarter of the chunks differ; the others came from the version that was held.
+    REQUIRE(replicas.total("transfer_bytes_reused_total") >= 4 * 17 * ChunkSize);
+    const std::uint64_t moved = replicas.total("transfer_bytes_from_origin_total") + replicas.total("transfer_bytes_from_peers_total");
+    replicas.setTargets({first});
+    REQUIRE(replicas.countHolding(first.m_digest) == replicas.size());
+    REQUIRE(replicas.total("transfer_bytes_from_origin_total") + replicas.total("transfer_bytes_from_peers_total") == moved);
+    replicas.at(0).m_manager->release(second.m_digest);
+    REQUIRE(TestBench::waitFor([&] { return replicas.at(0).m_manager->held(second.m_digest) == nullptr; }));
+    REQUIRE(replicas.at(0).m_manager->held(first.m_digest)->wholeContent() == replicas.content("drafts", "1"));
+}
+
+TEST_CASE("a version that does not fit into memory waits until another is released")
+{
+    TestBench::Replicas replicas([] {
+        StandIn::OriginSettings settings;
+        settings.m_objects.push_back(StandIn::ObjectRecipe{"drafts", "1", 700 << 10, 7, 0, 100});
+        settings.m_objects.push_back(StandIn::ObjectRecipe{"drafts", "2", 700 << 10, 8, 0, 100});
+        return settings;
+    }());
+    Transfer::TransferSettings settings = quickSettings();
+    settings.m_memoryMebibytes = 1;
+    startAll(replicas, 1, settings);
+    const Control::Deployment first = replicas.deployment("drafts", "1");
+    const Control::Deployment second = replicas.deployment("drafts", "2");
+    replicas.setTargets({first});
+    REQUIRE(endsEverywhere(replicas, first));
+    replicas.setTargets({second});
+    REQUIRE(TestBench::waitFor([&] {
+        const Poco::JSON::Object::Ptr dump = replicas.at(0).m_manager->dump();
+        return dump->has(second.m_digest) && dump->getObject(second.m_digest)->getValue<bool>("awaits_memory");
+    }));
+    replicas.at(0).m_manager->release(first.m_digest);
+    REQUIRE(endsEverywhere(replicas, second));
+}
