--- a/Tests/Benchmarks/Burst/BurstRun.cpp
+++ b/Tests/Benchmarks/Burst/BurstRun.cpp
@@ -7,6 +7,7 @@
 
 #include <Poco/JSON/Parser.h>
 #include <filesystem>
+#include <glog/logging.h>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
+constexpr std::uint32_t BytesPerKibibyte = 1 << 10;
 constexpr int Percent = 100;
 constexpr Core::Duration PollInterval{100};
 constexpr Core::Duration CommandPatience{60000};
@@ -24,6 +26,9 @@
 constexpr double LiveSeconds = 20;
 constexpr double FaultAtBoundShare = 1.0 / 3;
 constexpr int ProbeThreads = 4;
+constexpr Core::Duration QuietInterval{1000};
+constexpr int MaximumQuietTurns = 60;
+constexpr std::uint64_t QuietBytes = 2048; ///< Across regions, for each agent and second.
 
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text, const std::string &step)
 {
@@ -48,6 +53,11 @@
     Bench::Topology topology = Bench::burstTopology(options.m_agents);
     topology.m_transferStrategy = options.m_strategy;
     topology.m_limitsLinks = !options.m_isDirect;
+    topology.m_chunkBytes = options.m_chunkKibibytes * BytesPerKibibyte;
+    const std::uint64_t link = options.m_linkKibibytes * BytesPerKibibyte;
+    topology.m_links.m_origin = topology.m_links.m_origin * link / topology.m_links.m_instance;
+    topology.m_links.m_regionPair = topology.m_links.m_regionPair * link / topology.m_links.m_instance;
+    topology.m_links.m_instance = link;
     for (Bench::StoredVersion &version : topology.m_versions) {
         version.m_bytes = options.m_mebibytes * BytesPerMebibyte;
         version.m_changedPercent = Percent;
@@ -116,6 +126,28 @@
     return Core::success();
 }
 
+/// Waits until the members' greetings are over, so that the burst alone is measured.
+void Run::awaitQuiet()
+{
+    const auto total = [this] {
+        std::uint64_t sum = 0;
+        for (const std::pair<const std::string, std::uint64_t> &pair : regionBytes()) {
+            sum += pair.second;
+        }
+        return sum;
+    };
+    std::uint64_t before = total();
+    for (int turn = 0; turn < MaximumQuietTurns; ++turn) {
+        std::this_thread::sleep_for(QuietInterval);
+        const std::uint64_t now = total();
+        if (now - before < QuietBytes * static_cast<std::uint64_t>(m_options.m_agents)) {
+            return;
+        }
+        before = now;
+    }
+    std::cerr << "the network did not become quiet\n";
+}
+
 bool Run::serves(const Bench::ProcessSpec &engine, const std::string &contentDigest) const
 {
     const Core::Result<std::string> body = Bench::httpGet(engine.m_health, "/status");
@@ -280,7 +312,7 @@
         return;
     }
     std::filesystem::create_directories(m_options.m_keepDirectory);
-    std::filesystem::copy(m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing);
+    std::filesystem::copy(m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive);
     for (const Bench::ProcessSpec *agent : m_fleet->ofKind(Bench::ProcessKind::Agent)) {
         if (m_broken.contains(agent->m_instance)) {
             continue;
@@ -295,6 +327,7 @@
     const Bench::Topology topology = makeTopology(m_options);
     m_fleet = BOOST_OUTCOME_TRYX(Bench::Fleet::start(topology, m_options.m_programs));
     BOOST_OUTCOME_TRYV(awaitMembers());
+    awaitQuiet();
     Figures figures;
     const double weightBytes = static_cast<double>(topology.m_versions.front().m_bytes);
     figures.m_boundSeconds = weightBytes / static_cast<double>(topology.m_links.m_instance);
@@ -328,6 +361,7 @@
     }
     BOOST_OUTCOME_TRYV(publish(version));
     m_published = Core::Clock::now();
+    LOG(INFO) << "published";
     awaitServing(digest, figures, m_options.m_killPercent + m_options.m_stallPercent > 0);
     if (load) {
         figures.m_during = BOOST_OUTCOME_TRYX(readLoad(*load, LiveSeconds, "load-during"));
