--- a/Libraries/LibControl/StateSubscriber.cpp
+++ b/Libraries/LibControl/StateSubscriber.cpp
@@ -26,7 +26,7 @@
     , m_feedsLost(metrics.counter("control_feeds_lost_total"))
     , m_gaps(metrics.counter("control_feed_gaps_total"))
     , m_overruns(metrics.counter("control_feed_overruns_total"))
-    , m_arrivals(std::make_shared<Core::Ring<Arrival>>(ArrivalCapacity))
+    , m_inbox(std::make_shared<Inbox>(ArrivalCapacity))
     , m_self(std::move(self))
 {
     store.onChange([this] { m_duty.wake(); });
@@ -45,7 +45,7 @@
 void StateSubscriber::stop()
 {
     m_duty.stop();
-    m_arrivals->close();
+    m_inbox->m_arrivals.close();
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const std::pair<const std::uint64_t, Feed> &entry : m_feeds) {
         m_node.cancel(entry.second.m_call);
@@ -79,7 +79,7 @@
     announceSelf();
     chooseAndOpen();
     acknowledge();
-    return m_arrivals->size() > 0 ? AtOnce : m_settings.m_turn;
+    return m_inbox->m_arrivals.size() > 0 ? AtOnce : m_settings.m_turn;
 }
 
 /// An entry is a member of its own table; nobody else would keep it there while the list does not show it.
@@ -97,7 +97,10 @@
 
 void StateSubscriber::takeArrivals()
 {
-    while (std::optional<Arrival> arrival = m_arrivals->pop(AtOnce)) {
+    if (m_inbox->m_hasOverflowed.exchange(false)) {
+        retireAll();
+    }
+    while (std::optional<Arrival> arrival = m_inbox->m_arrivals.pop(AtOnce)) {
         if (arrival->m_hasEnded) {
             retire(arrival->m_feed, true);
         } else {
@@ -106,6 +109,17 @@
     }
 }
 
+/// An update or the end of a stream was lost on the way to this duty. Subscribed anew, every feed starts from what is in force here.
+void StateSubscriber::retireAll()
+{
+    m_overruns.add();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::pair<const std::uint64_t, Feed> &entry : m_feeds) {
+        m_node.cancel(entry.second.m_call);
+    }
+    m_feeds.clear();
+}
+
 void StateSubscriber::receive(std::uint64_t feedId, const std::string &frame)
 {
     const Core::Result<Protocol::StateUpdate> decoded = Wire::unpack<Protocol::StateUpdate>(frame, "");
@@ -239,20 +253,18 @@
     request.m_chain = state->m_chain;
 
     Wire::CallEvents events;
-    const std::shared_ptr<Core::Ring<Arrival>> arrivals = m_arrivals;
-    Telemetry::Counter &overruns = m_overruns;
+    const std::shared_ptr<Inbox> inbox = m_inbox;
     Duty &duty = m_duty;
-    events.m_onFrame = [arrivals, feedId, &overruns, &duty](std::string frame) {
-        if (!arrivals->tryPush(Arrival{feedId, std::move(frame), false})) {
-            overruns.add();
-        }
-        duty.wake();
-    };
-    events.m_onEnd = [arrivals, feedId, &duty](const Wire::CallEnd &) {
-        if (arrivals->tryPush(Arrival{feedId, "", true})) {
+    const auto deliver = [inbox, &duty](Arrival arrival) {
+        if (inbox->m_arrivals.tryPush(std::move(arrival))) {
+            duty.wake();
+        } else if (!inbox->m_arrivals.isClosed()) {
+            inbox->m_hasOverflowed = true;
             duty.wake();
         }
     };
+    events.m_onFrame = [deliver, feedId](std::string frame) { deliver(Arrival{feedId, std::move(frame), false}); };
+    events.m_onEnd = [deliver, feedId](const Wire::CallEnd &) { deliver(Arrival{feedId, "", true}); };
     const Wire::CallId call = m_node.call(address, "control.state", Wire::pack(request), Wire::CallOptions{Core::Duration(0)}, std::move(events));
     const std::lock_guard<std::mutex> lock(m_mutex);
     const std::map<std::uint64_t, Feed>::iterator found = m_feeds.find(feedId);
--- a/Libraries/LibControl/StateSubscriber.h
+++ b/Libraries/LibControl/StateSubscriber.h
@@ -6,6 +6,7 @@
 #include "LibCore/Ring.h"
 #include "LibWire/Node.h"
 
+#include <atomic>
 #include <map>
 #include <set>
 
@@ -53,6 +54,18 @@
         bool m_hasEnded = false;
     };
 
+    /// Shared with callbacks, which may outlive the subscriber.
+    struct Inbox
+    {
+        explicit Inbox(std::size_t capacity)
+            : m_arrivals(capacity)
+        {
+        }
+
+        Core::Ring<Arrival> m_arrivals;
+        std::atomic<bool> m_hasOverflowed = false; ///< Something was refused, so no feed can be relied on any more.
+    };
+
     struct Feed
     {
         Core::Address m_address;
@@ -65,6 +78,7 @@
     Core::Duration turn();
     void announceSelf();
     void takeArrivals();
+    void retireAll();
     void receive(std::uint64_t feedId, const std::string &frame);
     bool isAgent() const;
     void offer(std::uint64_t feedId);
@@ -80,7 +94,7 @@
     Telemetry::Counter &m_feedsLost;
     Telemetry::Counter &m_gaps;
     Telemetry::Counter &m_overruns;
-    std::shared_ptr<Core::Ring<Arrival>> m_arrivals; ///< Shared with callbacks, which may outlive this object.
+    std::shared_ptr<Inbox> m_inbox;
 
     mutable std::mutex m_mutex;
     Protocol::Member m_self;
