LibStandIn: Answer /faults in one place

The engine and the plain service each had a copy of the same page. answerFaultPage serves both. StandIns/TestEngine, TestPlainService and TestJournalChecker pass.

--- a/Libraries/LibStandIn/Engine.cpp
+++ b/Libraries/LibStandIn/Engine.cpp
@@ -2,6 +2,7 @@
 
 #include "LibStandIn/Engine.h"
 
+#include "LibStandIn/FaultPage.h"
 #include "LibStandIn/Json.h"
 #include "LibStandIn/Sha256.h"
 #include "LibStandIn/Tokens.h"
@@ -176,7 +177,7 @@
     const std::string path = Poco::URI(request.getURI()).getPath();
     const std::string &method = request.getMethod();
     if (path == "/faults") {
-        return answerFaults(request, response);
+        return answerFaultPage(m_faults, showFaults, request, response);
     }
     if (path == "/journal") {
         return answerJournal(response);
@@ -216,25 +217,6 @@
     return true;
 }
 
-void Engine::answerFaults(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
-{
-    if (request.getMethod() == "POST") {
-        const Core::Result<std::string> body = readBody(request, MaximumBodyBytes);
-        if (!body) {
-            return sendError(response, StatusBadRequest, body.error());
-        }
-        const Core::Result<Poco::JSON::Object::Ptr> object = parseJsonObject(body.value());
-        if (!object) {
-            return sendError(response, StatusBadRequest, object.error());
-        }
-        const Core::Result<void> applied = m_faults.apply(*object.value());
-        if (!applied) {
-            return sendError(response, StatusBadRequest, applied.error());
-        }
-    }
-    sendAnswer(response, StatusOk, "application/json", showFaults(m_faults.current()));
-}
-
 void Engine::answerStatus(Poco::Net::HTTPServerResponse &response)
 {
     Poco::JSON::Array models;
--- a/Libraries/LibStandIn/Engine.h
+++ b/Libraries/LibStandIn/Engine.h
@@ -75,7 +75,6 @@
 private:
     struct Generation; ///< One request between its arrival and its end.
 
-    void answerFaults(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void answerStatus(Poco::Net::HTTPServerResponse &response);
     void answerJournal(Poco::Net::HTTPServerResponse &response);
     void load(const std::string &digest, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
--- /dev/null
+++ b/Libraries/LibStandIn/FaultPage.h
@@ -0,0 +1,42 @@
+/// @file The page /faults of a stand-in, over its board of switches.
+#pragma once
+
+#include "LibStandIn/Faults.h"
+#include "LibStandIn/HttpServer.h"
+#include "LibStandIn/Json.h"
+
+#include <string>
+
+namespace StandIn {
+
+/// Largest body of a change of faults, in bytes.
+inline constexpr std::size_t MaximumFaultBytes = 1 << 20;
+
+/// Applies the change that a POST carries; fails with InvalidInput and changes nothing if it is malformed.
+template <typename Switches>
+Core::Result<void> changeFromRequest(FaultBoard<Switches> &board, Poco::Net::HTTPServerRequest &request)
+{
+    const std::string body = BOOST_OUTCOME_TRYX(readBody(request, MaximumFaultBytes));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(body));
+    return board.apply(*object);
+}
+
+/// Answers GET and POST /faults with the switches as @p show writes them.
+template <typename Switches>
+void answerFaultPage(FaultBoard<Switches> &board,
+                     std::string (*show)(const Switches &),
+                     Poco::Net::HTTPServerRequest &request,
+                     Poco::Net::HTTPServerResponse &response)
+{
+    constexpr int statusOk = 200;
+    constexpr int statusBadRequest = 400;
+    if (request.getMethod() == "POST") {
+        const Core::Result<void> changed = changeFromRequest(board, request);
+        if (!changed) {
+            return sendError(response, statusBadRequest, changed.error());
+        }
+    }
+    sendAnswer(response, statusOk, "application/json", show(board.current()));
+}
+
+}
--- a/Libraries/LibStandIn/PlainService.cpp
+++ b/Libraries/LibStandIn/PlainService.cpp
@@ -2,6 +2,7 @@
 
 #include "LibStandIn/PlainService.h"
 
+#include "LibStandIn/FaultPage.h"
 #include "LibStandIn/Json.h"
 
 #include <Poco/JSON/Array.h>
@@ -111,7 +112,7 @@
 {
     const std::string path = Poco::URI(request.getURI()).getPathEtc();
     if (path == "/faults") {
-        return answerFaults(request, response);
+        return answerFaultPage(m_faults, showFaults, request, response);
     }
     if (path == "/journal") {
         return answerJournal(response);
@@ -139,25 +140,6 @@
     return true;
 }
 
-void PlainService::answerFaults(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
-{
-    if (request.getMethod() == "POST") {
-        const Core::Result<std::string> body = readBody(request, MaximumBodyBytes);
-        if (!body) {
-            return sendError(response, StatusBadRequest, body.error());
-        }
-        const Core::Result<Poco::JSON::Object::Ptr> object = parseJsonObject(body.value());
-        if (!object) {
-            return sendError(response, StatusBadRequest, object.error());
-        }
-        const Core::Result<void> applied = m_faults.apply(*object.value());
-        if (!applied) {
-            return sendError(response, StatusBadRequest, applied.error());
-        }
-    }
-    sendAnswer(response, StatusOk, "application/json", showFaults(m_faults.current()));
-}
-
 void PlainService::answerStatus(Poco::Net::HTTPServerResponse &response)
 {
     Poco::JSON::Object object;
--- a/Libraries/LibStandIn/PlainService.h
+++ b/Libraries/LibStandIn/PlainService.h
@@ -74,7 +74,6 @@
     void stop();
 
 private:
-    void answerFaults(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void answerStatus(Poco::Net::HTTPServerResponse &response);
     void answerJournal(Poco::Net::HTTPServerResponse &response);
     void perform(const std::string &path, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
