LibEndpoint: Attest by verified manifests, so that a replaced agent serves at once

A replaced agent attested nothing until every byte of the weights had been fetched again, although its engine went on serving them. The engine's own content digest and a verified manifest are proof enough; only an order needs the whole weights. LibTransfer now tells which manifests are verified. Agent/TestModelAgent restarts an agent whose origin holds back every chunk: it attests and serves.

--- a/Libraries/LibEndpoint/Agent.cpp
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -64,7 +64,8 @@
 {
     m_state.onLiveTraffic([this](std::uint64_t bytes) { m_transfer.noteLiveBytes(bytes); });
     m_store.onChange([this] { onStateChange(); });
-    m_transfer.onComplete([this](const std::string &) { onHeldChange(); });
+    m_transfer.onManifest([this](const std::string &) { onKnownChange(); });
+    m_transfer.onComplete([this](const std::string &) { onKnownChange(); });
     registerMethods();
     registerPages();
 }
@@ -175,16 +176,13 @@
     }
 }
 
-void Agent::onHeldChange()
+void Agent::onKnownChange()
 {
-    std::vector<HeldWeights> held;
-    for (const std::string &digest : m_transfer.heldDigests()) {
-        const std::shared_ptr<const Weights::HeldVersion> version = m_transfer.held(digest);
-        if (version) {
-            held.push_back(HeldWeights{digest, version->m_manifest.m_contentDigest});
-        }
+    std::vector<KnownWeights> known;
+    for (const Transfer::KnownVersion &version : m_transfer.knownVersions()) {
+        known.push_back(KnownWeights{version.m_manifestDigest, version.m_contentDigest, version.m_isWhole});
     }
-    m_state.change([&held](AgentFacts &facts) { facts.m_held = held; });
+    m_state.change([&known](AgentFacts &facts) { facts.m_known = known; });
 }
 
 Core::Result<Control::Offset> Agent::newestPlanOffset()
@@ -239,7 +237,7 @@
 void Agent::releaseWeights(const std::string &manifestDigest)
 {
     m_transfer.release(manifestDigest);
-    onHeldChange();
+    onKnownChange();
 }
 
 void Agent::refreshStatus()
--- a/Libraries/LibEndpoint/Agent.h
+++ b/Libraries/LibEndpoint/Agent.h
@@ -47,7 +47,7 @@
     Core::Result<Control::Offset> askFence(const Core::Address &entry, Control::Offset applied);
     std::vector<Core::Address> entriesToAsk() const;
     void onStateChange();
-    void onHeldChange();
+    void onKnownChange();
     void registerMethods();
     void registerPages();
     Poco::JSON::Object::Ptr dumpInstance() const;
--- a/Libraries/LibEndpoint/AgentState.cpp
+++ b/Libraries/LibEndpoint/AgentState.cpp
@@ -10,7 +10,7 @@
 {
     std::set<std::string> withheld = facts.m_withdrawn;
     withheld.insert(facts.m_distrusted.begin(), facts.m_distrusted.end());
-    return attestationsOf(facts.m_engine, facts.m_held, withheld, facts.m_loadedUnder);
+    return attestationsOf(facts.m_engine, facts.m_known, withheld, facts.m_loadedUnder);
 }
 
 AgentFacts AgentState::facts() const
@@ -70,13 +70,13 @@
 std::optional<std::string> AgentState::servedContent(const std::string &manifestDigest) const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const HeldWeights &held : m_facts.m_held) {
-        if (held.m_manifestDigest != manifestDigest || m_facts.m_distrusted.contains(held.m_contentDigest)) {
+    for (const KnownWeights &known : m_facts.m_known) {
+        if (known.m_manifestDigest != manifestDigest || m_facts.m_distrusted.contains(known.m_contentDigest)) {
             continue;
         }
         for (const EngineModel &model : m_facts.m_engine.m_models) {
-            if (model.m_contentDigest == held.m_contentDigest && model.m_state == ModelState::Serving) {
-                return held.m_contentDigest;
+            if (model.m_contentDigest == known.m_contentDigest && model.m_state == ModelState::Serving) {
+                return known.m_contentDigest;
             }
         }
     }
--- a/Libraries/LibEndpoint/AgentState.h
+++ b/Libraries/LibEndpoint/AgentState.h
@@ -22,7 +22,7 @@
     Control::Offset m_appliedOffset = 0; ///< Control state in force here.
     Control::Offset m_planOffset = 0; ///< Of the service's plan; 0 while none is known.
     std::vector<std::string> m_plannedManifests; ///< What this instance is to hold.
-    std::vector<HeldWeights> m_held; ///< Whole and verified.
+    std::vector<KnownWeights> m_known; ///< Those with a verified manifest.
     EngineStatus m_engine;
     std::set<std::string> m_withdrawn; ///< Content digests that are about to be unloaded; no longer attested.
     std::set<std::string> m_distrusted; ///< Content digests under which the engine named another version.
--- a/Libraries/LibEndpoint/Engine.h
+++ b/Libraries/LibEndpoint/Engine.h
@@ -35,13 +35,14 @@
     bool operator==(const EngineStatus &) const = default;
 };
 
-/// Weights that are whole and verified on this instance.
-struct HeldWeights
+/// Weights whose manifest is verified on this instance.
+struct KnownWeights
 {
     std::string m_manifestDigest;
-    std::string m_contentDigest;
+    std::string m_contentDigest; ///< As the manifest says.
+    bool m_isWhole = false; ///< Every byte is here and verified.
 
-    bool operator==(const HeldWeights &) const = default;
+    bool operator==(const KnownWeights &) const = default;
 };
 
 }
--- a/Libraries/LibEndpoint/OrderDecision.cpp
+++ b/Libraries/LibEndpoint/OrderDecision.cpp
@@ -18,14 +18,14 @@
     return nullptr;
 }
 
-/// The planned weights that are whole here, in the plan's order.
-std::vector<HeldWeights> plannedAndHeld(const OrderSituation &situation)
+/// The planned weights whose manifests are verified here, in the plan's order.
+std::vector<KnownWeights> plannedAndKnown(const OrderSituation &situation)
 {
-    std::vector<HeldWeights> result;
+    std::vector<KnownWeights> result;
     for (const std::string &manifest : situation.m_plannedManifests) {
-        for (const HeldWeights &held : situation.m_held) {
-            if (held.m_manifestDigest == manifest) {
-                result.push_back(held);
+        for (const KnownWeights &known : situation.m_known) {
+            if (known.m_manifestDigest == manifest) {
+                result.push_back(known);
             }
         }
     }
@@ -34,24 +34,24 @@
 
 bool isPlanned(const OrderSituation &situation, const std::string &contentDigest)
 {
-    for (const HeldWeights &held : plannedAndHeld(situation)) {
-        if (held.m_contentDigest == contentDigest) {
+    for (const KnownWeights &known : plannedAndKnown(situation)) {
+        if (known.m_contentDigest == contentDigest) {
             return true;
         }
     }
     return false;
 }
 
-/// Planned weights that are not whole here may be those that the engine holds, for example after a restart of the agent.
+/// Planned weights whose manifest is not known here may be those that the engine holds, for example after a restart of the agent.
 bool everyPlannedManifestIsKnown(const OrderSituation &situation)
 {
-    return plannedAndHeld(situation).size() >= situation.m_plannedManifests.size();
+    return plannedAndKnown(situation).size() >= situation.m_plannedManifests.size();
 }
 
 bool plannedVersionServes(const OrderSituation &situation)
 {
-    for (const HeldWeights &held : plannedAndHeld(situation)) {
-        const EngineModel *model = findModel(situation.m_engine, held.m_contentDigest);
+    for (const KnownWeights &known : plannedAndKnown(situation)) {
+        const EngineModel *model = findModel(situation.m_engine, known.m_contentDigest);
         if (model && model->m_state == ModelState::Serving) {
             return true;
         }
@@ -67,9 +67,9 @@
 Order unloadOrder(const OrderSituation &situation, const std::string &contentDigest)
 {
     Order order{OrderKind::Unload, "", contentDigest, situation.m_planOffset};
-    for (const HeldWeights &held : situation.m_held) {
-        if (held.m_contentDigest == contentDigest) {
-            order.m_manifestDigest = held.m_manifestDigest;
+    for (const KnownWeights &known : situation.m_known) {
+        if (known.m_contentDigest == contentDigest) {
+            order.m_manifestDigest = known.m_manifestDigest;
         }
     }
     return order;
@@ -93,11 +93,12 @@
 }
 
 /// The first planned weights that are whole here, absent from the engine and not waiting after a failure.
-std::optional<HeldWeights> nextToLoad(const OrderSituation &situation, Core::Instant now)
+std::optional<KnownWeights> nextToLoad(const OrderSituation &situation, Core::Instant now)
 {
-    for (const HeldWeights &held : plannedAndHeld(situation)) {
-        if (!waitsAfterFailure(situation, held.m_contentDigest, now) && !findModel(situation.m_engine, held.m_contentDigest)) {
-            return held;
+    for (const KnownWeights &known : plannedAndKnown(situation)) {
+        const bool mayBeOrdered = known.m_isWhole && !waitsAfterFailure(situation, known.m_contentDigest, now);
+        if (mayBeOrdered && !findModel(situation.m_engine, known.m_contentDigest)) {
+            return known;
         }
     }
     return std::nullopt;
@@ -173,7 +174,7 @@
     if (const std::optional<Order> unload = unloadDistrusted(situation, now)) {
         return unload;
     }
-    if (const std::optional<HeldWeights> next = nextToLoad(situation, now)) {
+    if (const std::optional<KnownWeights> next = nextToLoad(situation, now)) {
         if (situation.m_engine.m_models.size() < situation.m_slots) {
             return Order{OrderKind::Load, next->m_manifestDigest, next->m_contentDigest, situation.m_planOffset};
         }
@@ -185,7 +186,7 @@
 }
 
 std::vector<Protocol::Attestation> attestationsOf(const EngineStatus &engine,
-                                                  const std::vector<HeldWeights> &held,
+                                                  const std::vector<KnownWeights> &known,
                                                   const std::set<std::string> &withdrawn,
                                                   const std::map<std::string, Control::Offset> &loadedUnder)
 {
@@ -193,7 +194,7 @@
     if (!engine.m_reachable) {
         return result;
     }
-    for (const HeldWeights &weights : held) {
+    for (const KnownWeights &weights : known) {
         const EngineModel *model = findModel(engine, weights.m_contentDigest);
         if (!model || model->m_state != ModelState::Serving || withdrawn.contains(weights.m_contentDigest)) {
             continue;
--- a/Libraries/LibEndpoint/OrderDecision.h
+++ b/Libraries/LibEndpoint/OrderDecision.h
@@ -37,7 +37,7 @@
 {
     Control::Offset m_planOffset = 0; ///< 0 while no plan is known; nothing is ordered then.
     std::vector<std::string> m_plannedManifests; ///< What this instance is to hold.
-    std::vector<HeldWeights> m_held; ///< Only whole and verified weights; others can't be ordered.
+    std::vector<KnownWeights> m_known; ///< Only whole ones can be ordered.
     EngineStatus m_engine;
     std::uint32_t m_slots = 1; ///< Sets of weights that the engine holds at once.
     std::set<std::string> m_distrusted; ///< Content digests under which the engine answered with another version.
@@ -62,7 +62,7 @@
 
 /// What the engine serves now out of weights that were verified here; @p withdrawn content digests are left out.
 std::vector<Protocol::Attestation> attestationsOf(const EngineStatus &engine,
-                                                  const std::vector<HeldWeights> &held,
+                                                  const std::vector<KnownWeights> &known,
                                                   const std::set<std::string> &withdrawn,
                                                   const std::map<std::string, Control::Offset> &loadedUnder);
 
--- a/Libraries/LibEndpoint/OrderDuty.cpp
+++ b/Libraries/LibEndpoint/OrderDuty.cpp
@@ -69,7 +69,7 @@
     OrderSituation situation;
     situation.m_planOffset = facts.m_planOffset;
     situation.m_plannedManifests = facts.m_plannedManifests;
-    situation.m_held = facts.m_held;
+    situation.m_known = facts.m_known;
     situation.m_engine = facts.m_engine;
     situation.m_slots = m_parts.m_client->settings().m_slots;
     situation.m_distrusted = facts.m_distrusted;
@@ -210,7 +210,10 @@
         return;
     }
     const std::set<std::string> planned(facts.m_plannedManifests.begin(), facts.m_plannedManifests.end());
-    for (const HeldWeights &held : facts.m_held) {
+    for (const KnownWeights &held : facts.m_known) {
+        if (!held.m_isWhole) {
+            continue;
+        }
         const bool loaded = std::any_of(facts.m_engine.m_models.begin(), facts.m_engine.m_models.end(), [&held](const EngineModel &model) {
             return model.m_contentDigest == held.m_contentDigest;
         });
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -137,6 +137,11 @@
     m_events->push(Woken{});
 }
 
+void Coordinator::onManifest(std::function<void(const std::string &)> callback)
+{
+    m_onManifest = std::move(callback);
+}
+
 void Coordinator::onComplete(std::function<void(const std::string &)> callback)
 {
     m_onComplete = std::move(callback);
@@ -534,6 +539,10 @@
         }
     }
     m_isChanged = true;
+    publish();
+    if (m_onManifest) {
+        m_onManifest(version.m_deployment.m_digest);
+    }
 }
 
 std::uint64_t Coordinator::memoryUsed() const
@@ -786,6 +795,9 @@
         if (version.m_held) {
             next.m_held[entry.first] = version.m_held;
         }
+        if (version.m_manifest) {
+            next.m_known.push_back(KnownVersion{entry.first, version.m_manifest->m_contentDigest, version.m_held != nullptr});
+        }
         Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
         object->set("model", version.m_deployment.m_model);
         object->set("version", version.m_deployment.m_version);
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -19,6 +19,7 @@
 struct Published
 {
     std::map<std::string, std::shared_ptr<const Weights::HeldVersion>> m_held; ///< By manifest digest; none is null.
+    std::vector<KnownVersion> m_known;
     std::vector<Protocol::TransferProgress> m_progress;
     Poco::JSON::Object::Ptr m_dump;
 };
@@ -34,6 +35,7 @@
 
     void setTargets(std::vector<Control::Deployment> wanted);
     void release(const std::string &digest);
+    void onManifest(std::function<void(const std::string &)> callback);
     void onComplete(std::function<void(const std::string &)> callback);
     void noteLiveBytes(std::uint64_t bytes);
     Published published() const;
@@ -88,6 +90,7 @@
     const std::shared_ptr<EventSink> m_events;
     OriginDuty m_origin;
     UploadDuty m_uploads;
+    std::function<void(const std::string &)> m_onManifest; ///< Fixed once started.
     std::function<void(const std::string &)> m_onComplete; ///< Fixed once started.
 
     std::mutex m_ordersMutex;
--- a/Libraries/LibTransfer/TransferManager.cpp
+++ b/Libraries/LibTransfer/TransferManager.cpp
@@ -55,6 +55,16 @@
     return m_coordinator->published().m_progress;
 }
 
+std::vector<KnownVersion> TransferManager::knownVersions() const
+{
+    return m_coordinator->published().m_known;
+}
+
+void TransferManager::onManifest(std::function<void(const std::string &manifestDigest)> callback)
+{
+    m_coordinator->onManifest(std::move(callback));
+}
+
 void TransferManager::onComplete(std::function<void(const std::string &manifestDigest)> callback)
 {
     m_coordinator->onComplete(std::move(callback));
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -31,6 +31,16 @@
     Telemetry::Metrics *m_metrics = nullptr;
 };
 
+/// A version whose manifest is verified here; its chunks need not be.
+struct KnownVersion
+{
+    std::string m_manifestDigest;
+    std::string m_contentDigest; ///< Of the whole weights, as the manifest says.
+    bool m_isWhole = false; ///< Every chunk is here.
+
+    bool operator==(const KnownVersion &) const = default;
+};
+
 /**
  * Fetches, verifies, holds and serves versions of the weights.
  *
@@ -61,6 +71,8 @@
 
     /// The version with this manifest digest if it is whole and verified, else null. Nothing partial is ever returned.
     std::shared_ptr<const Weights::HeldVersion> held(const std::string &manifestDigest) const;
+    /// Every version whose manifest is verified here.
+    std::vector<KnownVersion> knownVersions() const;
     /// Manifest digests of every whole version.
     std::vector<std::string> heldDigests() const;
     /// Lets go of a whole version unless it is wanted.
@@ -69,6 +81,8 @@
     /// One entry for each wanted or held version.
     std::vector<Protocol::TransferProgress> progress() const;
 
+    /// Called with the manifest digest when a version's manifest is verified, on a duty's thread. Set before start().
+    void onManifest(std::function<void(const std::string &manifestDigest)> callback);
     /// Called with the manifest digest when a version becomes whole, on a duty's thread. Set before start().
     void onComplete(std::function<void(const std::string &manifestDigest)> callback);
 
--- a/Tests/Agent/TestModelAgent.cpp
+++ b/Tests/Agent/TestModelAgent.cpp
@@ -220,14 +220,17 @@
     REQUIRE(call->frames() == LongDraft + 1);
 }
 
-TEST_CASE("a restarted agent finds its engine's weights again and does not unload them")
+TEST_CASE("a restarted agent attests what its engine serves as soon as it has the manifest, and does not load it again")
 {
+    // The agent is replaced while the engine goes on serving. Until every byte of the weights is fetched again the instance would be idle.
     ModelRig rig;
     rig.serve(rig.m_old);
+    rig.m_origin.m_heldFrom = 0;
     rig.startAgent("life-2");
     await("the version to be attested anew", [&rig] { return rig.m_caller->sees(rig.m_old); });
-    const std::string metrics = rig.metrics();
-    REQUIRE(metrics.find("orders_total{end=\"done\"} 0") != std::string::npos);
+    REQUIRE(rig.m_caller->call(Rig::draft("a1", rig.m_old, 5))->end().m_succeeded);
+    REQUIRE(rig.metrics().find("orders_total{end=\"done\"} 0") != std::string::npos);
+    REQUIRE(rig.loadedModels() == 1);
 }
 
 TEST_CASE("a draft whose entry has gone silent stops at the engine")
--- a/Tests/Agent/TestOrderDuty.cpp
+++ b/Tests/Agent/TestOrderDuty.cpp
@@ -79,7 +79,7 @@
         m_state.change([this, offset](Endpoint::AgentFacts &facts) {
             facts.m_planOffset = offset;
             facts.m_plannedManifests = {m_version.m_digest};
-            facts.m_held = {Endpoint::HeldWeights{m_version.m_digest, m_version.m_manifest.m_contentDigest}};
+            facts.m_known = {Endpoint::KnownWeights{m_version.m_digest, m_version.m_manifest.m_contentDigest, true}};
         });
     }
 
--- a/Tests/LibEndpoint/TestOrderDecision.cpp
+++ b/Tests/LibEndpoint/TestOrderDecision.cpp
@@ -7,15 +7,15 @@
 namespace {
 
 using Endpoint::EngineModel;
-using Endpoint::HeldWeights;
+using Endpoint::KnownWeights;
 using Endpoint::ModelState;
 using Endpoint::Order;
 using Endpoint::OrderKind;
 using Endpoint::OrderSituation;
 
 const Core::Instant Start{std::chrono::seconds(1000)};
-const HeldWeights Old{"manifest-old", "content-old"};
-const HeldWeights New{"manifest-new", "content-new"};
+const KnownWeights Old{"manifest-old", "content-old", true};
+const KnownWeights New{"manifest-new", "content-new", true};
 
 OrderSituation situation(std::uint32_t slots)
 {
@@ -28,7 +28,7 @@
     return result;
 }
 
-EngineModel serving(const HeldWeights &weights, std::uint64_t fence = 1)
+EngineModel serving(const KnownWeights &weights, std::uint64_t fence = 1)
 {
     return EngineModel{weights.m_contentDigest, ModelState::Serving, fence};
 }
@@ -40,14 +40,16 @@
     // The plan names a version that is still on its way here. An engine that got what there is would draft with partial weights.
     OrderSituation partial = situation(2);
     REQUIRE_FALSE(Endpoint::decideOrder(partial, Start));
-    partial.m_held = {New};
+    partial.m_known = {KnownWeights{New.m_manifestDigest, New.m_contentDigest, false}};
+    REQUIRE_FALSE(Endpoint::decideOrder(partial, Start));
+    partial.m_known = {New};
     REQUIRE(Endpoint::decideOrder(partial, Start) == Order{OrderKind::Load, New.m_manifestDigest, New.m_contentDigest, 7});
 }
 
 TEST_CASE("nothing is ordered without a plan, without the engine, or while it loads")
 {
     OrderSituation ready = situation(2);
-    ready.m_held = {New};
+    ready.m_known = {New};
     OrderSituation changed = ready;
     changed.m_planOffset = 0;
     REQUIRE_FALSE(Endpoint::decideOrder(changed, Start));
@@ -62,7 +64,7 @@
 TEST_CASE("with a free slot the new version is loaded beside the old one, which goes after the grace period")
 {
     OrderSituation now = situation(2);
-    now.m_held = {Old, New};
+    now.m_known = {Old, New};
     now.m_engine.m_models = {serving(Old)};
     REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Load);
     REQUIRE(Endpoint::retirementTimes(now, Start).empty());
@@ -78,7 +80,7 @@
 TEST_CASE("a version that the plan names again is not unloaded")
 {
     OrderSituation now = situation(2);
-    now.m_held = {Old, New};
+    now.m_known = {Old, New};
     now.m_engine.m_models = {serving(Old), serving(New)};
     now.m_retirement = {{Old.m_contentDigest, Start}};
     now.m_plannedManifests = {New.m_manifestDigest, Old.m_manifestDigest};
@@ -89,10 +91,10 @@
 TEST_CASE("an engine with one slot swaps only once the new version is whole here")
 {
     OrderSituation now = situation(1);
-    now.m_held = {Old};
+    now.m_known = {Old};
     now.m_engine.m_models = {serving(Old)};
     REQUIRE_FALSE(Endpoint::decideOrder(now, Start));
-    now.m_held = {Old, New};
+    now.m_known = {Old, New};
     REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Unload);
     now.m_engine.m_models.clear();
     REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Load);
@@ -111,11 +113,11 @@
 TEST_CASE("weights under which the engine answered with another version are unloaded and not attested")
 {
     OrderSituation now = situation(2);
-    now.m_held = {New};
+    now.m_known = {New};
     now.m_engine.m_models = {serving(New)};
     now.m_distrusted = {New.m_contentDigest};
     REQUIRE(Endpoint::decideOrder(now, Start)->m_kind == OrderKind::Unload);
-    REQUIRE(Endpoint::attestationsOf(now.m_engine, now.m_held, now.m_distrusted, {}).empty());
+    REQUIRE(Endpoint::attestationsOf(now.m_engine, now.m_known, now.m_distrusted, {}).empty());
     now.m_notBefore = {{New.m_contentDigest, Start + Core::Duration(1)}};
     REQUIRE_FALSE(Endpoint::decideOrder(now, Start));
 }
