--- a/Tests/Entry/TestAnswers.cpp
+++ b/Tests/Entry/TestAnswers.cpp
@@ -89,17 +89,23 @@
 
 TEST_CASE("a wrong version from the first frame on is not delivered, and another endpoint answers")
 {
+    // An engine names another version than its agent attests. The analyst would get a draft of weights that the account has not accepted.
     Pair pair;
-    pair.m_first.setConduct(changedAnswer([](std::vector<Protocol::AnswerFrame> &frames) {
+    // One prompt keeps to one endpoint: that one is made to misbehave.
+    REQUIRE(pair.m_entry.generate().isWhole());
+    FakeAgent &owner = pair.m_first.calls() > 0 ? pair.m_first : pair.m_second;
+    owner.setConduct(changedAnswer([](std::vector<Protocol::AnswerFrame> &frames) {
         for (Protocol::AnswerFrame &frame : frames) {
             frame.m_version = OtherDigest;
+            frame.m_data = "wrong";
         }
     }));
     for (int request = 0; request < 6; ++request) {
         const HttpReply reply = pair.m_entry.generate();
         REQUIRE(reply.isWhole());
-        REQUIRE(reply.m_body.find(OtherDigest) == std::string::npos);
+        REQUIRE(reply.m_body.find("wrong") == std::string::npos);
     }
+    REQUIRE(owner.calls() > 1);
 }
 
 TEST_CASE("an endpoint that refuses is replaced by another, within the retry budget")
