--- a/Utilities/oriolerail/Show.cpp
+++ b/Utilities/oriolerail/Show.cpp
@@ -119,7 +119,11 @@
         const double progress = totalProgress(status.m_page);
         const double elapsed = Core::secondsBetween(started, Core::Clock::now());
         std::ostringstream line;
-        line << bar(progress) << " " << std::fixed << std::setprecision(0) << progress * 100 << "%";
+        if (status.m_answered > 0) {
+            line << bar(progress) << " " << std::fixed << std::setprecision(0) << progress * 100 << "%";
+        } else {
+            line << "no entry answers";
+        }
         if (progress > initial && progress < 1) {
             line << ", about " << elapsed * (1 - progress) / (progress - initial) << " s left";
         }
