--- /dev/null
+++ b/Tests/LibControl/TestDuties.cpp
@@ -0,0 +1,90 @@
+/// @file Decisions of the duties: where to subscribe, and when a checkpoint is due.
+
+#include "Examples.h"
+#include "LibControl/Checkpointer.h"
+#include "LibControl/FeedChoice.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace Examples;
+
+namespace {
+
+std::vector<Protocol::Member> entries(int count)
+{
+    std::vector<Protocol::Member> members;
+    for (int number = 0; number < count; ++number) {
+        Protocol::Member member = agent(number, "hcm-a");
+        member.m_id = "entry-" + std::to_string(number);
+        member.m_role = Protocol::Role::Entry;
+        members.push_back(member);
+    }
+    return members;
+}
+
+}
+
+TEST_CASE("what any entry knows reaches every other one, whichever of them are gone")
+{
+    // With the log down, entries learn from each other only. If the subscriptions fell apart into two groups, a change known
+    // in one would not come into force in the other.
+    for (int gone = 0; gone < 13; ++gone) {
+        std::vector<Protocol::Member> live = entries(13);
+        live.erase(live.begin() + gone);
+        std::set<Core::Address> reached = {live.front().m_wire};
+        for (std::size_t turn = 0; turn < live.size(); ++turn) {
+            for (const Protocol::Member &member : live) {
+                const std::vector<Core::Address> feeds = Control::chooseFeeds(member, live, {}, {}, 2);
+                REQUIRE(feeds.size() == 2);
+                if (reached.contains(feeds[0]) || reached.contains(feeds[1])) {
+                    reached.insert(member.m_wire);
+                }
+            }
+        }
+        REQUIRE(reached.size() == live.size());
+    }
+}
+
+TEST_CASE("agents spread over the entries, and pass over one that failed or leaves")
+{
+    std::vector<Protocol::Member> known = entries(12);
+    std::map<Core::Address, int> subscribers;
+    for (const Protocol::Member &member : fleet(1200, {"hcm-a"})) {
+        for (const Core::Address &feed : Control::chooseFeeds(member, known, {}, {}, 2)) {
+            ++subscribers[feed];
+        }
+    }
+    REQUIRE(subscribers.size() == 12);
+    for (const std::pair<const Core::Address, int> &entry : subscribers) {
+        REQUIRE(entry.second > 120);
+        REQUIRE(entry.second < 300);
+    }
+    const Protocol::Member member = agent(1, "hcm-a");
+    const Core::Address first = Control::chooseFeeds(member, known, {}, {}, 2).front();
+    REQUIRE(Control::chooseFeeds(member, known, {}, {first}, 2).front() != first);
+    for (Protocol::Member &one : known) {
+        one.m_leaving = one.m_wire == first;
+    }
+    const std::vector<Core::Address> seeds = {first};
+    const std::vector<Core::Address> feeds = Control::chooseFeeds(member, known, seeds, {}, 12);
+    REQUIRE(std::find(feeds.begin(), feeds.end(), first) == feeds.end());
+}
+
+TEST_CASE("a checkpoint is due after enough records or time, at the first in rank before the others")
+{
+    // Without a new checkpoint in time the last one expires, and a fresh instance can learn nothing from the log.
+    const Control::CheckpointerSettings settings;
+    Control::CheckpointSituation situation;
+    REQUIRE_FALSE(Control::isCheckpointDue(situation, settings));
+    situation.m_position = settings.m_records;
+    REQUIRE(Control::isCheckpointDue(situation, settings));
+    situation.m_rank = 1;
+    REQUIRE_FALSE(Control::isCheckpointDue(situation, settings));
+    situation.m_sinceLast = settings.m_interval + settings.m_rankDelay;
+    REQUIRE(Control::isCheckpointDue(situation, settings));
+    situation.m_lastCheckpoint = situation.m_position;
+    REQUIRE(Control::isCheckpointDue(situation, settings));
+    situation.m_sinceLast = Core::Duration(0);
+    REQUIRE_FALSE(Control::isCheckpointDue(situation, settings));
+}
