--- a/Libraries/LibLoad/Caller.h
+++ b/Libraries/LibLoad/Caller.h
@@ -26,6 +26,7 @@
 };
 
 /// Thread-safe: several requests of one caller may run at once and share its addresses.
+/// FIXME: each try opens a connection of its own; callers that keep connections would also meet ones that have gone silent.
 class Caller
 {
 public:
--- a/Libraries/LibStandIn/HttpServer.cpp
+++ b/Libraries/LibStandIn/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <thread>
 
 namespace StandIn {
 
