LibTransfer: Keep more requests in uploaders' queues

With six requests ahead of each replica, uploaders' queues ran empty as a closed queueing network predicts (6/7 of the links busy; 87% were measured at 64 agents). Ten ahead, twelve queued, two slots.

--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -23,9 +23,9 @@
     std::uint64_t m_downloadBytesPerSecond = 0; ///< The same, down.
     std::uint64_t m_originBytesPerSecond = 0; ///< Rate of the origin's link, by which draws are spread over time; 0 if unknown.
     std::uint32_t m_memoryMebibytes = 4096; ///< Bound on all chunks in memory, of every version held or in transfer.
-    std::uint32_t m_uploadSlots = 3; ///< Chunks that are sent at the same time.
-    std::uint32_t m_queuedUploads = 6; ///< Requests that wait for a slot; more are refused as busy.
-    std::uint32_t m_requestsAhead = 6; ///< Chunks asked of peers at the same time.
+    std::uint32_t m_uploadSlots = 2; ///< Chunks that are sent at the same time.
+    std::uint32_t m_queuedUploads = 12; ///< Requests that wait for a slot; more are refused as busy.
+    std::uint32_t m_requestsAhead = 10; ///< Chunks asked of peers at the same time.
     std::uint32_t m_neighbours = 10; ///< Peers whose holdings are followed.
     std::uint32_t m_originConnections = 2; ///< Simultaneous requests to the origin.
     Core::Duration m_stallLimit{1500}; ///< A chunk on its way without a byte for this long is asked of somebody else.
