--- a/Libraries/LibControl/StateFeed.h
+++ b/Libraries/LibControl/StateFeed.h
@@ -21,7 +21,7 @@
 };
 
 /**
- * Answers control.state, control.applied and control.fence.
+ * Answers control.state, control.applied, control.offer and control.fence.
  *
  * Must be constructed before the node is started, and stopped after it. A subscriber that falls behind is cut off, and
  * gets a snapshot when it subscribes anew.
@@ -44,8 +44,17 @@
         Protocol::Member m_member;
         Wire::Responder m_responder;
         std::string m_chain; ///< History that the subscriber has, or is being sent.
-        std::uint64_t m_membersVersion = 0; ///< Last sent.
+        std::string m_membersKey; ///< Of the update on members that was sent last.
         Core::Instant m_membersSent; ///< When.
+        Core::Instant m_announced; ///< When the store was last told that the subscriber is there.
+        Core::Instant m_aheadSince; ///< Since when the subscriber has been seen to be ahead of this entry; none if it is not.
+    };
+
+    /// An update that is the same for many subscribers, encoded once.
+    struct Encoded
+    {
+        std::string m_key; ///< Of what is in it; empty if there is none yet.
+        std::string m_update;
     };
 
     struct Arrival
@@ -56,10 +65,17 @@
 
     void onSubscribe(const Wire::IncomingCall &call);
     void onApplied(const Wire::IncomingCall &call);
+    void onOffer(const Wire::IncomingCall &call);
     void onFence(const Wire::IncomingCall &call) const;
     Core::Duration turn();
     void admitArrivals();
+    void takeOffers();
+    bool isAhead(Subscription &subscription, Offset applied, Core::Instant now) const;
     bool serve(Subscription &subscription, Core::Instant now);
+    const std::string &stateUpdate(const std::string &chain, const ControlState &state);
+    void refreshMembers();
+    const Encoded &membersFor(const Subscription &subscription) const;
+    bool deliver(const Subscription &subscription, const std::string &update);
     void noteSubscribed(const Protocol::Member &member, bool isSubscribed);
 
     StateStore &m_store;
@@ -67,7 +83,13 @@
     Telemetry::Counter &m_subscribersCut;
     Telemetry::Counter &m_subscribersRefused;
     Core::Ring<Arrival> m_arrivals;
+    Core::Ring<std::string> m_offers; ///< Encoded states.
     std::vector<Subscription> m_subscriptions; ///< Used by the duty's thread only.
+    Encoded m_stateUpdate; ///< Used by the duty's thread only, as are the following.
+    Encoded m_membersForEntries;
+    /// Agents need to know entries only. Sent all members, each would get hundreds of kilobytes whenever any instance came or went.
+    Encoded m_membersForAgents;
+    std::uint64_t m_membersVersion = 0; ///< Of the store's members when they were last encoded.
     mutable std::mutex m_appliedMutex;
     std::map<std::string, AppliedAt> m_applied; ///< By instance; at most MaximumSubscribers.
     Duty m_duty;
--- a/Libraries/LibControl/StateStore.cpp
+++ b/Libraries/LibControl/StateStore.cpp
@@ -109,6 +109,30 @@
     return ApplyResult::Applied;
 }
 
+void StateStore::offer(ControlState state)
+{
+    if (covers(*current(), state)) {
+        return;
+    }
+    if (applySnapshot(state) == ApplyResult::Applied) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_offered = std::move(state);
+}
+
+std::optional<ControlState> StateStore::offered() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_offered;
+}
+
+void StateStore::dropOffered()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_offered.reset();
+}
+
 std::vector<Protocol::Member> StateStore::members() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -150,6 +174,11 @@
     changeMembers([&knowledge](MemberTable &table) { return table.merge(knowledge, Core::Clock::now()); });
 }
 
+void StateStore::replaceMembers(std::span<const Protocol::Member> members)
+{
+    changeMembers([members](MemberTable &table) { return table.replace(members, Core::Clock::now()); });
+}
+
 void StateStore::applyInstanceList(std::span<const Protocol::Member> listed)
 {
     changeMembers([listed](MemberTable &table) { return table.applyList(listed, Core::Clock::now()); });
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -22,9 +22,14 @@
 
 namespace {
 
+/// When a caller without a key epoch should ask for one again; an entry reads the claims to their end within a second of the log's return.
+constexpr Core::Duration MissingEpochRetryAfter{1000};
+
 constexpr const char *JsonType = "application/json";
 constexpr const char *LinesType = "application/x-ndjson";
 constexpr std::size_t ReadBytes = 16384;
+constexpr std::size_t MaximumDiscarded = 64 << 20;
+constexpr std::size_t FlushBytes = 8192;
 constexpr int ListenBacklog = 1024;
 constexpr int ThreadIdleSeconds = 60;
 constexpr int MinimumThreads = 2;
@@ -66,6 +71,9 @@
 
 CallerError inputError(const Core::Error &error)
 {
+    if (error.m_code == Core::ErrorCode::Unavailable) {
+        return CallerError{CallerCode::NotRun, error, MissingEpochRetryAfter, {}};
+    }
     return CallerError{CallerCode::InvalidInput, error, std::nullopt, {}};
 }
 
@@ -94,6 +102,17 @@
     return body;
 }
 
+/// Reads the rest of a body and forgets it. Closing a connection that holds unread bytes resets it, and the caller, still sending, would see a
+/// failure in place of the refusal. The guard's limit on the time of a request bounds this too.
+void discardBody(HTTPServerRequest &request)
+{
+    std::string part(ReadBytes, '\0');
+    std::size_t discarded = 0;
+    while (discarded < MaximumDiscarded && request.stream().read(part.data(), static_cast<std::streamsize>(part.size()))) {
+        discarded += part.size();
+    }
+}
+
 RequestHeaders headersOf(const HTTPServerRequest &request)
 {
     RequestHeaders headers;
@@ -120,18 +139,21 @@
         m_response.setChunkedTransferEncoding(true);
         m_response.setContentType(LinesType);
         m_stream = &m_response.send();
-        return write(R"({"version":)" + Poco::toJSON(version.m_version) + R"(,"digest":)" + Poco::toJSON(version.m_digest) + "}\n");
+        m_lines += R"({"version":)" + Poco::toJSON(version.m_version) + R"(,"digest":)" + Poco::toJSON(version.m_digest) + "}\n";
+        return true;
     }
 
     bool onToken(const std::string &token) override
     {
-        return write(R"({"token":)" + Poco::toJSON(token) + "}\n");
+        m_lines += R"({"token":)" + Poco::toJSON(token) + "}\n";
+        return m_lines.size() < FlushBytes || flush();
     }
 
     bool onEnd(std::uint64_t tokens, const std::string &digest) override
     {
-        return write(R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(m_digest) + R"(,"sha256":)" + Poco::toJSON(digest)
-                     + "}\n");
+        m_lines +=
+            R"({"end":true,"tokens":)" + std::to_string(tokens) + R"(,"digest":)" + Poco::toJSON(m_digest) + R"(,"sha256":)" + Poco::toJSON(digest) + "}\n";
+        return flush();
     }
 
     bool isGone() override
@@ -147,21 +169,28 @@
 
     void writeError(const CallerError &error)
     {
-        write(callerErrorJson(error) + "\n");
+        m_lines += callerErrorJson(error) + "\n";
+        flush();
     }
 
-private:
-    std::string m_digest; ///< Version that the answer started with.
-    bool write(const std::string &line)
+    /// Lines that came together go out in one chunk: a write for each token is most of what an answer costs.
+    bool flush() override
     {
-        m_stream->write(line.data(), static_cast<std::streamsize>(line.size()));
+        if (m_lines.empty()) {
+            return true;
+        }
+        m_stream->write(m_lines.data(), static_cast<std::streamsize>(m_lines.size()));
         m_stream->flush();
+        m_lines.clear();
         return m_stream->good();
     }
 
+private:
     Poco::Net::StreamSocket &m_socket;
     HTTPServerResponse &m_response;
     std::ostream *m_stream = nullptr; ///< Owned by the response.
+    std::string m_digest; ///< Version that the answer started with.
+    std::string m_lines; ///< Not written yet; below FlushBytes.
 };
 
 /// Counts a request for work as open while it lives.
@@ -213,13 +242,14 @@
     {
         const Core::Instant arrival = Core::Clock::now();
         const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBody);
-        m_guard.endReceiving(socketOf(request));
         if (!body) {
             response.setKeepAlive(false);
             const bool tooLarge = body.error().m_code == Core::ErrorCode::Overloaded;
             sendError(response, tooLarge ? CallerError{CallerCode::TooLarge, body.error(), std::nullopt, {}} : inputError(body.error()));
+            discardBody(request);
             return;
         }
+        m_guard.endReceiving(socketOf(request));
         std::string path;
         try {
             path = Poco::URI(request.getURI()).getPath();
--- a/Libraries/LibScenario/Runner.cpp
+++ b/Libraries/LibScenario/Runner.cpp
@@ -17,6 +17,9 @@
 
 constexpr Core::Duration LoadPatience{180000};
 
+/// Counts of a load that a report shows; a failed expectation shows all of them.
+constexpr std::array<std::string_view, 8> ReportedFields = {"sent", "ok", "not_run", "unknown", "failed", "wrong", "first_token_ms.p95", "total_ms.p95"};
+
 Core::Error notHeld(const std::string &step, const std::string &detail)
 {
     return Core::makeError(Core::ErrorCode::Internal, step, "", detail);
@@ -96,11 +99,19 @@
     }
     m_originBytesBefore = originBytes(*m_fleet);
     m_publishedAt = Core::Clock::now();
+    for (int time = 0; time < publish.m_times; ++time) {
+        BOOST_OUTCOME_TRYV(publishOnce(publication, publish.m_refused));
+    }
+    return Core::success();
+}
+
+Core::Result<void> Runner::publishOnce(const Bench::Publication &publication, bool refused)
+{
     const Bench::ToolOutcome outcome = BOOST_OUTCOME_TRYX(Bench::publish(*m_fleet, m_programs, publication));
-    if ((outcome.m_exitCode != 0) != publish.m_refused) {
+    if ((outcome.m_exitCode != 0) != refused) {
         return notHeld("publish", "exit code " + std::to_string(outcome.m_exitCode) + ": " + outcome.m_output);
     }
-    if (!publish.m_refused) {
+    if (!refused) {
         m_lastRevision = BOOST_OUTCOME_TRYX(publishedRevision(outcome.m_output));
     }
     return Core::success();
@@ -276,9 +287,12 @@
         m_output << "  " << std::left << std::setw(48) << figure.first << std::right << std::setw(10) << figure.second << "\n";
     }
     for (const std::pair<const std::string, LoadResult> &load : m_results) {
-        for (const std::pair<const std::string, double> &count : load.second) {
-            m_output << "  " << std::left << std::setw(48) << ("load " + load.first + ": " + count.first) << std::right << std::setw(10) << count.second
-                     << "\n";
+        for (const std::string_view field : ReportedFields) {
+            const LoadResult::const_iterator count = load.second.find(std::string(field));
+            if (count != load.second.end()) {
+                m_output << "  " << std::left << std::setw(48) << ("load " + load.first + ": " + count->first) << std::right << std::setw(10) << count->second
+                         << "\n";
+            }
         }
     }
     m_output << std::endl;
