--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t ManifestFanOut = 4;
 constexpr std::size_t MaximumStrangers = 8192;
 constexpr std::size_t MaximumManifestWaiters = 1024;
-constexpr std::size_t MaximumChunksTaken = 4096;
 constexpr Core::Duration ChunkTimeout{30000}; ///< Only a last bound; stalls are judged by progress.
 constexpr std::uint64_t MinimumDownloadBurst = 128 << 10;
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
--- a/Tests/Benchmarks/Burst/BurstOptions.cpp
+++ b/Tests/Benchmarks/Burst/BurstOptions.cpp
@@ -16,7 +16,8 @@
         "policy", "bytes or time", cxxopts::value<std::string>()->default_value(defaults.m_policy))(
         "strategy", "swarm, origin or tree", cxxopts::value<std::string>()->default_value(defaults.m_strategy))(
         "mebibytes", "size of the weights", cxxopts::value<std::uint64_t>()->default_value(std::to_string(defaults.m_mebibytes)))(
-        "link", "KiB a second of an instance's link; the other links keep their proportion to it",
+        "link",
+        "KiB a second of an instance's link; the other links keep their proportion to it",
         cxxopts::value<std::uint64_t>()->default_value(std::to_string(defaults.m_linkKibibytes)))(
         "chunk", "KiB of a chunk", cxxopts::value<std::uint32_t>()->default_value(std::to_string(defaults.m_chunkKibibytes)))(
         "kill", "percent of the agents killed after a third of the bound", cxxopts::value<int>()->default_value("0"))(
--- a/Tests/Benchmarks/Burst/BurstRun.cpp
+++ b/Tests/Benchmarks/Burst/BurstRun.cpp
@@ -7,10 +7,11 @@
 
 #include <Poco/JSON/Parser.h>
 #include <filesystem>
-#include <glog/logging.h>
 #include <fstream>
+#include <glog/logging.h>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 namespace Burst {
 
@@ -312,7 +313,8 @@
         return;
     }
     std::filesystem::create_directories(m_options.m_keepDirectory);
-    std::filesystem::copy(m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive);
+    std::filesystem::copy(
+        m_fleet->directory(), m_options.m_keepDirectory, std::filesystem::copy_options::overwrite_existing | std::filesystem::copy_options::recursive);
     for (const Bench::ProcessSpec *agent : m_fleet->ofKind(Bench::ProcessKind::Agent)) {
         if (m_broken.contains(agent->m_instance)) {
             continue;
--- a/Tests/Benchmarks/Burst/Main.cpp
+++ b/Tests/Benchmarks/Burst/Main.cpp
@@ -47,8 +47,8 @@
               << " time_s=" << time << " bound_s=" << figures.m_boundSeconds << " ratio=" << time / figures.m_boundSeconds
               << " origin_copies=" << figures.m_originCopies << " region_copies=" << figures.m_regionCopies << live.str()
               << " serving=" << figures.m_servingSeconds.size() << "/" << figures.m_expected << " kill=" << options.m_killPercent
-              << " corrupt=" << options.m_corruptPercent << " stall=" << options.m_stallPercent << " mebibytes=" << options.m_mebibytes << " link_kib=" << options.m_linkKibibytes
-              << " chunk_kib=" << options.m_chunkKibibytes << "\n";
+              << " corrupt=" << options.m_corruptPercent << " stall=" << options.m_stallPercent << " mebibytes=" << options.m_mebibytes
+              << " link_kib=" << options.m_linkKibibytes << " chunk_kib=" << options.m_chunkKibibytes << "\n";
 }
 
 }
