Tests: Watch a lost log's agent from its start

Cause: one run of five under load failed in "a log that returns without an accepted change": the watch took the next accepted change for a reversal, and was set while threads ran.

Change: the watch is given to the agent before it starts, and holds that after acceptance either the change or its successor is in force.

--- a/Tests/LibControl/Processes.h
+++ b/Tests/LibControl/Processes.h
@@ -106,12 +106,18 @@
     Control::StateStore m_store;
     Control::StateSubscriber m_subscriber;
 
-    AgentProcess(int number, const std::vector<Core::Address> &seeds)
+    using Watch = std::function<void(const Control::StateStore &)>;
+
+    /// @p watch, if given, is called after each change of what is in force.
+    AgentProcess(int number, const std::vector<Core::Address> &seeds, const Watch &watch)
         : m_member(agent(number, "hcm-a"))
         , m_node(nodeSettings(freeAddress()), m_metrics)
         , m_store(m_metrics)
         , m_subscriber(m_node, m_store, m_member, seeds, m_metrics)
     {
+        if (watch) {
+            m_store.onChange([this, watch] { watch(m_store); });
+        }
         REQUIRE(m_node.start());
         m_subscriber.start();
     }
--- a/Tests/LibControl/TestPropagation.cpp
+++ b/Tests/LibControl/TestPropagation.cpp
@@ -38,9 +38,9 @@
         m_entries.push_back(std::make_unique<EntryProcess>(number, m_addresses.at(static_cast<std::size_t>(number)), m_addresses, log));
     }
 
-    void startAgent(int number)
+    void startAgent(int number, const AgentProcess::Watch &watch = {})
     {
-        m_agents.push_back(std::make_unique<AgentProcess>(number, m_addresses));
+        m_agents.push_back(std::make_unique<AgentProcess>(number, m_addresses, watch));
     }
 
     Core::Result<Control::RecordOutcome> publishAs(const std::string &author, Control::Offset basedOn, char digest)
@@ -208,21 +208,24 @@
 {
     // The log loses the newest change in an outage. Agents keep it, a fresh entry takes it from the others, and the log's own
     // readers agree again once it has been put back.
+    std::atomic<bool> isAccepted = false;
+    std::atomic<bool> hasReverted = false;
     Site site(2);
     site.startEntry(0, site.m_log);
     site.startEntry(1, site.m_log);
-    site.startAgent(0);
+    site.startAgent(0, [&isAccepted, &hasReverted](const Control::StateStore &store) {
+        const bool holds = holdsTemplate(store, "t", '1') || holdsTemplate(store, "t", '2');
+        hasReverted = hasReverted || (isAccepted && !holds);
+    });
     const Core::Result<Control::RecordOutcome> outcome = site.publishAs("ann", 0, '1');
     REQUIRE(outcome);
     REQUIRE(eventually([&site] { return site.isInForceEverywhere('1'); }));
-    std::atomic<bool> hasReverted = false;
-    Control::StateStore &watched = site.m_agents.front()->m_store;
-    watched.onChange([&watched, &hasReverted] { hasReverted = hasReverted || !holdsTemplate(watched, "t", '1'); });
+    isAccepted = true;
     site.m_log.dropRecordsFrom(outcome.value().m_offset);
     REQUIRE(eventually([&site] { return site.isPutBack('1'); }));
     REQUIRE(site.publishAs("bea", outcome.value().m_offset, '2').value().m_accepted);
-    REQUIRE_FALSE(hasReverted);
     REQUIRE(eventually([&site] { return site.isInForceEverywhere('2'); }));
+    REQUIRE_FALSE(hasReverted);
     REQUIRE(site.m_entries.front()->m_store.current()->m_generation > 0);
 }
 
