--- a/Libraries/LibEndpoint/Agent.cpp
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -23,6 +23,15 @@
     return node;
 }
 
+ReportSettings reportSettings(const DutySettings &duties)
+{
+    ReportSettings settings;
+    settings.m_interval = duties.m_reportInterval;
+    settings.m_bytesPerSecond = duties.m_reportBytesPerSecond;
+    settings.m_maximumWatchers = duties.m_maximumWatchers;
+    return settings;
+}
+
 Transfer::TransferParts transferParts(const AgentSettings &settings, Wire::Node &node, Telemetry::Metrics &metrics)
 {
     Transfer::TransferParts parts;
@@ -50,16 +59,13 @@
     , m_status(m_client, m_state, m_settings.m_duties.m_statusInterval, m_metrics)
     , m_orders(OrderParts{m_settings.m_duties, &m_client, &m_state, this, &m_metrics})
     , m_reports(
-          m_settings.m_instance.m_member,
-          m_state,
-          [this] { return m_transfer.progress(); },
-          ReportSettings{m_settings.m_duties.m_reportInterval, m_settings.m_duties.m_maximumWatchers},
-          m_metrics)
+          m_settings.m_instance.m_member, m_state, [this] { return m_transfer.progress(); }, reportSettings(m_settings.m_duties), m_metrics)
     , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
 {
     m_state.onLiveTraffic([this](std::uint64_t bytes) { m_transfer.noteLiveBytes(bytes); });
     m_store.onChange([this] { onStateChange(); });
-    m_transfer.onComplete([this](const std::string &) { onHeldChange(); });
+    m_transfer.onManifest([this](const std::string &) { onKnownChange(); });
+    m_transfer.onComplete([this](const std::string &) { onKnownChange(); });
     registerMethods();
     registerPages();
 }
@@ -170,16 +176,13 @@
     }
 }
 
-void Agent::onHeldChange()
+void Agent::onKnownChange()
 {
-    std::vector<HeldWeights> held;
-    for (const std::string &digest : m_transfer.heldDigests()) {
-        const std::shared_ptr<const Weights::HeldVersion> version = m_transfer.held(digest);
-        if (version) {
-            held.push_back(HeldWeights{digest, version->m_manifest.m_contentDigest});
-        }
+    std::vector<KnownWeights> known;
+    for (const Transfer::KnownVersion &version : m_transfer.knownVersions()) {
+        known.push_back(KnownWeights{version.m_manifestDigest, version.m_contentDigest, version.m_isWhole});
     }
-    m_state.change([&held](AgentFacts &facts) { facts.m_held = held; });
+    m_state.change([&known](AgentFacts &facts) { facts.m_known = known; });
 }
 
 Core::Result<Control::Offset> Agent::newestPlanOffset()
@@ -234,7 +237,7 @@
 void Agent::releaseWeights(const std::string &manifestDigest)
 {
     m_transfer.release(manifestDigest);
-    onHeldChange();
+    onKnownChange();
 }
 
 void Agent::refreshStatus()
