--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -17,6 +17,7 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
+#include <glog/logging.h>
 
 namespace Entry {
 
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cxxopts.hpp>
+#include <glog/logging.h>
 #include <iostream>
 
 namespace {
