--- a/Tests/Agent/TestPlainAgent.cpp
+++ b/Tests/Agent/TestPlainAgent.cpp
@@ -16,23 +16,30 @@
     std::unique_ptr<Endpoint::Agent> m_agent;
     std::unique_ptr<Caller> m_caller;
 
-    explicit PlainRig(std::size_t threads = 64)
+    explicit PlainRig(std::size_t threads = 64, std::size_t queue = 256)
     {
-        startAgent("life-1", threads);
+        startAgent("life-1", threads, queue);
     }
 
-    void startAgent(const std::string &incarnation, std::size_t threads)
+    void startAgent(const std::string &incarnation, std::size_t threads, std::size_t queue)
     {
         m_caller.reset();
         m_agent.reset();
         m_settings = Rig::agentSettings(m_entry.m_address, m_entry.m_address, m_service.m_address, Endpoint::EndpointKind::Plain, incarnation);
         m_settings.m_relay.m_pool.m_maximumThreads = threads;
+        m_settings.m_relay.m_pool.m_maximumQueue = queue;
         m_agent = std::make_unique<Endpoint::Agent>(m_settings);
         REQUIRE(m_agent->start());
         m_caller = std::make_unique<Caller>(m_settings.m_instance.m_member.m_wire);
         await("the service to be healthy", [this] { return m_caller->report().m_endpointHealthy; });
     }
 
+    int live(const std::string &count) const
+    {
+        const Poco::JSON::Object::Ptr dump = Rig::request(m_settings.m_instance.m_member.m_admin, "GET", "/dump");
+        return dump->getObject("live")->getValue<int>(count);
+    }
+
     std::size_t effects() const
     {
         return Rig::request(m_service.m_address, "GET", "/journal")->getArray("effects")->size();
@@ -90,10 +97,7 @@
     const std::shared_ptr<Caller::Call> running = rig.m_caller->call(first);
     await("the first to run", [&rig, &first] { return rig.m_caller->outcome(first).m_outcome == Outcome::Running; });
     const std::shared_ptr<Caller::Call> waiting = rig.m_caller->call(second);
-    await("the second to wait", [&rig] {
-        const Poco::JSON::Object::Ptr dump = Rig::request(rig.m_settings.m_instance.m_member.m_admin, "GET", "/dump");
-        return dump->getObject("live")->getValue<int>("queued") == 1;
-    });
+    await("the second to wait", [&rig] { return rig.live("queued") == 1; });
     rig.m_caller->cancel(*waiting);
     waiting->end();
     rig.m_service.setFaults(R"({"hang":false})");
@@ -102,6 +106,23 @@
     REQUIRE(rig.effects() == 1);
 }
 
+TEST_CASE("a booking that finds the queue full is refused at once as not run")
+{
+    PlainRig rig(1, 1);
+    rig.m_service.setFaults(R"({"hang":true})");
+    const std::shared_ptr<Caller::Call> running = rig.m_caller->call(Rig::booking("b1", "key-1", "life-1"));
+    await("the first to run", [&rig] { return rig.live("running") == 1; });
+    const std::shared_ptr<Caller::Call> waiting = rig.m_caller->call(Rig::booking("b2", "key-2", "life-1"));
+    await("the second to wait", [&rig] { return rig.live("queued") == 1; });
+    const Protocol::LiveRequest third = Rig::booking("b3", "key-3", "life-1");
+    REQUIRE(rig.m_caller->call(third)->end().m_error.m_code == Core::ErrorCode::Overloaded);
+    REQUIRE(rig.m_caller->outcome(third).m_outcome == Outcome::NeverRan);
+    rig.m_service.setFaults(R"({"hang":false})");
+    REQUIRE(running->end().m_succeeded);
+    REQUIRE(waiting->end().m_succeeded);
+    REQUIRE(rig.effects() == 2);
+}
+
 TEST_CASE("a booking goes on when its entry goes away, and its outcome can be asked for")
 {
     // The entry's connection breaks after the booking was handed over. Its caller's retry comes through another entry, which asks.
@@ -134,7 +155,7 @@
     PlainRig rig;
     const Protocol::LiveRequest request = Rig::booking("b1", "key", "life-1");
     REQUIRE(rig.m_caller->call(request)->end().m_succeeded);
-    rig.startAgent("life-2", 64);
+    rig.startAgent("life-2", 64, 256);
     REQUIRE(rig.m_caller->outcome(request).m_outcome == Outcome::Unknown);
     REQUIRE(rig.m_caller->call(request)->end().m_error.m_code == Core::ErrorCode::Unavailable);
     REQUIRE(rig.effects() == 1);
