--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t EventsPerTurn = 512;
 constexpr Core::Duration BusyPatience{5};
 constexpr Core::Duration IdlePatience{100};
+constexpr Core::Duration TurnInterval{4}; ///< Decisions cost more than events; most events change none.
 constexpr Core::Duration AnnouncementInterval{20};
 constexpr Core::Duration SignOfLifeInterval{500};
 constexpr Core::Duration ManifestTimeout{1500};
@@ -62,6 +63,7 @@
     , m_bytesAcrossRegions(m_parts.m_metrics->counter("transfer_bytes_across_regions_total"))
     , m_bytesReused(m_parts.m_metrics->counter("transfer_bytes_reused_total"))
     , m_chunksBad(m_parts.m_metrics->counter("transfer_chunks_bad_total"))
+    , m_manifestsBad(m_parts.m_metrics->counter("transfer_manifests_bad_total"))
     , m_chunksTwice(m_parts.m_metrics->counter("transfer_chunks_twice_total"))
 {
     registerMethods();
@@ -174,6 +176,7 @@
 
 void Coordinator::run()
 {
+    Core::Instant nextTurn;
     while (m_running) {
         std::optional<Event> event = m_events->pop(isBusy() ? BusyPatience : IdlePatience);
         for (std::size_t count = 0; event && count < EventsPerTurn; ++count) {
@@ -184,7 +187,11 @@
             std::visit([this](const auto &concrete) { handle(concrete); }, *event);
         }
         takeOrders();
-        turn(Core::Clock::now());
+        const Core::Instant now = Core::Clock::now();
+        if (now >= nextTurn) {
+            turn(now);
+            nextTurn = now + TurnInterval;
+        }
         if (m_isChanged) {
             m_isChanged = false;
             publish();
@@ -385,6 +392,7 @@
     const std::uint32_t doublings = std::min(version->m_search.m_attempts, MaximumManifestDoublings);
     version->m_search.m_next = Core::Clock::now() + ManifestRetry * (std::int64_t{1} << doublings);
     if (manifest.error().m_code == Core::ErrorCode::Corrupt) {
+        m_manifestsBad.add();
         LOG(WARNING) << manifest.error();
     }
 }
