LibProtocol, LibEndpoint, LibEntry: Report the load alone when nothing else has changed

Cause, by oriolerail-capacity: an entry that watches 24 agents of a service receives a whole report of about 520 bytes from each a second, 13 to 15 KB/s in all, over the budget of 6 KB/s. Ruled out: state feed and members, which are quiet between changes. A load report has about 60 bytes and names the whole report that it builds on, so that a missed one is noticed.

--- a/Libraries/LibEndpoint/ReportDuty.cpp
+++ b/Libraries/LibEndpoint/ReportDuty.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t MaximumBacklog = 64 << 10;
 /// Keeps a burst of changes from becoming a burst of reports.
 constexpr Core::Duration MinimumGap{20};
+/// A watcher that missed a whole report gets the next one after at most so many reports.
+constexpr std::uint64_t ReportsPerWhole = 16;
 
 }
 
@@ -27,6 +29,11 @@
         || last.m_appliedOffset != next.m_appliedOffset;
 }
 
+bool differsInLoadOnly(const Protocol::AgentReport &last, const Protocol::AgentReport &next)
+{
+    return !isUrgent(last, next) && last.m_transfers == next.m_transfers;
+}
+
 ReportDuty::ReportDuty(Protocol::Member self, AgentState &state, Progress progress, ReportSettings settings, Telemetry::Metrics &metrics)
     : m_self(std::move(self))
     , m_state(state)
@@ -112,11 +119,20 @@
     return report;
 }
 
+std::string ReportDuty::encode(const Protocol::AgentReport &report)
+{
+    if (differsInLoadOnly(m_last, report) && report.m_sequence - m_lastWhole < ReportsPerWhole) {
+        return Wire::pack(Protocol::LoadReport{true, report.m_sequence, m_lastWhole, report.m_load});
+    }
+    m_lastWhole = report.m_sequence;
+    return Wire::pack(report);
+}
+
 void ReportDuty::send(Protocol::AgentReport report)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     report.m_sequence = m_last.m_sequence + 1;
-    const std::string bytes = Wire::pack(report);
+    const std::string bytes = encode(report);
     for (const Wire::Responder &watcher : m_watchers) {
         if (watcher.backlog() < MaximumBacklog && watcher.send(bytes)) {
             m_reportsSent.add();
--- a/Libraries/LibEndpoint/ReportDuty.h
+++ b/Libraries/LibEndpoint/ReportDuty.h
@@ -27,7 +27,10 @@
 /// True if @p next has news that watchers should learn at once, and not just other load or progress.
 bool isUrgent(const Protocol::AgentReport &last, const Protocol::AgentReport &next);
 
-/// Sends whole reports: at once after a change that matters, else at the interval.
+/// True if @p next differs from @p last in nothing but load and sequence.
+bool differsInLoadOnly(const Protocol::AgentReport &last, const Protocol::AgentReport &next);
+
+/// Sends reports: whole and at once after a change that matters, else at the interval, and then only the load if nothing else has changed.
 class ReportDuty
 {
 public:
@@ -52,6 +55,7 @@
     void run();
     Protocol::AgentReport makeReport(const AgentFacts &facts) const;
     void send(Protocol::AgentReport report);
+    std::string encode(const Protocol::AgentReport &report);
 
     const Protocol::Member m_self;
     AgentState &m_state;
@@ -62,6 +66,7 @@
     mutable std::mutex m_mutex;
     std::vector<Wire::Responder> m_watchers; ///< At most m_maximumWatchers.
     Protocol::AgentReport m_last;
+    std::uint64_t m_lastWhole = 1; ///< Sequence of the last whole report that was sent.
     Core::Duration m_wait; ///< From m_lastSent to the next report without a change.
     Core::Instant m_lastSent;
     std::thread m_thread;
--- a/Libraries/LibEntry/AgentWatch.cpp
+++ b/Libraries/LibEntry/AgentWatch.cpp
@@ -19,6 +19,7 @@
 AgentWatch::AgentWatch(AgentWatchParts parts)
     : m_parts(std::move(parts))
     , m_reportsReceived(m_parts.m_metrics->counter("watch_reports_received_total"))
+    , m_loadsIgnored(m_parts.m_metrics->counter("watch_loads_ignored_total"))
     , m_streamsLost(m_parts.m_metrics->counter("watch_streams_lost_total"))
     , m_overruns(m_parts.m_metrics->counter("watch_reports_dropped_total"))
     , m_inbox(std::make_shared<Inbox>(ArrivalCapacity, EndCapacity))
@@ -106,16 +107,28 @@
     if (it == m_streams.end()) {
         return;
     }
-    const Core::Result<Protocol::AgentReport> report = Wire::unpack<Protocol::AgentReport>(frame, it->second.m_address.toString());
-    if (!report || report.value().m_member.m_id != it->second.m_instance) {
+    Protocol::AgentReport report = heldReport(it->second.m_instance);
+    const Core::Result<void> applied = Protocol::applyWatchFrame(frame, it->second.m_address.toString(), report);
+    if (!applied && applied.error().m_code == Core::ErrorCode::Conflict) {
+        m_loadsIgnored.add();
+        return;
+    }
+    if (!applied || report.m_member.m_id != it->second.m_instance) {
         // Something else answers at this address; the instance list will say what.
         m_parts.m_node->cancel(it->second.m_call);
         return;
     }
     m_reportsReceived.add();
-    m_parts.m_router->onReport(report.value());
+    m_parts.m_router->onReport(report);
+    const std::lock_guard<std::mutex> lock(m_reportsMutex);
+    m_reports[it->second.m_instance] = std::move(report);
+}
+
+Protocol::AgentReport AgentWatch::heldReport(const std::string &instance) const
+{
     const std::lock_guard<std::mutex> lock(m_reportsMutex);
-    m_reports[it->second.m_instance] = report.value();
+    const std::map<std::string, Protocol::AgentReport>::const_iterator it = m_reports.find(instance);
+    return it == m_reports.end() ? Protocol::AgentReport() : it->second;
 }
 
 std::vector<std::string> AgentWatch::heldInstances() const
--- a/Libraries/LibEntry/AgentWatch.h
+++ b/Libraries/LibEntry/AgentWatch.h
@@ -71,6 +71,7 @@
     void takeArrivals();
     void onEnd(std::uint64_t streamId);
     void receive(std::uint64_t streamId, const std::string &frame);
+    Protocol::AgentReport heldReport(const std::string &instance) const;
     void choose();
     void reconcile(const WatchSet &wanted);
     void open(const Protocol::Member &member);
@@ -78,6 +79,7 @@
 
     const AgentWatchParts m_parts;
     Telemetry::Counter &m_reportsReceived;
+    Telemetry::Counter &m_loadsIgnored;
     Telemetry::Counter &m_streamsLost;
     Telemetry::Counter &m_overruns;
     std::shared_ptr<Inbox> m_inbox;
--- a/Libraries/LibProtocol/Report.h
+++ b/Libraries/LibProtocol/Report.h
@@ -1,6 +1,7 @@
-/// @file What an agent tells the entries that watch it (method control.watch, a stream of AgentReport frames).
+/// @file What an agent tells the entries that watch it (method control.watch, a stream of AgentReport and LoadReport frames).
 #pragma once
 
+#include "LibCore/Error.h"
 #include "LibProtocol/Member.h"
 
 #include <cstdint>
@@ -45,7 +46,7 @@
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("digest", m_digest), MSGPACK_NVP("held", m_chunksHeld), MSGPACK_NVP("total", m_chunksTotal));
 };
 
-/// A whole report, never a difference: a lost one is made good by the next.
+/// A whole report.
 struct AgentReport
 {
     Member m_member;
@@ -67,6 +68,35 @@
                        MSGPACK_NVP("transfers", m_transfers));
 };
 
+/**
+ * Stands for a whole report in which only the load differs from an earlier one.
+ *
+ * Whole reports each second were most of an entry's control traffic. A watcher that missed a whole report must not take the load for
+ * a sign that what it holds is still true, so it names the whole report that it builds on.
+ */
+struct LoadReport
+{
+    bool m_isLoadOnly = false; ///< Tells this frame from a whole report, which has no such field.
+    std::uint64_t m_sequence = 0; ///< Counted on with the whole reports.
+    std::uint64_t m_wholeSequence = 0; ///< Sequence of the last whole report; everything but the load is as it said.
+    EndpointLoad m_load;
+
+    bool operator==(const LoadReport &) const = default;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("load_only", m_isLoadOnly),
+                       MSGPACK_NVP("sequence", m_sequence),
+                       MSGPACK_NVP("whole", m_wholeSequence),
+                       MSGPACK_NVP("load", m_load));
+};
+
+/**
+ * Brings @p held up to date with a frame of the stream.
+ *
+ * Fails with Corrupt on a malformed frame, and with Conflict, leaving @p held unchanged, on a load that builds on a whole report that was
+ * missed; the next whole report makes that good.
+ */
+Core::Result<void> applyWatchFrame(const std::string &frame, const std::string &peer, AgentReport &held);
+
 /// Opens the stream of reports.
 struct WatchRequest
 {
--- a/Tests/Agent/Rig.h
+++ b/Tests/Agent/Rig.h
@@ -263,7 +263,7 @@
         Wire::CallEvents events;
         events.m_onFrame = [this](const std::string &frame) {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            m_report = Wire::unpack<Protocol::AgentReport>(frame, "agent").value();
+            Protocol::applyWatchFrame(frame, "agent", m_report).value();
         };
         events.m_onEnd = [this](const Wire::CallEnd &) { m_watching = false; };
         m_node.call(m_agent, "control.watch", Wire::pack(Protocol::WatchRequest{"test"}), Wire::CallOptions{Core::Duration(0)}, events);
