--- a/Libraries/LibStandIn/Engine.cpp
+++ b/Libraries/LibStandIn/Engine.cpp
@@ -2,9 +2,9 @@
 
 #include "LibStandIn/Engine.h"
 
+#include "LibCore/Digest.h"
 #include "LibStandIn/FaultPage.h"
 #include "LibStandIn/Json.h"
-#include "LibStandIn/Sha256.h"
 #include "LibStandIn/Tokens.h"
 
 #include <Poco/JSON/Array.h>
@@ -308,11 +308,11 @@
     const std::int64_t expected = request.getContentLength64();
     std::istream &stream = request.stream();
     std::vector<char> buffer(ReadBytes);
-    Sha256 hash;
+    Core::Sha256 hash;
     std::int64_t received = 0;
     while (stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size())), stream.gcount() > 0) {
         received += stream.gcount();
-        hash.add(std::string_view(buffer.data(), static_cast<std::size_t>(stream.gcount())));
+        hash.update(std::string_view(buffer.data(), static_cast<std::size_t>(stream.gcount())));
         if (m_faults.current().m_dieWhileLoading && received * 2 >= expected) {
             die();
             return Core::makeError(Core::ErrorCode::Internal, "load model", "", "the engine died");
@@ -330,7 +330,7 @@
     if (!sleepFor(none, milliseconds)) {
         return Core::makeError(Core::ErrorCode::Cancelled, "load model", "", "the engine stops");
     }
-    return hash.finish();
+    return hash.finishHex();
 }
 
 void Engine::unload(const std::string &digest, Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
--- a/Tests/StandIns/TestEngine.cpp
+++ b/Tests/StandIns/TestEngine.cpp
@@ -1,8 +1,8 @@
 /// @file The model engine stand-in keeps its promises: fencing, slots, whole answers and a true journal.
 
+#include "LibCore/Digest.h"
 #include "LibStandIn/Engine.h"
 #include "LibStandIn/JournalChecker.h"
-#include "LibStandIn/Sha256.h"
 #include "LibStandIn/Tokens.h"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -24,9 +24,7 @@
 
 std::string digestOf(const std::string &bytes)
 {
-    StandIn::Sha256 hash;
-    hash.add(bytes);
-    return hash.finish();
+    return Core::sha256Hex(bytes);
 }
 
 const std::string Weights(200000, 'w');
--- a/Utilities/oriolerail/Main.cpp
+++ b/Utilities/oriolerail/Main.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::string_view Version = "0.1";
-
 constexpr std::string_view Usage = R"(
 Commands:
   validate FILE...     check template documents
@@ -116,7 +114,7 @@
         return Cli::ExitOk;
     }
     if (parsed.count("version") > 0) {
-        std::cout << "oriolerail " << Version << "\n";
+        std::cout << "oriolerail " << Core::Version << "\n";
         return Cli::ExitOk;
     }
     const std::string name = parsed.count("command") > 0 ? parsed["command"].as<std::string>() : "";
