--- a/Utilities/oriolerail/Main.cpp
+++ b/Utilities/oriolerail/Main.cpp
@@ -1,6 +1,7 @@
 /// @file oriolerail: the operators' program. Publishes templates and shows what is in force.
 
 #include "Command.h"
+#include "LibCore/Version.h"
 
 #include <csignal>
 #include <cxxopts.hpp>
