--- a/Libraries/LibLoad/AddressBook.cpp
+++ b/Libraries/LibLoad/AddressBook.cpp
@@ -2,7 +2,7 @@
 
 #include "LibLoad/AddressBook.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/JSON/Array.h>
 
@@ -24,12 +24,12 @@
 Core::Result<AddressAnswer> parseAddressAnswer(const std::string &body, const std::string &peer)
 {
     const Core::Error wrong = Core::makeError(Core::ErrorCode::Corrupt, "read addresses", peer, "not an answer to /v1/addresses");
-    const Core::Result<Poco::JSON::Object::Ptr> object = StandIn::parseJsonObject(body);
+    const Core::Result<Poco::JSON::Object::Ptr> object = Json::parseObject(body);
     if (!object) {
         return wrong;
     }
     const Poco::JSON::Array::Ptr list = object.value()->getArray("addresses");
-    const Core::Result<double> lifetime = StandIn::jsonNumber(*object.value(), "lifetime_ms");
+    const Core::Result<double> lifetime = Json::numberOf(*object.value(), "lifetime_ms");
     if (!list || list->size() > MaximumAddresses || !lifetime || !(lifetime.value() >= 0)) {
         return wrong;
     }
--- a/Libraries/LibLoad/AnswerCheck.cpp
+++ b/Libraries/LibLoad/AnswerCheck.cpp
@@ -2,7 +2,7 @@
 
 #include "LibLoad/AnswerCheck.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 #include "LibStandIn/Tokens.h"
 
 namespace Load {
@@ -45,7 +45,7 @@
         fail(Outcome::Wrong, "bytes-after-end", line);
         return false;
     }
-    const Core::Result<Poco::JSON::Object::Ptr> parsed = StandIn::parseJsonObject(line);
+    const Core::Result<Poco::JSON::Object::Ptr> parsed = Json::parseObject(line);
     if (!parsed) {
         fail(Outcome::Failed, "malformed-line", line);
         return false;
@@ -122,7 +122,7 @@
 
 void checkServiceAnswer(const Request &request, const std::string &body, Observation &observation)
 {
-    const Core::Result<Poco::JSON::Object::Ptr> parsed = StandIn::parseJsonObject(body);
+    const Core::Result<Poco::JSON::Object::Ptr> parsed = Json::parseObject(body);
     if (!parsed || !parsed.value()->has("effect")) {
         observation.m_outcome = Outcome::Wrong;
         observation.m_code = "incomplete";
@@ -138,7 +138,7 @@
 
 void readErrorAnswer(int status, const std::string &body, Observation &observation)
 {
-    const Core::Result<Poco::JSON::Object::Ptr> parsed = StandIn::parseJsonObject(body);
+    const Core::Result<Poco::JSON::Object::Ptr> parsed = Json::parseObject(body);
     observation.m_code = parsed ? errorField(*parsed.value(), "code") : std::string();
     observation.m_detail = parsed ? errorField(*parsed.value(), "detail") : body;
     if (observation.m_code.empty()) {
--- a/Libraries/LibLoad/Report.cpp
+++ b/Libraries/LibLoad/Report.cpp
@@ -2,7 +2,7 @@
 
 #include "LibLoad/Report.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/JSON/Array.h>
 #include <iomanip>
@@ -162,7 +162,7 @@
         problems.add(problem);
     }
     object.set("problems", problems);
-    return StandIn::jsonLine(object);
+    return Json::lineOf(object);
 }
 
 std::string Report::text() const
--- a/Libraries/LibLoad/Trace.cpp
+++ b/Libraries/LibLoad/Trace.cpp
@@ -2,7 +2,7 @@
 
 #include "LibLoad/Trace.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <fstream>
 
@@ -19,7 +19,7 @@
     if (!object.has(field)) {
         return fallback;
     }
-    const double value = BOOST_OUTCOME_TRYX(StandIn::jsonNumber(object, field));
+    const double value = BOOST_OUTCOME_TRYX(Json::numberOf(object, field));
     if (!(value >= minimum && value <= maximum)) {
         return Core::makeError(Core::ErrorCode::InvalidInput, "read trace", "", field + ": out of range");
     }
@@ -28,7 +28,7 @@
 
 Core::Result<std::string> textOr(const Poco::JSON::Object &object, const std::string &field, const std::string &fallback)
 {
-    return object.has(field) ? StandIn::jsonText(object, field) : Core::Result<std::string>(fallback);
+    return object.has(field) ? Json::textOf(object, field) : Core::Result<std::string>(fallback);
 }
 
 Core::Result<std::string> expectedOf(const Poco::JSON::Object &object)
@@ -73,15 +73,15 @@
     observed.set("first_token_ms", observation.m_firstTokenMs);
     observed.set("total_ms", observation.m_totalMs);
     object.set("observed", observed);
-    return StandIn::jsonLine(object);
+    return Json::lineOf(object);
 }
 
 Core::Result<Request> parseTraceLine(const std::string &line, std::uint64_t index)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(StandIn::parseJsonObject(line));
-    BOOST_OUTCOME_TRYV(StandIn::refuseUnknownFields(
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(line));
+    BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(
         *object, {"at_ms", "kind", "account", "name", "path", "keyed", "max_tokens", "prompt", "priority", "timeout_ms", "expect", "observed"}));
-    const std::string kind = BOOST_OUTCOME_TRYX(StandIn::jsonText(*object, "kind"));
+    const std::string kind = BOOST_OUTCOME_TRYX(Json::textOf(*object, "kind"));
     if (kind != "generate" && kind != "call") {
         return Core::makeError(Core::ErrorCode::InvalidInput, "read trace", "", "kind: expected generate or call");
     }
@@ -90,11 +90,11 @@
     request.m_index = index;
     request.m_kind = kind == "call" ? RequestKind::Call : RequestKind::Generate;
     request.m_at = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "at_ms", 0, LongestMs, 0))));
-    request.m_account = BOOST_OUTCOME_TRYX(StandIn::jsonText(*object, "account"));
-    request.m_name = BOOST_OUTCOME_TRYX(StandIn::jsonText(*object, "name"));
+    request.m_account = BOOST_OUTCOME_TRYX(Json::textOf(*object, "account"));
+    request.m_name = BOOST_OUTCOME_TRYX(Json::textOf(*object, "name"));
     request.m_path = BOOST_OUTCOME_TRYX(textOr(*object, "path", ""));
-    request.m_isKeyed = object->has("keyed") && BOOST_OUTCOME_TRYX(StandIn::jsonFlag(*object, "keyed"));
-    request.m_prompt = BOOST_OUTCOME_TRYX(StandIn::jsonText(*object, "prompt"));
+    request.m_isKeyed = object->has("keyed") && BOOST_OUTCOME_TRYX(Json::flagOf(*object, "keyed"));
+    request.m_prompt = BOOST_OUTCOME_TRYX(Json::textOf(*object, "prompt"));
     request.m_maximumTokens = static_cast<std::uint32_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "max_tokens", 0, MaximumTokens, 0)));
     request.m_priority = static_cast<std::int32_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "priority", -PriorityBound, PriorityBound, 0)));
     request.m_timeout = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(numberWithin(*object, "timeout_ms", 1, LongestMs, defaultTimeoutMs))));
--- a/Libraries/LibStandIn/Engine.cpp
+++ b/Libraries/LibStandIn/Engine.cpp
@@ -3,8 +3,8 @@
 #include "LibStandIn/Engine.h"
 
 #include "LibCore/Digest.h"
+#include "LibJson/Json.h"
 #include "LibStandIn/FaultPage.h"
-#include "LibStandIn/Json.h"
 #include "LibStandIn/Tokens.h"
 
 #include <Poco/JSON/Array.h>
@@ -66,24 +66,24 @@
 Core::Result<EngineFaults> changeFaults(EngineFaults faults, const Poco::JSON::Object &object)
 {
     BOOST_OUTCOME_TRYV(
-        refuseUnknownFields(object, {"slow_factor", "die_while_loading", "misreport_digest", "hang", "cut_answers_after_tokens", "refuse_loads"}));
+        Json::refuseUnknownFields(object, {"slow_factor", "die_while_loading", "misreport_digest", "hang", "cut_answers_after_tokens", "refuse_loads"}));
     if (object.has("slow_factor")) {
-        faults.m_slowFactor = BOOST_OUTCOME_TRYX(jsonNumber(object, "slow_factor"));
+        faults.m_slowFactor = BOOST_OUTCOME_TRYX(Json::numberOf(object, "slow_factor"));
     }
     if (object.has("die_while_loading")) {
-        faults.m_dieWhileLoading = BOOST_OUTCOME_TRYX(jsonFlag(object, "die_while_loading"));
+        faults.m_dieWhileLoading = BOOST_OUTCOME_TRYX(Json::flagOf(object, "die_while_loading"));
     }
     if (object.has("misreport_digest")) {
-        faults.m_misreportDigest = BOOST_OUTCOME_TRYX(jsonText(object, "misreport_digest"));
+        faults.m_misreportDigest = BOOST_OUTCOME_TRYX(Json::textOf(object, "misreport_digest"));
     }
     if (object.has("hang")) {
-        faults.m_hang = BOOST_OUTCOME_TRYX(jsonFlag(object, "hang"));
+        faults.m_hang = BOOST_OUTCOME_TRYX(Json::flagOf(object, "hang"));
     }
     if (object.has("cut_answers_after_tokens")) {
-        faults.m_cutAnswersAfterTokens = static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(jsonNumber(object, "cut_answers_after_tokens")));
+        faults.m_cutAnswersAfterTokens = static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(Json::numberOf(object, "cut_answers_after_tokens")));
     }
     if (object.has("refuse_loads")) {
-        faults.m_refuseLoads = BOOST_OUTCOME_TRYX(jsonFlag(object, "refuse_loads"));
+        faults.m_refuseLoads = BOOST_OUTCOME_TRYX(Json::flagOf(object, "refuse_loads"));
     }
     return faults;
 }
@@ -97,7 +97,7 @@
     object.set("hang", faults.m_hang);
     object.set("cut_answers_after_tokens", faults.m_cutAnswersAfterTokens);
     object.set("refuse_loads", faults.m_refuseLoads);
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 Core::Result<std::uint64_t> fenceOf(const Poco::Net::HTTPServerRequest &request)
@@ -116,7 +116,7 @@
     Poco::JSON::Object object;
     object.set("digest", digest);
     object.set("state", "serving");
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 }
@@ -134,20 +134,20 @@
 
 Core::Result<GenerateRequest> parseGenerateRequest(const std::string &body)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(body));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(body));
     GenerateRequest request;
-    request.m_request = BOOST_OUTCOME_TRYX(jsonText(*object, "request"));
-    request.m_account = BOOST_OUTCOME_TRYX(jsonText(*object, "account"));
-    request.m_digest = BOOST_OUTCOME_TRYX(jsonText(*object, "digest"));
-    request.m_prompt = BOOST_OUTCOME_TRYX(jsonText(*object, "prompt"));
-    const double tokens = BOOST_OUTCOME_TRYX(jsonNumber(*object, "max_tokens"));
+    request.m_request = BOOST_OUTCOME_TRYX(Json::textOf(*object, "request"));
+    request.m_account = BOOST_OUTCOME_TRYX(Json::textOf(*object, "account"));
+    request.m_digest = BOOST_OUTCOME_TRYX(Json::textOf(*object, "digest"));
+    request.m_prompt = BOOST_OUTCOME_TRYX(Json::textOf(*object, "prompt"));
+    const double tokens = BOOST_OUTCOME_TRYX(Json::numberOf(*object, "max_tokens"));
     if (!(tokens >= 0 && tokens <= MaximumTokens)) {
         return Core::makeError(Core::ErrorCode::InvalidInput, "read request", "", "max_tokens: expected at most " + std::to_string(MaximumTokens));
     }
     request.m_maximumTokens = static_cast<std::uint64_t>(tokens);
     if (object->has("priority")) {
         constexpr double priorityBound = 1000000;
-        request.m_priority = static_cast<std::int32_t>(std::clamp(BOOST_OUTCOME_TRYX(jsonNumber(*object, "priority")), -priorityBound, priorityBound));
+        request.m_priority = static_cast<std::int32_t>(std::clamp(BOOST_OUTCOME_TRYX(Json::numberOf(*object, "priority")), -priorityBound, priorityBound));
     }
     return request;
 }
@@ -237,7 +237,7 @@
     object.set("running", load.m_running);
     object.set("queued", load.m_queued);
     object.set("capacity", m_settings.m_capacity);
-    sendAnswer(response, StatusOk, "application/json", jsonLine(object));
+    sendAnswer(response, StatusOk, "application/json", Json::lineOf(object));
 }
 
 void Engine::answerJournal(Poco::Net::HTTPServerResponse &response)
--- a/Libraries/LibStandIn/FaultPage.h
+++ b/Libraries/LibStandIn/FaultPage.h
@@ -1,9 +1,9 @@
 /// @file The page /faults of a stand-in, over its board of switches.
 #pragma once
 
+#include "LibJson/Json.h"
 #include "LibStandIn/Faults.h"
 #include "LibStandIn/HttpServer.h"
-#include "LibStandIn/Json.h"
 
 #include <string>
 
@@ -17,7 +17,7 @@
 Core::Result<void> changeFromRequest(FaultBoard<Switches> &board, Poco::Net::HTTPServerRequest &request)
 {
     const std::string body = BOOST_OUTCOME_TRYX(readBody(request, MaximumFaultBytes));
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(body));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(body));
     return board.apply(*object);
 }
 
--- a/Libraries/LibStandIn/HttpServer.cpp
+++ b/Libraries/LibStandIn/HttpServer.cpp
@@ -2,7 +2,7 @@
 
 #include "LibStandIn/HttpServer.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -125,7 +125,7 @@
 
 void sendError(Poco::Net::HTTPServerResponse &response, int status, const Core::Error &error)
 {
-    sendAnswer(response, status, "application/json", jsonError(error));
+    sendAnswer(response, status, "application/json", Json::errorLine(error));
 }
 
 Core::Result<std::string> readBody(Poco::Net::HTTPServerRequest &request, std::size_t limit)
--- a/Libraries/LibStandIn/JournalChecker.cpp
+++ b/Libraries/LibStandIn/JournalChecker.cpp
@@ -2,7 +2,7 @@
 
 #include "LibStandIn/JournalChecker.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 #include "LibStandIn/Tokens.h"
 
 #include <Poco/JSON/Array.h>
@@ -47,29 +47,29 @@
 
 Core::Result<bool> isComplete(const Poco::JSON::Object &object)
 {
-    return BOOST_OUTCOME_TRYX(jsonNumber(object, "dropped")) == 0;
+    return BOOST_OUTCOME_TRYX(Json::numberOf(object, "dropped")) == 0;
 }
 
 Core::Result<EngineRun> parseRun(const Poco::JSON::Object &item)
 {
     EngineRun run;
-    run.m_request = BOOST_OUTCOME_TRYX(jsonText(item, "request"));
-    run.m_account = BOOST_OUTCOME_TRYX(jsonText(item, "account"));
-    run.m_question = BOOST_OUTCOME_TRYX(jsonText(item, "question"));
-    run.m_digest = BOOST_OUTCOME_TRYX(jsonText(item, "digest"));
-    run.m_tokens = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(jsonNumber(item, "tokens")));
-    run.m_completed = BOOST_OUTCOME_TRYX(jsonFlag(item, "completed"));
+    run.m_request = BOOST_OUTCOME_TRYX(Json::textOf(item, "request"));
+    run.m_account = BOOST_OUTCOME_TRYX(Json::textOf(item, "account"));
+    run.m_question = BOOST_OUTCOME_TRYX(Json::textOf(item, "question"));
+    run.m_digest = BOOST_OUTCOME_TRYX(Json::textOf(item, "digest"));
+    run.m_tokens = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(Json::numberOf(item, "tokens")));
+    run.m_completed = BOOST_OUTCOME_TRYX(Json::flagOf(item, "completed"));
     return run;
 }
 
 Core::Result<ServiceEffect> parseEffect(const Poco::JSON::Object &item)
 {
     ServiceEffect effect;
-    effect.m_effect = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(jsonNumber(item, "effect")));
-    effect.m_key = BOOST_OUTCOME_TRYX(jsonText(item, "key"));
-    effect.m_attempt = BOOST_OUTCOME_TRYX(jsonText(item, "attempt"));
-    effect.m_account = BOOST_OUTCOME_TRYX(jsonText(item, "account"));
-    effect.m_path = BOOST_OUTCOME_TRYX(jsonText(item, "path"));
+    effect.m_effect = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(Json::numberOf(item, "effect")));
+    effect.m_key = BOOST_OUTCOME_TRYX(Json::textOf(item, "key"));
+    effect.m_attempt = BOOST_OUTCOME_TRYX(Json::textOf(item, "attempt"));
+    effect.m_account = BOOST_OUTCOME_TRYX(Json::textOf(item, "account"));
+    effect.m_path = BOOST_OUTCOME_TRYX(Json::textOf(item, "path"));
     return effect;
 }
 
@@ -135,7 +135,7 @@
 
 Core::Result<EngineJournal> parseEngineJournal(const std::string &name, const std::string &json)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(json));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(json));
     const Poco::JSON::Array::Ptr list = BOOST_OUTCOME_TRYX(listOf(*object, "ran", name));
     EngineJournal journal{name, BOOST_OUTCOME_TRYX(isComplete(*object)), {}};
     for (std::size_t index = 0; index < list->size(); ++index) {
@@ -147,7 +147,7 @@
 
 Core::Result<ServiceJournal> parseServiceJournal(const std::string &name, const std::string &json)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(json));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(json));
     const Poco::JSON::Array::Ptr list = BOOST_OUTCOME_TRYX(listOf(*object, "effects", name));
     ServiceJournal journal{name, BOOST_OUTCOME_TRYX(isComplete(*object)), {}};
     for (std::size_t index = 0; index < list->size(); ++index) {
@@ -159,21 +159,21 @@
 
 Core::Result<CallerRecord> parseCallerRecord(const std::string &line)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(line));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(line));
     const Poco::JSON::Object::Ptr observed = object->getObject("observed");
     if (!observed) {
         return corrupt("trace", "the line has nothing observed");
     }
     CallerRecord record;
-    record.m_isCall = BOOST_OUTCOME_TRYX(jsonText(*object, "kind")) == "call";
-    record.m_isKeyed = record.m_isCall && BOOST_OUTCOME_TRYX(jsonFlag(*object, "keyed"));
-    const std::string account = BOOST_OUTCOME_TRYX(jsonText(*object, "account"));
-    const std::string prompt = BOOST_OUTCOME_TRYX(jsonText(*object, "prompt"));
+    record.m_isCall = BOOST_OUTCOME_TRYX(Json::textOf(*object, "kind")) == "call";
+    record.m_isKeyed = record.m_isCall && BOOST_OUTCOME_TRYX(Json::flagOf(*object, "keyed"));
+    const std::string account = BOOST_OUTCOME_TRYX(Json::textOf(*object, "account"));
+    const std::string prompt = BOOST_OUTCOME_TRYX(Json::textOf(*object, "prompt"));
     record.m_question = questionName(account, prompt);
-    record.m_outcome = BOOST_OUTCOME_TRYX(jsonText(*object, "expect"));
-    record.m_key = BOOST_OUTCOME_TRYX(jsonText(*observed, "key"));
-    record.m_digest = BOOST_OUTCOME_TRYX(jsonText(*observed, "digest"));
-    record.m_brokenTries = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(jsonNumber(*observed, "broken_tries")));
+    record.m_outcome = BOOST_OUTCOME_TRYX(Json::textOf(*object, "expect"));
+    record.m_key = BOOST_OUTCOME_TRYX(Json::textOf(*observed, "key"));
+    record.m_digest = BOOST_OUTCOME_TRYX(Json::textOf(*observed, "digest"));
+    record.m_brokenTries = static_cast<std::uint64_t>(BOOST_OUTCOME_TRYX(Json::numberOf(*observed, "broken_tries")));
     return record;
 }
 
--- a/Libraries/LibStandIn/PlainService.cpp
+++ b/Libraries/LibStandIn/PlainService.cpp
@@ -2,8 +2,8 @@
 
 #include "LibStandIn/PlainService.h"
 
+#include "LibJson/Json.h"
 #include "LibStandIn/FaultPage.h"
-#include "LibStandIn/Json.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/URI.h>
@@ -45,18 +45,18 @@
 
 Core::Result<ServiceFaults> changeFaults(ServiceFaults faults, const Poco::JSON::Object &object)
 {
-    BOOST_OUTCOME_TRYV(refuseUnknownFields(object, {"lose_answers", "slow_ms", "hang", "refuse"}));
+    BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(object, {"lose_answers", "slow_ms", "hang", "refuse"}));
     if (object.has("lose_answers")) {
-        faults.m_loseAnswers = BOOST_OUTCOME_TRYX(jsonFlag(object, "lose_answers"));
+        faults.m_loseAnswers = BOOST_OUTCOME_TRYX(Json::flagOf(object, "lose_answers"));
     }
     if (object.has("slow_ms")) {
-        faults.m_slowMs = BOOST_OUTCOME_TRYX(jsonNumber(object, "slow_ms"));
+        faults.m_slowMs = BOOST_OUTCOME_TRYX(Json::numberOf(object, "slow_ms"));
     }
     if (object.has("hang")) {
-        faults.m_hang = BOOST_OUTCOME_TRYX(jsonFlag(object, "hang"));
+        faults.m_hang = BOOST_OUTCOME_TRYX(Json::flagOf(object, "hang"));
     }
     if (object.has("refuse")) {
-        faults.m_refuse = BOOST_OUTCOME_TRYX(jsonFlag(object, "refuse"));
+        faults.m_refuse = BOOST_OUTCOME_TRYX(Json::flagOf(object, "refuse"));
     }
     return faults;
 }
@@ -68,7 +68,7 @@
     object.set("slow_ms", faults.m_slowMs);
     object.set("hang", faults.m_hang);
     object.set("refuse", faults.m_refuse);
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 }
@@ -150,7 +150,7 @@
     }
     object.set("models", Poco::JSON::Array());
     object.set("capacity", m_settings.m_capacity);
-    sendAnswer(response, StatusOk, "application/json", jsonLine(object));
+    sendAnswer(response, StatusOk, "application/json", Json::lineOf(object));
 }
 
 void PlainService::answerJournal(Poco::Net::HTTPServerResponse &response)
@@ -205,7 +205,7 @@
     Poco::JSON::Object object;
     object.set("effect", number);
     object.set("echo", body.value());
-    sendAnswer(response, StatusOk, "application/json", jsonLine(object));
+    sendAnswer(response, StatusOk, "application/json", Json::lineOf(object));
 }
 
 bool PlainService::enter(bool &full)
--- a/Libraries/LibStandInLog/LogService.cpp
+++ b/Libraries/LibStandInLog/LogService.cpp
@@ -1,7 +1,7 @@
 /// @file Implementation of the log stand-in's HTTP side.
 
 #include "LibStandInLog/LogService.h"
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/URI.h>
@@ -59,37 +59,37 @@
 
 Core::Result<ListedInstance> parseInstance(const std::string &body)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(body));
-    BOOST_OUTCOME_TRYV(refuseUnknownFields(*object, {"address", "role", "service", "region", "failure_domain", "state"}));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(body));
+    BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(*object, {"address", "role", "service", "region", "failure_domain", "state"}));
     ListedInstance instance;
-    instance.m_address = BOOST_OUTCOME_TRYX(jsonText(*object, "address"));
+    instance.m_address = BOOST_OUTCOME_TRYX(Json::textOf(*object, "address"));
     BOOST_OUTCOME_TRY(Core::parseAddress(instance.m_address));
-    instance.m_role = BOOST_OUTCOME_TRYX(jsonText(*object, "role"));
+    instance.m_role = BOOST_OUTCOME_TRYX(Json::textOf(*object, "role"));
     if (object->has("service")) {
-        instance.m_service = BOOST_OUTCOME_TRYX(jsonText(*object, "service"));
+        instance.m_service = BOOST_OUTCOME_TRYX(Json::textOf(*object, "service"));
     }
-    instance.m_region = BOOST_OUTCOME_TRYX(jsonText(*object, "region"));
-    instance.m_failureDomain = BOOST_OUTCOME_TRYX(jsonText(*object, "failure_domain"));
+    instance.m_region = BOOST_OUTCOME_TRYX(Json::textOf(*object, "region"));
+    instance.m_failureDomain = BOOST_OUTCOME_TRYX(Json::textOf(*object, "failure_domain"));
     if (object->has("state")) {
-        instance.m_state = BOOST_OUTCOME_TRYX(jsonText(*object, "state"));
+        instance.m_state = BOOST_OUTCOME_TRYX(Json::textOf(*object, "state"));
     }
     return instance;
 }
 
 Core::Result<LogServiceFaults> changedFaults(LogServiceFaults faults, const Poco::JSON::Object &object)
 {
-    BOOST_OUTCOME_TRYV(refuseUnknownFields(object, {"down", "slow_ms", "lose_answers", "drop_records_from", "expire_records_before", "list_down"}));
+    BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(object, {"down", "slow_ms", "lose_answers", "drop_records_from", "expire_records_before", "list_down"}));
     if (object.has("down")) {
-        faults.m_log.m_down = BOOST_OUTCOME_TRYX(jsonFlag(object, "down"));
+        faults.m_log.m_down = BOOST_OUTCOME_TRYX(Json::flagOf(object, "down"));
     }
     if (object.has("slow_ms")) {
-        faults.m_log.m_slow = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(jsonNumber(object, "slow_ms"))));
+        faults.m_log.m_slow = Core::Duration(static_cast<std::int64_t>(BOOST_OUTCOME_TRYX(Json::numberOf(object, "slow_ms"))));
     }
     if (object.has("lose_answers")) {
-        faults.m_log.m_loseAnswers = BOOST_OUTCOME_TRYX(jsonFlag(object, "lose_answers"));
+        faults.m_log.m_loseAnswers = BOOST_OUTCOME_TRYX(Json::flagOf(object, "lose_answers"));
     }
     if (object.has("list_down")) {
-        faults.m_listDown = BOOST_OUTCOME_TRYX(jsonFlag(object, "list_down"));
+        faults.m_listDown = BOOST_OUTCOME_TRYX(Json::flagOf(object, "list_down"));
     }
     return faults;
 }
@@ -101,7 +101,7 @@
     object.set("slow_ms", static_cast<Poco::Int64>(faults.m_log.m_slow.count()));
     object.set("lose_answers", faults.m_log.m_loseAnswers);
     object.set("list_down", faults.m_listDown);
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 }
@@ -184,14 +184,14 @@
 
 Core::Result<void> LogService::changeFaults(const std::string &body)
 {
-    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(parseJsonObject(body));
+    const Poco::JSON::Object::Ptr object = BOOST_OUTCOME_TRYX(Json::parseObject(body));
     BOOST_OUTCOME_TRYV(m_faults.apply(*object));
     m_log.setFaults(m_faults.current().m_log);
     if (object->has("drop_records_from")) {
-        m_log.dropRecordsFrom(static_cast<Platform::Offset>(BOOST_OUTCOME_TRYX(jsonNumber(*object, "drop_records_from"))));
+        m_log.dropRecordsFrom(static_cast<Platform::Offset>(BOOST_OUTCOME_TRYX(Json::numberOf(*object, "drop_records_from"))));
     }
     if (object->has("expire_records_before")) {
-        m_log.expireRecordsBefore(static_cast<Platform::Offset>(BOOST_OUTCOME_TRYX(jsonNumber(*object, "expire_records_before"))));
+        m_log.expireRecordsBefore(static_cast<Platform::Offset>(BOOST_OUTCOME_TRYX(Json::numberOf(*object, "expire_records_before"))));
     }
     return Core::success();
 }
@@ -281,7 +281,7 @@
     }
     Poco::JSON::Object object;
     object.set("instances", rows);
-    sendAnswer(response, StatusOk, "application/json", jsonLine(object));
+    sendAnswer(response, StatusOk, "application/json", Json::lineOf(object));
 }
 
 }
--- a/Libraries/LibStandInNetwork/Gateway.cpp
+++ b/Libraries/LibStandInNetwork/Gateway.cpp
@@ -2,7 +2,7 @@
 
 #include "LibStandInNetwork/Gateway.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -282,13 +282,13 @@
 void Gateway::answerFaults(GatewayConnection &connection, const Poco::Net::HTTPRequest &request, const std::string &body)
 {
     if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_POST) {
-        const Core::Result<Poco::JSON::Object::Ptr> object = parseJsonObject(body);
+        const Core::Result<Poco::JSON::Object::Ptr> object = Json::parseObject(body);
         if (!object) {
-            return answer(connection, StatusBadRequest, jsonError(object.error()));
+            return answer(connection, StatusBadRequest, Json::errorLine(object.error()));
         }
         const Core::Result<GatewayFaults> changed = changeGatewayFaults(m_faults, *object.value());
         if (!changed) {
-            return answer(connection, StatusBadRequest, jsonError(changed.error()));
+            return answer(connection, StatusBadRequest, Json::errorLine(changed.error()));
         }
         applyFaults(changed.value(), object.value()->has("silent"));
     }
@@ -340,7 +340,7 @@
     object.set("reset", m_totals.m_reset);
     object.set("corrupted", m_totals.m_corrupted);
     object.set("vanished_bytes", m_totals.m_vanishedBytes);
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 void Gateway::openTunnel(GatewayConnection &connection)
--- a/Libraries/LibStandInNetwork/GatewayFaults.cpp
+++ b/Libraries/LibStandInNetwork/GatewayFaults.cpp
@@ -2,7 +2,7 @@
 
 #include "LibStandInNetwork/GatewayFaults.h"
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 
 #include <Poco/JSON/Array.h>
 
@@ -28,9 +28,9 @@
         if (!item) {
             return Core::makeError(Core::ErrorCode::InvalidInput, "read JSON", "", field + ": expected objects with from and to");
         }
-        BOOST_OUTCOME_TRYV(refuseUnknownFields(*item, {"from", "to"}));
-        const std::string from = BOOST_OUTCOME_TRYX(jsonText(*item, "from"));
-        const std::string to = BOOST_OUTCOME_TRYX(jsonText(*item, "to"));
+        BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(*item, {"from", "to"}));
+        const std::string from = BOOST_OUTCOME_TRYX(Json::textOf(*item, "from"));
+        const std::string to = BOOST_OUTCOME_TRYX(Json::textOf(*item, "to"));
         selectors.push_back(LinkSelector{from, to});
     }
     return selectors;
@@ -65,7 +65,7 @@
 
 Core::Result<GatewayFaults> changeGatewayFaults(GatewayFaults faults, const Poco::JSON::Object &object)
 {
-    BOOST_OUTCOME_TRYV(refuseUnknownFields(object, {"cut", "silent", "freeze", "corrupt_percent"}));
+    BOOST_OUTCOME_TRYV(Json::refuseUnknownFields(object, {"cut", "silent", "freeze", "corrupt_percent"}));
     if (object.has("cut")) {
         faults.m_cut = BOOST_OUTCOME_TRYX(selectorsOf(object, "cut"));
     }
@@ -76,7 +76,7 @@
         faults.m_freeze = BOOST_OUTCOME_TRYX(textsOf(object, "freeze"));
     }
     if (object.has("corrupt_percent")) {
-        faults.m_corruptPercent = BOOST_OUTCOME_TRYX(jsonNumber(object, "corrupt_percent"));
+        faults.m_corruptPercent = BOOST_OUTCOME_TRYX(Json::numberOf(object, "corrupt_percent"));
     }
     return faults;
 }
@@ -92,7 +92,7 @@
     object.set("silent", showSelectors(faults.m_silent));
     object.set("freeze", freeze);
     object.set("corrupt_percent", faults.m_corruptPercent);
-    return jsonLine(object);
+    return Json::lineOf(object);
 }
 
 }
--- a/Tests/LibLoad/TestCaller.cpp
+++ b/Tests/LibLoad/TestCaller.cpp
@@ -1,8 +1,8 @@
 /// @file A caller repeats what may be repeated, elsewhere, and never what may not.
 
+#include "LibJson/Json.h"
 #include "LibLoad/LoadRun.h"
 #include "LibStandIn/HttpServer.h"
-#include "LibStandIn/Json.h"
 #include "LibStandIn/Tokens.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -56,7 +56,7 @@
 
 void answerWhole(HttpRequest &request, HttpResponse &response)
 {
-    const Poco::JSON::Object::Ptr asked = StandIn::parseJsonObject(StandIn::readBody(request, 100000).value()).value();
+    const Poco::JSON::Object::Ptr asked = Json::parseObject(StandIn::readBody(request, 100000).value()).value();
     std::string body = R"({"version":"1","digest":"m"})"
                        "\n";
     for (std::uint64_t index = 0; index < 2; ++index) {
--- a/Tests/StandIns/TestGateway.cpp
+++ b/Tests/StandIns/TestGateway.cpp
@@ -1,6 +1,6 @@
 /// @file The gateway carries bytes unchanged, and each of its faults does what it says, over real sockets.
 
-#include "LibStandIn/Json.h"
+#include "LibJson/Json.h"
 #include "LibStandInNetwork/Gateway.h"
 
 #include <Poco/JSON/Array.h>
@@ -144,7 +144,7 @@
     REQUIRE(carriesWhole(tunnel.m_near, tunnel.m_far, bytes));
     REQUIRE(carriesWhole(tunnel.m_far, tunnel.m_near, bytes));
     const std::string answer = site.ask("GET", "/journal", "");
-    const Poco::JSON::Object::Ptr journal = StandIn::parseJsonObject(answer.substr(4)).value();
+    const Poco::JSON::Object::Ptr journal = Json::parseObject(answer.substr(4)).value();
     for (const Poco::Dynamic::Var &item : *journal->getArray("region_pairs")) {
         const std::uint64_t counted = item.extract<Poco::JSON::Object::Ptr>()->getValue<std::uint64_t>("bytes");
         REQUIRE(counted >= bytes.size());
