LibTransfer: Let the origin's interface and what is found on the instance be supplied

Cause: the transfer knew one interface of the origin and started every version from nothing. An origin with another interface, manifests without a digest of the whole, and chunks that the instance has already now fit in. The burst of both pacers is a setting.

--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -25,14 +25,13 @@
 constexpr std::size_t MaximumStrangers = 8192;
 constexpr std::size_t MaximumManifestWaiters = 1024;
 constexpr Core::Duration ChunkTimeout{30000}; ///< Only a last bound; stalls are judged by progress.
-constexpr std::uint64_t MinimumDownloadBurst = 128 << 10;
 constexpr std::uint64_t BytesPerMebibyte = 1 << 20;
 constexpr std::uint64_t MaximumCopies = 64;
 
 /// Half a second's worth: asking is bounded by the requests ahead, so a larger bucket only makes up for moments without anything to ask for.
 std::uint64_t downloadBurst(const TransferSettings &settings)
 {
-    return std::max(MinimumDownloadBurst, settings.m_downloadBytesPerSecond / 2);
+    return std::max(settings.m_burstBytes, settings.m_downloadBytesPerSecond / 2);
 }
 
 std::uint32_t originCopies(const Control::Deployment &deployment)
@@ -53,8 +52,9 @@
 Coordinator::Coordinator(TransferParts parts)
     : m_parts(std::move(parts))
     , m_events(std::make_shared<EventSink>(EventCapacity, m_parts.m_metrics->counter("transfer_events_lost_total")))
-    , m_origin(m_parts.m_network, m_parts.m_origin, m_parts.m_settings.m_originTimeout, m_parts.m_settings.m_originConnections)
+    , m_originDuty(m_parts.m_network, m_parts.m_settings.m_originTimeout, m_parts.m_settings.m_originConnections, m_parts.m_originDialect)
     , m_uploads(m_parts.m_settings, *m_parts.m_metrics)
+    , m_origin(m_parts.m_origin)
     , m_download(m_parts.m_settings.m_downloadBytesPerSecond, downloadBurst(m_parts.m_settings), Core::Clock::now())
     , m_random(Core::stableHash(m_parts.m_self.m_id + m_parts.m_self.m_incarnation))
     , m_bytesFromOrigin(m_parts.m_metrics->counter("transfer_bytes_from_origin_total"))
@@ -104,7 +104,7 @@
 void Coordinator::start()
 {
     m_running = true;
-    m_origin.start();
+    m_originDuty.start();
     m_uploads.start();
     m_thread = std::thread([this] { run(); });
 }
@@ -113,7 +113,7 @@
 {
     m_running = false;
     m_events->close();
-    m_origin.stop();
+    m_originDuty.stop();
     m_uploads.stop();
     if (m_thread.joinable()) {
         m_thread.join();
@@ -138,6 +138,28 @@
     m_events->push(Woken{});
 }
 
+void Coordinator::setOrigin(const Core::Address &origin)
+{
+    const std::lock_guard<std::mutex> lock(m_ordersMutex);
+    m_origin = origin;
+}
+
+Core::Address Coordinator::origin()
+{
+    const std::lock_guard<std::mutex> lock(m_ordersMutex);
+    return m_origin;
+}
+
+void Coordinator::offerManifest(const std::string &digest, std::string encoded)
+{
+    m_events->push(ManifestOffered{digest, std::move(encoded)});
+}
+
+void Coordinator::offerChunk(const std::string &digest, Weights::ChunkIndex chunk, std::string bytes)
+{
+    m_events->push(ChunkOffered{digest, chunk, std::move(bytes)});
+}
+
 void Coordinator::onManifest(std::function<void(const std::string &)> callback)
 {
     m_onManifest = std::move(callback);
@@ -299,6 +321,33 @@
 {
 }
 
+void Coordinator::handle(const ManifestOffered &event)
+{
+    takeOrders(); // The targets that name this version may have been set just before.
+    Version *version = find(event.m_digest);
+    if (!version || version->m_manifest) {
+        return;
+    }
+    const Core::Result<Weights::Manifest> manifest = Weights::verifyManifest(event.m_encoded, event.m_digest, m_parts.m_self.m_id);
+    if (manifest) {
+        adoptManifest(*version, event.m_encoded, manifest.value());
+    }
+}
+
+void Coordinator::handle(const ChunkOffered &event)
+{
+    Version *version = find(event.m_digest);
+    const Core::Instant now = Core::Clock::now();
+    if (!version || !version->m_manifest || (!version->m_exchange && !beginExchange(*version, now))) {
+        return;
+    }
+    const bool isMissing = event.m_chunk < version->m_chunks.size() && !version->m_chunks[event.m_chunk];
+    if (isMissing && Weights::isChunk(*version->m_manifest, event.m_chunk, event.m_bytes)) {
+        m_bytesReused.add(event.m_bytes.size());
+        takeChunk(*version, event.m_chunk, event.m_bytes, now);
+    }
+}
+
 void Coordinator::handle(const UpdateReceived &event)
 {
     const Version *version = find(event.m_digest);
@@ -362,6 +411,7 @@
     version->m_requests.erase(event.m_request);
     const Core::Instant now = Core::Clock::now();
     if (!event.m_bytes) {
+        LOG_EVERY_N(WARNING, 16) << event.m_bytes.error(); // Each chunk may fail many times while the origin is away.
         version->m_exchange->requestFailed(event.m_request, Failure::Lost, now);
         return;
     }
@@ -514,10 +564,11 @@
     version.m_search.m_isOpen = true;
     ++version.m_search.m_attempts;
     if (!peer) {
-        const std::string from = m_parts.m_origin.toString();
-        OriginJob job{version.m_deployment.m_model, version.m_deployment.m_version, 0, 0, {}};
+        const Core::Address origin = this->origin();
+        const std::string from = origin.toString();
+        OriginJob job{origin, OriginChunk{version.m_deployment.m_model, version.m_deployment.m_version, 0, 0, 0}, {}};
         job.m_done = [sink = m_events, digest, from](Core::Result<std::string> bytes) { sink->push(ManifestAnswered{digest, from, std::move(bytes)}); };
-        if (!m_origin.offer(std::move(job))) {
+        if (!m_originDuty.offer(std::move(job))) {
             version.m_search.m_isOpen = false;
         }
         return;
@@ -698,13 +749,14 @@
     const RequestId id = action.m_request;
     OpenRequest &open = version.m_requests[id];
     open.m_chunk = action.m_chunk;
-    OriginJob job{version.m_deployment.m_model,
-                  version.m_deployment.m_version,
-                  version.m_manifest->chunkOffset(action.m_chunk),
-                  version.m_manifest->chunkLength(action.m_chunk),
-                  {}};
+    const OriginChunk chunk{version.m_deployment.m_model,
+                            version.m_deployment.m_version,
+                            action.m_chunk,
+                            version.m_manifest->chunkOffset(action.m_chunk),
+                            version.m_manifest->chunkLength(action.m_chunk)};
+    OriginJob job{origin(), chunk, {}};
     job.m_done = [sink = m_events, digest, id](Core::Result<std::string> bytes) { sink->push(OriginAnswered{digest, id, std::move(bytes)}); };
-    if (!m_origin.offer(std::move(job))) {
+    if (!m_originDuty.offer(std::move(job))) {
         version.m_requests.erase(id);
         version.m_exchange->requestFailed(id, Failure::Lost, Core::Clock::now());
     }
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -35,6 +35,9 @@
 
     void setTargets(std::vector<Control::Deployment> wanted);
     void release(const std::string &digest);
+    void setOrigin(const Core::Address &origin);
+    void offerManifest(const std::string &digest, std::string encoded);
+    void offerChunk(const std::string &digest, Weights::ChunkIndex chunk, std::string bytes);
     void onManifest(std::function<void(const std::string &)> callback);
     void onComplete(std::function<void(const std::string &)> callback);
     void noteLiveBytes(std::uint64_t bytes);
@@ -57,6 +60,8 @@
     void stopTransfer(Version &version);
 
     void handle(const Woken &event);
+    void handle(const ManifestOffered &event);
+    void handle(const ChunkOffered &event);
     void handle(const UpdateReceived &event);
     void handle(const FollowEnded &event);
     void handle(const PeerAnswered &event);
@@ -83,12 +88,13 @@
     HaveUpdate snapshot(const Version &version) const;
     std::uint64_t memoryUsed() const;
     Version *find(const std::string &digest);
+    Core::Address origin();
     bool isBusy() const;
     void publish();
 
     const TransferParts m_parts;
     const std::shared_ptr<EventSink> m_events;
-    OriginDuty m_origin;
+    OriginDuty m_originDuty;
     UploadDuty m_uploads;
     std::function<void(const std::string &)> m_onManifest; ///< Fixed once started.
     std::function<void(const std::string &)> m_onComplete; ///< Fixed once started.
@@ -96,6 +102,7 @@
     std::mutex m_ordersMutex;
     std::optional<std::vector<Control::Deployment>> m_orderedTargets; ///< The newest list that has not been applied.
     std::set<std::string> m_orderedReleases;
+    Core::Address m_origin; ///< Guarded by m_ordersMutex, as are the targets; empty while it is not known.
     std::atomic<std::uint64_t> m_liveBytes = 0; ///< Not yet charged.
 
     mutable std::mutex m_publishedMutex;
--- a/Libraries/LibTransfer/Events.h
+++ b/Libraries/LibTransfer/Events.h
@@ -92,7 +92,32 @@
     Wire::Responder m_responder;
 };
 
-using Event = std::variant<Woken, UpdateReceived, FollowEnded, PeerAnswered, OriginAnswered, ManifestAnswered, ManifestAsked, FollowerArrived, ChunkAsked>;
+/// A manifest that was found on this instance, by the side of the weights' user.
+struct ManifestOffered
+{
+    std::string m_digest;
+    std::string m_encoded;
+};
+
+/// A chunk that was found on this instance.
+struct ChunkOffered
+{
+    std::string m_digest;
+    Weights::ChunkIndex m_chunk = 0;
+    std::string m_bytes;
+};
+
+using Event = std::variant<Woken,
+                           ManifestOffered,
+                           ChunkOffered,
+                           UpdateReceived,
+                           FollowEnded,
+                           PeerAnswered,
+                           OriginAnswered,
+                           ManifestAnswered,
+                           ManifestAsked,
+                           FollowerArrived,
+                           ChunkAsked>;
 
 /**
  * Where other threads leave events for the coordinator. Shared with the callbacks of calls, which can outlive the coordinator.
--- a/Libraries/LibTransfer/OriginClient.cpp
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -7,7 +7,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/URI.h>
 #include <istream>
 
 namespace Transfer {
@@ -17,18 +16,6 @@
 constexpr std::size_t ReadBytes = 64 << 10;
 constexpr int KeepAliveSeconds = 3600; ///< The session must not reconnect by itself; it would pass by the gateway.
 
-std::string escaped(const std::string &name)
-{
-    std::string text;
-    Poco::URI::encode(name, "/?#", text);
-    return text;
-}
-
-std::string weightsPath(const std::string &model, const std::string &version, const std::string &what)
-{
-    return "/weights/" + escaped(model) + "/" + escaped(version) + "/" + what;
-}
-
 /// Reads up to one byte more than the limit, so that an answer that is too long shows.
 std::string readBounded(std::istream &stream, std::size_t maximumBytes)
 {
@@ -44,10 +31,11 @@
 
 }
 
-OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout)
+OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, OriginDialect dialect)
     : m_network(std::move(network))
     , m_origin(std::move(origin))
     , m_timeout(timeout)
+    , m_dialect(std::move(dialect))
 {
 }
 
@@ -55,37 +43,36 @@
 
 Core::Result<std::string> OriginClient::readManifest(const std::string &model, const std::string &version)
 {
-    return get(weightsPath(model, version, "manifest"), {}, Weights::MaximumManifestBytes, Poco::Net::HTTPResponse::HTTP_OK);
+    return m_dialect.m_toManifest(BOOST_OUTCOME_TRYX(get(m_dialect.m_manifest(model, version), Weights::MaximumManifestBytes)));
 }
 
-Core::Result<std::string> OriginClient::readRange(const std::string &model, const std::string &version, std::uint64_t offset, std::uint32_t length)
+Core::Result<std::string> OriginClient::readChunk(const OriginChunk &chunk)
 {
-    const std::string range = "bytes=" + std::to_string(offset) + "-" + std::to_string(offset + length - 1);
-    std::string bytes = BOOST_OUTCOME_TRYX(get(weightsPath(model, version, "data"), range, length, Poco::Net::HTTPResponse::HTTP_PARTIAL_CONTENT));
-    if (bytes.size() != length) {
+    std::string bytes = BOOST_OUTCOME_TRYX(get(m_dialect.m_chunk(chunk), chunk.m_length));
+    if (bytes.size() != chunk.m_length) {
         // The connection broke off in the middle, or the object is shorter than its manifest says.
         m_session.reset();
         return Core::makeError(Core::ErrorCode::Corrupt,
-                               "read range from origin",
+                               "read chunk from origin",
                                m_origin.toString(),
-                               "expected " + std::to_string(length) + " bytes, got " + std::to_string(bytes.size()));
+                               "expected " + std::to_string(chunk.m_length) + " bytes, got " + std::to_string(bytes.size()));
     }
     return bytes;
 }
 
-Core::Result<std::string> OriginClient::get(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus)
+Core::Result<std::string> OriginClient::get(const OriginQuestion &question, std::size_t maximumBytes)
 {
     const bool reused = m_session != nullptr;
-    Core::Result<std::string> answer = tryGet(path, range, maximumBytes, expectedStatus);
+    Core::Result<std::string> answer = tryGet(question, maximumBytes);
     const bool brokeOff = !answer && !m_session && answer.error().m_code == Core::ErrorCode::Unavailable;
     if (reused && brokeOff) {
         // The server may have closed the connection while it was idle, which shows only now. Reading is repeatable.
-        return tryGet(path, range, maximumBytes, expectedStatus);
+        return tryGet(question, maximumBytes);
     }
     return answer;
 }
 
-Core::Result<std::string> OriginClient::tryGet(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus)
+Core::Result<std::string> OriginClient::tryGet(const OriginQuestion &question, std::size_t maximumBytes)
 {
     if (!m_session) {
         m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeout));
@@ -93,10 +80,11 @@
         m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
     }
     try {
-        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, question.m_target, Poco::Net::HTTPMessage::HTTP_1_1);
         request.setKeepAlive(true);
-        if (!range.empty()) {
-            request.set("Range", range);
+        request.setHost(m_origin.m_host, m_origin.m_port); // The session was made from a socket and knows no host.
+        if (!question.m_range.empty()) {
+            request.set("Range", question.m_range);
         }
         m_session->sendRequest(request);
         Poco::Net::HTTPResponse response;
@@ -106,7 +94,7 @@
         if (!keeps) {
             m_session.reset();
         }
-        return checked(response, std::move(body), maximumBytes, expectedStatus);
+        return checked(response, std::move(body), maximumBytes, question.m_expectedStatus);
     } catch (const Poco::Exception &exception) {
         m_session.reset();
         return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), exception.displayText());
--- a/Libraries/LibTransfer/OriginClient.h
+++ b/Libraries/LibTransfer/OriginClient.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibNetwork/Dialer.h"
+#include "LibTransfer/OriginDialect.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <cstdint>
@@ -15,22 +16,28 @@
 class OriginClient
 {
 public:
-    OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout);
+    OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, OriginDialect dialect);
     ~OriginClient();
 
+    const Core::Address &origin() const
+    {
+        return m_origin;
+    }
+
     /// The encoded manifest that the name has now, which the caller must verify.
     Core::Result<std::string> readManifest(const std::string &model, const std::string &version);
-    /// Exactly @p length bytes from @p offset, unverified; a shorter answer fails with Corrupt.
-    Core::Result<std::string> readRange(const std::string &model, const std::string &version, std::uint64_t offset, std::uint32_t length);
+    /// Exactly the chunk's length, unverified; a shorter answer fails with Corrupt.
+    Core::Result<std::string> readChunk(const OriginChunk &chunk);
 
 private:
-    Core::Result<std::string> get(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus);
-    Core::Result<std::string> tryGet(const std::string &path, const std::string &range, std::size_t maximumBytes, int expectedStatus);
+    Core::Result<std::string> get(const OriginQuestion &question, std::size_t maximumBytes);
+    Core::Result<std::string> tryGet(const OriginQuestion &question, std::size_t maximumBytes);
     Core::Result<std::string> checked(const Poco::Net::HTTPResponse &response, std::string body, std::size_t maximumBytes, int expectedStatus) const;
 
     const Network::NetworkSettings m_network;
     const Core::Address m_origin;
     const Core::Duration m_timeout;
+    const OriginDialect m_dialect;
     std::unique_ptr<Poco::Net::HTTPClientSession> m_session; ///< Null until the first request, and after a failure.
 };
 
--- /dev/null
+++ b/Libraries/LibTransfer/OriginDialect.cpp
@@ -0,0 +1,40 @@
+/// @file The product's own interface of the origin.
+
+#include "LibTransfer/OriginDialect.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/URI.h>
+
+namespace Transfer {
+
+namespace {
+
+std::string escaped(const std::string &name)
+{
+    std::string text;
+    Poco::URI::encode(name, "/?#", text);
+    return text;
+}
+
+std::string weightsPath(const std::string &model, const std::string &version, const std::string &what)
+{
+    return "/weights/" + escaped(model) + "/" + escaped(version) + "/" + what;
+}
+
+}
+
+OriginDialect ownOriginDialect()
+{
+    OriginDialect dialect;
+    dialect.m_manifest = [](const std::string &model, const std::string &version) {
+        return OriginQuestion{weightsPath(model, version, "manifest"), "", Poco::Net::HTTPResponse::HTTP_OK};
+    };
+    dialect.m_chunk = [](const OriginChunk &chunk) {
+        const std::string range = "bytes=" + std::to_string(chunk.m_offset) + "-" + std::to_string(chunk.m_offset + chunk.m_length - 1);
+        return OriginQuestion{weightsPath(chunk.m_model, chunk.m_version, "data"), range, Poco::Net::HTTPResponse::HTTP_PARTIAL_CONTENT};
+    };
+    dialect.m_toManifest = [](std::string answer) { return Core::Result<std::string>(std::move(answer)); };
+    return dialect;
+}
+
+}
--- a/Libraries/LibTransfer/OriginDuty.cpp
+++ b/Libraries/LibTransfer/OriginDuty.cpp
@@ -11,11 +11,11 @@
 
 }
 
-OriginDuty::OriginDuty(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, std::uint32_t connections)
+OriginDuty::OriginDuty(Network::NetworkSettings network, Core::Duration timeout, std::uint32_t connections, OriginDialect dialect)
     : m_network(std::move(network))
-    , m_origin(std::move(origin))
     , m_timeout(timeout)
     , m_connections(connections)
+    , m_dialect(std::move(dialect))
     , m_jobs(MaximumWaiting)
 {
 }
@@ -48,14 +48,20 @@
 
 void OriginDuty::run()
 {
-    OriginClient client(m_network, m_origin, m_timeout);
+    std::optional<OriginClient> client;
     while (!m_jobs.isClosed()) {
         const std::optional<OriginJob> job = m_jobs.pop(IdlePause);
         if (!job) {
             continue;
         }
-        job->m_done(job->m_length == 0 ? client.readManifest(job->m_model, job->m_version)
-                                       : client.readRange(job->m_model, job->m_version, job->m_offset, job->m_length));
+        if (job->m_origin.isEmpty()) {
+            job->m_done(Core::makeError(Core::ErrorCode::Unavailable, "read from origin", "", "no origin is known"));
+            continue;
+        }
+        if (!client || client->origin() != job->m_origin) {
+            client.emplace(m_network, job->m_origin, m_timeout, m_dialect);
+        }
+        job->m_done(job->m_chunk.m_length == 0 ? client->readManifest(job->m_chunk.m_model, job->m_chunk.m_version) : client->readChunk(job->m_chunk));
     }
 }
 
--- a/Libraries/LibTransfer/OriginDuty.h
+++ b/Libraries/LibTransfer/OriginDuty.h
@@ -14,10 +14,8 @@
 /// One thing to be read.
 struct OriginJob
 {
-    std::string m_model;
-    std::string m_version;
-    std::uint64_t m_offset = 0;
-    std::uint32_t m_length = 0; ///< 0 for the manifest.
+    Core::Address m_origin; ///< Empty while it is not known; the job fails then.
+    OriginChunk m_chunk; ///< Of length 0 for the manifest.
     std::function<void(Core::Result<std::string> bytes)> m_done; ///< Called on the duty's thread, unless the duty ends before.
 };
 
@@ -25,7 +23,7 @@
 class OriginDuty
 {
 public:
-    OriginDuty(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, std::uint32_t connections);
+    OriginDuty(Network::NetworkSettings network, Core::Duration timeout, std::uint32_t connections, OriginDialect dialect);
     ~OriginDuty();
 
     void start();
@@ -38,9 +36,9 @@
     void run();
 
     const Network::NetworkSettings m_network;
-    const Core::Address m_origin;
     const Core::Duration m_timeout;
     const std::uint32_t m_connections;
+    const OriginDialect m_dialect;
     Core::Ring<OriginJob> m_jobs;
     std::vector<std::thread> m_threads;
 };
--- a/Libraries/LibTransfer/TransferManager.cpp
+++ b/Libraries/LibTransfer/TransferManager.cpp
@@ -50,6 +50,21 @@
     m_coordinator->release(manifestDigest);
 }
 
+void TransferManager::setOrigin(const Core::Address &origin)
+{
+    m_coordinator->setOrigin(origin);
+}
+
+void TransferManager::offerManifest(const std::string &manifestDigest, std::string encoded)
+{
+    m_coordinator->offerManifest(manifestDigest, std::move(encoded));
+}
+
+void TransferManager::offerChunk(const std::string &manifestDigest, Weights::ChunkIndex chunk, std::string bytes)
+{
+    m_coordinator->offerChunk(manifestDigest, chunk, std::move(bytes));
+}
+
 std::vector<Protocol::TransferProgress> TransferManager::progress() const
 {
     return m_coordinator->published().m_progress;
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -5,6 +5,7 @@
 #include "LibNetwork/NetworkSettings.h"
 #include "LibProtocol/Report.h"
 #include "LibTelemetry/Metrics.h"
+#include "LibTransfer/OriginDialect.h"
 #include "LibTransfer/TransferSettings.h"
 #include "LibWeights/HeldVersion.h"
 #include "LibWire/Node.h"
@@ -26,8 +27,9 @@
     Protocol::Member m_self;
     Wire::Node *m_node = nullptr;
     Network::NetworkSettings m_network; ///< For the connections to the origin.
-    Core::Address m_origin;
+    Core::Address m_origin; ///< Empty if it is told later.
     std::string m_originRegion; ///< Where the origin stands; empty if unknown.
+    OriginDialect m_originDialect = ownOriginDialect();
     Telemetry::Metrics *m_metrics = nullptr;
 };
 
@@ -81,6 +83,13 @@
     /// One entry for each wanted or held version.
     std::vector<Protocol::TransferProgress> progress() const;
 
+    /// Replaces the origin.
+    void setOrigin(const Core::Address &origin);
+    /// Hands over a manifest that was found on this instance; taken if its digest is that of a wanted version.
+    void offerManifest(const std::string &manifestDigest, std::string encoded);
+    /// Hands over a chunk that was found on this instance; taken if it verifies. Saves drawing it, and lets peers draw it from here.
+    void offerChunk(const std::string &manifestDigest, Weights::ChunkIndex chunk, std::string bytes);
+
     /// Called with the manifest digest when a version's manifest is verified, on a duty's thread. Set before start().
     void onManifest(std::function<void(const std::string &manifestDigest)> callback);
     /// Called with the manifest digest when a version becomes whole, on a duty's thread. Set before start().
--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -21,6 +21,7 @@
     Strategy m_strategy = Strategy::Swarm;
     std::uint64_t m_uploadBytesPerSecond = 0; ///< What transfer may use of the instance's link, up; 0 means no limit.
     std::uint64_t m_downloadBytesPerSecond = 0; ///< The same, down.
+    std::uint64_t m_burstBytes = 128 << 10; ///< That may be moved at once after a pause, each way. On a slow link a small one keeps live traffic's wait short.
     std::uint64_t m_originBytesPerSecond = 0; ///< Rate of the origin's link, by which draws are spread over time; 0 if unknown.
     std::uint32_t m_memoryMebibytes = 4096; ///< Bound on all chunks in memory, of every version held or in transfer.
     std::uint32_t m_uploadSlots = 2; ///< Chunks that are sent at the same time.
--- a/Libraries/LibTransfer/UploadDuty.cpp
+++ b/Libraries/LibTransfer/UploadDuty.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t PieceBytes = 16 << 10;
-constexpr std::size_t BurstBytes = 128 << 10; ///< Made up for after the thread was woken late, as on a busy instance.
 constexpr std::size_t MaximumBacklog = 64 << 10; ///< Bytes that wait at one stream before others go first.
 constexpr std::size_t MaximumActive = 32;
 constexpr Core::Duration StuckAfter{200}; ///< A stream that takes nothing for this long no longer holds a slot.
@@ -28,7 +27,7 @@
     , m_bytesSent(metrics.counter("transfer_bytes_uploaded_total"))
     , m_refused(metrics.counter("transfer_uploads_refused_total"))
     , m_givenUp(metrics.counter("transfer_uploads_given_up_total"))
-    , m_pacer(settings.m_uploadBytesPerSecond, BurstBytes, Core::Clock::now())
+    , m_pacer(settings.m_uploadBytesPerSecond, settings.m_burstBytes, Core::Clock::now())
 {
 }
 
--- a/Libraries/LibWeights/HeldVersion.cpp
+++ b/Libraries/LibWeights/HeldVersion.cpp
@@ -27,7 +27,8 @@
         digest.update(*chunk);
     }
     const std::string content = digest.finishHex();
-    if (content != manifest.m_contentDigest) {
+    // Without a digest of the whole, the digests of the chunks and their order in the manifest say as much.
+    if (!manifest.m_contentDigest.empty() && content != manifest.m_contentDigest) {
         return Core::makeError(
             Core::ErrorCode::Corrupt, "assemble weights", "", "the content's digest is " + content + ", the manifest says " + manifest.m_contentDigest);
     }
--- a/Libraries/LibWeights/HeldVersion.h
+++ b/Libraries/LibWeights/HeldVersion.h
@@ -24,7 +24,7 @@
     std::string wholeContent() const;
 };
 
-/// Puts a version together. Fails with Corrupt unless the chunks' concatenation has the manifest's content digest.
+/// Puts a version together. Fails with Corrupt unless the chunks' concatenation has the manifest's content digest, if that is stated.
 Core::Result<std::shared_ptr<const HeldVersion>> assembleVersion(std::string manifestDigest, const Manifest &manifest, std::vector<ChunkBytes> chunks);
 
 }
--- a/Libraries/LibWeights/Manifest.cpp
+++ b/Libraries/LibWeights/Manifest.cpp
@@ -36,7 +36,7 @@
             return "a chunk's digest has the wrong length";
         }
     }
-    if (!Core::isSha256Hex(manifest.m_contentDigest)) {
+    if (!manifest.m_contentDigest.empty() && !Core::isSha256Hex(manifest.m_contentDigest)) {
         return "the content's digest is malformed";
     }
     return {};
--- a/Libraries/LibWeights/Manifest.h
+++ b/Libraries/LibWeights/Manifest.h
@@ -29,7 +29,7 @@
     std::uint32_t m_chunkBytes = 0; ///< Size of every chunk but the last, which may be shorter.
     std::uint64_t m_totalBytes = 0;
     std::vector<std::string> m_chunkDigests; ///< SHA-256 of each chunk, 32 bytes each; as many as the sizes call for.
-    std::string m_contentDigest; ///< SHA-256 of the whole weights, in hexadecimal.
+    std::string m_contentDigest; ///< SHA-256 of the whole weights, in hexadecimal; empty if the origin states digests of chunks only.
 
     bool operator==(const Manifest &) const = default;
 
