--- a/Libraries/LibDaemon/Program.h
+++ b/Libraries/LibDaemon/Program.h
@@ -79,4 +79,38 @@
     return drained ? ExitOk : ExitFailed;
 }
 
+/**
+ * Runs a process that handles its signals on its own event loop: checks the settings whole before anything starts.
+ *
+ * @p Process is made from the settings and an adapter and has run() and onReload(), whose callback reads the settings file again; it gives nothing
+ * if the file has mistakes, which are reported on standard error.
+ */
+template <typename Process, typename ProcessSettings, typename Adapter>
+int runLoopProgram(int argc, char **argv, const ProgramDescription &description, ProcessSettings (*readSettings)(Settings::Reader &), const Adapter &adapter)
+{
+    int exitCode = ExitOk;
+    const std::optional<CommandLine> commandLine = readCommandLine(argc, argv, description, exitCode);
+    if (!commandLine) {
+        return exitCode;
+    }
+    const std::function<std::optional<ProcessSettings>()> read = [&commandLine, readSettings]() -> std::optional<ProcessSettings> {
+        ProcessSettings settings;
+        const Settings::Problems problems =
+            Settings::readFile(commandLine->m_settingsFile, [&settings, readSettings](Settings::Reader &reader) { settings = readSettings(reader); });
+        return reportProblems(problems) ? std::optional<ProcessSettings>(std::move(settings)) : std::nullopt;
+    };
+    const std::optional<ProcessSettings> settings = read();
+    if (!settings) {
+        return ExitUsage;
+    }
+    if (commandLine->m_checkOnly) {
+        return ExitOk;
+    }
+    startLogs(argv[0], "");
+    std::signal(SIGPIPE, SIG_IGN);
+    Process process(*settings, adapter);
+    process.onReload(read);
+    return process.run() == 0 ? ExitOk : ExitFailed;
+}
+
 }
--- /dev/null
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -0,0 +1,159 @@
+/// @file Implementation of the beliefs.
+
+#include "LibFleet/Beliefs.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Fleet {
+
+BeliefUpdate Beliefs::apply(const Declarations &declarations)
+{
+    BeliefUpdate update;
+    const bool isNewer = !m_index || declarations.m_configurationOffset > m_declarations.m_configurationOffset;
+    if (declarations.m_configuration && isNewer) {
+        m_declarations.m_configuration = declarations.m_configuration;
+        m_declarations.m_configurationOffset = declarations.m_configurationOffset;
+        m_index = std::make_shared<const ConfigurationIndex>(*declarations.m_configuration);
+        update.m_configuration = true;
+    }
+    for (const DeclaredWeights &declared : declarations.m_weights) {
+        const std::vector<DeclaredWeights>::iterator known =
+            std::find_if(m_declarations.m_weights.begin(), m_declarations.m_weights.end(), [&declared](const DeclaredWeights &candidate) {
+                return candidate.m_model == declared.m_model;
+            });
+        if (known == m_declarations.m_weights.end()) {
+            m_declarations.m_weights.push_back(declared);
+            update.m_weights = true;
+        } else if (declared.m_version > known->m_version) {
+            *known = declared;
+            update.m_weights = true;
+        }
+    }
+    m_declarations.m_end = std::max(m_declarations.m_end, declarations.m_end);
+    return update;
+}
+
+bool Beliefs::applyOne(const EndpointChange &change, bool mayBeOutage, Core::Instant now)
+{
+    const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
+    if (known != m_endpoints.end() && change.m_offset <= known->second.m_offset) {
+        return false;
+    }
+    if (!change.m_endpoint) {
+        if (known == m_endpoints.end()) {
+            return false;
+        }
+        if (!mayBeOutage) {
+            m_endpoints.erase(known);
+            return true;
+        }
+        known->second.m_offset = change.m_offset;
+        if (!known->second.m_missingSince) {
+            known->second.m_missingSince = now;
+        }
+        return false;
+    }
+    if (known == m_endpoints.end()) {
+        m_endpoints[change.m_id] = KnownEndpoint{*change.m_endpoint, change.m_offset, std::nullopt};
+        return true;
+    }
+    Endpoint next = *change.m_endpoint;
+    const Endpoint &before = known->second.m_endpoint;
+    if (next.m_startedMilliseconds < before.m_startedMilliseconds) {
+        return false;
+    }
+    // A late heartbeat from before the leaving must not bring the endpoint back.
+    next.m_isLeaving = next.m_isLeaving || (before.m_isLeaving && before.m_startedMilliseconds == next.m_startedMilliseconds);
+    const bool isChanged = next != before;
+    known->second = KnownEndpoint{std::move(next), change.m_offset, std::nullopt};
+    return isChanged;
+}
+
+bool Beliefs::removeUnnamed(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now)
+{
+    std::set<std::string> named;
+    for (const EndpointChange &change : changes.m_changes) {
+        named.insert(change.m_id);
+    }
+    bool isChanged = false;
+    for (std::map<std::string, KnownEndpoint>::iterator it = m_endpoints.begin(); it != m_endpoints.end();) {
+        const bool isNewer = it->second.m_offset >= changes.m_end;
+        if (isNewer || named.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        if (mayBeOutage) {
+            if (!it->second.m_missingSince) {
+                it->second.m_missingSince = now;
+            }
+            ++it;
+            continue;
+        }
+        it = m_endpoints.erase(it);
+        isChanged = true;
+    }
+    return isChanged;
+}
+
+BeliefUpdate Beliefs::apply(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now)
+{
+    BeliefUpdate update;
+    if (changes.m_isSnapshot && changes.m_end >= m_endpointsEnd) {
+        update.m_endpoints = removeUnnamed(changes, mayBeOutage, now);
+    }
+    for (const EndpointChange &change : changes.m_changes) {
+        // Records before the end were taken already, so one about an endpoint that is not here is about one that has gone.
+        const bool isOld = change.m_offset < m_endpointsEnd && !m_endpoints.contains(change.m_id);
+        if (!isOld && applyOne(change, mayBeOutage, now)) {
+            update.m_endpoints = true;
+        }
+    }
+    m_endpointsEnd = std::max(m_endpointsEnd, changes.m_end);
+    return update;
+}
+
+BeliefUpdate Beliefs::forgetMissing(Core::Duration grace, Core::Instant now)
+{
+    BeliefUpdate update;
+    for (std::map<std::string, KnownEndpoint>::iterator it = m_endpoints.begin(); it != m_endpoints.end();) {
+        if (it->second.m_missingSince && now - *it->second.m_missingSince > grace) {
+            it = m_endpoints.erase(it);
+            update.m_endpoints = true;
+        } else {
+            ++it;
+        }
+    }
+    return update;
+}
+
+void Beliefs::noteLeaving(const std::string &id, std::uint64_t startedMilliseconds)
+{
+    const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(id);
+    if (known != m_endpoints.end() && known->second.m_endpoint.m_startedMilliseconds == startedMilliseconds) {
+        known->second.m_endpoint.m_isLeaving = true;
+    }
+}
+
+EndpointChanges Beliefs::endpointSnapshot() const
+{
+    EndpointChanges snapshot;
+    snapshot.m_end = m_endpointsEnd;
+    snapshot.m_isSnapshot = true;
+    for (const std::pair<const std::string, KnownEndpoint> &entry : m_endpoints) {
+        snapshot.m_changes.push_back(EndpointChange{entry.first, entry.second.m_offset, entry.second.m_endpoint});
+    }
+    return snapshot;
+}
+
+const DeclaredWeights *Beliefs::declaredWeights(const std::string &model) const
+{
+    for (const DeclaredWeights &declared : m_declarations.m_weights) {
+        if (declared.m_model == model) {
+            return &declared;
+        }
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/Beliefs.h
@@ -0,0 +1,146 @@
+/// @file What a process believes about the fleet, and the one rule by which it changes: only towards newer records.
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibFleet/Configuration.h"
+#include "LibFleet/Endpoint.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Fleet {
+
+/// Position in the log of declarations or of endpoints. Never repeats and never falls.
+using Offset = std::uint64_t;
+
+/// A version of a model's weights that the operators want on every engine.
+struct DeclaredWeights
+{
+    std::string m_model;
+    std::uint64_t m_version = 0;
+    Offset m_offset = 0; ///< Of its record, which serves as the fencing token of orders.
+
+    bool operator==(const DeclaredWeights &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_model, m_version, m_offset);
+};
+
+/// What the operators have declared up to an offset.
+struct Declarations
+{
+    Offset m_end = 0; ///< Every record before this offset is reflected here; 0 if nothing was ever read.
+    std::optional<Configuration> m_configuration;
+    Offset m_configurationOffset = 0;
+    std::vector<DeclaredWeights> m_weights; ///< One for each model.
+
+    bool operator==(const Declarations &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_end, m_configuration, m_configurationOffset, m_weights);
+};
+
+/// One record of the list of endpoints.
+struct EndpointChange
+{
+    std::string m_id;
+    Offset m_offset = 0;
+    std::optional<Endpoint> m_endpoint; ///< Empty if the entry was removed.
+
+    bool operator==(const EndpointChange &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_id, m_offset, m_endpoint);
+};
+
+/// Records of the list of endpoints, in order.
+struct EndpointChanges
+{
+    Offset m_end = 0; ///< Where the next read begins.
+    bool m_isSnapshot = false; ///< The newest record of every endpoint; one that is not named is gone.
+    std::vector<EndpointChange> m_changes;
+
+    bool operator==(const EndpointChanges &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_end, m_isSnapshot, m_changes);
+};
+
+/// Which parts of the beliefs a record changed.
+struct BeliefUpdate
+{
+    bool m_configuration = false;
+    bool m_weights = false;
+    bool m_endpoints = false;
+
+    bool any() const
+    {
+        return m_configuration || m_weights || m_endpoints;
+    }
+};
+
+/// An endpoint together with what is known of its entry in the list.
+struct KnownEndpoint
+{
+    Endpoint m_endpoint;
+    Offset m_offset = 0; ///< Of the newest record about it.
+    std::optional<Core::Instant> m_missingSince; ///< Its entry is gone, for a reason that may be the list's own outage.
+};
+
+/**
+ * The beliefs of one process. Used by one thread.
+ *
+ * Every record carries an offset, and an older one never replaces a newer one, whichever way it came. Without this rule an instance that was
+ * cut off would bring its peers back to a configuration that the operators have replaced; callers would notice revoked keys that work again.
+ */
+class Beliefs
+{
+public:
+    /// Takes declarations read from the log or told by a peer.
+    BeliefUpdate apply(const Declarations &declarations);
+
+    /**
+     * Takes records of the list of endpoints. @p mayBeOutage: the list was out of reach shortly before, so that entries may have lapsed
+     * although their endpoints live.
+     */
+    BeliefUpdate apply(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now);
+
+    /// Lets go of endpoints whose entries have been missing for longer than @p grace.
+    BeliefUpdate forgetMissing(Core::Duration grace, Core::Instant now);
+
+    /// Marks an incarnation as leaving, as the endpoint itself said in an answer.
+    void noteLeaving(const std::string &id, std::uint64_t startedMilliseconds);
+
+    const Declarations &declarations() const
+    {
+        return m_declarations;
+    }
+    /// Null until a configuration is known.
+    const std::shared_ptr<const ConfigurationIndex> &configuration() const
+    {
+        return m_index;
+    }
+    const std::map<std::string, KnownEndpoint> &endpoints() const
+    {
+        return m_endpoints;
+    }
+    Offset endpointsEnd() const
+    {
+        return m_endpointsEnd;
+    }
+    /// All endpoints as changes that a peer can apply.
+    EndpointChanges endpointSnapshot() const;
+    const DeclaredWeights *declaredWeights(const std::string &model) const;
+
+private:
+    bool applyOne(const EndpointChange &change, bool mayBeOutage, Core::Instant now);
+    bool removeUnnamed(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now);
+
+    Declarations m_declarations;
+    std::shared_ptr<const ConfigurationIndex> m_index;
+    Offset m_endpointsEnd = 0;
+    std::map<std::string, KnownEndpoint> m_endpoints; ///< By id.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibFleet/Configuration.cpp
@@ -0,0 +1,77 @@
+/// @file Implementation of the look-ups over a configuration.
+
+#include "LibFleet/Configuration.h"
+
+#include <algorithm>
+
+namespace Fleet {
+
+void noteMovableRequests(Configuration &configuration)
+{
+    for (Service &service : configuration.m_services) {
+        service.m_mayMoveRequests = std::all_of(configuration.m_routes.begin(), configuration.m_routes.end(), [&service](const Route &route) {
+            const bool leadsThere = std::any_of(
+                route.m_services.begin(), route.m_services.end(), [&service](const ServiceShare &share) { return share.m_service == service.m_name; });
+            return !leadsThere || route.isRepeatable();
+        });
+    }
+}
+
+ConfigurationIndex::ConfigurationIndex(Configuration configuration)
+    : m_configuration(std::move(configuration))
+{
+    for (const Route &route : m_configuration.m_routes) {
+        m_routesByHost[route.m_host].push_back(&route);
+    }
+    for (std::pair<const std::string, std::vector<const Route *>> &entry : m_routesByHost) {
+        std::stable_sort(entry.second.begin(), entry.second.end(), [](const Route *left, const Route *right) {
+            return left->m_pathPrefix.size() > right->m_pathPrefix.size();
+        });
+    }
+    for (const ClientAccount &account : m_configuration.m_accounts) {
+        for (const std::string &key : account.m_keys) {
+            m_accountsByKey[key] = &account;
+        }
+    }
+    for (const Service &service : m_configuration.m_services) {
+        m_servicesByName[service.m_name] = &service;
+    }
+}
+
+const Route *ConfigurationIndex::route(const std::string &host, const std::string &path) const
+{
+    const std::map<std::string, std::vector<const Route *>>::const_iterator routes = m_routesByHost.find(host);
+    if (routes == m_routesByHost.end()) {
+        return nullptr;
+    }
+    for (const Route *candidate : routes->second) {
+        if (path.starts_with(candidate->m_pathPrefix)) {
+            return candidate;
+        }
+    }
+    return nullptr;
+}
+
+const ClientAccount *ConfigurationIndex::accountOfKey(const std::string &key) const
+{
+    const std::map<std::string, const ClientAccount *>::const_iterator account = m_accountsByKey.find(key);
+    return account == m_accountsByKey.end() ? nullptr : account->second;
+}
+
+const Service *ConfigurationIndex::service(const std::string &name) const
+{
+    const std::map<std::string, const Service *>::const_iterator service = m_servicesByName.find(name);
+    return service == m_servicesByName.end() ? nullptr : service->second;
+}
+
+const Service *ConfigurationIndex::origin() const
+{
+    for (const Service &service : m_configuration.m_services) {
+        if (service.m_origin) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFollow/Follower.cpp
@@ -0,0 +1,181 @@
+/// @file Implementation of the follower.
+
+#include "LibFollow/Follower.h"
+
+#include <algorithm>
+
+namespace Follow {
+
+namespace {
+
+constexpr std::uint32_t MaximumDoublings = 5;
+
+}
+
+Follower::Follower(FollowerParts parts, FollowerSettings settings, RecordSource source)
+    : m_parts(parts)
+    , m_settings(settings)
+    , m_source(std::move(source))
+    , m_declarations(parts.m_loop)
+    , m_endpoints(parts.m_loop)
+    , m_reads(parts.m_metrics.counter("log_reads_total"))
+    , m_readsFailed(parts.m_metrics.counter("log_reads_failed_total"))
+    , m_isAlive(std::make_shared<bool>(true))
+{
+}
+
+Follower::~Follower()
+{
+    *m_isAlive = false;
+}
+
+void Follower::onUpdate(std::function<void(const Fleet::BeliefUpdate &)> callback)
+{
+    m_onUpdate = std::move(callback);
+}
+
+void Follower::onUnreachable(std::function<void()> callback)
+{
+    m_onUnreachable = std::move(callback);
+}
+
+void Follower::start()
+{
+    if (m_isStarted) {
+        return;
+    }
+    m_isStarted = true;
+    readDeclarations();
+    if (m_settings.m_followsEndpoints) {
+        readEndpoints();
+    }
+}
+
+void Follower::again(Reading &reading, Core::Duration pause, void (Follower::*read)())
+{
+    reading.m_timer.expires_after(pause);
+    reading.m_timer.async_wait([this, read, alive = m_isAlive](const boost::system::error_code &error) {
+        if (*alive && !error) {
+            (this->*read)();
+        }
+    });
+}
+
+Core::Duration Follower::retryPause(const Reading &reading)
+{
+    const std::uint32_t doublings = std::min(reading.m_failures, MaximumDoublings);
+    const Core::Duration longest = std::min(m_settings.m_longestRetry, m_settings.m_firstRetry * (std::int64_t{1} << doublings));
+    // Processes that lost the log together must not all come back to it together.
+    return longest / 2 + Core::Duration(m_parts.m_random.below(static_cast<std::uint64_t>(longest.count() / 2 + 1)));
+}
+
+void Follower::failed(Reading &reading, const Core::Error &error, const char *what)
+{
+    m_readsFailed.add();
+    if (reading.m_failures == 0) {
+        m_parts.m_log.write(Telemetry::LogLine("log_unreachable").text("what", what).text("error", error.message()));
+    }
+    ++reading.m_failures;
+    reading.m_failedAt = Core::Clock::now();
+    if (m_onUnreachable) {
+        m_onUnreachable();
+    }
+}
+
+void Follower::tell(const Fleet::BeliefUpdate &update)
+{
+    if (update.any() && m_onUpdate) {
+        m_onUpdate(update);
+    }
+}
+
+void Follower::readDeclarations()
+{
+    m_reads.add();
+    const bool isFirst = m_declarations.m_next == 0;
+    DeclarationsRead done = [this, alive = m_isAlive, isFirst](Core::Result<Fleet::Declarations> result) {
+        if (*alive) {
+            declarationsCame(std::move(result), isFirst);
+        }
+    };
+    if (isFirst) {
+        m_source.m_readAllDeclarations(std::move(done));
+        return;
+    }
+    m_source.m_awaitDeclarations(m_declarations.m_next, m_settings.m_declarationsPatience, std::move(done));
+}
+
+void Follower::declarationsCame(Core::Result<Fleet::Declarations> result, bool isFirst)
+{
+    if (!result) {
+        if (result.error().m_code == Core::ErrorCode::NotFound) {
+            m_declarations.m_next = 0;
+        }
+        failed(m_declarations, result.error(), "declarations");
+        again(m_declarations, retryPause(m_declarations), &Follower::readDeclarations);
+        return;
+    }
+    if (m_declarations.m_failures > 0) {
+        m_parts.m_log.write(Telemetry::LogLine("log_regained").text("what", "declarations"));
+    }
+    m_declarations.m_failures = 0;
+    const Fleet::Declarations &declarations = result.value();
+    m_declarations.m_next = declarations.m_end;
+    noteAcceptance(declarations, isFirst);
+    tell(m_parts.m_beliefs.apply(declarations));
+    const bool isEmpty = declarations.m_end == 0; // Nothing was ever declared: look again soon.
+    constexpr Core::Duration EmptyPause{300};
+    again(m_declarations, isEmpty ? EmptyPause : Core::Duration(0), &Follower::readDeclarations);
+}
+
+void Follower::noteAcceptance(const Fleet::Declarations &declarations, bool isFirst)
+{
+    const Core::Instant now = Core::Clock::now();
+    for (const Fleet::DeclaredWeights &declared : declarations.m_weights) {
+        if (isFirst) {
+            m_parts.m_versions.found(declared.m_model, declared.m_version, now);
+        } else {
+            m_parts.m_versions.declared(declared.m_model, declared.m_version, Core::Duration(0), now);
+        }
+    }
+}
+
+void Follower::readEndpoints()
+{
+    m_reads.add();
+    EndpointsRead done = [this, alive = m_isAlive](Core::Result<Fleet::EndpointChanges> result) {
+        if (*alive) {
+            endpointsCame(std::move(result));
+        }
+    };
+    if (m_endpoints.m_next == 0) {
+        m_source.m_readAllEndpoints(std::move(done));
+        return;
+    }
+    m_source.m_readEndpoints(m_endpoints.m_next, std::move(done));
+}
+
+void Follower::endpointsCame(Core::Result<Fleet::EndpointChanges> result)
+{
+    const Core::Instant now = Core::Clock::now();
+    if (!result) {
+        if (result.error().m_code == Core::ErrorCode::NotFound) {
+            m_endpoints.m_next = 0;
+        }
+        failed(m_endpoints, result.error(), "endpoints");
+        again(m_endpoints, retryPause(m_endpoints), &Follower::readEndpoints);
+        return;
+    }
+    if (m_endpoints.m_failures > 0) {
+        m_parts.m_log.write(Telemetry::LogLine("log_regained").text("what", "endpoints"));
+    }
+    m_endpoints.m_failures = 0;
+    m_endpoints.m_next = result.value().m_end;
+    const bool mayBeOutage = m_endpoints.m_failedAt && now - *m_endpoints.m_failedAt < m_settings.m_outageMemory;
+    Fleet::BeliefUpdate update = m_parts.m_beliefs.apply(result.value(), mayBeOutage, now);
+    update.m_endpoints = m_parts.m_beliefs.forgetMissing(m_settings.m_outageMemory, now).m_endpoints || update.m_endpoints;
+    tell(update);
+    again(m_endpoints, m_settings.m_endpointsInterval, &Follower::readEndpoints);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibFollow/Follower.h
@@ -0,0 +1,98 @@
+/// @file Keeps the beliefs up to date from the log, and says when the log is out of reach.
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibFollow/RecordSource.h"
+#include "LibHttp/EventLoop.h"
+#include "LibPlacement/VersionDeadlines.h"
+#include "LibTelemetry/EventLog.h"
+#include "LibTelemetry/Metrics.h"
+
+#include <memory>
+
+namespace Follow {
+
+struct FollowerSettings
+{
+    bool m_followsEndpoints = true; ///< Agents have no use for the list of endpoints.
+    Core::Duration m_declarationsPatience{12000}; ///< A waiting read that went silent is noticed by then at the latest; peers tell of news sooner.
+    Core::Duration m_endpointsInterval{900}; ///< With the answer's way under half of the time in which a leaving endpoint must be known.
+    Core::Duration m_firstRetry{150};
+    Core::Duration m_longestRetry{1200};
+    Core::Duration m_outageMemory{2500}; ///< After a failed read entries that vanish may only have lapsed; live endpoints are back within two seconds.
+
+    bool operator==(const FollowerSettings &) const = default;
+};
+
+/// What the follower works with. Everything outlives it.
+struct FollowerParts
+{
+    Http::EventLoop &m_loop;
+    Fleet::Beliefs &m_beliefs;
+    Placement::VersionDeadlines &m_versions;
+    Telemetry::Metrics &m_metrics;
+    Telemetry::EventLog &m_log;
+    Core::Random &m_random;
+};
+
+/// Used on the loop's thread.
+class Follower
+{
+public:
+    Follower(FollowerParts parts, FollowerSettings settings, RecordSource source);
+    ~Follower();
+
+    Follower(const Follower &) = delete;
+    Follower &operator=(const Follower &) = delete;
+
+    /// Called after every read that changed the beliefs.
+    void onUpdate(std::function<void(const Fleet::BeliefUpdate &update)> callback);
+    /// Called with each failed read, so that peers can be asked.
+    void onUnreachable(std::function<void()> callback);
+
+    /// Begins to read. Without effect once begun.
+    void start();
+    bool isStarted() const
+    {
+        return m_isStarted;
+    }
+
+private:
+    /// One of the two logs that are read.
+    struct Reading
+    {
+        explicit Reading(Http::EventLoop &loop)
+            : m_timer(loop)
+        {
+        }
+
+        Http::Timer m_timer;
+        Fleet::Offset m_next = 0; ///< Where the next read begins; 0 before everything was read.
+        std::uint32_t m_failures = 0; ///< In a row.
+        std::optional<Core::Instant> m_failedAt; ///< When a read last failed.
+    };
+
+    void readDeclarations();
+    void declarationsCame(Core::Result<Fleet::Declarations> result, bool isFirst);
+    void noteAcceptance(const Fleet::Declarations &declarations, bool isFirst);
+    void readEndpoints();
+    void endpointsCame(Core::Result<Fleet::EndpointChanges> result);
+    void failed(Reading &reading, const Core::Error &error, const char *what);
+    void again(Reading &reading, Core::Duration pause, void (Follower::*read)());
+    Core::Duration retryPause(const Reading &reading);
+    void tell(const Fleet::BeliefUpdate &update);
+
+    const FollowerParts m_parts;
+    const FollowerSettings m_settings;
+    const RecordSource m_source;
+    Reading m_declarations;
+    Reading m_endpoints;
+    bool m_isStarted = false;
+    std::function<void(const Fleet::BeliefUpdate &)> m_onUpdate;
+    std::function<void()> m_onUnreachable;
+    Telemetry::Counter &m_reads;
+    Telemetry::Counter &m_readsFailed;
+    std::shared_ptr<bool> m_isAlive; ///< False once the follower is gone; reads can outlive it.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -0,0 +1,408 @@
+/// @file Implementation of the heartbeats and of handing state over.
+
+#include "LibGossip/GossipService.h"
+
+#include "LibWire/Pack.h"
+
+#include <boost/asio/post.hpp>
+
+namespace Gossip {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+constexpr const char *StateMethod = "fleet.state";
+constexpr std::size_t FewMembers = 3; ///< With fewer, a process is still finding the others.
+constexpr Core::Duration NewcomerInterval{200}; ///< Between large samples to one newcomer.
+constexpr std::size_t WideFanOut = 8; ///< Agents that each entry tells of new declarations: all entries together reach every agent several times.
+
+}
+
+std::vector<std::string> readSeedHosts(Settings::Reader &section)
+{
+    std::vector<std::string> hosts;
+    for (const Core::Address &seed : section.addresses("seeds")) {
+        hosts.push_back(seed.m_host);
+    }
+    return hosts;
+}
+
+GossipService::GossipService(GossipParts parts, GossipSettings settings, Member self)
+    : m_parts(parts)
+    , m_settings(std::move(settings))
+    , m_self(std::move(self))
+    , m_members(m_self.m_id)
+    , m_socket(parts.m_loop)
+    , m_timer(parts.m_loop)
+    , m_datagramsSent(parts.m_metrics.counter("gossip_datagrams_sent_total"))
+    , m_datagramsBad(parts.m_metrics.counter("gossip_datagrams_bad_total"))
+    , m_pulls(parts.m_metrics.counter("gossip_state_requests_total"))
+    , m_pullsFailed(parts.m_metrics.counter("gossip_state_requests_failed_total"))
+    , m_isAlive(std::make_shared<bool>(true))
+{
+}
+
+GossipService::~GossipService()
+{
+    *m_isAlive = false;
+}
+
+void GossipService::registerMethods()
+{
+    m_parts.m_node.handle(StateMethod, [this, alive = m_isAlive](const Wire::IncomingCall &call) {
+        const Core::Result<StateRequest> request = Wire::unpack<StateRequest>(call.m_body, call.m_peer);
+        if (!request) {
+            call.m_responder.fail(request.error());
+            return;
+        }
+        Asio::post(m_parts.m_loop, [this, alive, asked = request.value(), responder = call.m_responder] {
+            if (*alive) {
+                responder.reply(Wire::pack(answerFor(asked)));
+            }
+        });
+    });
+}
+
+Core::Result<void> GossipService::start()
+{
+    try {
+        const Asio::ip::udp::endpoint endpoint(Asio::ip::make_address_v4(m_self.m_peers.m_host), m_self.m_peers.m_port);
+        m_socket.open(endpoint.protocol());
+        m_socket.bind(endpoint);
+        m_socket.non_blocking(true);
+    } catch (const boost::system::system_error &error) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "bind datagram socket", m_self.m_peers.toString(), error.what());
+    }
+    receive();
+    tick();
+    return Core::success();
+}
+
+void GossipService::onStateApplied(std::function<void(const Fleet::BeliefUpdate &)> callback)
+{
+    m_onStateApplied = std::move(callback);
+}
+
+void GossipService::onEngineNews(std::function<void(const EngineNews &)> callback)
+{
+    m_onEngineNews = std::move(callback);
+}
+
+void GossipService::onMembers(std::function<void()> callback)
+{
+    m_onMembers = std::move(callback);
+}
+
+void GossipService::receive()
+{
+    m_socket.async_receive_from(Asio::buffer(m_buffer), m_from, [this, alive = m_isAlive](const boost::system::error_code &error, std::size_t size) {
+        if (!*alive || error == Asio::error::operation_aborted) {
+            return;
+        }
+        // An error here tells of an earlier datagram that found no listener; the next one may.
+        if (!error) {
+            received(std::string_view(m_buffer.data(), size));
+        }
+        receive();
+    });
+}
+
+void GossipService::received(std::string_view bytes)
+{
+    const Core::Result<Heartbeat> heartbeat = Wire::unpack<Heartbeat>(bytes, m_from.address().to_string());
+    if (!heartbeat) {
+        m_datagramsBad.add();
+        return;
+    }
+    heardFrom(heartbeat.value());
+}
+
+void GossipService::heardFrom(const Heartbeat &heartbeat)
+{
+    const Core::Instant now = Core::Clock::now();
+    bool isChanged = m_members.heard(heartbeat.m_sender, true, now);
+    if (isChanged) {
+        Telemetry::LogLine line("member");
+        line.text("id", heartbeat.m_sender.m_id).flag("ready", heartbeat.m_sender.m_isReady).flag("leaving", heartbeat.m_sender.m_isLeaving);
+        m_parts.m_log.write(line);
+    }
+    for (const Member &member : heartbeat.m_members) {
+        isChanged = m_members.heard(member, false, now) || isChanged;
+    }
+    if (heartbeat.m_sender.m_role == Role::Entry) {
+        m_entryHeardAt = now;
+    }
+    takeWeights(heartbeat.m_weights);
+    if (heartbeat.m_engine && m_onEngineNews) {
+        m_onEngineNews(*heartbeat.m_engine);
+    }
+    const bool isEntry = m_self.m_role == Role::Entry;
+    const bool isNewer = heartbeat.m_configurationOffset > m_parts.m_beliefs.declarations().m_configurationOffset
+        || (heartbeat.m_configurationOffset > 0 && !m_parts.m_beliefs.configuration())
+        || (isEntry && heartbeat.m_endpointsEnd > 0 && m_parts.m_beliefs.endpointsEnd() == 0);
+    if (heartbeat.m_sender.m_role == Role::Entry && isNewer) {
+        pullFrom(heartbeat.m_sender.m_peers);
+    }
+    answerNewcomer(heartbeat);
+    if (isChanged && m_onMembers) {
+        m_onMembers();
+    }
+}
+
+void GossipService::answerNewcomer(const Heartbeat &heartbeat)
+{
+    const Core::Instant now = Core::Clock::now();
+    const std::size_t known = m_members.alive(now).size();
+    constexpr double MuchLess = 0.7; // Of what is known here.
+    if (static_cast<double>(heartbeat.m_knownMembers) >= static_cast<double>(known) * MuchLess) {
+        return;
+    }
+    Core::Instant &answered = m_newcomersAnswered[heartbeat.m_sender.m_id];
+    if (now - answered < NewcomerInterval) {
+        return;
+    }
+    answered = now;
+    sendTo(heartbeat.m_sender.m_peers, Wire::pack(makeHeartbeat(m_settings.m_sampledForNewcomers)));
+}
+
+void GossipService::takeWeights(const std::vector<AgedWeights> &weights)
+{
+    if (weights.empty()) {
+        return;
+    }
+    const Core::Instant now = Core::Clock::now();
+    Fleet::Declarations declarations;
+    for (const AgedWeights &aged : weights) {
+        declarations.m_weights.push_back(aged.m_declared);
+        if (aged.m_ageMilliseconds) {
+            m_parts.m_versions.declared(aged.m_declared.m_model, aged.m_declared.m_version, Core::Duration(*aged.m_ageMilliseconds), now);
+        } else {
+            m_parts.m_versions.found(aged.m_declared.m_model, aged.m_declared.m_version, now);
+        }
+    }
+    const Fleet::BeliefUpdate update = m_parts.m_beliefs.apply(declarations);
+    if (update.any() && m_onStateApplied) {
+        m_onStateApplied(update);
+    }
+}
+
+Heartbeat GossipService::makeHeartbeat(std::size_t sampled)
+{
+    const Core::Instant now = Core::Clock::now();
+    ++m_self.m_beat;
+    Heartbeat heartbeat;
+    heartbeat.m_sender = m_self;
+    heartbeat.m_knownMembers = static_cast<std::uint32_t>(m_members.alive(now).size());
+    heartbeat.m_configurationOffset = m_parts.m_beliefs.configuration() ? m_parts.m_beliefs.declarations().m_configurationOffset : 0;
+    heartbeat.m_endpointsEnd = m_parts.m_beliefs.endpointsEnd();
+    for (const Fleet::DeclaredWeights &declared : m_parts.m_beliefs.declarations().m_weights) {
+        const std::optional<Core::Duration> age = m_parts.m_versions.statedAge(declared.m_model, declared.m_version, now);
+        const std::optional<std::uint64_t> milliseconds = age ? std::optional<std::uint64_t>(age->count()) : std::nullopt;
+        heartbeat.m_weights.push_back(AgedWeights{declared, milliseconds});
+    }
+    heartbeat.m_members = m_members.sample(sampled, now, m_parts.m_random);
+    return heartbeat;
+}
+
+void GossipService::sendTo(const Core::Address &peer, const std::string &encoded)
+{
+    boost::system::error_code error;
+    const Asio::ip::address_v4 host = Asio::ip::make_address_v4(peer.m_host, error);
+    if (!error) {
+        m_socket.send_to(Asio::buffer(encoded), Asio::ip::udp::endpoint(host, peer.m_port), 0, error);
+    }
+    // A datagram that could not be sent is as one that was lost on its way: the next heartbeat makes up for it.
+    m_datagramsSent.add(error ? 0 : 1);
+}
+
+std::vector<Core::Address> GossipService::usualTargets()
+{
+    const Core::Instant now = Core::Clock::now();
+    std::vector<Member> entries = m_members.alive(Role::Entry, now);
+    std::vector<Member> agents = m_members.alive(Role::Agent, now);
+    const bool isAgent = m_self.m_role == Role::Agent;
+    std::vector<Core::Address> targets;
+    if (entries.size() + agents.size() < FewMembers || entries.empty()) {
+        for (const std::string &host : m_settings.m_seedHosts) {
+            if (host != m_self.m_peers.m_host) {
+                targets.push_back(Core::Address{host, m_self.m_peers.m_port});
+            }
+        }
+    }
+    if (!isAgent) {
+        keepRandom(entries, m_settings.m_entryFanOut, m_parts.m_random);
+        keepRandom(agents, m_settings.m_agentFanOut, m_parts.m_random);
+    } else if (!m_engine) {
+        keepRandom(entries, m_settings.m_entryFanOut, m_parts.m_random);
+        agents.clear();
+    } else {
+        agents.clear();
+    }
+    for (const Member &member : entries) {
+        targets.push_back(member.m_peers);
+    }
+    for (const Member &member : agents) {
+        targets.push_back(member.m_peers);
+    }
+    return targets;
+}
+
+void GossipService::beat()
+{
+    const bool isAgent = m_self.m_role == Role::Agent;
+    Heartbeat heartbeat = makeHeartbeat(isAgent ? 0 : m_settings.m_sampledMembers);
+    heartbeat.m_engine = m_engine;
+    const std::string encoded = Wire::pack(heartbeat);
+    for (const Core::Address &target : usualTargets()) {
+        sendTo(target, encoded);
+    }
+}
+
+void GossipService::tick()
+{
+    const Core::Instant now = Core::Clock::now();
+    m_members.forget(now);
+    std::erase_if(m_newcomersAnswered, [now](const std::pair<const std::string, Core::Instant> &entry) { return now - entry.second > NewcomerInterval; });
+    beat();
+    if (m_onMembers) {
+        m_onMembers();
+    }
+    const bool isAlone = m_members.alive(now).size() < FewMembers;
+    m_timer.expires_after(isAlone ? m_settings.m_firstInterval : m_settings.m_interval);
+    m_timer.async_wait([this, alive = m_isAlive](const boost::system::error_code &error) {
+        if (*alive && !error) {
+            tick();
+        }
+    });
+}
+
+void GossipService::setReady(bool isReady)
+{
+    if (m_self.m_isReady != isReady) {
+        m_self.m_isReady = isReady;
+        beat();
+    }
+}
+
+void GossipService::setSeedHosts(std::vector<std::string> hosts)
+{
+    m_settings.m_seedHosts = std::move(hosts);
+}
+
+void GossipService::announceLeaving()
+{
+    m_self.m_isLeaving = true;
+    m_self.m_isReady = false;
+    const std::string encoded = Wire::pack(makeHeartbeat(0));
+    for (const Member &member : m_members.alive(Core::Clock::now())) {
+        sendTo(member.m_peers, encoded);
+    }
+}
+
+void GossipService::setEngineNews(EngineNews news, bool atOnce)
+{
+    m_engine = std::move(news);
+    if (atOnce) {
+        beat();
+    }
+}
+
+void GossipService::spread()
+{
+    const std::string encoded = Wire::pack(makeHeartbeat(0));
+    const Core::Instant now = Core::Clock::now();
+    std::vector<Member> agents = m_members.alive(Role::Agent, now);
+    keepRandom(agents, WideFanOut, m_parts.m_random);
+    for (const Member &member : agents) {
+        sendTo(member.m_peers, encoded);
+    }
+    std::vector<Member> entries = m_members.alive(Role::Entry, now);
+    keepRandom(entries, m_settings.m_entryFanOut, m_parts.m_random);
+    for (const Member &member : entries) {
+        sendTo(member.m_peers, encoded);
+    }
+}
+
+void GossipService::pullFromAnyEntry()
+{
+    std::vector<Member> entries = m_members.alive(Role::Entry, Core::Clock::now());
+    std::erase_if(entries, [](const Member &member) { return !member.m_isReady; });
+    keepRandom(entries, 1, m_parts.m_random);
+    if (!entries.empty()) {
+        pullFrom(entries.front().m_peers);
+    }
+}
+
+std::optional<Core::Duration> GossipService::sinceEntryHeard() const
+{
+    if (!m_entryHeardAt) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_entryHeardAt);
+}
+
+StateAnswer GossipService::answerFor(const StateRequest &request) const
+{
+    StateAnswer answer;
+    const Fleet::Declarations &declarations = m_parts.m_beliefs.declarations();
+    answer.m_declarations.m_weights = declarations.m_weights;
+    if (declarations.m_configuration && (declarations.m_configurationOffset > request.m_configurationOffset || request.m_configurationOffset == 0)) {
+        answer.m_declarations.m_configuration = declarations.m_configuration;
+        answer.m_declarations.m_configurationOffset = declarations.m_configurationOffset;
+        if (request.m_forAgent) {
+            answer.m_declarations.m_configuration->m_routes.clear();
+            answer.m_declarations.m_configuration->m_accounts.clear();
+        }
+    }
+    if (!request.m_forAgent && m_parts.m_beliefs.endpointsEnd() > request.m_endpointsEnd) {
+        answer.m_endpoints = m_parts.m_beliefs.endpointSnapshot();
+    }
+    return answer;
+}
+
+void GossipService::pullFrom(const Core::Address &peer)
+{
+    const Core::Instant now = Core::Clock::now();
+    if (m_isPulling || now < m_nextPull) {
+        return;
+    }
+    m_isPulling = true;
+    m_nextPull = now + m_settings.m_pullInterval;
+    m_pulls.add();
+    StateRequest request;
+    request.m_forAgent = m_self.m_role == Role::Agent;
+    request.m_configurationOffset = m_parts.m_beliefs.configuration() ? m_parts.m_beliefs.declarations().m_configurationOffset : 0;
+    request.m_endpointsEnd = m_parts.m_beliefs.endpointsEnd();
+    const std::shared_ptr<std::string> encoded = std::make_shared<std::string>();
+    Wire::CallEvents events;
+    events.m_onFrame = [encoded](std::string frame) { *encoded = std::move(frame); };
+    events.m_onEnd = [this, alive = m_isAlive, encoded, name = peer.toString()](const Wire::CallEnd &end) {
+        Core::Result<StateAnswer> answer = end.m_succeeded ? Wire::unpack<StateAnswer>(*encoded, name) : Core::Result<StateAnswer>(end.m_error);
+        Asio::post(m_parts.m_loop, [this, alive, result = std::move(answer)] {
+            if (*alive) {
+                stateCame(result);
+            }
+        });
+    };
+    m_parts.m_node.call(peer, StateMethod, Wire::pack(request), Wire::CallOptions{m_settings.m_pullTimeout}, std::move(events));
+}
+
+void GossipService::stateCame(Core::Result<StateAnswer> answer)
+{
+    m_isPulling = false;
+    if (!answer) {
+        m_pullsFailed.add();
+        m_parts.m_log.write(Telemetry::LogLine("state_pull_failed").text("error", answer.error().message()));
+        return;
+    }
+    Fleet::BeliefUpdate update = m_parts.m_beliefs.apply(answer.value().m_declarations);
+    if (answer.value().m_endpoints.m_isSnapshot) {
+        update.m_endpoints = m_parts.m_beliefs.apply(answer.value().m_endpoints, false, Core::Clock::now()).m_endpoints;
+    }
+    if (update.any() && m_onStateApplied) {
+        m_onStateApplied(update);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGossip/GossipService.h
@@ -0,0 +1,137 @@
+/// @file Heartbeats among the system's processes, and the state that they hand each other.
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibGossip/Messages.h"
+#include "LibHttp/EventLoop.h"
+#include "LibPlacement/VersionDeadlines.h"
+#include "LibSettings/Reader.h"
+#include "LibTelemetry/EventLog.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibWire/Node.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+
+namespace Gossip {
+
+struct GossipSettings
+{
+    std::vector<std::string> m_seedHosts; ///< Instances to begin with; their processes use the same port as this one. May be stale.
+    Core::Duration m_interval{500}; ///< Between heartbeats.
+    Core::Duration m_firstInterval{150}; ///< Between heartbeats while few members are known.
+    std::size_t m_entryFanOut = 2; ///< Entries that an entry's heartbeat goes to.
+    std::size_t m_agentFanOut = 2; ///< Agents that an entry's heartbeat goes to.
+    std::size_t m_sampledMembers = 6; ///< Others that a heartbeat names: with the rest, half a datagram.
+    std::size_t m_sampledForNewcomers = 14; ///< The same for a process that knows few: a datagram's worth.
+    Core::Duration m_pullInterval{300}; ///< Least time between two requests for state.
+    Core::Duration m_pullTimeout{1000};
+
+    bool operator==(const GossipSettings &) const = default;
+};
+
+/// Hosts of the addresses under "seeds"; their ports may belong to other interfaces.
+std::vector<std::string> readSeedHosts(Settings::Reader &section);
+
+/// What the service works with. Everything outlives it.
+struct GossipParts
+{
+    Http::EventLoop &m_loop;
+    Wire::Node &m_node;
+    Fleet::Beliefs &m_beliefs;
+    Placement::VersionDeadlines &m_versions;
+    Telemetry::Metrics &m_metrics;
+    Telemetry::EventLog &m_log;
+    Core::Random &m_random;
+};
+
+/**
+ * Spreads membership, declared weights and engines' loads by datagrams, and fetches configuration and endpoints from a peer that has newer ones.
+ *
+ * Datagrams fit where a lost message is made up for by the next one; a connection that has gone silent would hide for seconds what a missing
+ * heartbeat shows at once. State goes over a call, since it must come whole. Used on the loop's thread, but for the node's handlers.
+ */
+class GossipService
+{
+public:
+    GossipService(GossipParts parts, GossipSettings settings, Member self);
+    ~GossipService();
+
+    GossipService(const GossipService &) = delete;
+    GossipService &operator=(const GossipService &) = delete;
+
+    /// Registers the method fleet.state; before the node is started.
+    void registerMethods();
+    Core::Result<void> start();
+
+    /// Called after state from a peer has been applied.
+    void onStateApplied(std::function<void(const Fleet::BeliefUpdate &update)> callback);
+    /// Called for each engine report.
+    void onEngineNews(std::function<void(const EngineNews &news)> callback);
+    /// Called when the set of live members may have changed.
+    void onMembers(std::function<void()> callback);
+
+    void setReady(bool isReady);
+    /// Replaces the instances to begin with, as changed settings say.
+    void setSeedHosts(std::vector<std::string> hosts);
+    /// Tells everybody at once that this process takes no new work.
+    void announceLeaving();
+    /// Sends this engine report with the next heartbeats; with @p atOnce to every entry now.
+    void setEngineNews(EngineNews news, bool atOnce);
+    /// Sends a heartbeat to many, since the beliefs have changed.
+    void spread();
+    /// Asks a live entry for what it knows, since the log is out of reach.
+    void pullFromAnyEntry();
+
+    const Member &self() const
+    {
+        return m_self;
+    }
+    const Membership &members() const
+    {
+        return m_members;
+    }
+    /// Time since any entry was heard; empty if none ever was.
+    std::optional<Core::Duration> sinceEntryHeard() const;
+
+private:
+    void receive();
+    void received(std::string_view bytes);
+    void heardFrom(const Heartbeat &heartbeat);
+    void takeWeights(const std::vector<AgedWeights> &weights);
+    void tick();
+    void beat();
+    Heartbeat makeHeartbeat(std::size_t sampled);
+    void sendTo(const Core::Address &peer, const std::string &encoded);
+    std::vector<Core::Address> usualTargets();
+    void pullFrom(const Core::Address &peer);
+    void stateCame(Core::Result<StateAnswer> answer);
+    StateAnswer answerFor(const StateRequest &request) const;
+    void answerNewcomer(const Heartbeat &heartbeat);
+
+    const GossipParts m_parts;
+    GossipSettings m_settings;
+    Member m_self;
+    Membership m_members;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_from;
+    std::array<char, 2048> m_buffer; ///< Larger than any datagram of ours.
+    Http::Timer m_timer;
+    std::optional<EngineNews> m_engine;
+    std::optional<Core::Instant> m_entryHeardAt;
+    Core::Instant m_nextPull;
+    std::map<std::string, Core::Instant> m_newcomersAnswered; ///< When a newcomer was last sent a large sample; pruned with each heartbeat.
+    bool m_isPulling = false;
+    std::function<void(const Fleet::BeliefUpdate &)> m_onStateApplied;
+    std::function<void(const EngineNews &)> m_onEngineNews;
+    std::function<void()> m_onMembers;
+    Telemetry::Counter &m_datagramsSent;
+    Telemetry::Counter &m_datagramsBad;
+    Telemetry::Counter &m_pulls;
+    Telemetry::Counter &m_pullsFailed;
+    std::shared_ptr<bool> m_isAlive; ///< False once the service is gone; callbacks of the node and the loop can outlive it.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGossip/Membership.h
@@ -0,0 +1,105 @@
+/// @file Which processes of the system are alive, as heartbeats tell: a pure table.
+#pragma once
+
+#include "LibCore/Address.h"
+#include "LibCore/Clock.h"
+#include "LibCore/Random.h"
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Gossip {
+
+enum class Role {
+    Entry = 0, ///< Answers callers.
+    Agent = 1, ///< Stands beside an engine.
+};
+
+/// One process as it describes itself, with a count that grows while it lives.
+struct Member
+{
+    std::string m_id; ///< Name of the instance.
+    std::uint32_t m_incarnation = 0; ///< Random for each start of the process.
+    std::uint64_t m_beat = 0; ///< Grows with each heartbeat of an incarnation.
+    Role m_role = Role::Entry;
+    std::string m_region;
+    std::string m_failureDomain;
+    std::string m_service; ///< Of the engine beside an agent; empty for entries.
+    Core::Address m_peers; ///< Where it answers other processes, by datagrams and by calls.
+    Core::Address m_callers; ///< Where it answers callers; empty for agents.
+    bool m_isReady = false; ///< It answers callers with an accepted configuration; or, for an agent, it is up.
+    bool m_isLeaving = false; ///< It takes no new work. Stays true for an incarnation.
+
+    bool operator==(const Member &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_id,
+                         m_incarnation,
+                         m_beat,
+                         m_role,
+                         m_region,
+                         m_failureDomain,
+                         m_service,
+                         m_peers.m_host,
+                         m_peers.m_port,
+                         m_callers.m_host,
+                         m_callers.m_port,
+                         m_isReady,
+                         m_isLeaving);
+};
+
+/// How long a member may be silent.
+struct MembershipSettings
+{
+    Core::Duration m_silenceLimit{4000}; ///< After it a member counts as dead: eight heartbeats, of which some get lost or come by others.
+    Core::Duration m_forgetAfter{20000}; ///< After it the member is dropped from the table.
+    Core::Duration m_replaceAfter{1500}; ///< Hearsay of a new incarnation replaces one that was silent for so long.
+
+    bool operator==(const MembershipSettings &) const = default;
+};
+
+/// Used by one thread.
+class Membership
+{
+public:
+    explicit Membership(std::string self, MembershipSettings settings = {});
+
+    /// Takes what was heard. @p isFirstHand: from the member itself. True if the member is new or has changed in more than its count.
+    bool heard(const Member &member, bool isFirstHand, Core::Instant now);
+    /// Every other member that is not dead, in order of id.
+    std::vector<Member> alive(Core::Instant now) const;
+    std::vector<Member> alive(Role role, Core::Instant now) const;
+    /// Up to @p count live members, chosen at random.
+    std::vector<Member> sample(std::size_t count, Core::Instant now, Core::Random &random) const;
+    /// Drops members that have been silent for long.
+    void forget(Core::Instant now);
+
+private:
+    struct Known
+    {
+        Member m_member;
+        Core::Instant m_heardAt; ///< When the count last grew.
+    };
+
+    const std::string m_self;
+    const MembershipSettings m_settings;
+    std::map<std::string, Known> m_known; ///< By id; never holds this process.
+};
+
+/// Moves a random choice of @p count elements to the front and cuts the rest off.
+template <typename T>
+void keepRandom(std::vector<T> &items, std::size_t count, Core::Random &random)
+{
+    const std::size_t kept = std::min(count, items.size());
+    for (std::size_t index = 0; index < kept; ++index) {
+        std::swap(items[index], items[index + random.below(items.size() - index)]);
+    }
+    items.resize(kept);
+}
+
+}
+
+MSGPACK_ADD_ENUM(Gossip::Role);
--- /dev/null
+++ b/Libraries/LibGossip/Messages.h
@@ -0,0 +1,74 @@
+/// @file Messages between the system's processes about the fleet.
+#pragma once
+
+#include "LibFleet/Beliefs.h"
+#include "LibGossip/Membership.h"
+#include "LibPlacement/EndpointBook.h"
+
+#include <msgpack.hpp>
+
+namespace Gossip {
+
+/// A declared version with the time since it was accepted, which every process would otherwise count from when it heard of it.
+struct AgedWeights
+{
+    Fleet::DeclaredWeights m_declared;
+    std::optional<std::uint64_t> m_ageMilliseconds; ///< Empty if the sender found the version declared and does not know since when.
+
+    bool operator==(const AgedWeights &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_declared, m_ageMilliseconds);
+};
+
+/// What an agent says of its engine.
+struct EngineNews
+{
+    Core::Address m_address;
+    std::uint64_t m_startedMilliseconds = 0; ///< Incarnation of the engine.
+    Placement::EngineReport m_report;
+
+    bool operator==(const EngineNews &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_address.m_host, m_address.m_port, m_startedMilliseconds, m_report);
+};
+
+/// One datagram.
+struct Heartbeat
+{
+    Member m_sender;
+    std::uint32_t m_knownMembers = 0; ///< Live members that the sender knows.
+    Fleet::Offset m_configurationOffset = 0; ///< Of the configuration that the sender holds; 0 if none.
+    Fleet::Offset m_endpointsEnd = 0; ///< How far the sender knows the list of endpoints.
+    std::vector<AgedWeights> m_weights;
+    std::vector<Member> m_members; ///< Some others that the sender knows.
+    std::optional<EngineNews> m_engine;
+
+    bool operator==(const Heartbeat &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_sender, m_knownMembers, m_configurationOffset, m_endpointsEnd, m_weights, m_members, m_engine);
+};
+
+/// Asks for what the asker lacks (method fleet.state).
+struct StateRequest
+{
+    bool m_forAgent = false; ///< Services and weights are enough: no routes, accounts or endpoints.
+    Fleet::Offset m_configurationOffset = 0; ///< Of the configuration that the asker holds.
+    Fleet::Offset m_endpointsEnd = 0; ///< How far the asker knows the list of endpoints.
+
+    bool operator==(const StateRequest &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_forAgent, m_configurationOffset, m_endpointsEnd);
+};
+
+/// Answers a StateRequest; parts that the asker has already are empty.
+struct StateAnswer
+{
+    Fleet::Declarations m_declarations;
+    Fleet::EndpointChanges m_endpoints;
+
+    bool operator==(const StateAnswer &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_declarations, m_endpoints);
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -0,0 +1,296 @@
+/// @file Implementation of the client's side of HTTP/1.1, on Boost.Asio with Boost.Beast's parser.
+
+#include "LibHttp/ClientCall.h"
+
+#include "LibHttp/SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <limits>
+
+namespace Http {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+
+namespace {
+
+constexpr std::uint32_t MaximumAnswerHead = 16 << 10; ///< Far above the few hundred bytes of an endpoint's answer.
+constexpr std::size_t ReadSize = 8 << 10; ///< One read; several events of a stream.
+constexpr std::uint64_t AnyLength = std::numeric_limits<std::int64_t>::max(); ///< Beast 1.74 refuses answers with a length if no limit is given.
+
+std::string encodeHead(const ClientRequest &request)
+{
+    std::string head = request.m_method + " " + request.m_target + " HTTP/1.1\r\n";
+    for (const HeaderField &field : request.m_fields) {
+        head += field.m_name + ": " + field.m_value + "\r\n";
+    }
+    const bool mayHaveBody = request.m_method != "GET" && request.m_method != "HEAD" && request.m_method != "DELETE";
+    if (mayHaveBody || !request.m_body.empty()) {
+        head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
+    }
+    return head + "\r\n";
+}
+
+}
+
+struct ClientCall::State
+{
+    explicit State(EventLoop &loop)
+        : m_socket(loop)
+        , m_timer(loop)
+    {
+        m_parser.body_limit(AnyLength);
+        m_parser.header_limit(MaximumAnswerHead);
+    }
+
+    Socket m_socket;
+    Timer m_timer;
+    Beast::flat_buffer m_buffer;
+    Beast::http::response_parser<Beast::http::buffer_body> m_parser;
+    std::array<char, ReadSize> m_chunk;
+    std::string m_outgoing; ///< Lives until the write has ended.
+};
+
+ClientCall::ClientCall(EventLoop &loop, Core::Address peer, ClientCallLimits limits, ClientCallEvents events)
+    : m_peer(std::move(peer))
+    , m_limits(limits)
+    , m_events(std::move(events))
+    , m_state(std::make_unique<State>(loop))
+{
+}
+
+ClientCall::~ClientCall() = default;
+
+void ClientCall::start(const ClientRequest &request)
+{
+    m_state->m_outgoing = encodeHead(request) + request.m_body;
+    m_state->m_parser.skip(request.m_method == "HEAD");
+    boost::system::error_code error;
+    const Asio::ip::address_v4 host = Asio::ip::make_address_v4(m_peer.m_host, error);
+    if (error) {
+        Asio::post(m_state->m_socket.get_executor(),
+                   [self = shared_from_this()] { self->end(false, Core::ErrorCode::InvalidInput, "connect", "not an IPv4 number"); });
+        return;
+    }
+    arm(m_limits.m_connect, "connect");
+    m_state->m_socket.async_connect(Asio::ip::tcp::endpoint(host, m_peer.m_port),
+                                    [self = shared_from_this()](const boost::system::error_code &result) { self->connected(result); });
+}
+
+void ClientCall::cancel()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_isOver = true;
+    m_events = {};
+    boost::system::error_code ignored; // The connection is given up either way.
+    m_state->m_timer.cancel(ignored);
+    m_state->m_socket.close(ignored);
+}
+
+void ClientCall::pause()
+{
+    m_isPaused = true;
+}
+
+void ClientCall::resume()
+{
+    m_isPaused = false;
+    if (m_awaitsResume && !m_isOver) {
+        m_awaitsResume = false;
+        readBody();
+    }
+}
+
+void ClientCall::arm(Core::Duration limit, const char *step)
+{
+    m_state->m_timer.expires_after(limit);
+    m_state->m_timer.async_wait([weak = weak_from_this(), step](const boost::system::error_code &error) {
+        const std::shared_ptr<ClientCall> self = weak.lock();
+        if (!error && self) {
+            self->end(false, Core::ErrorCode::Timeout, step, "no progress within the limit");
+        }
+    });
+}
+
+void ClientCall::connected(const boost::system::error_code &error)
+{
+    if (m_isOver) {
+        return;
+    }
+    if (error) {
+        end(false, Core::ErrorCode::Unavailable, "connect", error.message());
+        return;
+    }
+    setStreamOptions(m_state->m_socket);
+    m_wasSent = true;
+    Asio::async_write(m_state->m_socket, Asio::buffer(m_state->m_outgoing), [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
+        // A failed write shows at the reading side too, where an early answer may still be waiting.
+    });
+    arm(m_limits.m_head, "await answer");
+    readHead();
+}
+
+void ClientCall::readHead()
+{
+    Beast::http::async_read_header(m_state->m_socket,
+                                   m_state->m_buffer,
+                                   m_state->m_parser,
+                                   [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->headRead(error); });
+}
+
+void ClientCall::headRead(const boost::system::error_code &error)
+{
+    if (m_isOver) {
+        return;
+    }
+    if (error) {
+        const bool isMalformed = error.category() == Beast::http::make_error_code(Beast::http::error::bad_version).category()
+            && error != Beast::http::error::end_of_stream && error != Beast::http::error::partial_message;
+        end(false, isMalformed ? Core::ErrorCode::Corrupt : Core::ErrorCode::Ambiguous, "await answer", error.message());
+        return;
+    }
+    const Beast::http::response_header<> &message = m_state->m_parser.get();
+    AnswerHead head;
+    head.m_status = static_cast<int>(message.result_int());
+    head.m_reason = std::string(message.reason());
+    for (const Beast::http::fields::value_type &field : message) {
+        head.m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
+    }
+    head.m_isChunked = m_state->m_parser.chunked();
+    if (m_state->m_parser.content_length()) {
+        head.m_contentLength = *m_state->m_parser.content_length();
+    }
+    if (head.m_status >= 100 && head.m_status < 200) {
+        end(false, Core::ErrorCode::Corrupt, "await answer", "an interim answer that was not asked for");
+        return;
+    }
+    const std::shared_ptr<ClientCall> self = shared_from_this();
+    // Called through a copy, since the callee may cancel this call, which drops its callbacks.
+    const std::function<void(const AnswerHead &)> onHead = m_events.m_onHead;
+    if (onHead) {
+        onHead(head);
+    }
+    if (!m_isOver) {
+        readBody();
+    }
+}
+
+void ClientCall::readBody()
+{
+    if (m_state->m_parser.is_done()) {
+        end(true, Core::ErrorCode::Internal, "", "");
+        return;
+    }
+    if (m_isPaused) {
+        m_awaitsResume = true;
+        boost::system::error_code ignored; // While the reader is held up, silence says nothing about the peer.
+        m_state->m_timer.cancel(ignored);
+        return;
+    }
+    arm(m_limits.m_silence, "read answer");
+    m_state->m_parser.get().body().data = m_state->m_chunk.data();
+    m_state->m_parser.get().body().size = m_state->m_chunk.size();
+    Beast::http::async_read_some(m_state->m_socket,
+                                 m_state->m_buffer,
+                                 m_state->m_parser,
+                                 [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) { self->bodyRead(error, size); });
+}
+
+void ClientCall::bodyRead(const boost::system::error_code &error, std::size_t)
+{
+    if (m_isOver) {
+        return;
+    }
+    const std::size_t size = m_state->m_chunk.size() - m_state->m_parser.get().body().size;
+    const std::function<void(std::string_view)> onData = m_events.m_onData;
+    if (size > 0 && onData) {
+        onData(std::string_view(m_state->m_chunk.data(), size));
+        if (m_isOver) {
+            return;
+        }
+    }
+    if (error && error != Beast::http::error::need_buffer) {
+        end(false, Core::ErrorCode::Ambiguous, "read answer", error.message());
+        return;
+    }
+    readBody();
+}
+
+void ClientCall::end(bool isWhole, Core::ErrorCode code, const std::string &step, const std::string &detail)
+{
+    if (m_isOver) {
+        return;
+    }
+    const std::shared_ptr<ClientCall> self = shared_from_this();
+    ClientCallEvents events = std::move(m_events);
+    cancel();
+    ClientCallEnd result{isWhole, m_wasSent, {}};
+    if (!isWhole) {
+        result.m_error = Core::makeError(code, step, m_peer.toString(), detail);
+    }
+    if (events.m_onEnd) {
+        events.m_onEnd(result);
+    }
+}
+
+namespace {
+
+/// What a fetch has gathered so far.
+struct Gathering
+{
+    WholeAnswer m_answer;
+    std::size_t m_maximumBytes = 0;
+    bool m_isTooLarge = false;
+    std::function<void(Core::Result<WholeAnswer>)> m_done;
+};
+
+void finishFetch(Gathering &gathering, const std::string &peer, const ClientCallEnd &end)
+{
+    if (gathering.m_isTooLarge) {
+        gathering.m_done(Core::makeError(Core::ErrorCode::Corrupt, "read answer", peer, "the answer is longer than allowed"));
+        return;
+    }
+    if (end.m_isWhole) {
+        gathering.m_done(std::move(gathering.m_answer));
+        return;
+    }
+    Core::Error error = end.m_error;
+    if (error.m_code != Core::ErrorCode::Corrupt) {
+        error.m_code = end.m_wasSent ? Core::ErrorCode::Ambiguous : Core::ErrorCode::Unavailable;
+    }
+    gathering.m_done(std::move(error));
+}
+
+}
+
+std::shared_ptr<ClientCall> fetch(EventLoop &loop,
+                                  const Core::Address &peer,
+                                  const ClientRequest &request,
+                                  ClientCallLimits limits,
+                                  std::size_t maximumBytes,
+                                  std::function<void(Core::Result<WholeAnswer>)> done)
+{
+    const std::shared_ptr<Gathering> gathering = std::make_shared<Gathering>();
+    gathering->m_maximumBytes = maximumBytes;
+    gathering->m_done = std::move(done);
+    ClientCallEvents events;
+    events.m_onHead = [gathering](const AnswerHead &head) { gathering->m_answer.m_head = head; };
+    events.m_onData = [gathering](std::string_view bytes) {
+        gathering->m_isTooLarge = gathering->m_isTooLarge || gathering->m_answer.m_body.size() + bytes.size() > gathering->m_maximumBytes;
+        if (!gathering->m_isTooLarge) {
+            gathering->m_answer.m_body.append(bytes);
+        }
+    };
+    events.m_onEnd = [gathering, name = peer.toString()](const ClientCallEnd &end) { finishFetch(*gathering, name, end); };
+    const std::shared_ptr<ClientCall> call = std::make_shared<ClientCall>(loop, peer, limits, std::move(events));
+    call->start(request);
+    return call;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/Listener.cpp
@@ -0,0 +1,110 @@
+/// @file Implementation of the listener.
+
+#include "LibHttp/Listener.h"
+
+#include <algorithm>
+
+namespace Http {
+
+namespace Asio = boost::asio;
+
+namespace {
+
+constexpr Core::Duration AcceptRetry{50}; ///< After a failed accept, such as one for want of descriptors.
+constexpr std::size_t SweepEvery = 64; ///< Closed connections are swept when this many more have been accepted.
+
+}
+
+Listener::Listener(EventLoop &loop, Core::Address address, std::shared_ptr<ServerContext> context, std::size_t maximumConnections)
+    : m_address(std::move(address))
+    , m_context(std::move(context))
+    , m_maximumConnections(maximumConnections)
+    , m_acceptor(loop)
+    , m_isAlive(std::make_shared<bool>(true))
+{
+}
+
+Listener::~Listener()
+{
+    *m_isAlive = false;
+}
+
+Core::Result<void> Listener::start()
+{
+    try {
+        const Asio::ip::tcp::endpoint endpoint(Asio::ip::make_address_v4(m_address.m_host), m_address.m_port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(Asio::ip::tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen(Asio::socket_base::max_listen_connections);
+    } catch (const boost::system::system_error &error) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "listen", m_address.toString(), error.what());
+    }
+    accept();
+    return Core::success();
+}
+
+void Listener::stop()
+{
+    boost::system::error_code ignored; // Closing a listener that is closed does nothing.
+    m_acceptor.close(ignored);
+}
+
+void Listener::accept()
+{
+    m_acceptor.async_accept([this, alive = m_isAlive](const boost::system::error_code &error, Socket socket) {
+        if (!*alive || !m_acceptor.is_open()) {
+            return;
+        }
+        if (error) {
+            const std::shared_ptr<Timer> timer = std::make_shared<Timer>(m_acceptor.get_executor(), AcceptRetry);
+            timer->async_wait([this, alive, timer](const boost::system::error_code &) {
+                if (*alive && m_acceptor.is_open()) {
+                    accept();
+                }
+            });
+            return;
+        }
+        if (m_connections.size() % SweepEvery == 0) {
+            removeClosed();
+        }
+        if (m_connections.size() < m_maximumConnections) {
+            const std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket), m_context);
+            m_connections.push_back(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void Listener::removeClosed()
+{
+    std::erase_if(m_connections, [](const std::weak_ptr<ServerConnection> &weak) {
+        const std::shared_ptr<ServerConnection> connection = weak.lock();
+        return !connection || !connection->isOpen();
+    });
+}
+
+void Listener::closeIdle()
+{
+    for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
+        const std::shared_ptr<ServerConnection> connection = weak.lock();
+        if (connection) {
+            connection->closeIfIdle();
+        }
+    }
+    removeClosed();
+}
+
+std::size_t Listener::connections()
+{
+    removeClosed();
+    return m_connections.size();
+}
+
+std::uint16_t Listener::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -0,0 +1,462 @@
+/// @file Implementation of the server's side of HTTP/1.1, on Boost.Asio with Boost.Beast's parser.
+
+#include "LibHttp/ServerConnection.h"
+
+#include "LibHttp/SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <sys/socket.h>
+
+namespace Http {
+
+namespace Asio = boost::asio;
+namespace Beast = boost::beast;
+
+namespace {
+
+using RequestParser = Beast::http::request_parser<Beast::http::string_body>;
+
+constexpr unsigned Version11 = 11; ///< HTTP/1.1 as the parser tells it.
+
+std::string encodeAnswerHead(int status, const std::string &reason, const HeaderFields &fields)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n";
+    for (const HeaderField &field : fields) {
+        head += field.m_name + ": " + field.m_value + "\r\n";
+    }
+    return head;
+}
+
+std::string reasonOf(int status)
+{
+    return std::string(Beast::http::obsolete_reason(static_cast<Beast::http::status>(status)));
+}
+
+std::string encodeChunk(std::string_view bytes)
+{
+    std::array<char, 24> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string chunk(size.data(), static_cast<std::size_t>(length));
+    chunk.append(bytes);
+    return chunk + "\r\n";
+}
+
+/**
+ * Whether a head's framing can be read in one way only. The parser refuses lengths that differ and a length beside chunks; a coding other than
+ * chunks it would take for a request without a body, whose bytes would then be read as the next request.
+ */
+bool hasPlainFraming(const HeaderFields &fields)
+{
+    std::size_t codings = 0;
+    for (const HeaderField &field : fields) {
+        if (!isSameName(field.m_name, "Transfer-Encoding")) {
+            continue;
+        }
+        ++codings;
+        if (!isSameName(field.m_value, "chunked")) {
+            return false;
+        }
+    }
+    return codings < 2;
+}
+
+std::size_t countHosts(const HeaderFields &fields)
+{
+    return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [](const HeaderField &field) { return isSameName(field.m_name, "Host"); }));
+}
+
+}
+
+struct ServerConnection::State
+{
+    explicit State(Socket socket)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+    {
+    }
+
+    Socket m_socket;
+    Timer m_timer;
+    Beast::flat_buffer m_buffer;
+    std::optional<RequestParser> m_parser; ///< One for each request.
+    HeaderFields m_fields; ///< Of the request under way.
+    std::string m_peer;
+    std::deque<std::string> m_outgoing; ///< The first is being written.
+    std::size_t m_pending = 0; ///< Sum of the sizes of m_outgoing.
+};
+
+ServerConnection::ServerConnection(Socket socket, std::shared_ptr<ServerContext> context)
+    : m_context(std::move(context))
+    , m_state(std::make_unique<State>(std::move(socket)))
+{
+    boost::system::error_code error;
+    const Asio::ip::tcp::endpoint peer = m_state->m_socket.remote_endpoint(error);
+    m_state->m_peer = error ? std::string("unknown") : peer.address().to_string() + ":" + std::to_string(peer.port());
+}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::start()
+{
+    setStreamOptions(m_state->m_socket);
+    awaitRequest();
+}
+
+void ServerConnection::arm(Core::Duration limit, std::function<void()> onExpiry)
+{
+    m_state->m_timer.expires_after(limit);
+    m_state->m_timer.async_wait([weak = weak_from_this(), expire = std::move(onExpiry)](const boost::system::error_code &error) {
+        const std::shared_ptr<ServerConnection> self = weak.lock();
+        if (!error && self && !self->m_isClosed) {
+            expire();
+        }
+    });
+}
+
+void ServerConnection::awaitRequest()
+{
+    m_isReading = false;
+    if (m_context->m_isClosing && m_state->m_buffer.size() == 0) {
+        close();
+        return;
+    }
+    if (m_state->m_buffer.size() > 0) {
+        readHead();
+        return;
+    }
+    arm(m_context->m_limits.m_idleTimeout, [this] { close(); });
+    m_state->m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (error) {
+            self->close();
+            return;
+        }
+        self->readHead();
+    });
+}
+
+void ServerConnection::readHead()
+{
+    m_isReading = true;
+    m_state->m_parser.emplace();
+    m_state->m_parser->header_limit(m_context->m_limits.m_maximumHeaderBytes);
+    m_state->m_parser->body_limit(m_context->m_limits.m_maximumBodyBytes);
+    arm(m_context->m_limits.m_headTimeout, [this] { reject(408, "the head came too slowly"); });
+    Beast::http::async_read_header(m_state->m_socket,
+                                   m_state->m_buffer,
+                                   *m_state->m_parser,
+                                   [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->headRead(error); });
+}
+
+void ServerConnection::rejectUnreadable(const boost::system::error_code &error)
+{
+    if (error == Beast::http::error::header_limit) {
+        reject(431, "the head is too large");
+        return;
+    }
+    if (error == Beast::http::error::body_limit) {
+        reject(413, "the body is too large");
+        return;
+    }
+    const bool isPeerGone = error == Beast::http::error::end_of_stream || error == Beast::http::error::partial_message
+        || error.category() == boost::system::system_category() || error.category() == Asio::error::get_misc_category();
+    if (isPeerGone) {
+        close();
+        return;
+    }
+    reject(400, error.message());
+}
+
+void ServerConnection::headRead(const boost::system::error_code &error)
+{
+    if (m_isClosed || m_isRejected) {
+        return;
+    }
+    if (error) {
+        rejectUnreadable(error);
+        return;
+    }
+    m_state->m_fields.clear();
+    for (const Beast::http::fields::value_type &field : m_state->m_parser->get()) {
+        m_state->m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
+    }
+    if (!hasPlainFraming(m_state->m_fields)) {
+        reject(400, "the body's framing is not supported");
+        return;
+    }
+    if (countHosts(m_state->m_fields) != 1) {
+        reject(400, "one Host field is needed");
+        return;
+    }
+    const std::string *expectation = findField(m_state->m_fields, "Expect");
+    if (expectation && isSameName(*expectation, "100-continue") && !m_state->m_parser->is_done()) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    readBody();
+}
+
+void ServerConnection::readBody()
+{
+    if (m_state->m_parser->is_done()) {
+        handOver();
+        return;
+    }
+    arm(m_context->m_limits.m_bodyTimeout, [this] { reject(408, "the body came too slowly"); });
+    Beast::http::async_read(m_state->m_socket,
+                            m_state->m_buffer,
+                            *m_state->m_parser,
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->bodyRead(error); });
+}
+
+void ServerConnection::bodyRead(const boost::system::error_code &error)
+{
+    if (m_isClosed || m_isRejected) {
+        return;
+    }
+    if (error) {
+        rejectUnreadable(error);
+        return;
+    }
+    handOver();
+}
+
+void ServerConnection::reject(int status, const std::string &reason)
+{
+    if (m_context->m_onRejected) {
+        m_context->m_onRejected(status, m_state->m_peer, reason);
+    }
+    m_isRejected = true;
+    m_isReading = false;
+    m_isAnswering = true;
+    m_closeAfterAnswer = true;
+    answer(status, {HeaderField{"Content-Type", "text/plain"}}, reason + "\n");
+}
+
+void ServerConnection::handOver()
+{
+    boost::system::error_code ignored; // A timer that has already expired finds the connection answering.
+    m_state->m_timer.cancel(ignored);
+    m_isAnswering = true;
+    m_isReading = false;
+    const RequestParser::value_type &message = m_state->m_parser->get();
+    m_closeAfterAnswer = !message.keep_alive();
+    m_isChunked = false;
+    ServerRequest request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    request.m_fields = std::move(m_state->m_fields);
+    request.m_body = message.body();
+    request.m_peer = m_state->m_peer;
+    watchForLeaving();
+    const std::shared_ptr<ServerConnection> self = shared_from_this();
+    m_context->m_onRequest(self, std::move(request));
+}
+
+void ServerConnection::watchForLeaving()
+{
+    m_state->m_socket.async_wait(Socket::wait_read, [weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<ServerConnection> self = weak.lock();
+        if (self && !error && !self->m_isClosed && self->m_isAnswering) {
+            self->lookForLeaving();
+        }
+    });
+}
+
+void ServerConnection::lookForLeaving()
+{
+    char byte = 0;
+    const ssize_t peeked = recv(m_state->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (peeked > 0) {
+        return; // The next request is there already; it waits its turn.
+    }
+    if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        watchForLeaving();
+        return;
+    }
+    gone();
+}
+
+void ServerConnection::gone()
+{
+    const std::function<void()> callback = std::move(m_onGone);
+    m_onGone = nullptr;
+    close();
+    if (callback) {
+        callback();
+    }
+}
+
+void ServerConnection::onGone(std::function<void()> callback)
+{
+    m_onGone = std::move(callback);
+}
+
+void ServerConnection::onDrained(std::function<void()> callback)
+{
+    m_onDrained = std::move(callback);
+}
+
+std::size_t ServerConnection::pendingBytes() const
+{
+    return m_state->m_pending;
+}
+
+bool ServerConnection::isOpen() const
+{
+    return !m_isClosed;
+}
+
+void ServerConnection::answer(int status, HeaderFields fields, std::string body)
+{
+    beginAnswer(status, reasonOf(status), std::move(fields), AnswerFraming{body.size()});
+    sendBody(body);
+    finish();
+}
+
+void ServerConnection::beginAnswer(int status, const std::string &reason, HeaderFields fields, AnswerFraming framing)
+{
+    if (m_isClosed) {
+        return;
+    }
+    const bool isOldCaller = m_state->m_parser && m_state->m_parser->is_header_done() && m_state->m_parser->get().version() < Version11;
+    m_isChunked = !framing.m_length && !isOldCaller;
+    m_closeAfterAnswer = m_closeAfterAnswer || m_context->m_isClosing || (!framing.m_length && isOldCaller);
+    const bool hasNoBody = status == 204 || status == 304;
+    if (framing.m_length && !hasNoBody) {
+        fields.push_back(HeaderField{"Content-Length", std::to_string(*framing.m_length)});
+    }
+    if (m_isChunked) {
+        fields.push_back(HeaderField{"Transfer-Encoding", "chunked"});
+    }
+    if (m_closeAfterAnswer) {
+        fields.push_back(HeaderField{"Connection", "close"});
+    }
+    write(encodeAnswerHead(status, reason, fields) + "\r\n");
+}
+
+void ServerConnection::sendBody(std::string_view bytes)
+{
+    if (m_isClosed || bytes.empty()) {
+        return;
+    }
+    write(m_isChunked ? encodeChunk(bytes) : std::string(bytes));
+}
+
+void ServerConnection::finish()
+{
+    if (m_isClosed || !m_isAnswering) {
+        return;
+    }
+    if (m_isChunked) {
+        write("0\r\n\r\n");
+    }
+    m_onGone = nullptr;
+    m_isAnswering = false;
+    if (m_state->m_outgoing.empty()) {
+        answerEnded();
+    }
+}
+
+void ServerConnection::abort()
+{
+    m_onGone = nullptr;
+    close();
+}
+
+void ServerConnection::write(std::string bytes)
+{
+    m_state->m_pending += bytes.size();
+    // Small pieces that wait behind the one being written travel together.
+    if (m_state->m_outgoing.size() > 1) {
+        m_state->m_outgoing.back() += bytes;
+        return;
+    }
+    m_state->m_outgoing.push_back(std::move(bytes));
+    if (m_state->m_outgoing.size() == 1) {
+        // Posted, so that a head and the body handed over with it leave in one write.
+        Asio::post(m_state->m_socket.get_executor(), [self = shared_from_this()] { self->writeNext(); });
+    }
+}
+
+void ServerConnection::writeNext()
+{
+    if (m_isClosed || m_state->m_outgoing.empty()) {
+        return;
+    }
+    while (m_state->m_outgoing.size() > 1) {
+        m_state->m_outgoing.front() += m_state->m_outgoing[1];
+        m_state->m_outgoing.erase(m_state->m_outgoing.begin() + 1);
+    }
+    Asio::async_write(m_state->m_socket,
+                      Asio::buffer(m_state->m_outgoing.front()),
+                      [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->written(error); });
+}
+
+void ServerConnection::written(const boost::system::error_code &error)
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (error) {
+        gone();
+        return;
+    }
+    m_state->m_pending -= m_state->m_outgoing.front().size();
+    m_state->m_outgoing.pop_front();
+    if (!m_state->m_outgoing.empty()) {
+        writeNext();
+        return;
+    }
+    if (m_isAnswering) {
+        if (m_onDrained) {
+            m_onDrained();
+        }
+        return;
+    }
+    if (!m_isReading) {
+        answerEnded();
+    }
+}
+
+void ServerConnection::answerEnded()
+{
+    m_onDrained = nullptr;
+    if (!m_closeAfterAnswer) {
+        awaitRequest();
+        return;
+    }
+    // Closing at once could reset the connection over unread bytes, and the caller would lose the answer.
+    boost::system::error_code ignored;
+    m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
+    constexpr Core::Duration Linger{200}; // Longer than a round trip to any caller.
+    m_state->m_timer.expires_after(Linger);
+    m_state->m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
+}
+
+void ServerConnection::closeIfIdle()
+{
+    if (!m_isAnswering && !m_isReading && m_state->m_outgoing.empty()) {
+        close();
+    }
+}
+
+void ServerConnection::close()
+{
+    if (m_isClosed) {
+        return;
+    }
+    m_isClosed = true;
+    boost::system::error_code ignored; // The connection is given up either way.
+    m_state->m_timer.cancel(ignored);
+    m_state->m_socket.close(ignored);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -0,0 +1,143 @@
+/// @file Implementation of the choice of an endpoint.
+
+#include "LibPlacement/Choice.h"
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+/// Endpoints that are compared.
+constexpr std::size_t SampleSize = 2;
+/// Cost of an endpoint in another failure domain: about the round trip between regions.
+constexpr double FarMilliseconds = 2;
+/// A report by the process beside an engine is used for so long: four reporting intervals, after which the list is the better source.
+constexpr Core::Duration ReportLifetime{2000};
+/// Usual time of a plain service before one was measured.
+constexpr double DefaultPlainMilliseconds = 30;
+
+struct Usable
+{
+    const Fleet::Endpoint *m_endpoint = nullptr;
+    const EndpointRecord *m_record = nullptr;
+};
+
+double expectedMilliseconds(const Usable &candidate, const ChoiceRequest &request, const ChoiceView &view)
+{
+    if (view.m_engine.m_slots > 0) {
+        return firstEventMilliseconds(view.m_engine, candidate.m_record->m_load, request.m_size);
+    }
+    const double usual = candidate.m_record->m_usualMilliseconds > 0 ? candidate.m_record->m_usualMilliseconds : DefaultPlainMilliseconds;
+    return plainAnswerMilliseconds(candidate.m_endpoint->m_slots, candidate.m_record->m_load, usual);
+}
+
+bool hasWeights(const Usable &candidate, const ChoiceRequest &request, Core::Instant now)
+{
+    if (request.m_model.empty()) {
+        return true;
+    }
+    const std::optional<std::uint64_t> version = usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, now);
+    return version && (!request.m_requiredVersion || *version >= *request.m_requiredVersion);
+}
+
+/**
+ * For a request that has moved already, drops the engines that will have to load a newer version, if there are others. Its stream would be cut again
+ * there, and a request may be sent to few endpoints: the second cut could end it.
+ */
+void preferNewest(std::vector<Usable> &usable, const ChoiceRequest &request, Core::Instant now)
+{
+    if (request.m_excluded.empty() || !request.m_newestVersion) {
+        return;
+    }
+    const std::function<bool(const Usable &)> isNewest = [&request, now](const Usable &candidate) {
+        return usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, now) >= request.m_newestVersion;
+    };
+    if (std::any_of(usable.begin(), usable.end(), isNewest)) {
+        std::erase_if(usable, [&isNewest](const Usable &candidate) { return !isNewest(candidate); });
+    }
+}
+
+/// Moves a random sample to the front and cuts the rest off.
+void takeSample(std::vector<Usable> &usable, Core::Random &random)
+{
+    const std::size_t size = std::min(usable.size(), SampleSize);
+    for (std::size_t index = 0; index < size; ++index) {
+        std::swap(usable[index], usable[index + random.below(usable.size() - index)]);
+    }
+    usable.resize(size);
+}
+
+}
+
+std::string_view noChoiceName(NoChoice reason)
+{
+    switch (reason) {
+    case NoChoice::NoEndpoint:
+        return "no_endpoint";
+    case NoChoice::NoWeights:
+        return "no_weights";
+    case NoChoice::AllTried:
+        return "all_tried";
+    }
+    return "unknown";
+}
+
+std::optional<std::uint64_t> usableVersion(const Fleet::Endpoint &endpoint, const EndpointRecord &record, const std::string &model, Core::Instant now)
+{
+    const bool isReported = record.m_engine && now - record.m_engineReportedAt < ReportLifetime;
+    if (isReported && record.m_engine->m_isLoading) {
+        return std::nullopt;
+    }
+    for (const Fleet::LoadedWeights &loaded : isReported ? record.m_engine->m_weights : endpoint.m_weights) {
+        if (loaded.m_model == model && loaded.m_isWhole) {
+            return loaded.m_version;
+        }
+    }
+    return std::nullopt;
+}
+
+ChoiceResult chooseEndpoint(const ChoiceRequest &request, const ChoiceView &view, Core::Random &random)
+{
+    ChoiceResult result;
+    std::vector<Usable> usable;
+    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : view.m_endpoints) {
+        const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
+        if (endpoint.m_service != request.m_service || endpoint.m_isLeaving) {
+            continue;
+        }
+        result.m_reason = std::max(result.m_reason, NoChoice::NoWeights);
+        const Usable candidate{&endpoint, &view.m_book.look(endpoint)};
+        if (!hasWeights(candidate, request, view.m_now)) {
+            continue;
+        }
+        result.m_reason = NoChoice::AllTried;
+        if (!request.m_excluded.contains(endpoint.m_id)) {
+            usable.push_back(candidate);
+        }
+    }
+    preferNewest(usable, request, view.m_now);
+    const bool isAnySound =
+        std::any_of(usable.begin(), usable.end(), [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil <= view.m_now; });
+    if (isAnySound) {
+        std::erase_if(usable, [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil > view.m_now; });
+    }
+    takeSample(usable, random);
+    double best = 0;
+    for (const Usable &candidate : usable) {
+        const double expected = expectedMilliseconds(candidate, request, view);
+        const double cost = expected + (candidate.m_endpoint->m_failureDomain == view.m_ownFailureDomain ? 0 : FarMilliseconds);
+        if (result.m_choice && cost >= best) {
+            continue;
+        }
+        best = cost;
+        const std::optional<Core::Instant> reportedAt = candidate.m_record->m_reportedAt;
+        const Core::Duration age = reportedAt ? std::chrono::duration_cast<Core::Duration>(view.m_now - *reportedAt) : Core::Duration(-1);
+        const std::optional<std::uint64_t> version =
+            request.m_model.empty() ? std::nullopt : usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, view.m_now);
+        result.m_choice = Choice{*candidate.m_endpoint, expected, version, age};
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/EngineForecast.cpp
@@ -0,0 +1,68 @@
+/// @file Implementation of the forecast.
+
+#include "LibPlacement/EngineForecast.h"
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+constexpr double Thousand = 1000;
+constexpr double Million = 1e6;
+
+}
+
+std::uint32_t requestsAhead(const EndpointLoad &load)
+{
+    return std::max(load.m_running + load.m_waiting + load.m_sentSince, load.m_open);
+}
+
+double promptMilliseconds(const Fleet::EngineModel &engine, std::uint32_t tokens)
+{
+    if (engine.m_promptTokensPerSecond <= 0) {
+        return 0;
+    }
+    const double count = tokens;
+    const double pairs = count * count / 2 / Million;
+    return count / engine.m_promptTokensPerSecond * MillisecondsPerSecond + pairs * engine.m_millisecondsPerMillionPairs;
+}
+
+double stepMilliseconds(const Fleet::EngineModel &engine, std::uint32_t running)
+{
+    const double context = engine.m_usualPromptTokens + engine.m_usualAnswerTokens / 2.0;
+    const double perRequest = engine.m_stepMillisecondsPerRequest + engine.m_stepMillisecondsPerThousandContext * context / Thousand;
+    return engine.m_stepMilliseconds + running * perRequest;
+}
+
+double saturatedIntervalMilliseconds(const Fleet::EngineModel &engine)
+{
+    const double slots = std::max<std::uint32_t>(engine.m_slots, 1);
+    const double decoding = engine.m_usualAnswerTokens * stepMilliseconds(engine, engine.m_slots) / slots;
+    return promptMilliseconds(engine, engine.m_usualPromptTokens) + decoding;
+}
+
+double firstEventMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load, const RequestSize &request)
+{
+    const std::uint32_t ahead = requestsAhead(load);
+    const std::uint32_t slots = std::max<std::uint32_t>(engine.m_slots, 1);
+    // Those that came after the report, and those that wait, have prompts to be read before ours.
+    const std::uint32_t unread = std::min(load.m_waiting + load.m_sentSince, slots);
+    double milliseconds = promptMilliseconds(engine, request.m_promptTokens) + stepMilliseconds(engine, std::min(ahead + 1, slots));
+    milliseconds += unread * promptMilliseconds(engine, engine.m_usualPromptTokens);
+    if (ahead >= slots) {
+        milliseconds += (ahead - slots + 1) * saturatedIntervalMilliseconds(engine);
+    }
+    return milliseconds * std::max(load.m_pace, 1.0);
+}
+
+double plainAnswerMilliseconds(std::uint32_t slots, const EndpointLoad &load, double usual)
+{
+    const std::uint32_t places = std::max<std::uint32_t>(slots, 1);
+    const std::uint32_t ahead = requestsAhead(load);
+    const double waiting = ahead >= places ? static_cast<double>(ahead - places + 1) / places : 0;
+    return usual * (1 + waiting) * std::max(load.m_pace, 1.0);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/RepeatBudgets.h
@@ -0,0 +1,46 @@
+/// @file This process's part of the fleet's budget for sending requests again.
+#pragma once
+
+#include "LibRouting/RetryBudget.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace Placement {
+
+/// The budget that all processes share.
+struct RepeatBudgetSettings
+{
+    double m_share = 0.2; ///< Repeats for each request of a service.
+    double m_slack = 100; ///< Further repeats of a service within the window, summed over all processes.
+    double m_safety = 0.6; ///< Part of the budget that is used: requests spread unevenly over processes, and windows begin at any time.
+
+    bool operator==(const RepeatBudgetSettings &) const = default;
+};
+
+/**
+ * One budget for each service.
+ *
+ * The processes cannot count together without a round trip for each repeat, so each takes an equal part of the slack. Used by one thread.
+ */
+class RepeatBudgets
+{
+public:
+    explicit RepeatBudgets(RepeatBudgetSettings settings);
+
+    /// Number of processes that share the budget; at least one.
+    void setSharers(std::size_t sharers);
+    void onRequest(const std::string &service);
+    /// Takes one repeat out of the budget; false if there is none.
+    bool tryRepeat(const std::string &service);
+
+private:
+    Routing::RetryBudget &budget(const std::string &service);
+
+    const RepeatBudgetSettings m_settings;
+    std::size_t m_sharers = 1;
+    std::map<std::string, Routing::RetryBudget> m_budgets; ///< By service.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/VersionDeadlines.cpp
@@ -0,0 +1,82 @@
+/// @file Implementation of the deadlines of versions.
+
+#include "LibPlacement/VersionDeadlines.h"
+
+#include <algorithm>
+
+namespace Placement {
+
+VersionDeadlines::VersionDeadlines(Core::Duration bound)
+    : m_bound(bound)
+{
+}
+
+void VersionDeadlines::declared(const std::string &model, std::uint64_t version, Core::Duration age, Core::Instant now)
+{
+    const Core::Instant acceptedAt = now - age;
+    DeclarationTime &known = m_declared[model].try_emplace(version, DeclarationTime{acceptedAt, true}).first->second;
+    known.m_acceptedAt = known.m_isStated ? std::min(known.m_acceptedAt, acceptedAt) : acceptedAt;
+    known.m_isStated = true;
+    dropOldest(model);
+}
+
+void VersionDeadlines::found(const std::string &model, std::uint64_t version, Core::Instant now)
+{
+    m_declared[model].try_emplace(version, DeclarationTime{now - m_bound, false});
+    dropOldest(model);
+}
+
+void VersionDeadlines::dropOldest(const std::string &model)
+{
+    constexpr std::size_t KeptVersions = 8; // Far more than can be within their bounds at once.
+    std::map<std::uint64_t, DeclarationTime> &versions = m_declared[model];
+    while (versions.size() > KeptVersions) {
+        versions.erase(versions.begin());
+    }
+}
+
+std::optional<std::uint64_t> VersionDeadlines::required(const std::string &model, Core::Instant now) const
+{
+    const std::map<std::string, std::map<std::uint64_t, DeclarationTime>>::const_iterator versions = m_declared.find(model);
+    std::optional<std::uint64_t> newest;
+    if (versions == m_declared.end()) {
+        return newest;
+    }
+    for (const std::pair<const std::uint64_t, DeclarationTime> &entry : versions->second) {
+        if (now - entry.second.m_acceptedAt >= m_bound) {
+            newest = entry.first;
+        }
+    }
+    return newest;
+}
+
+std::optional<Core::Duration> VersionDeadlines::statedAge(const std::string &model, std::uint64_t version, Core::Instant now) const
+{
+    const std::map<std::string, std::map<std::uint64_t, DeclarationTime>>::const_iterator versions = m_declared.find(model);
+    if (versions == m_declared.end()) {
+        return std::nullopt;
+    }
+    const std::map<std::uint64_t, DeclarationTime>::const_iterator known = versions->second.find(version);
+    if (known == versions->second.end() || !known->second.m_isStated) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Core::Duration>(now - known->second.m_acceptedAt);
+}
+
+std::optional<Core::Duration> VersionDeadlines::oldestAge(const std::string &model, std::uint64_t loaded, Core::Instant now) const
+{
+    const std::map<std::string, std::map<std::uint64_t, DeclarationTime>>::const_iterator versions = m_declared.find(model);
+    std::optional<Core::Duration> oldest;
+    if (versions == m_declared.end()) {
+        return oldest;
+    }
+    for (std::map<std::uint64_t, DeclarationTime>::const_iterator it = versions->second.upper_bound(loaded); it != versions->second.end(); ++it) {
+        const Core::Duration age = std::chrono::duration_cast<Core::Duration>(now - it->second.m_acceptedAt);
+        if (it->second.m_isStated && (!oldest || age > *oldest)) {
+            oldest = age;
+        }
+    }
+    return oldest;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -0,0 +1,90 @@
+/// @file Implementation of the framing of events.
+
+#include "LibRelay/EventFramer.h"
+
+#include "LibHttp/HeaderFields.h"
+
+namespace Relay {
+
+namespace {
+
+/// Length of the first whole event, with the empty line that ends it; npos if there is none.
+std::size_t eventLength(std::string_view bytes)
+{
+    std::size_t lineStart = 0;
+    while (true) {
+        const std::size_t lineEnd = bytes.find('\n', lineStart);
+        if (lineEnd == std::string_view::npos) {
+            return std::string_view::npos;
+        }
+        const std::size_t length = lineEnd - lineStart;
+        const bool isEmpty = length == 0 || (length == 1 && bytes[lineStart] == '\r');
+        if (isEmpty) {
+            return lineEnd + 1;
+        }
+        lineStart = lineEnd + 1;
+    }
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    std::size_t lineStart = 0;
+    while (lineStart < event.size()) {
+        const std::size_t lineEnd = std::min(event.find('\n', lineStart), event.size());
+        std::string_view line = event.substr(lineStart, lineEnd - lineStart);
+        lineStart = lineEnd + 1;
+        if (!line.starts_with(Field)) {
+            continue;
+        }
+        line.remove_prefix(Field.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && line.back() == '\r') {
+            line.remove_suffix(1);
+        }
+        return Http::parseNumber(line);
+    }
+    return std::nullopt;
+}
+
+}
+
+EventFramer::EventFramer(std::optional<std::uint64_t> after)
+    : m_lastId(after)
+{
+}
+
+std::string EventFramer::take(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    std::string whole;
+    std::string_view pending = m_rest;
+    while (true) {
+        const std::size_t length = eventLength(pending);
+        if (length == std::string_view::npos) {
+            break;
+        }
+        const std::string_view event = pending.substr(0, length);
+        pending.remove_prefix(length);
+        const std::optional<std::uint64_t> id = idOf(event);
+        if (id && m_lastId && *id <= *m_lastId) {
+            continue;
+        }
+        if (id) {
+            m_hasGap = m_hasGap || (m_lastId && *id != *m_lastId + 1);
+            m_lastId = id;
+        }
+        whole.append(event);
+    }
+    m_rest.erase(0, m_rest.size() - pending.size());
+    return whole;
+}
+
+void EventFramer::dropRest()
+{
+    m_rest.clear();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/Relay.h
@@ -0,0 +1,91 @@
+/// @file Answers callers: decides on each request and passes it on to an endpoint of its route's service.
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibFleet/Beliefs.h"
+#include "LibHttp/ServerConnection.h"
+#include "LibPlacement/EndpointBook.h"
+#include "LibPlacement/RepeatBudgets.h"
+#include "LibPlacement/VersionDeadlines.h"
+#include "LibRelay/Dialect.h"
+#include "LibTelemetry/EventLog.h"
+#include "LibTelemetry/Metrics.h"
+
+#include <memory>
+#include <set>
+
+namespace Relay {
+
+class RelayedRequest;
+
+struct RelaySettings
+{
+    std::string m_failureDomain; ///< Of this instance.
+    Core::Duration m_connectTimeout{350}; ///< To an endpoint; a lost first packet is sent again only after a second.
+    Core::Duration m_answerMargin{15}; ///< Kept from a request's time for the answer's way back.
+    Core::Duration m_minimumTime{20}; ///< A request with less time left is not sent any more.
+    Core::Duration m_retryAfter{300}; ///< Told to callers that are refused: a few times the interval at which a full engine takes requests.
+    std::size_t m_sampleSuccesses = 20; ///< One in so many successes gets a line in the log.
+
+    bool operator==(const RelaySettings &) const = default;
+};
+
+/// What the relay works with. Everything outlives it.
+struct RelayParts
+{
+    Http::EventLoop &m_loop;
+    Fleet::Beliefs &m_beliefs;
+    Placement::EndpointBook &m_book;
+    Placement::RepeatBudgets &m_budgets;
+    Placement::VersionDeadlines &m_versions;
+    Telemetry::Metrics &m_metrics;
+    Telemetry::EventLog &m_log;
+    Core::Random &m_random;
+};
+
+/// Counters of the relay, looked up once.
+struct RelayCounters
+{
+    explicit RelayCounters(Telemetry::Metrics &metrics);
+
+    Telemetry::Counter &m_requests;
+    Telemetry::Counter &m_succeeded;
+    Telemetry::Counter &m_refused;
+    Telemetry::Counter &m_failed;
+    Telemetry::Counter &m_abandoned;
+    Telemetry::Counter &m_repeats;
+    Telemetry::Counter &m_resumed;
+    Telemetry::Latency &m_firstByte;
+    Telemetry::Latency &m_whole;
+};
+
+/// Used on the loop's thread.
+class Relay
+{
+public:
+    Relay(RelayParts parts, RelaySettings settings, Dialect dialect);
+    ~Relay();
+
+    Relay(const Relay &) = delete;
+    Relay &operator=(const Relay &) = delete;
+
+    /// Takes a request over; it is answered on its connection.
+    void handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request);
+    /// Requests that have no whole answer yet.
+    std::size_t open() const
+    {
+        return m_open.size();
+    }
+
+private:
+    friend class RelayedRequest;
+
+    const RelayParts m_parts;
+    const RelaySettings m_settings;
+    const Dialect m_dialect;
+    RelayCounters m_counters;
+    std::size_t m_successes = 0;
+    std::set<std::shared_ptr<RelayedRequest>> m_open;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -0,0 +1,516 @@
+/// @file Implementation of a request's way through the relay.
+
+#include "LibRelay/RelayedRequest.h"
+
+#include <algorithm>
+
+namespace Relay {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int MultipleChoices = 300; ///< First status that is no success.
+constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int RequestTimeout = 408;
+constexpr int Misdirected = 421;
+constexpr int TooManyRequests = 429;
+constexpr int InternalError = 500;
+constexpr int BadGateway = 502;
+constexpr int ServiceUnavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+/// Bytes that wait for a slow caller before its endpoint is held up: some dozens of events.
+constexpr std::size_t MaximumPending = 64 << 10;
+/// An endpoint that could be replaced by another is given up after this many times the latency objective without an answer, within the bounds.
+constexpr double PatienceInGoals = 4;
+constexpr Core::Duration ShortestPatience{400};
+constexpr Core::Duration LongestPatience{2000};
+/// A stream that could be resumed elsewhere is given up after a pause of this many times the longest pause that is on time.
+constexpr double PatienceInGaps = 4;
+
+/// Statuses that promise that the request has not run. They are passed on only together with the endpoint's own promise.
+bool promisesNotRun(int status)
+{
+    return status == RequestTimeout || status == Misdirected || status == TooManyRequests || status == ServiceUnavailable;
+}
+
+std::string secondsText(Core::Duration duration)
+{
+    std::array<char, 32> text{};
+    constexpr double MillisecondsPerSecond = 1000;
+    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(duration.count()) / MillisecondsPerSecond);
+    return text.data();
+}
+
+Core::Duration scaled(std::uint32_t milliseconds, double factor)
+{
+    return Core::Duration(static_cast<std::int64_t>(milliseconds * factor));
+}
+
+}
+
+RelayedRequest::RelayedRequest(Relay &relay, std::shared_ptr<Http::ServerConnection> connection, Http::ServerRequest request)
+    : m_relay(relay)
+    , m_connection(std::move(connection))
+    , m_request(std::move(request))
+    , m_timer(relay.m_parts.m_loop)
+    , m_facts(relay.m_dialect.m_readRequest(m_request.m_fields))
+    , m_configuration(relay.m_parts.m_beliefs.configuration())
+    , m_arrivedAt(Core::Clock::now())
+    , m_framer(m_facts.m_resumeAfter)
+{
+}
+
+void RelayedRequest::start()
+{
+    m_connection->onGone([weak = weak_from_this()] {
+        const std::shared_ptr<RelayedRequest> self = weak.lock();
+        if (self) {
+            self->callerLeft();
+        }
+    });
+    if (!m_configuration) {
+        refuse("no configuration is known yet", m_relay.m_settings.m_retryAfter);
+        return;
+    }
+    if (!findRoute() || !findAccount()) {
+        return;
+    }
+    setDeadline();
+    m_service = chooseService();
+    if (!m_service) {
+        refuse("the route names no known service", m_relay.m_settings.m_retryAfter);
+        return;
+    }
+    m_relay.m_parts.m_budgets.onRequest(m_service->m_name);
+    tryEndpoint();
+}
+
+bool RelayedRequest::findRoute()
+{
+    const std::string *host = Http::findField(m_request.m_fields, "Host");
+    m_route = host ? m_configuration->route(Http::hostName(*host), Http::pathOf(m_request.m_target)) : nullptr;
+    if (!m_route) {
+        answerPlainly(NotFound, {}, "no route");
+        return false;
+    }
+    if (m_facts.m_attemptId.empty()) {
+        answerPlainly(BadRequest, {}, "the request has no attempt id");
+        return false;
+    }
+    return true;
+}
+
+bool RelayedRequest::findAccount()
+{
+    if (m_configuration->configuration().m_accounts.empty()) {
+        return true;
+    }
+    m_account = m_facts.m_key.empty() ? nullptr : m_configuration->accountOfKey(m_facts.m_key);
+    if (!m_account && !m_route->m_isPublic) {
+        answerPlainly(Unauthorized, {}, "unknown key");
+        return false;
+    }
+    return true;
+}
+
+void RelayedRequest::setDeadline()
+{
+    Core::Duration patience(m_route->m_timeoutMilliseconds);
+    if (m_facts.m_patience && (*m_facts.m_patience < patience || patience.count() == 0)) {
+        patience = *m_facts.m_patience;
+    }
+    m_deadline = m_arrivedAt + patience;
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<RelayedRequest> self = weak.lock();
+        if (!error && self) {
+            self->timeIsUp();
+        }
+    });
+}
+
+const Fleet::Service *RelayedRequest::chooseService()
+{
+    double total = 0;
+    for (const Fleet::ServiceShare &share : m_route->m_services) {
+        total += share.m_weight;
+    }
+    double drawn = m_relay.m_parts.m_random.unit() * total;
+    for (const Fleet::ServiceShare &share : m_route->m_services) {
+        drawn -= share.m_weight;
+        if (drawn < 0) {
+            return m_configuration->service(share.m_service);
+        }
+    }
+    return m_route->m_services.empty() ? nullptr : m_configuration->service(m_route->m_services.back().m_service);
+}
+
+Core::Duration RelayedRequest::timeLeft() const
+{
+    return std::chrono::duration_cast<Core::Duration>(m_deadline - Core::Clock::now());
+}
+
+Placement::ChoiceResult RelayedRequest::choose() const
+{
+    const Core::Instant now = Core::Clock::now();
+    Placement::ChoiceRequest request;
+    request.m_service = m_service->m_name;
+    request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
+    request.m_excluded = m_excluded;
+    if (m_service->m_engine.m_slots > 0) {
+        request.m_model = m_facts.m_model;
+        request.m_requiredVersion = m_relay.m_parts.m_versions.required(m_facts.m_model, now);
+        const Fleet::DeclaredWeights *declared = m_relay.m_parts.m_beliefs.declaredWeights(m_facts.m_model);
+        request.m_newestVersion = declared ? std::optional<std::uint64_t>(declared->m_version) : std::nullopt;
+    }
+    const Placement::ChoiceView view{
+        m_relay.m_parts.m_beliefs.endpoints(), m_relay.m_parts.m_book, m_service->m_engine, m_relay.m_settings.m_failureDomain, now};
+    return Placement::chooseEndpoint(request, view, m_relay.m_parts.m_random);
+}
+
+void RelayedRequest::tryEndpoint()
+{
+    if (timeLeft() < m_relay.m_settings.m_minimumTime) {
+        fail(GatewayTimeout, "too little time is left for another attempt");
+        return;
+    }
+    const Placement::ChoiceResult result = choose();
+    if (result.m_choice) {
+        send(*result.m_choice);
+        return;
+    }
+    const std::string reason = std::string(Placement::noChoiceName(result.m_reason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
+    if (m_mayHaveRun) {
+        fail(BadGateway, reason);
+        return;
+    }
+    refuse(reason, m_relay.m_settings.m_retryAfter);
+}
+
+AttemptFacts RelayedRequest::attemptFacts(const Placement::Choice &choice) const
+{
+    AttemptFacts facts;
+    facts.m_endpointId = choice.m_endpoint.m_id;
+    facts.m_timeLeft = std::max(Core::Duration(1), timeLeft() - m_relay.m_settings.m_answerMargin);
+    facts.m_priority = m_route->m_priority;
+    if (m_account) {
+        facts.m_account = m_account->m_name;
+        facts.m_priority = m_account->m_priority ? *m_account->m_priority : m_route->m_priority;
+    }
+    const bool isBound = m_relay.m_parts.m_versions.required(m_facts.m_model, Core::Clock::now()).has_value();
+    if (isBound && m_service->m_engine.m_slots > 0) {
+        // The engine compares for equality, so it is told the version that it was chosen with, which may be newer than the required one.
+        facts.m_expectedVersion = choice.m_version;
+    }
+    facts.m_resumeAfter = m_framer.lastId();
+    return facts;
+}
+
+Http::ClientCallLimits RelayedRequest::callLimits() const
+{
+    Http::ClientCallLimits limits;
+    limits.m_connect = m_relay.m_settings.m_connectTimeout;
+    limits.m_head = timeLeft() + m_relay.m_settings.m_answerMargin;
+    limits.m_silence = limits.m_head;
+    const bool isLastAttempt = m_attempts + 1 >= m_route->m_maximumAttempts;
+    if (!m_route->isRepeatable() || isLastAttempt) {
+        return limits;
+    }
+    limits.m_head = std::min(limits.m_head, std::clamp(scaled(m_route->m_goalMilliseconds, PatienceInGoals), ShortestPatience, LongestPatience));
+    if (m_route->m_isResumable && m_route->m_gapGoalMilliseconds > 0) {
+        limits.m_silence = std::min(limits.m_silence, scaled(m_route->m_gapGoalMilliseconds, PatienceInGaps));
+    }
+    return limits;
+}
+
+void RelayedRequest::send(const Placement::Choice &choice)
+{
+    Http::ClientRequest outgoing;
+    outgoing.m_method = m_request.m_method;
+    outgoing.m_target = m_request.m_target;
+    outgoing.m_fields = m_relay.m_dialect.m_attemptFields(Http::endToEndFields(m_request.m_fields), attemptFacts(choice));
+    outgoing.m_body = m_request.m_body;
+    Http::ClientCallEvents events;
+    const std::shared_ptr<RelayedRequest> self = shared_from_this();
+    events.m_onHead = [self](const Http::AnswerHead &head) { self->headCame(head); };
+    events.m_onData = [self](std::string_view bytes) { self->dataCame(bytes); };
+    events.m_onEnd = [self](const Http::ClientCallEnd &end) { self->attemptEnded(end); };
+    Attempt attempt;
+    attempt.m_endpoint = choice.m_endpoint;
+    attempt.m_sentAt = Core::Clock::now();
+    attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
+    attempt.m_reportAge = choice.m_reportAge;
+    attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
+    m_attempt = std::move(attempt);
+    ++m_attempts;
+    m_relay.m_parts.m_book.sent(choice.m_endpoint);
+    m_attempt->m_call->start(outgoing);
+}
+
+bool RelayedRequest::acceptHead(const Http::AnswerHead &head, const AnswerFacts &facts)
+{
+    const bool isSuccess = head.m_status >= Ok && head.m_status < MultipleChoices;
+    if (facts.m_attemptId != m_facts.m_attemptId && (isSuccess || !facts.m_attemptId.empty())) {
+        attemptFailed(Placement::EndpointFailure::Faulty, true, "the answer belongs to another request");
+        return false;
+    }
+    if (facts.m_didNotRun) {
+        const bool isWrong = head.m_status == Misdirected;
+        attemptFailed(isWrong ? Placement::EndpointFailure::WrongInstance : Placement::EndpointFailure::Refused,
+                      false,
+                      "not run, status " + std::to_string(head.m_status));
+        return false;
+    }
+    if (Http::findField(head.m_fields, "Content-Encoding") || (isSuccess && !facts.m_isSealed)) {
+        attemptFailed(Placement::EndpointFailure::Faulty, true, "the answer is not the endpoint's own");
+        return false;
+    }
+    if (promisesNotRun(head.m_status)) {
+        attemptFailed(Placement::EndpointFailure::Faulty, true, "status " + std::to_string(head.m_status) + " without a promise");
+        return false;
+    }
+    if (head.m_status >= InternalError && m_route->isRepeatable() && m_attempts < m_route->m_maximumAttempts && !m_headPassedOn) {
+        attemptFailed(Placement::EndpointFailure::Faulty, true, "status " + std::to_string(head.m_status));
+        return false;
+    }
+    return true;
+}
+
+void RelayedRequest::headCame(const Http::AnswerHead &head)
+{
+    const AnswerFacts facts = m_relay.m_dialect.m_readAnswer(head.m_fields);
+    const Core::Instant now = Core::Clock::now();
+    if (facts.m_load) {
+        m_relay.m_parts.m_book.loadReported(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
+    }
+    if (!acceptHead(head, facts)) {
+        return;
+    }
+    if (m_headPassedOn) {
+        if (head.m_status != Ok) {
+            attemptFailed(Placement::EndpointFailure::Faulty, true, "the stream was not resumed, status " + std::to_string(head.m_status));
+            return;
+        }
+        m_attempt->m_isStreaming = true;
+        return;
+    }
+    passHeadOn(head);
+}
+
+void RelayedRequest::passHeadOn(const Http::AnswerHead &head)
+{
+    m_headPassedOn = true;
+    m_isEventStream = m_route->m_kind == Fleet::RequestKind::Stream && head.m_status == Ok;
+    m_attempt->m_isStreaming = m_isEventStream;
+    m_relay.m_counters.m_firstByte.record(Core::secondsBetween(m_arrivedAt, Core::Clock::now()));
+    m_connection->onDrained([weak = weak_from_this()] {
+        const std::shared_ptr<RelayedRequest> self = weak.lock();
+        if (self && self->m_attempt) {
+            self->m_attempt->m_call->resume();
+        }
+    });
+    Http::AnswerFraming framing;
+    if (!m_isEventStream) {
+        framing.m_length = head.m_contentLength;
+    }
+    m_connection->beginAnswer(head.m_status, head.m_reason, Http::endToEndFields(head.m_fields), framing);
+}
+
+void RelayedRequest::dataCame(std::string_view bytes)
+{
+    if (m_isEventStream) {
+        m_connection->sendBody(m_framer.take(bytes));
+        if (m_framer.hasGap()) {
+            m_attempt->m_call->cancel();
+            endAttempt();
+            m_connection->abort();
+            finish("failed", 0, "an event is missing in the stream");
+            return;
+        }
+    } else {
+        m_connection->sendBody(bytes);
+    }
+    if (m_connection->pendingBytes() > MaximumPending) {
+        m_attempt->m_call->pause();
+    }
+}
+
+void RelayedRequest::attemptEnded(const Http::ClientCallEnd &end)
+{
+    if (end.m_isWhole) {
+        answerWhole();
+        return;
+    }
+    const bool isUnreachable = !end.m_wasSent;
+    attemptFailed(isUnreachable ? Placement::EndpointFailure::Unreachable : Placement::EndpointFailure::Broken, end.m_wasSent, end.m_error.message());
+}
+
+void RelayedRequest::answerWhole()
+{
+    const Core::Instant now = Core::Clock::now();
+    constexpr double MillisecondsPerSecond = 1000;
+    m_relay.m_parts.m_book.succeeded(m_attempt->m_endpoint, Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond);
+    m_relay.m_counters.m_whole.record(Core::secondsBetween(m_arrivedAt, now));
+    if (m_isEventStream) {
+        m_connection->sendBody(m_framer.rest());
+    }
+    m_connection->finish();
+    logEnd("answered", Ok, "");
+    endAttempt();
+    finish("answered", Ok, "");
+}
+
+void RelayedRequest::endAttempt()
+{
+    if (!m_attempt) {
+        return;
+    }
+    m_attempt->m_call->cancel();
+    m_relay.m_parts.m_book.ended(m_attempt->m_endpoint);
+    m_attempt.reset();
+}
+
+void RelayedRequest::attemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail)
+{
+    m_relay.m_parts.m_book.failed(m_attempt->m_endpoint, failure, Core::Clock::now());
+    m_excluded.insert(m_attempt->m_endpoint.m_id);
+    m_lastFailure = detail;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    Telemetry::LogLine line("attempt_failed");
+    line.text("id", m_facts.m_attemptId).text("route", m_route->m_name).text("endpoint", m_attempt->m_endpoint.m_id);
+    line.text("peer", m_attempt->m_endpoint.m_address.toString()).flag("may_have_run", mayHaveRun).text("detail", detail);
+    m_relay.m_parts.m_log.write(line);
+    endAttempt();
+    if (m_headPassedOn) {
+        if (!resumeStream()) {
+            m_connection->abort();
+            finish("failed", 0, "the answer broke off: " + detail);
+        }
+        return;
+    }
+    if (mayRepeat(mayHaveRun)) {
+        m_relay.m_counters.m_repeats.add();
+        tryEndpoint();
+        return;
+    }
+    if (m_mayHaveRun) {
+        fail(BadGateway, detail);
+        return;
+    }
+    refuse(detail, m_relay.m_settings.m_retryAfter);
+}
+
+bool RelayedRequest::mayRepeat(bool mayHaveRun)
+{
+    if (mayHaveRun && !m_route->isRepeatable()) {
+        return false;
+    }
+    return m_attempts < m_route->m_maximumAttempts && m_relay.m_parts.m_budgets.tryRepeat(m_service->m_name);
+}
+
+bool RelayedRequest::resumeStream()
+{
+    if (!m_isEventStream || timeLeft() < m_relay.m_settings.m_minimumTime || !mayRepeat(true)) {
+        return false;
+    }
+    const Placement::ChoiceResult result = choose();
+    if (!result.m_choice) {
+        return false;
+    }
+    m_framer.dropRest();
+    m_relay.m_counters.m_resumed.add();
+    send(*result.m_choice);
+    return true;
+}
+
+void RelayedRequest::timeIsUp()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_mayHaveRun = m_mayHaveRun || m_attempt.has_value();
+    endAttempt();
+    if (m_headPassedOn) {
+        m_connection->abort();
+        finish("failed", 0, "the time limit was reached within the answer");
+        return;
+    }
+    if (m_mayHaveRun) {
+        fail(GatewayTimeout, "the time limit was reached");
+        return;
+    }
+    refuse("the time limit was reached before the request could be sent", m_relay.m_settings.m_retryAfter);
+}
+
+void RelayedRequest::callerLeft()
+{
+    if (m_isOver) {
+        return;
+    }
+    endAttempt();
+    finish("caller_left", 0, "the caller closed its connection");
+}
+
+void RelayedRequest::refuse(const std::string &reason, Core::Duration retryAfter)
+{
+    answerPlainly(ServiceUnavailable, {Http::HeaderField{"Retry-After", secondsText(retryAfter)}}, reason);
+}
+
+void RelayedRequest::fail(int status, const std::string &reason)
+{
+    answerPlainly(status, {}, reason);
+}
+
+void RelayedRequest::answerPlainly(int status, Http::HeaderFields fields, const std::string &reason)
+{
+    fields.push_back(Http::HeaderField{"Content-Type", "text/plain"});
+    m_connection->answer(status, std::move(fields), reason + "\n");
+    finish(promisesNotRun(status) ? "refused" : "failed", status, reason);
+}
+
+void RelayedRequest::logEnd(const std::string &outcome, int status, const std::string &reason)
+{
+    const bool isSuccess = outcome == "answered";
+    if (isSuccess && ++m_relay.m_successes % m_relay.m_settings.m_sampleSuccesses != 0) {
+        return;
+    }
+    constexpr double MillisecondsPerSecond = 1000;
+    Telemetry::LogLine line("request");
+    line.text("id", m_facts.m_attemptId).text("outcome", outcome).number("status", static_cast<std::int64_t>(status));
+    line.text("route", m_route ? m_route->m_name : "").text("account", m_account ? m_account->m_name : "");
+    line.number("took_ms", Core::secondsBetween(m_arrivedAt, Core::Clock::now()) * MillisecondsPerSecond);
+    line.number("attempts", static_cast<std::int64_t>(m_attempts));
+    line.number("configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->configuration().m_version : 0));
+    if (m_attempt) {
+        line.text("endpoint", m_attempt->m_endpoint.m_id).number("expected_ms", m_attempt->m_expectedMilliseconds);
+        line.number("report_age_ms", static_cast<std::int64_t>(m_attempt->m_reportAge.count()));
+    }
+    if (!reason.empty()) {
+        line.text("reason", reason);
+    }
+    m_relay.m_parts.m_log.write(line);
+}
+
+void RelayedRequest::finish(const std::string &outcome, int status, const std::string &reason)
+{
+    if (m_isOver) {
+        return;
+    }
+    m_isOver = true;
+    if (outcome == "answered") {
+        m_relay.m_counters.m_succeeded.add();
+    } else {
+        logEnd(outcome, status, reason);
+        Telemetry::Counter &counter = outcome == "refused" ? m_relay.m_counters.m_refused
+            : outcome == "caller_left"                     ? m_relay.m_counters.m_abandoned
+                                                           : m_relay.m_counters.m_failed;
+        counter.add();
+    }
+    m_timer.cancel();
+    m_relay.m_open.erase(shared_from_this());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -0,0 +1,90 @@
+/// @file One request of a caller, from its arrival to the end of its answer.
+#pragma once
+
+#include "LibHttp/ClientCall.h"
+#include "LibPlacement/Choice.h"
+#include "LibRelay/EventFramer.h"
+#include "LibRelay/Relay.h"
+
+namespace Relay {
+
+/**
+ * The state machine of a request: checked, sent to an endpoint, answered; or sent again, where that is allowed; or given up.
+ *
+ * Whatever happens, the caller gets one final answer, or a cut connection if an answer broke off after its head had been passed on.
+ */
+class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>
+{
+public:
+    RelayedRequest(Relay &relay, std::shared_ptr<Http::ServerConnection> connection, Http::ServerRequest request);
+
+    void start();
+
+private:
+    /// What is known of an attempt that has not ended.
+    struct Attempt
+    {
+        Fleet::Endpoint m_endpoint;
+        std::shared_ptr<Http::ClientCall> m_call;
+        Core::Instant m_sentAt;
+        double m_expectedMilliseconds = 0;
+        Core::Duration m_reportAge{0};
+        bool m_isStreaming = false; ///< Its answer's events are being passed on.
+    };
+
+    bool findRoute();
+    bool findAccount();
+    void setDeadline();
+    const Fleet::Service *chooseService();
+    void tryEndpoint();
+    Placement::ChoiceResult choose() const;
+    void send(const Placement::Choice &choice);
+    Http::ClientCallLimits callLimits() const;
+    AttemptFacts attemptFacts(const Placement::Choice &choice) const;
+
+    void headCame(const Http::AnswerHead &head);
+    bool acceptHead(const Http::AnswerHead &head, const AnswerFacts &facts);
+    void passHeadOn(const Http::AnswerHead &head);
+    void dataCame(std::string_view bytes);
+    void attemptEnded(const Http::ClientCallEnd &end);
+    void answerWhole();
+    /// Ends the attempt under way after a failure and sends the request again, resumes its stream or gives it up.
+    void attemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
+    bool mayRepeat(bool mayHaveRun);
+    bool resumeStream();
+
+    void timeIsUp();
+    void callerLeft();
+    /// Answers with a refusal, which promises that the request has not run.
+    void refuse(const std::string &reason, Core::Duration retryAfter);
+    /// Answers with a failure that promises nothing.
+    void fail(int status, const std::string &reason);
+    void answerPlainly(int status, Http::HeaderFields fields, const std::string &reason);
+    void endAttempt();
+    void finish(const std::string &outcome, int status, const std::string &reason);
+    void logEnd(const std::string &outcome, int status, const std::string &reason);
+    Core::Duration timeLeft() const;
+
+    Relay &m_relay;
+    std::shared_ptr<Http::ServerConnection> m_connection;
+    Http::ServerRequest m_request;
+    Http::Timer m_timer;
+    RequestFacts m_facts;
+    std::shared_ptr<const Fleet::ConfigurationIndex> m_configuration; ///< Keeps what the pointers below point into.
+    const Fleet::Route *m_route = nullptr;
+    const Fleet::ClientAccount *m_account = nullptr; ///< Null on public routes and where callers need no keys.
+    const Fleet::Service *m_service = nullptr;
+    Core::Instant m_arrivedAt;
+    Core::Instant m_deadline;
+    std::uint32_t m_attempts = 0;
+    bool m_mayHaveRun = false; ///< Some attempt may have begun; from then on nothing may say that the request did not run.
+    bool m_headPassedOn = false;
+    bool m_isEventStream = false;
+    bool m_isOver = false;
+    std::optional<Attempt> m_attempt;
+    EventFramer m_framer;
+    std::set<std::string> m_excluded; ///< Endpoints that have failed this request.
+    std::string m_lastFailure;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -0,0 +1,317 @@
+/// @file Implementation of the entry process.
+
+#include "LibServing/EntryProcess.h"
+
+#include "LibHttp/AdminPages.h"
+
+#include <unistd.h>
+
+namespace Serving {
+
+namespace {
+
+constexpr Core::Duration TickInterval{200}; ///< Logs are flushed so often.
+constexpr std::size_t PageConnections = 256;
+constexpr std::size_t AdminConnections = 16;
+/// Part of the leaving time during which requests are still taken: callers keep an answer of the directory for some seconds.
+constexpr double TakingShare = 0.4;
+/// Idle connections are closed from here on, when callers have had the time to hear of other entries.
+constexpr double IdleShare = 0.3;
+constexpr Core::Duration LeavingStep{100};
+constexpr Core::Duration LeavingReserve{250}; ///< Before the platform's own end, so that the last lines get out.
+
+Core::Duration share(Core::Duration whole, double part)
+{
+    return Core::Duration(static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
+}
+
+Wire::NodeSettings nodeSettings(const EntrySettings &settings)
+{
+    Wire::NodeSettings node;
+    node.m_listen = settings.m_peers;
+    node.m_network.m_bindHost = settings.m_peers.m_host;
+    return node;
+}
+
+Relay::RelaySettings relaySettings(const EntrySettings &settings)
+{
+    Relay::RelaySettings relay;
+    relay.m_failureDomain = settings.m_failureDomain;
+    return relay;
+}
+
+std::uint64_t randomSeed(const std::string &instance)
+{
+    return Core::stableHash(instance + Core::randomIdentifier());
+}
+
+}
+
+EntryProcess::EntryProcess(EntrySettings settings, EntryAdapter adapter)
+    : m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
+    , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
+    , m_random(randomSeed(m_settings.m_instance))
+    , m_budgets(m_settings.m_repeats)
+    , m_versions(m_settings.m_versionBound - m_settings.m_versionMargin)
+    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_gossip(Gossip::GossipParts{m_loop, m_node, m_beliefs, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
+    , m_follower(Follow::FollowerParts{m_loop, m_beliefs, m_versions, m_metrics, m_log, m_random},
+                 Follow::FollowerSettings{},
+                 m_adapter.m_makeSource(m_loop, m_settings.m_log, m_metrics))
+    , m_relay(Relay::RelayParts{m_loop, m_beliefs, m_book, m_budgets, m_versions, m_metrics, m_log, m_random}, relaySettings(m_settings), m_adapter.m_dialect)
+    , m_admin(m_settings.m_admin, m_metrics)
+    , m_callerContext(std::make_shared<Http::ServerContext>())
+    , m_pageContext(std::make_shared<Http::ServerContext>())
+    , m_adminContext(std::make_shared<Http::ServerContext>())
+    , m_signals(m_loop)
+    , m_tick(m_loop)
+    , m_leaving(m_loop)
+{
+}
+
+Gossip::Member EntryProcess::makeSelf() const
+{
+    Gossip::Member self;
+    self.m_id = m_settings.m_instance;
+    self.m_incarnation = static_cast<std::uint32_t>(randomSeed(m_settings.m_instance));
+    self.m_role = Gossip::Role::Entry;
+    self.m_region = m_settings.m_region;
+    self.m_failureDomain = m_settings.m_failureDomain;
+    self.m_peers = m_settings.m_peers;
+    self.m_callers = m_settings.m_callers;
+    return self;
+}
+
+int EntryProcess::run()
+{
+    const Core::Result<void> started = start();
+    if (!started) {
+        m_log.write(Telemetry::LogLine("start_failed").text("error", started.error().message()));
+        m_log.flush();
+        return 1;
+    }
+    m_log.write(Telemetry::LogLine("started").text("callers", m_settings.m_callers.toString()).text("peers", m_settings.m_peers.toString()));
+    m_loop.run();
+    m_node.stop();
+    m_log.write(Telemetry::LogLine("stopped").number("open_requests", static_cast<std::int64_t>(m_relay.open())));
+    m_log.flush();
+    return m_hasFailed ? 1 : 0;
+}
+
+void EntryProcess::onReload(std::function<std::optional<EntrySettings>()> reload)
+{
+    m_reload = std::move(reload);
+}
+
+Core::Result<void> EntryProcess::start()
+{
+    awaitSignals();
+    m_callerContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
+        m_relay.handle(connection, std::move(request));
+    };
+    m_callerContext->m_onRejected = [this](int status, const std::string &peer, const std::string &reason) {
+        m_log.write(Telemetry::LogLine("request_unreadable").number("status", static_cast<std::int64_t>(status)).text("peer", peer).text("reason", reason));
+    };
+    m_pageContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request) {
+        answerPage(connection, request);
+    };
+    m_adminContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request) {
+        Http::answerAdmin(m_admin, *connection, request);
+    };
+    m_listeners.push_back(std::make_unique<Http::Listener>(m_loop, m_settings.m_callers, m_callerContext, m_settings.m_connections));
+    for (const Core::Address &address : m_settings.m_pages) {
+        m_listeners.push_back(std::make_unique<Http::Listener>(m_loop, address, m_pageContext, PageConnections));
+    }
+    m_listeners.push_back(std::make_unique<Http::Listener>(m_loop, m_settings.m_admin, m_adminContext, AdminConnections));
+    for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
+        BOOST_OUTCOME_TRYV(listener->start());
+    }
+    addDump();
+    m_gossip.registerMethods();
+    m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, false); });
+    m_gossip.onEngineNews([this](const Gossip::EngineNews &news) { engineNews(news); });
+    m_gossip.onMembers([this] { m_budgets.setSharers(m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now()).size() + 1); });
+    m_follower.onUpdate([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, true); });
+    m_follower.onUnreachable([this] { m_gossip.pullFromAnyEntry(); });
+    BOOST_OUTCOME_TRYV(m_node.start());
+    BOOST_OUTCOME_TRYV(m_gossip.start());
+    m_follower.start();
+    tick();
+    return Core::success();
+}
+
+void EntryProcess::addDump()
+{
+    m_admin.addDumpSection("beliefs", [this] {
+        Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
+        object->set("configuration", m_beliefs.configuration() ? m_beliefs.configuration()->configuration().m_version : 0);
+        object->set("configuration_offset", m_beliefs.declarations().m_configurationOffset);
+        object->set("endpoints", m_beliefs.endpoints().size());
+        object->set("endpoints_end", m_beliefs.endpointsEnd());
+        object->set("members", m_gossip.members().alive(Core::Clock::now()).size());
+        object->set("open_requests", m_relay.open());
+        return object;
+    });
+}
+
+void EntryProcess::awaitSignals()
+{
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        m_signals.add(signal);
+    }
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (!error) {
+            signalCame(signal);
+            awaitSignals();
+        }
+    });
+}
+
+void EntryProcess::signalCame(int signal)
+{
+    if (signal == SIGHUP) {
+        reload();
+        return;
+    }
+    startLeaving();
+}
+
+void EntryProcess::reload()
+{
+    const std::optional<EntrySettings> settings = m_reload ? m_reload() : std::nullopt;
+    Telemetry::LogLine line("reload");
+    line.flag("accepted", settings.has_value());
+    if (settings) {
+        m_gossip.setSeedHosts(settings->m_gossip.m_seedHosts);
+    }
+    m_log.write(line);
+}
+
+void EntryProcess::startLeaving()
+{
+    if (m_leavingSince) {
+        return;
+    }
+    m_leavingSince = Core::Clock::now();
+    m_log.write(Telemetry::LogLine("leaving").number("open_requests", static_cast<std::int64_t>(m_relay.open())));
+    m_gossip.announceLeaving();
+    continueLeaving();
+}
+
+void EntryProcess::continueLeaving()
+{
+    const Core::Duration since = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_leavingSince);
+    const bool takesRequests = since < share(m_settings.m_leavingTime, TakingShare);
+    if (since >= share(m_settings.m_leavingTime, IdleShare)) {
+        m_callerContext->m_isClosing = true;
+        m_listeners.front()->closeIdle();
+    }
+    if (!takesRequests) {
+        m_listeners.front()->stop();
+    }
+    const bool isIdle = m_relay.open() == 0 && m_listeners.front()->connections() == 0;
+    if ((!takesRequests && isIdle) || since >= m_settings.m_leavingTime - LeavingReserve) {
+        stop();
+        return;
+    }
+    m_leaving.expires_after(LeavingStep);
+    m_leaving.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            continueLeaving();
+        }
+    });
+}
+
+void EntryProcess::stop()
+{
+    m_loop.stop();
+}
+
+void EntryProcess::applyLimits()
+{
+    const Fleet::CallerLimits &limits = m_beliefs.configuration()->configuration().m_limits;
+    Http::ServerLimits &server = m_callerContext->m_limits;
+    server.m_maximumHeaderBytes = limits.m_maximumHeaderBytes;
+    server.m_maximumBodyBytes = limits.m_maximumBodyBytes;
+    server.m_headTimeout = Core::Duration(limits.m_headerTimeoutMilliseconds);
+    server.m_idleTimeout = Core::Duration(limits.m_idleTimeoutMilliseconds);
+    server.m_bodyTimeout = Core::Duration(limits.m_idleTimeoutMilliseconds);
+}
+
+void EntryProcess::beliefsChanged(const Fleet::BeliefUpdate &update, bool isFromLog)
+{
+    if (update.m_configuration) {
+        applyLimits();
+        const Fleet::Configuration &configuration = m_beliefs.configuration()->configuration();
+        Telemetry::LogLine line("configuration");
+        line.number("version", static_cast<std::int64_t>(configuration.m_version)).text("source", isFromLog ? "log" : "peer");
+        line.number("routes", static_cast<std::int64_t>(configuration.m_routes.size()));
+        m_log.write(line);
+    }
+    if (update.m_weights) {
+        for (const Fleet::DeclaredWeights &declared : m_beliefs.declarations().m_weights) {
+            Telemetry::LogLine line("weights_declared");
+            line.text("model", declared.m_model).number("version", static_cast<std::int64_t>(declared.m_version));
+            m_log.write(line.text("source", isFromLog ? "log" : "peer"));
+        }
+    }
+    if (update.m_endpoints) {
+        m_book.keepOnly(m_beliefs.endpoints());
+        std::int64_t leaving = 0;
+        for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_beliefs.endpoints()) {
+            leaving += entry.second.m_endpoint.m_isLeaving ? 1 : 0;
+        }
+        Telemetry::LogLine line("endpoints");
+        line.number("known", static_cast<std::int64_t>(m_beliefs.endpoints().size())).number("leaving", leaving);
+        m_log.write(line.text("source", isFromLog ? "log" : "peer"));
+    }
+    if (isFromLog && (update.m_weights || update.m_configuration)) {
+        m_gossip.spread();
+    }
+    if (!m_leavingSince) {
+        m_gossip.setReady(isReady());
+    }
+}
+
+void EntryProcess::engineNews(const Gossip::EngineNews &news)
+{
+    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_beliefs.endpoints()) {
+        const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
+        // An engine that does not state its start in reports is told by its address alone.
+        const bool isSameStart = news.m_startedMilliseconds == 0 || endpoint.m_startedMilliseconds == news.m_startedMilliseconds;
+        if (endpoint.m_address == news.m_address && isSameStart) {
+            m_book.engineReported(endpoint, news.m_report, Core::Clock::now());
+        }
+    }
+}
+
+bool EntryProcess::isReady() const
+{
+    return m_beliefs.configuration() && !m_leavingSince;
+}
+
+void EntryProcess::answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request)
+{
+    PageView view;
+    view.m_isReady = [this] { return isReady(); };
+    view.m_lifetimeSeconds = m_settings.m_directory.m_lifetimeSeconds;
+    view.m_entries = [this](const CallerPlace &place) {
+        return chooseEntries(m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now()), m_gossip.self(), place, m_settings.m_directory);
+    };
+    PageAnswer answer = m_adapter.m_answerPage(request, view);
+    connection->answer(answer.m_status, {Http::HeaderField{"Content-Type", answer.m_contentType}}, std::move(answer.m_body));
+}
+
+void EntryProcess::tick()
+{
+    m_log.flush();
+    m_tick.expires_after(TickInterval);
+    m_tick.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibServing/EntryProcess.h
@@ -0,0 +1,94 @@
+/// @file The process on an entry instance: answers callers on one event loop and keeps its beliefs up to date.
+#pragma once
+
+#include "LibFollow/Follower.h"
+#include "LibGossip/GossipService.h"
+#include "LibHttp/Listener.h"
+#include "LibRelay/Relay.h"
+#include "LibServing/EntrySettings.h"
+#include "LibTelemetry/AdminServer.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace Serving {
+
+/// Answer of a page.
+struct PageAnswer
+{
+    int m_status = 200;
+    std::string m_contentType = "application/json";
+    std::string m_body;
+};
+
+/// What the pages of a place may ask of the entry.
+struct PageView
+{
+    std::function<bool()> m_isReady;
+    std::function<std::vector<Core::Address>(const CallerPlace &place)> m_entries;
+    std::uint32_t m_lifetimeSeconds = 0; ///< Of an answer with entries.
+};
+
+/// What an adapter supplies for the place where the entry runs.
+struct EntryAdapter
+{
+    std::function<Follow::RecordSource(Http::EventLoop &loop, const Core::Address &log, Telemetry::Metrics &metrics)> m_makeSource;
+    Relay::Dialect m_dialect;
+    std::function<PageAnswer(const Http::ServerRequest &request, const PageView &view)> m_answerPage;
+};
+
+/// Runs on the thread that calls run(), and on the node's.
+class EntryProcess
+{
+public:
+    EntryProcess(EntrySettings settings, EntryAdapter adapter);
+
+    /// Runs until the process has been told to end and its requests have ended. 0 if all went well.
+    int run();
+    /// Called with SIGHUP: reads the settings again.
+    void onReload(std::function<std::optional<EntrySettings>()> reload);
+
+private:
+    Core::Result<void> start();
+    void awaitSignals();
+    void signalCame(int signal);
+    void reload();
+    void startLeaving();
+    void continueLeaving();
+    void stop();
+    void beliefsChanged(const Fleet::BeliefUpdate &update, bool isFromLog);
+    void engineNews(const Gossip::EngineNews &news);
+    void applyLimits();
+    void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
+    void tick();
+    bool isReady() const;
+    Gossip::Member makeSelf() const;
+    void addDump();
+
+    const EntrySettings m_settings;
+    const EntryAdapter m_adapter;
+    Http::EventLoop m_loop;
+    Telemetry::Metrics m_metrics;
+    Telemetry::EventLog m_log;
+    Core::Random m_random;
+    Fleet::Beliefs m_beliefs;
+    Placement::EndpointBook m_book;
+    Placement::RepeatBudgets m_budgets;
+    Placement::VersionDeadlines m_versions;
+    Wire::Node m_node;
+    Gossip::GossipService m_gossip;
+    Follow::Follower m_follower;
+    Relay::Relay m_relay;
+    Telemetry::AdminServer m_admin;
+    std::shared_ptr<Http::ServerContext> m_callerContext;
+    std::shared_ptr<Http::ServerContext> m_pageContext;
+    std::shared_ptr<Http::ServerContext> m_adminContext;
+    std::vector<std::unique_ptr<Http::Listener>> m_listeners; ///< The callers' first.
+    boost::asio::signal_set m_signals;
+    Http::Timer m_tick;
+    Http::Timer m_leaving;
+    std::function<std::optional<EntrySettings>()> m_reload;
+    std::optional<Core::Instant> m_leavingSince; ///< Set once the process has been told to end.
+    bool m_hasFailed = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServing/EntrySettings.h
@@ -0,0 +1,34 @@
+/// @file Settings of the entry process.
+#pragma once
+
+#include "LibGossip/GossipService.h"
+#include "LibRelay/Relay.h"
+#include "LibServing/Directory.h"
+#include "LibSettings/Reader.h"
+
+namespace Serving {
+
+struct EntrySettings
+{
+    std::string m_instance; ///< Name of the instance.
+    std::string m_region;
+    std::string m_failureDomain;
+    Core::Address m_callers; ///< Where callers are answered.
+    std::vector<Core::Address> m_pages; ///< Where the pages of the place's own interface are answered.
+    Core::Address m_peers; ///< Where other processes of the system are answered.
+    Core::Address m_admin; ///< Metrics, state dump and health.
+    Core::Address m_log; ///< The platform's log.
+    std::size_t m_connections = 2000; ///< Of callers.
+    Core::Duration m_leavingTime{8000}; ///< From the signal to the end at the latest.
+    Core::Duration m_versionBound{8000}; ///< From a version's acceptance until no request may begin on an older one.
+    Core::Duration m_versionMargin{700}; ///< Kept from the bound: a request waits at its engine before it begins.
+    Placement::RepeatBudgetSettings m_repeats;
+    Gossip::GossipSettings m_gossip;
+    DirectorySettings m_directory;
+
+    bool operator==(const EntrySettings &) const = default;
+};
+
+EntrySettings readEntrySettings(Settings::Reader &reader);
+
+}
--- /dev/null
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -0,0 +1,207 @@
+/// @file Implementation of the agent process.
+
+#include "LibStaging/AgentProcess.h"
+
+#include "LibHttp/AdminPages.h"
+
+#include <unistd.h>
+
+namespace Staging {
+
+namespace {
+
+constexpr Core::Duration TickInterval{250}; ///< Logs are flushed so often.
+constexpr std::size_t AdminConnections = 16;
+constexpr Core::Duration UnusedBound{8000}; ///< Agents route nothing; they only pass on how old declarations are.
+
+Wire::NodeSettings nodeSettings(const AgentSettings &settings)
+{
+    Wire::NodeSettings node;
+    node.m_listen = settings.m_peers;
+    node.m_network.m_bindHost = settings.m_peers.m_host;
+    return node;
+}
+
+std::uint64_t randomSeed(const std::string &instance)
+{
+    return Core::stableHash(instance + Core::randomIdentifier());
+}
+
+Follow::FollowerSettings followerSettings()
+{
+    Follow::FollowerSettings settings;
+    settings.m_followsEndpoints = false;
+    return settings;
+}
+
+Transfer::TransferParts transferParts(const AgentSettings &settings, const AgentAdapter &adapter, Wire::Node &node, Telemetry::Metrics &metrics)
+{
+    Transfer::TransferParts parts;
+    parts.m_settings = settings.m_transfer;
+    parts.m_self.m_id = settings.m_instance;
+    parts.m_self.m_incarnation = Core::randomIdentifier();
+    parts.m_self.m_role = Protocol::Role::Agent;
+    parts.m_self.m_region = settings.m_region;
+    parts.m_self.m_failureDomain = settings.m_failureDomain;
+    parts.m_self.m_wire = settings.m_peers;
+    parts.m_node = &node;
+    parts.m_network.m_bindHost = settings.m_peers.m_host;
+    parts.m_originDialect = adapter.m_originDialect;
+    parts.m_metrics = &metrics;
+    return parts;
+}
+
+}
+
+AgentProcess::AgentProcess(AgentSettings settings, AgentAdapter adapter)
+    : m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
+    , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
+    , m_random(randomSeed(m_settings.m_instance))
+    , m_versions(UnusedBound)
+    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_gossip(Gossip::GossipParts{m_loop, m_node, m_beliefs, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
+    , m_follower(Follow::FollowerParts{m_loop, m_beliefs, m_versions, m_metrics, m_log, m_random},
+                 followerSettings(),
+                 m_adapter.m_makeSource(m_loop, m_settings.m_log, m_metrics))
+    , m_transfer(transferParts(m_settings, m_adapter, m_node, m_metrics))
+    , m_keeper(
+          KeeperParts{m_loop, m_beliefs, m_versions, m_transfer, m_metrics, m_log}, m_settings.m_keeper, m_adapter.m_makeEngine(m_loop, m_settings.m_engine))
+    , m_admin(m_settings.m_admin, m_metrics)
+    , m_adminContext(std::make_shared<Http::ServerContext>())
+    , m_adminListener(m_loop, m_settings.m_admin, m_adminContext, AdminConnections)
+    , m_signals(m_loop)
+    , m_tick(m_loop)
+    , m_startedAt(Core::Clock::now())
+{
+}
+
+Gossip::Member AgentProcess::makeSelf() const
+{
+    Gossip::Member self;
+    self.m_id = m_settings.m_instance;
+    self.m_incarnation = static_cast<std::uint32_t>(randomSeed(m_settings.m_instance));
+    self.m_role = Gossip::Role::Agent;
+    self.m_region = m_settings.m_region;
+    self.m_failureDomain = m_settings.m_failureDomain;
+    self.m_service = m_settings.m_keeper.m_service;
+    self.m_peers = m_settings.m_peers;
+    self.m_isReady = true;
+    return self;
+}
+
+void AgentProcess::onReload(std::function<std::optional<AgentSettings>()> reload)
+{
+    m_reload = std::move(reload);
+}
+
+int AgentProcess::run()
+{
+    const Core::Result<void> started = start();
+    if (!started) {
+        m_log.write(Telemetry::LogLine("start_failed").text("error", started.error().message()));
+        m_log.flush();
+        return 1;
+    }
+    m_log.write(Telemetry::LogLine("started").text("engine", m_settings.m_engine.toString()).text("peers", m_settings.m_peers.toString()));
+    m_loop.run();
+    m_transfer.stop();
+    m_node.stop();
+    m_log.write(Telemetry::LogLine("stopped"));
+    m_log.flush();
+    return 0;
+}
+
+Core::Result<void> AgentProcess::start()
+{
+    awaitSignals();
+    m_adminContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request) {
+        Http::answerAdmin(m_admin, *connection, request);
+    };
+    BOOST_OUTCOME_TRYV(m_adminListener.start());
+    m_admin.addDumpSection("transfer", [this] { return m_transfer.dump(); });
+    m_gossip.registerMethods();
+    m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
+    m_gossip.onMembers([this] { membersChanged(); });
+    m_follower.onUpdate([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
+    m_keeper.onStatus([this](const EngineStatus &status, bool isOrdered, bool isChange) { engineStatus(status, isOrdered, isChange); });
+    BOOST_OUTCOME_TRYV(m_node.start());
+    m_transfer.start();
+    BOOST_OUTCOME_TRYV(m_gossip.start());
+    m_keeper.start();
+    tick();
+    return Core::success();
+}
+
+void AgentProcess::awaitSignals()
+{
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        m_signals.add(signal);
+    }
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+            awaitSignals();
+            return;
+        }
+        stop();
+    });
+}
+
+void AgentProcess::reload()
+{
+    const std::optional<AgentSettings> settings = m_reload ? m_reload() : std::nullopt;
+    if (settings) {
+        m_gossip.setSeedHosts(settings->m_gossip.m_seedHosts);
+    }
+    m_log.write(Telemetry::LogLine("reload").flag("accepted", settings.has_value()));
+}
+
+void AgentProcess::stop()
+{
+    m_log.write(Telemetry::LogLine("leaving"));
+    m_gossip.announceLeaving();
+    m_loop.stop();
+}
+
+void AgentProcess::engineStatus(const EngineStatus &status, bool isOrdered, bool isChange)
+{
+    Gossip::EngineNews news;
+    news.m_address = m_settings.m_engine;
+    news.m_startedMilliseconds = status.m_startedMilliseconds;
+    news.m_report.m_running = status.m_running;
+    news.m_report.m_waiting = status.m_waiting;
+    news.m_report.m_pace = status.m_pace;
+    news.m_report.m_isLoading = status.m_isBusy || isOrdered;
+    news.m_report.m_weights = status.m_weights;
+    m_gossip.setEngineNews(std::move(news), isChange);
+}
+
+void AgentProcess::membersChanged()
+{
+    std::vector<Gossip::Member> agents = m_gossip.members().alive(Gossip::Role::Agent, Core::Clock::now());
+    std::erase_if(agents, [this](const Gossip::Member &member) { return member.m_service != m_settings.m_keeper.m_service || member.m_isLeaving; });
+    m_keeper.setAgents(std::move(agents), m_gossip.self());
+}
+
+void AgentProcess::tick()
+{
+    const std::optional<Core::Duration> silence = m_gossip.sinceEntryHeard();
+    const Core::Duration alone = silence ? *silence : std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_startedAt);
+    if (alone > m_settings.m_aloneLimit && !m_follower.isStarted()) {
+        m_log.write(Telemetry::LogLine("no_entry_heard").number("for_ms", static_cast<std::int64_t>(alone.count())));
+        m_follower.start();
+    }
+    m_log.flush();
+    m_tick.expires_after(TickInterval);
+    m_tick.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -0,0 +1,58 @@
+/// @file Reading of the agent's settings.
+
+#include "LibStaging/AgentSettings.h"
+
+namespace Staging {
+
+namespace {
+
+constexpr double BytesPerMegabit = 1e6 / 8;
+/**
+ * Parts of the instance's link that weights may use, and how much of them may be under way. The engine's answers leave over the same link: an event
+ * that waits behind a chunk of 48 KiB is 42 ms late on 9.4 Mbit/s, and behind a few of them its stream is late.
+ */
+constexpr double UploadShare = 0.9;
+constexpr double DownloadShare = 0.95;
+constexpr std::uint64_t BurstBytes = 16 << 10;
+constexpr std::uint32_t ChunksAhead = 3;
+
+void readEngine(Settings::Reader &section, AgentSettings &settings)
+{
+    settings.m_engine = section.address("address");
+    settings.m_keeper.m_service = section.text("service");
+}
+
+void readLink(Settings::Reader &section, AgentSettings &settings)
+{
+    constexpr double MostMegabits = 1e6;
+    const double megabits = section.number("megabits", 0, MostMegabits, 0);
+    settings.m_transfer.m_uploadBytesPerSecond = static_cast<std::uint64_t>(megabits * BytesPerMegabit * UploadShare);
+    settings.m_transfer.m_downloadBytesPerSecond = static_cast<std::uint64_t>(megabits * BytesPerMegabit * DownloadShare);
+    settings.m_transfer.m_burstBytes = BurstBytes;
+    settings.m_transfer.m_requestsAhead = ChunksAhead;
+    settings.m_transfer.m_uploadSlots = 1;
+    settings.m_transfer.m_memoryMebibytes = static_cast<std::uint32_t>(section.integer("weights_mebibytes", 1, 1 << 20, 48));
+}
+
+}
+
+AgentSettings readAgentSettings(Settings::Reader &reader)
+{
+    AgentSettings settings;
+    reader.section("instance", [&settings](Settings::Reader &section) {
+        settings.m_instance = section.text("id");
+        settings.m_region = section.text("region");
+        settings.m_failureDomain = section.text("failure_domain");
+    });
+    reader.section("peers", [&settings](Settings::Reader &section) {
+        settings.m_peers = section.address("listen");
+        settings.m_gossip.m_seedHosts = Gossip::readSeedHosts(section);
+    });
+    settings.m_admin = reader.address("admin");
+    settings.m_log = reader.address("log");
+    reader.section("engine", [&settings](Settings::Reader &section) { readEngine(section, settings); });
+    reader.section("link", [&settings](Settings::Reader &section) { readLink(section, settings); });
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStaging/Turns.cpp
@@ -0,0 +1,30 @@
+/// @file Implementation of the turns.
+
+#include "LibStaging/Turns.h"
+
+#include "LibCore/Random.h"
+
+#include <algorithm>
+
+namespace Staging {
+
+std::size_t turnRank(const std::string &self, const std::vector<std::string> &others, std::uint64_t version)
+{
+    const std::string key = std::to_string(version);
+    const std::uint64_t own = Core::rendezvousWeight(key, self);
+    return static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(), [&key, own](const std::string &other) { return Core::rendezvousWeight(key, other) > own; }));
+}
+
+Core::Duration turnAfter(std::size_t rank, std::size_t count, Core::Duration head, const TurnSettings &settings)
+{
+    const Core::Duration last = std::max(Core::Duration(0), settings.m_last - head);
+    const Core::Duration first = std::min(settings.m_first, last);
+    if (count < 2) {
+        return first;
+    }
+    const std::int64_t span = (last - first).count();
+    return first + Core::Duration(span * static_cast<std::int64_t>(std::min(rank, count - 1)) / static_cast<std::int64_t>(count - 1));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStaging/Turns.h
@@ -0,0 +1,34 @@
+/// @file When each engine of a service changes to a new version: computed by every agent alike, with nothing to agree on.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Staging {
+
+/**
+ * An engine that changes versions takes nothing new until its running requests have ended and the new weights are loaded. If all changed at once
+ * the service would stop for that time, and callers would be refused; one after the other, only a share is away at any time.
+ */
+struct TurnSettings
+{
+    Core::Duration m_first{2200}; ///< After the declaration: about when the first agents hold a whole version.
+    Core::Duration m_last{
+        5600}; ///< After the declaration: from an order on nothing begins on the old version; the bound of 8 s less time for draws that take longer.
+
+    bool operator==(const TurnSettings &) const = default;
+};
+
+/// Place of @p self among the agents of its service, in an order that depends on the version.
+std::size_t turnRank(const std::string &self, const std::vector<std::string> &others, std::uint64_t version);
+
+/**
+ * Time from a version's acceptance until the turn of the agent at @p rank of @p count. @p head: how much earlier the oldest version was accepted that
+ * the engine has not reached either; that one's bound comes first, so the turns move closer together.
+ */
+Core::Duration turnAfter(std::size_t rank, std::size_t count, Core::Duration head, const TurnSettings &settings);
+
+}
--- /dev/null
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -0,0 +1,147 @@
+/// @file Brings the engine beside the agent to the declared version of its model: draws, stages, verifies, orders.
+#pragma once
+
+#include "LibCore/Random.h"
+#include "LibFleet/Beliefs.h"
+#include "LibGossip/Membership.h"
+#include "LibHttp/EventLoop.h"
+#include "LibPlacement/VersionDeadlines.h"
+#include "LibStaging/EngineControl.h"
+#include "LibStaging/Turns.h"
+#include "LibTelemetry/EventLog.h"
+#include "LibTelemetry/Metrics.h"
+#include "LibTransfer/TransferManager.h"
+
+#include <map>
+#include <set>
+
+namespace Staging {
+
+struct KeeperSettings
+{
+    std::string m_service; ///< Of the engine.
+    Core::Duration m_statusInterval{250}; ///< Between looks at the engine: half of the interval at which its load is passed on.
+    Core::Duration m_loadingInterval{60}; ///< The same while it loads, so that it is used again at once.
+    Core::Duration m_retryPause{200}; ///< After a failed step.
+    Core::Duration m_manifestLifetime{6000}; ///< A manifest whose chunks do not come within it may itself be spoilt and is asked for again.
+    TurnSettings m_turns;
+
+    bool operator==(const KeeperSettings &) const = default;
+};
+
+/// What the keeper works with. Everything outlives it.
+struct KeeperParts
+{
+    Http::EventLoop &m_loop;
+    Fleet::Beliefs &m_beliefs;
+    Placement::VersionDeadlines &m_versions;
+    Transfer::TransferManager &m_transfer;
+    Telemetry::Metrics &m_metrics;
+    Telemetry::EventLog &m_log;
+};
+
+/// A version that the engine is to have.
+struct TargetVersion
+{
+    std::string m_model;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_fence = 0;
+
+    bool operator==(const TargetVersion &) const = default;
+};
+
+/**
+ * One step after the other; every step checks that the target is still the newest, so that a superseded version stops at once.
+ *
+ * The engine loads whatever lies in its stage, unchecked. A chunk that is missing, spoilt or of another version there would be served to callers
+ * as a model that nobody published; therefore every chunk is read back and compared with its digest right before the order. Used on the loop's
+ * thread.
+ */
+class WeightsKeeper
+{
+public:
+    WeightsKeeper(KeeperParts parts, KeeperSettings settings, EngineControl engine);
+    ~WeightsKeeper();
+
+    WeightsKeeper(const WeightsKeeper &) = delete;
+    WeightsKeeper &operator=(const WeightsKeeper &) = delete;
+
+    /// Called with each report of the engine. @p isChange: it differs in more than its load.
+    void onStatus(std::function<void(const EngineStatus &status, bool isOrdered, bool isChange)> callback);
+    void start();
+    /// Tells who the agents of the service are, this one included.
+    void setAgents(std::vector<Gossip::Member> agents, const Gossip::Member &self);
+    /// Looks again at once, since the beliefs have changed.
+    void beliefsChanged();
+
+    const std::optional<EngineStatus> &status() const
+    {
+        return m_status;
+    }
+
+private:
+    enum class Step {
+        Idle, ///< The engine has the target, or there is none.
+        Manifest, ///< The manifest is awaited.
+        Stage, ///< What is staged is read, to be used and passed on.
+        Transfer, ///< Chunks are awaited.
+        Put, ///< Chunks are staged.
+        Turn, ///< Everything is staged; the turn is awaited.
+        Verify, ///< What is staged is read back.
+        Order, ///< The order is under way.
+        Loading, ///< The engine has the order.
+    };
+
+    void look();
+    void statusCame(Core::Result<EngineStatus> status);
+    std::optional<TargetVersion> wantedTarget() const;
+    bool hasTarget() const;
+    const Fleet::Service *service() const;
+    void begin(const TargetVersion &target);
+    bool isNearOrder() const;
+    void prefetch(const TargetVersion &target);
+    void prefetched(const TargetVersion &target, const Core::Result<Weights::Manifest> &manifest);
+    void advance();
+    void fetchManifest();
+    void manifestCame(std::uint64_t run, Core::Result<Weights::Manifest> manifest);
+    Control::Deployment deployment(const TargetVersion &target, const Weights::Manifest &manifest) const;
+    void applyTargets();
+    void listStaged();
+    void readStaged(std::uint64_t run, std::vector<Weights::ChunkIndex> remaining);
+    void awaitTransfer();
+    void putNext(std::uint64_t run);
+    void awaitTurn();
+    bool isTurn() const;
+    void verifyNext(std::uint64_t run, Weights::ChunkIndex chunk);
+    RunningRequests runningRequests() const;
+    void order(std::uint64_t run);
+    void orderEnded(std::uint64_t run, const Core::Result<void> &result);
+    void enter(Step step);
+    void later(Core::Duration pause, std::uint64_t run, std::function<void()> action);
+    bool isCurrent(std::uint64_t run) const;
+
+    const KeeperParts m_parts;
+    const KeeperSettings m_settings;
+    const EngineControl m_engine;
+    std::function<void(const EngineStatus &, bool, bool)> m_onStatus;
+    std::optional<EngineStatus> m_status;
+    std::optional<TargetVersion> m_target;
+    std::optional<Weights::Manifest> m_manifest; ///< Of the target.
+    std::string m_manifestDigest;
+    std::optional<TargetVersion> m_nextTarget; ///< Newer than the target; its chunks are drawn while the target is loaded.
+    std::optional<Weights::Manifest> m_nextManifest; ///< Of the next target, once known.
+    Core::Instant m_manifestAt;
+    Core::Instant m_orderedAt; ///< When the engine was last given an order.
+    std::set<Weights::ChunkIndex> m_staged; ///< Chunks of the target that were seen in the stage, whole.
+    Step m_step = Step::Idle;
+    std::uint64_t m_run = 0; ///< Grows with each new target or engine; what belongs to an earlier one is dropped.
+    std::vector<Gossip::Member> m_agents;
+    Gossip::Member m_self;
+    Http::Timer m_lookTimer;
+    bool m_isLooking = false;
+    Telemetry::Counter &m_ordersGiven;
+    Telemetry::Counter &m_stagedSpoilt;
+    std::shared_ptr<bool> m_isAlive; ///< False once the keeper is gone; answers can outlive it.
+};
+
+}
