--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char *StateMethod = "fleet.state";
 constexpr std::size_t FewMembers = 3; ///< With fewer, a process is still finding the others.
+constexpr Core::Duration VersionHorizon{30000}; ///< Versions declared within it are told one by one: a few times the bound on old versions.
 constexpr Core::Duration NewcomerInterval{200}; ///< Between large samples to one newcomer.
 constexpr std::size_t WideFanOut = 8; ///< Agents that each entry tells of new declarations: all entries together reach every agent several times.
 
@@ -196,6 +197,13 @@
     heartbeat.m_configurationMark = m_parts.m_beliefs.declarations().configurationMark();
     heartbeat.m_endpointsEnd = m_parts.m_beliefs.endpointsEnd();
     for (const Fleet::DeclaredWeights &declared : m_parts.m_beliefs.declarations().m_weights) {
+        // A process that has just started finds only the newest version in the log, yet the bound of the one before may be near.
+        for (const std::pair<std::uint64_t, Core::Duration> &recent : m_parts.m_versions.recent(declared.m_model, VersionHorizon, now)) {
+            if (recent.first != declared.m_version) {
+                const Fleet::DeclaredWeights older{declared.m_model, recent.first, 0};
+                heartbeat.m_weights.push_back(AgedWeights{older, static_cast<std::uint64_t>(recent.second.count())});
+            }
+        }
         const std::optional<Core::Duration> age = m_parts.m_versions.statedAge(declared.m_model, declared.m_version, now);
         const std::optional<std::uint64_t> milliseconds = age ? std::optional<std::uint64_t>(age->count()) : std::nullopt;
         heartbeat.m_weights.push_back(AgedWeights{declared, milliseconds});
--- a/Libraries/LibPlacement/VersionDeadlines.cpp
+++ b/Libraries/LibPlacement/VersionDeadlines.cpp
@@ -63,6 +63,22 @@
     return std::chrono::duration_cast<Core::Duration>(now - known->second.m_acceptedAt);
 }
 
+std::vector<std::pair<std::uint64_t, Core::Duration>> VersionDeadlines::recent(const std::string &model, Core::Duration horizon, Core::Instant now) const
+{
+    std::vector<std::pair<std::uint64_t, Core::Duration>> versions;
+    const std::map<std::string, std::map<std::uint64_t, DeclarationTime>>::const_iterator declared = m_declared.find(model);
+    if (declared == m_declared.end()) {
+        return versions;
+    }
+    for (const std::pair<const std::uint64_t, DeclarationTime> &entry : declared->second) {
+        const Core::Duration age = std::chrono::duration_cast<Core::Duration>(now - entry.second.m_acceptedAt);
+        if (entry.second.m_isStated && age < horizon) {
+            versions.emplace_back(entry.first, age);
+        }
+    }
+    return versions;
+}
+
 std::optional<Core::Duration> VersionDeadlines::oldestAge(const std::string &model, std::uint64_t loaded, Core::Instant now) const
 {
     const std::map<std::string, std::map<std::uint64_t, DeclarationTime>>::const_iterator versions = m_declared.find(model);
--- a/Libraries/LibPlacement/VersionDeadlines.h
+++ b/Libraries/LibPlacement/VersionDeadlines.h
@@ -33,6 +33,8 @@
     void found(const std::string &model, std::uint64_t version, Core::Instant now);
     /// The version that requests must begin on; empty while any version may answer.
     std::optional<std::uint64_t> required(const std::string &model, Core::Instant now) const;
+    /// Versions of the model whose acceptance somebody stated and that were accepted within @p horizon, oldest first, with the time since.
+    std::vector<std::pair<std::uint64_t, Core::Duration>> recent(const std::string &model, Core::Duration horizon, Core::Instant now) const;
     /// Time since the version was accepted, if somebody stated it.
     std::optional<Core::Duration> statedAge(const std::string &model, std::uint64_t version, Core::Instant now) const;
 
--- a/Libraries/LibStaging/Turns.h
+++ b/Libraries/LibStaging/Turns.h
@@ -16,7 +16,7 @@
 struct TurnSettings
 {
     Core::Duration m_first{2800}; ///< After the declaration: about when the first agents hold a whole version.
-    Core::Duration m_last{6200}; ///< The same for the last: from its order on an engine begins nothing on the old version, for which the bound is 8 s.
+    Core::Duration m_last{6000}; ///< The same for the last: from its order on an engine begins nothing on the old version, for which the bound is 8 s.
 
     bool operator==(const TurnSettings &) const = default;
 };
--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -179,7 +179,7 @@
     if (wanted && wanted != m_target) {
         if (isNearOrder()) {
             prefetch(*wanted);
-        } else {
+        } else if (!isWorthFinishing()) {
             begin(*wanted);
         }
         return;
@@ -227,6 +227,19 @@
     return m_step == Step::Turn || m_step == Step::Quiet || m_step == Step::Verify || m_step == Step::Order;
 }
 
+/**
+ * A version whose draw has begun is finished before a newer one is drawn. The origin may go away before the newer one has left it, and then an engine
+ * that had dropped the older one would have neither when its bound comes.
+ */
+bool WeightsKeeper::isWorthFinishing() const
+{
+    if (!m_target || m_step == Step::Idle || m_step == Step::Loading) {
+        return false;
+    }
+    const std::optional<Core::Duration> age = m_parts.m_versions.statedAge(m_target->m_model, m_target->m_version, Core::Clock::now());
+    return age && *age < m_settings.m_finishWithin;
+}
+
 void WeightsKeeper::prefetch(const TargetVersion &target)
 {
     if (m_nextTarget == target) {
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -29,6 +29,7 @@
      * once, 216 streams of 27 engines moved and 45 in 100 paused for longer than 400 ms; left to end, an engine was away for 2.3 s.
      */
     Core::Duration m_quietTime{500};
+    Core::Duration m_finishWithin{6000}; ///< A superseded version that is not staged so long after its declaration is dropped: its last turn is near.
     TurnSettings m_turns;
 
     bool operator==(const KeeperSettings &) const = default;
@@ -105,6 +106,7 @@
     const Fleet::Service *service() const;
     void begin(const TargetVersion &target);
     bool isNearOrder() const;
+    bool isWorthFinishing() const;
     void prefetch(const TargetVersion &target);
     void prefetched(const TargetVersion &target, const Core::Result<Weights::Manifest> &manifest);
     void advance();
