--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -292,6 +292,11 @@
     }
 }
 
+void GossipService::setRequestRate(std::uint32_t perSecond)
+{
+    m_self.m_requestsPerSecond = perSecond;
+}
+
 void GossipService::setSeedHosts(std::vector<std::string> hosts)
 {
     m_settings.m_seedHosts = std::move(hosts);
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -25,7 +25,7 @@
     std::size_t m_entryFanOut = 2; ///< Entries that an entry's heartbeat goes to.
     std::size_t m_agentFanOut = 2; ///< Agents that an entry's heartbeat goes to.
     std::size_t m_sampledMembers = 6; ///< Others that a heartbeat names: with the rest, half a datagram.
-    std::size_t m_sampledForNewcomers = 14; ///< The same for a process that knows few: a datagram's worth.
+    std::size_t m_sampledForNewcomers = 12; ///< The same for a process that knows few: what fits into a datagram of 1,400 bytes.
     Core::Duration m_pullInterval{300}; ///< Least time between two requests for state.
     Core::Duration m_pullTimeout{1000};
 
@@ -74,6 +74,8 @@
     void onMembers(std::function<void()> callback);
 
     void setReady(bool isReady);
+    /// Requests of callers per second, told with the next heartbeats.
+    void setRequestRate(std::uint32_t perSecond);
     /// Replaces the instances to begin with, as changed settings say.
     void setSeedHosts(std::vector<std::string> hosts);
     /// Tells everybody at once that this process takes no new work.
--- a/Libraries/LibGossip/Membership.cpp
+++ b/Libraries/LibGossip/Membership.cpp
@@ -11,6 +11,7 @@
 bool isSameButCount(const Member &left, Member right)
 {
     right.m_beat = left.m_beat;
+    right.m_requestsPerSecond = left.m_requestsPerSecond;
     return left == right;
 }
 
--- a/Libraries/LibGossip/Membership.h
+++ b/Libraries/LibGossip/Membership.h
@@ -31,6 +31,7 @@
     std::string m_service; ///< Of the engine beside an agent; empty for entries.
     Core::Address m_peers; ///< Where it answers other processes, by datagrams and by calls.
     Core::Address m_callers; ///< Where it answers callers; empty for agents.
+    std::uint32_t m_requestsPerSecond = 0; ///< Of callers, lately; changes all the time.
     bool m_isReady = false; ///< It answers callers with an accepted configuration; or, for an agent, it is up.
     bool m_isLeaving = false; ///< It takes no new work. Stays true for an incarnation.
 
@@ -47,6 +48,7 @@
                          m_peers.m_port,
                          m_callers.m_host,
                          m_callers.m_port,
+                         m_requestsPerSecond,
                          m_isReady,
                          m_isLeaving);
 };
--- /dev/null
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -0,0 +1,43 @@
+/// @file Implementation of the admission.
+
+#include "LibPlacement/Admission.h"
+
+#include "LibPlacement/EngineForecast.h"
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+constexpr Core::Duration Memory{20000}; ///< After it a route's longest patience is learned anew, since operators change time limits.
+
+}
+
+Core::Duration CallerPatience::lost(const std::string &route, Core::Duration patience, Core::Instant now)
+{
+    Longest &longest = m_longest[route];
+    if (patience >= longest.m_patience || now - longest.m_seenAt > Memory) {
+        longest = Longest{patience, now};
+    }
+    return longest.m_patience - patience;
+}
+
+double neededPlaces(Core::Duration goal, Core::Duration lost, std::size_t engines, double share, const AdmissionSettings &settings)
+{
+    const bool canBeInTime = lost < goal;
+    return canBeInTime ? settings.m_freshPlaces : settings.m_latePlacesPerEngine * static_cast<double>(engines) * share;
+}
+
+ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    ReportedPlaces places;
+    places.m_most = engine.m_slots + settings.m_queuePlaces;
+    places.m_free = places.m_most - running - waiting;
+    const double interval = saturatedIntervalMilliseconds(engine) * std::max(pace, 1.0);
+    places.m_perSecond = interval > 0 ? MillisecondsPerSecond / interval : 0;
+    return places;
+}
+
+}
--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -61,6 +61,31 @@
     }
 }
 
+/// Drops every engine if this process's part of all places does not suffice for the request.
+void dropIfOverloaded(std::vector<Usable> &usable, const ChoiceRequest &request, const ChoiceView &view, ChoiceResult &result)
+{
+    if (!request.m_neededPlaces || view.m_engine.m_slots == 0 || usable.empty()) {
+        return;
+    }
+    const std::optional<double> places = view.m_ledger.total(view.m_now);
+    if (places && *places < *request.m_neededPlaces) {
+        usable.clear();
+        result.m_reason = NoChoice::Overloaded;
+        result.m_missingPlaces = *request.m_neededPlaces - *places;
+    }
+}
+
+/// Keeps the engines at which this process's part is not used up, if there are any.
+void preferOwnPlaces(std::vector<Usable> &usable, const ChoiceView &view)
+{
+    const std::function<bool(const Usable &)> hasPlace = [&view](const Usable &candidate) {
+        return view.m_ledger.places(candidate.m_endpoint->m_id, view.m_now) > 0;
+    };
+    if (view.m_engine.m_slots > 0 && std::any_of(usable.begin(), usable.end(), hasPlace)) {
+        std::erase_if(usable, [&hasPlace](const Usable &candidate) { return !hasPlace(candidate); });
+    }
+}
+
 /// Moves a random sample to the front and cuts the rest off.
 void takeSample(std::vector<Usable> &usable, Core::Random &random)
 {
@@ -82,6 +107,8 @@
         return "no_weights";
     case NoChoice::AllTried:
         return "all_tried";
+    case NoChoice::Overloaded:
+        return "overloaded";
     }
     return "unknown";
 }
@@ -125,6 +152,8 @@
     if (isAnySound) {
         std::erase_if(usable, [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil > view.m_now; });
     }
+    dropIfOverloaded(usable, request, view, result);
+    preferOwnPlaces(usable, view);
     takeSample(usable, random);
     double best = 0;
     for (const Usable &candidate : usable) {
@@ -138,7 +167,7 @@
         const Core::Duration age = reportedAt ? std::chrono::duration_cast<Core::Duration>(view.m_now - *reportedAt) : Core::Duration(-1);
         const std::optional<std::uint64_t> version =
             request.m_model.empty() ? std::nullopt : usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, view.m_now);
-        result.m_choice = Choice{*candidate.m_endpoint, expected, version, age};
+        result.m_choice = Choice{*candidate.m_endpoint, expected, version, candidate.m_record->m_load, age};
     }
     return result;
 }
--- a/Libraries/LibPlacement/Choice.h
+++ b/Libraries/LibPlacement/Choice.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Random.h"
 #include "LibPlacement/EndpointBook.h"
+#include "LibPlacement/PlaceLedger.h"
 
 #include <optional>
 #include <set>
@@ -18,6 +19,11 @@
     std::optional<std::uint64_t> m_requiredVersion; ///< Of the model's weights, if no other may answer any more.
     std::optional<std::uint64_t> m_newestVersion; ///< Declared for the model; engines that have it are not about to load.
     RequestSize m_size;
+    /**
+     * Places that this process's part must hold for the request to be admitted; empty if it is admitted in any case. An answer that begins within its
+     * objective is worth four late ones, and an overloaded engine that takes everybody answers everybody late.
+     */
+    std::optional<double> m_neededPlaces;
     std::set<std::string> m_excluded; ///< Endpoints that have failed this request.
 };
 
@@ -26,6 +32,7 @@
 {
     const std::map<std::string, Fleet::KnownEndpoint> &m_endpoints;
     const EndpointBook &m_book;
+    const PlaceLedger &m_ledger; ///< Of the engines' places.
     const Fleet::EngineModel &m_engine; ///< Of the service; without slots for plain services.
     std::string m_ownFailureDomain;
     Core::Instant m_now;
@@ -36,6 +43,7 @@
     Fleet::Endpoint m_endpoint;
     double m_expectedMilliseconds = 0; ///< To the first event, or to the answer of a plain service.
     std::optional<std::uint64_t> m_version; ///< Of the model's weights there; empty for plain services.
+    EndpointLoad m_load; ///< That the expectation rests on.
     Core::Duration m_reportAge{0}; ///< Of the load that the expectation rests on; negative if no load was ever reported.
 };
 
@@ -44,6 +52,7 @@
     NoEndpoint, ///< The service has no endpoint that takes work.
     NoWeights, ///< Endpoints exist, but none has the weights.
     AllTried, ///< Every endpoint that could has failed this request.
+    Overloaded, ///< The engines have no place for it.
 };
 
 std::string_view noChoiceName(NoChoice reason);
@@ -53,6 +62,7 @@
 {
     std::optional<Choice> m_choice;
     NoChoice m_reason = NoChoice::NoEndpoint;
+    double m_missingPlaces = 0; ///< If overloaded: how many places were missing in this process's part.
 };
 
 /**
--- a/Libraries/LibPlacement/EngineForecast.cpp
+++ b/Libraries/LibPlacement/EngineForecast.cpp
@@ -43,20 +43,26 @@
     return promptMilliseconds(engine, engine.m_usualPromptTokens) + decoding;
 }
 
-double firstEventMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load, const RequestSize &request)
+double queueMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load)
 {
     const std::uint32_t ahead = requestsAhead(load);
     const std::uint32_t slots = std::max<std::uint32_t>(engine.m_slots, 1);
     // Those that came after the report, and those that wait, have prompts to be read before ours.
     const std::uint32_t unread = std::min(load.m_waiting + load.m_sentSince, slots);
-    double milliseconds = promptMilliseconds(engine, request.m_promptTokens) + stepMilliseconds(engine, std::min(ahead + 1, slots));
-    milliseconds += unread * promptMilliseconds(engine, engine.m_usualPromptTokens);
+    double milliseconds = unread * promptMilliseconds(engine, engine.m_usualPromptTokens);
     if (ahead >= slots) {
         milliseconds += (ahead - slots + 1) * saturatedIntervalMilliseconds(engine);
     }
     return milliseconds * std::max(load.m_pace, 1.0);
 }
 
+double firstEventMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load, const RequestSize &request)
+{
+    const std::uint32_t running = std::min(requestsAhead(load) + 1, std::max<std::uint32_t>(engine.m_slots, 1));
+    const double own = promptMilliseconds(engine, request.m_promptTokens) + stepMilliseconds(engine, running);
+    return queueMilliseconds(engine, load) + own * std::max(load.m_pace, 1.0);
+}
+
 double plainAnswerMilliseconds(std::uint32_t slots, const EndpointLoad &load, double usual)
 {
     const std::uint32_t places = std::max<std::uint32_t>(slots, 1);
--- a/Libraries/LibPlacement/EngineForecast.h
+++ b/Libraries/LibPlacement/EngineForecast.h
@@ -42,6 +42,9 @@
 /// Mean milliseconds between two requests that a full engine finishes.
 double saturatedIntervalMilliseconds(const Fleet::EngineModel &engine);
 
+/// Expected milliseconds from sending a request until the engine begins to read its prompt.
+double queueMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load);
+
 /// Expected milliseconds from sending a request to the first event of its answer.
 double firstEventMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load, const RequestSize &request);
 
--- /dev/null
+++ b/Libraries/LibPlacement/PlaceLedger.cpp
@@ -0,0 +1,63 @@
+/// @file Implementation of the ledger of places.
+
+#include "LibPlacement/PlaceLedger.h"
+
+#include <algorithm>
+
+namespace Placement {
+
+namespace {
+
+constexpr Core::Duration ReportLifetime{2000}; ///< Four reporting intervals; an engine without reports for so long is left out of the sum.
+constexpr double SmallestShare = 0.001;
+
+}
+
+void PlaceLedger::setShare(double share)
+{
+    m_share = std::clamp(share, SmallestShare, 1.0);
+}
+
+void PlaceLedger::reported(const std::string &engine, const ReportedPlaces &places, Core::Instant now)
+{
+    m_entries[engine] = Entry{places, now, 0};
+}
+
+void PlaceLedger::sent(const std::string &engine)
+{
+    const std::map<std::string, Entry>::iterator entry = m_entries.find(engine);
+    if (entry != m_entries.end()) {
+        entry->second.m_sent += 1;
+    }
+}
+
+double PlaceLedger::placesOf(const Entry &entry, Core::Instant now) const
+{
+    // What ends between two reports makes room too.
+    const double since = Core::secondsBetween(entry.m_at, now) * entry.m_places.m_perSecond;
+    return m_share * std::min(entry.m_places.m_most, entry.m_places.m_free + since) - entry.m_sent;
+}
+
+double PlaceLedger::places(const std::string &engine, Core::Instant now) const
+{
+    const std::map<std::string, Entry>::const_iterator entry = m_entries.find(engine);
+    return entry == m_entries.end() ? 0 : placesOf(entry->second, now);
+}
+
+std::optional<double> PlaceLedger::total(Core::Instant now) const
+{
+    std::optional<double> sum;
+    for (const std::pair<const std::string, Entry> &entry : m_entries) {
+        if (now - entry.second.m_at < ReportLifetime) {
+            sum = sum.value_or(0) + placesOf(entry.second, now);
+        }
+    }
+    return sum;
+}
+
+void PlaceLedger::keepOnly(const std::function<bool(const std::string &engine)> &isKnown)
+{
+    std::erase_if(m_entries, [&isKnown](const std::pair<const std::string, Entry> &entry) { return !isKnown(entry.first); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/PlaceLedger.h
@@ -0,0 +1,65 @@
+/// @file This process's part of the places at engines, counted without a word between the processes that share them.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Placement {
+
+/// What a report says of an engine's places.
+struct ReportedPlaces
+{
+    double m_free = 0; ///< Requests that it may take now, queue included; negative if it has more than that.
+    double m_most = 0; ///< Requests that it may have at once.
+    double m_perSecond = 0; ///< Requests that it finishes while it is full.
+
+    bool operator==(const ReportedPlaces &) const = default;
+};
+
+/**
+ * Deals the places of every engine out to the processes by their share of the traffic.
+ *
+ * All processes hear the same reports. If each sent to whatever looked free, all would send to the same few engines until the next report: with 13
+ * processes and 16 engines at 1.4 times their capacity, an engine that reported three free slots had a median wait of 0.8 s. Each process therefore
+ * counts only its own part of the places as free; the parts add up to the whole. Used by one thread.
+ */
+class PlaceLedger
+{
+public:
+    /// Part of the traffic that this process has; over 0, at most 1.
+    void setShare(double share);
+    double share() const
+    {
+        return m_share;
+    }
+
+    void reported(const std::string &engine, const ReportedPlaces &places, Core::Instant now);
+    /// A request of this process goes to the engine.
+    void sent(const std::string &engine);
+    /// This process's part of the engine's places. May be a fraction, or negative.
+    double places(const std::string &engine, Core::Instant now) const;
+    /// Sum of the parts at all engines from which a report came lately; empty if there is no such engine.
+    std::optional<double> total(Core::Instant now) const;
+    /// Drops the engines that are not known any more.
+    void keepOnly(const std::function<bool(const std::string &engine)> &isKnown);
+
+private:
+    struct Entry
+    {
+        ReportedPlaces m_places;
+        Core::Instant m_at;
+        double m_sent = 0; ///< Requests of this process since the report.
+    };
+
+    double placesOf(const Entry &entry, Core::Instant now) const;
+
+    double m_share = 1;
+    std::map<std::string, Entry> m_entries; ///< By engine.
+};
+
+}
--- a/Libraries/LibPlacement/RepeatBudgets.cpp
+++ b/Libraries/LibPlacement/RepeatBudgets.cpp
@@ -11,14 +11,18 @@
 {
 }
 
+double RepeatBudgets::burst() const
+{
+    return std::max(1.0, m_settings.m_slack * m_settings.m_safety / static_cast<double>(m_sharers));
+}
+
 void RepeatBudgets::setSharers(std::size_t sharers)
 {
-    const std::size_t next = std::max<std::size_t>(sharers, 1);
-    if (next > m_sharers) {
-        // Parts that were handed out for fewer sharers would add up to more than the whole.
-        m_budgets.clear();
+    m_sharers = std::max<std::size_t>(sharers, 1);
+    for (std::pair<const std::string, Routing::RetryBudget> &entry : m_budgets) {
+        // What was used up stays used up: a new bucket at each change would let a fleet whose members come and go repeat without end.
+        entry.second.limitBurst(burst());
     }
-    m_sharers = next;
 }
 
 Routing::RetryBudget &RepeatBudgets::budget(const std::string &service)
@@ -27,8 +31,7 @@
     if (known != m_budgets.end()) {
         return known->second;
     }
-    const double burst = std::max(1.0, m_settings.m_slack * m_settings.m_safety / static_cast<double>(m_sharers));
-    return m_budgets.emplace(service, Routing::RetryBudget(m_settings.m_share * m_settings.m_safety, burst)).first->second;
+    return m_budgets.emplace(service, Routing::RetryBudget(m_settings.m_share * m_settings.m_safety, burst())).first->second;
 }
 
 void RepeatBudgets::onRequest(const std::string &service)
--- a/Libraries/LibPlacement/RepeatBudgets.h
+++ b/Libraries/LibPlacement/RepeatBudgets.h
@@ -36,6 +36,7 @@
     bool tryRepeat(const std::string &service);
 
 private:
+    double burst() const;
     Routing::RetryBudget &budget(const std::string &service);
 
     const RepeatBudgetSettings m_settings;
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -4,6 +4,7 @@
 #include "LibCore/Random.h"
 #include "LibFleet/Beliefs.h"
 #include "LibHttp/ServerConnection.h"
+#include "LibPlacement/Admission.h"
 #include "LibPlacement/EndpointBook.h"
 #include "LibPlacement/RepeatBudgets.h"
 #include "LibPlacement/VersionDeadlines.h"
@@ -25,6 +26,7 @@
     Core::Duration m_answerMargin{15}; ///< Kept from a request's time for the answer's way back.
     Core::Duration m_minimumTime{20}; ///< A request with less time left is not sent any more.
     Core::Duration m_retryAfter{300}; ///< Told to callers that are refused: a few times the interval at which a full engine takes requests.
+    Placement::AdmissionSettings m_admission;
     std::size_t m_sampleSuccesses = 20; ///< One in so many successes gets a line in the log.
 
     bool operator==(const RelaySettings &) const = default;
@@ -38,6 +40,8 @@
     Placement::EndpointBook &m_book;
     Placement::RepeatBudgets &m_budgets;
     Placement::VersionDeadlines &m_versions;
+    Placement::CallerPatience &m_patience;
+    Placement::PlaceLedger &m_ledger;
     Telemetry::Metrics &m_metrics;
     Telemetry::EventLog &m_log;
     Core::Random &m_random;
@@ -71,6 +75,11 @@
 
     /// Takes a request over; it is answered on its connection.
     void handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request);
+    /// Requests taken over since the start.
+    std::uint64_t requests() const
+    {
+        return m_counters.m_requests.value();
+    }
     /// Requests that have no whole answer yet.
     std::size_t open() const
     {
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -27,6 +27,9 @@
 constexpr double PatienceInGoals = 4;
 constexpr Core::Duration ShortestPatience{400};
 constexpr Core::Duration LongestPatience{2000};
+/// Callers that are refused under load come back when there is room again, spread over as long again, within the bounds.
+constexpr Core::Duration ShortestReturn{150};
+constexpr Core::Duration LongestReturn{1500};
 /// A stream that could be resumed elsewhere is given up after a pause of this many times the longest pause that is on time.
 constexpr double PatienceInGaps = 4;
 
@@ -123,6 +126,7 @@
         patience = *m_facts.m_patience;
     }
     m_deadline = m_arrivedAt + patience;
+    m_lost = m_relay.m_parts.m_patience.lost(m_route->m_name, patience, m_arrivedAt);
     m_timer.expires_at(m_deadline);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const std::shared_ptr<RelayedRequest> self = weak.lock();
@@ -160,6 +164,13 @@
     request.m_service = m_service->m_name;
     request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
     request.m_excluded = m_excluded;
+    if (m_attempts == 0 && m_route->m_goalMilliseconds > 0) {
+        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds),
+                                                         m_lost,
+                                                         m_relay.m_parts.m_beliefs.endpoints().size(),
+                                                         m_relay.m_parts.m_ledger.share(),
+                                                         m_relay.m_settings.m_admission);
+    }
     if (m_service->m_engine.m_slots > 0) {
         request.m_model = m_facts.m_model;
         request.m_requiredVersion = m_relay.m_parts.m_versions.required(m_facts.m_model, now);
@@ -167,7 +178,7 @@
         request.m_newestVersion = declared ? std::optional<std::uint64_t>(declared->m_version) : std::nullopt;
     }
     const Placement::ChoiceView view{
-        m_relay.m_parts.m_beliefs.endpoints(), m_relay.m_parts.m_book, m_service->m_engine, m_relay.m_settings.m_failureDomain, now};
+        m_relay.m_parts.m_beliefs.endpoints(), m_relay.m_parts.m_book, m_relay.m_parts.m_ledger, m_service->m_engine, m_relay.m_settings.m_failureDomain, now};
     return Placement::chooseEndpoint(request, view, m_relay.m_parts.m_random);
 }
 
@@ -187,7 +198,17 @@
         fail(BadGateway, reason);
         return;
     }
-    refuse(reason, m_relay.m_settings.m_retryAfter);
+    refuse(reason, result.m_reason == Placement::NoChoice::Overloaded ? returnTime(result.m_missingPlaces) : m_relay.m_settings.m_retryAfter);
+}
+
+Core::Duration RelayedRequest::returnTime(double missingPlaces) const
+{
+    // The fleet makes room for this process's part at its share of the rate at which full engines finish requests.
+    const double interval = Placement::saturatedIntervalMilliseconds(m_service->m_engine);
+    const double engines = std::max<double>(1, static_cast<double>(m_relay.m_parts.m_beliefs.endpoints().size()));
+    const Core::Duration wait(static_cast<std::int64_t>(missingPlaces * interval / engines / m_relay.m_parts.m_ledger.share()));
+    const Core::Duration least = std::clamp(wait, ShortestReturn, LongestReturn);
+    return least + Core::Duration(m_relay.m_parts.m_random.below(static_cast<std::uint64_t>(least.count())));
 }
 
 AttemptFacts RelayedRequest::attemptFacts(const Placement::Choice &choice) const
@@ -242,11 +263,13 @@
     attempt.m_endpoint = choice.m_endpoint;
     attempt.m_sentAt = Core::Clock::now();
     attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
+    attempt.m_load = choice.m_load;
     attempt.m_reportAge = choice.m_reportAge;
     attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
     m_attempt = std::move(attempt);
     ++m_attempts;
     m_relay.m_parts.m_book.sent(choice.m_endpoint);
+    m_relay.m_parts.m_ledger.sent(choice.m_endpoint.m_id);
     m_attempt->m_call->start(outgoing);
 }
 
@@ -283,7 +306,7 @@
 {
     const AnswerFacts facts = m_relay.m_dialect.m_readAnswer(head.m_fields);
     const Core::Instant now = Core::Clock::now();
-    if (facts.m_load) {
+    if (facts.m_load && m_service->m_engine.m_slots == 0) {
         m_relay.m_parts.m_book.loadReported(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
     }
     if (!acceptHead(head, facts)) {
@@ -305,7 +328,10 @@
     m_headPassedOn = true;
     m_isEventStream = m_route->m_kind == Fleet::RequestKind::Stream && head.m_status == Ok;
     m_attempt->m_isStreaming = m_isEventStream;
-    m_relay.m_counters.m_firstByte.record(Core::secondsBetween(m_arrivedAt, Core::Clock::now()));
+    const double seconds = Core::secondsBetween(m_arrivedAt, Core::Clock::now());
+    constexpr double MillisecondsPerSecond = 1000;
+    m_firstByteMilliseconds = seconds * MillisecondsPerSecond;
+    m_relay.m_counters.m_firstByte.record(seconds);
     m_connection->onDrained([weak = weak_from_this()] {
         const std::shared_ptr<RelayedRequest> self = weak.lock();
         if (self && self->m_attempt) {
@@ -496,11 +522,15 @@
     line.text("id", m_facts.m_attemptId).text("outcome", outcome).number("status", static_cast<std::int64_t>(status));
     line.text("route", m_route ? m_route->m_name : "").text("account", m_account ? m_account->m_name : "");
     line.number("took_ms", Core::secondsBetween(m_arrivedAt, Core::Clock::now()) * MillisecondsPerSecond);
+    line.number("first_byte_ms", m_firstByteMilliseconds).number("lost_ms", static_cast<std::int64_t>(m_lost.count()));
     line.number("longest_pause_ms", static_cast<std::int64_t>(m_longestPause.count()));
     line.number("attempts", static_cast<std::int64_t>(m_attempts));
     line.number("configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->configuration().m_version : 0));
     if (m_attempt) {
         line.text("endpoint", m_attempt->m_endpoint.m_id).number("expected_ms", m_attempt->m_expectedMilliseconds);
+        line.number("running", static_cast<std::int64_t>(m_attempt->m_load.m_running));
+        line.number("waiting", static_cast<std::int64_t>(m_attempt->m_load.m_waiting));
+        line.number("sent_since", static_cast<std::int64_t>(m_attempt->m_load.m_sentSince));
         line.number("report_age_ms", static_cast<std::int64_t>(m_attempt->m_reportAge.count()));
     }
     if (!reason.empty()) {
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -28,6 +28,7 @@
         std::shared_ptr<Http::ClientCall> m_call;
         Core::Instant m_sentAt;
         double m_expectedMilliseconds = 0;
+        Placement::EndpointLoad m_load; ///< As the choice saw it.
         Core::Duration m_reportAge{0};
         bool m_isStreaming = false; ///< Its answer's events are being passed on.
     };
@@ -38,6 +39,8 @@
     const Fleet::Service *chooseService();
     void tryEndpoint();
     Placement::ChoiceResult choose() const;
+    /// When a caller that is refused under load should come back.
+    Core::Duration returnTime(double missingPlaces) const;
     void send(const Placement::Choice &choice);
     Http::ClientCallLimits callLimits() const;
     AttemptFacts attemptFacts(const Placement::Choice &choice) const;
@@ -77,7 +80,9 @@
     const Fleet::Service *m_service = nullptr;
     Core::Instant m_arrivedAt;
     Core::Instant m_deadline;
+    Core::Duration m_lost{0}; ///< Time since the caller's first try, as far as it can be told.
     std::uint32_t m_attempts = 0;
+    double m_firstByteMilliseconds = 0; ///< From arrival to the head of the answer; 0 before.
     std::optional<Core::Instant> m_lastEventAt; ///< When events were last passed on.
     Core::Duration m_longestPause{0}; ///< Between events of the stream so far.
     bool m_mayHaveRun = false; ///< Some attempt may have begun; from then on nothing may say that the request did not run.
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -18,6 +18,12 @@
     m_tokens = std::min(m_burst, m_tokens + m_share);
 }
 
+void RetryBudget::limitBurst(double burst)
+{
+    m_burst = burst;
+    m_tokens = std::min(m_tokens, m_burst);
+}
+
 bool RetryBudget::tryRetry()
 {
     if (m_tokens < 1) {
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -16,6 +16,8 @@
     RetryBudget(double share, double burst);
 
     void onRequest();
+    /// Changes how many unused retries are kept; what is over is lost.
+    void limitBurst(double burst);
     /// Takes one retry out of the budget; false if there is none.
     bool tryRetry();
 
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -59,7 +59,9 @@
     , m_follower(Follow::FollowerParts{m_loop, m_beliefs, m_versions, m_metrics, m_log, m_random},
                  Follow::FollowerSettings{},
                  m_adapter.m_makeSource(m_loop, m_settings.m_log, m_metrics))
-    , m_relay(Relay::RelayParts{m_loop, m_beliefs, m_book, m_budgets, m_versions, m_metrics, m_log, m_random}, relaySettings(m_settings), m_adapter.m_dialect)
+    , m_relay(Relay::RelayParts{m_loop, m_beliefs, m_book, m_budgets, m_versions, m_patience, m_ledger, m_metrics, m_log, m_random},
+              relaySettings(m_settings),
+              m_adapter.m_dialect)
     , m_admin(m_settings.m_admin, m_metrics)
     , m_callerContext(std::make_shared<Http::ServerContext>())
     , m_pageContext(std::make_shared<Http::ServerContext>())
@@ -131,7 +133,7 @@
     m_gossip.registerMethods();
     m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, false); });
     m_gossip.onEngineNews([this](const Gossip::EngineNews &news) { engineNews(news); });
-    m_gossip.onMembers([this] { m_budgets.setSharers(m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now()).size() + 1); });
+    m_gossip.onMembers([this] { shareOut(); });
     m_follower.onUpdate([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, true); });
     m_follower.onUnreachable([this] { m_gossip.pullFromAnyEntry(); });
     BOOST_OUTCOME_TRYV(m_node.start());
@@ -258,6 +260,7 @@
     }
     if (update.m_endpoints) {
         m_book.keepOnly(m_beliefs.endpoints());
+        m_ledger.keepOnly([this](const std::string &engine) { return m_beliefs.endpoints().contains(engine); });
         std::int64_t leaving = 0;
         for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_beliefs.endpoints()) {
             leaving += entry.second.m_endpoint.m_isLeaving ? 1 : 0;
@@ -281,11 +284,39 @@
         // An engine that does not state its start in reports is told by its address alone.
         const bool isSameStart = news.m_startedMilliseconds == 0 || endpoint.m_startedMilliseconds == news.m_startedMilliseconds;
         if (endpoint.m_address == news.m_address && isSameStart) {
-            m_book.engineReported(endpoint, news.m_report, Core::Clock::now());
+            const Core::Instant now = Core::Clock::now();
+            m_book.engineReported(endpoint, news.m_report, now);
+            notePlaces(endpoint, news.m_report, now);
         }
     }
 }
 
+void EntryProcess::notePlaces(const Fleet::Endpoint &endpoint, const Placement::EngineReport &report, Core::Instant now)
+{
+    const Fleet::Service *service = m_beliefs.configuration() ? m_beliefs.configuration()->service(endpoint.m_service) : nullptr;
+    if (!service || service->m_engine.m_slots == 0) {
+        return;
+    }
+    Placement::ReportedPlaces places =
+        Placement::reportedPlaces(service->m_engine, report.m_running, report.m_waiting, report.m_pace, Placement::AdmissionSettings{});
+    if (report.m_isLoading || report.m_weights.empty() || endpoint.m_isLeaving) {
+        places = Placement::ReportedPlaces{};
+    }
+    m_ledger.reported(endpoint.m_id, places, now);
+}
+
+void EntryProcess::shareOut()
+{
+    const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
+    m_budgets.setSharers(entries.size() + 1);
+    const double own = m_gossip.self().m_requestsPerSecond + 1.0;
+    double all = own;
+    for (const Gossip::Member &entry : entries) {
+        all += entry.m_isLeaving ? 0 : entry.m_requestsPerSecond + 1.0;
+    }
+    m_ledger.setShare(own / all);
+}
+
 bool EntryProcess::isReady() const
 {
     return m_beliefs.configuration() && !m_leavingSince;
@@ -303,8 +334,20 @@
     connection->answer(answer.m_status, {Http::HeaderField{"Content-Type", answer.m_contentType}}, std::move(answer.m_body));
 }
 
+void EntryProcess::measureRate()
+{
+    // A moving average over about two seconds: short against a burst, long against the gaps between requests of one entry.
+    constexpr double Weight = 0.1;
+    const std::uint64_t requests = m_relay.requests();
+    constexpr double TicksPerSecond = 1000.0 / TickInterval.count();
+    m_requestRate += Weight * (static_cast<double>(requests - m_countedRequests) * TicksPerSecond - m_requestRate);
+    m_countedRequests = requests;
+    m_gossip.setRequestRate(static_cast<std::uint32_t>(m_requestRate + 0.5));
+}
+
 void EntryProcess::tick()
 {
+    measureRate();
     m_log.flush();
     m_tick.expires_after(TickInterval);
     m_tick.async_wait([this](const boost::system::error_code &error) {
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -59,6 +59,11 @@
     void engineNews(const Gossip::EngineNews &news);
     void applyLimits();
     void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
+    /// Takes a report of an engine's load into the ledger of places.
+    void notePlaces(const Fleet::Endpoint &endpoint, const Placement::EngineReport &report, Core::Instant now);
+    /// Works out this entry's parts of what all entries share.
+    void shareOut();
+    void measureRate();
     void tick();
     bool isReady() const;
     Gossip::Member makeSelf() const;
@@ -74,6 +79,8 @@
     Placement::EndpointBook m_book;
     Placement::RepeatBudgets m_budgets;
     Placement::VersionDeadlines m_versions;
+    Placement::CallerPatience m_patience;
+    Placement::PlaceLedger m_ledger;
     Wire::Node m_node;
     Gossip::GossipService m_gossip;
     Follow::Follower m_follower;
@@ -88,6 +95,8 @@
     Http::Timer m_leaving;
     std::function<std::optional<EntrySettings>()> m_reload;
     std::optional<Core::Instant> m_leavingSince; ///< Set once the process has been told to end.
+    double m_requestRate = 0; ///< Requests per second, as a moving average.
+    std::uint64_t m_countedRequests = 0; ///< That the average has taken in.
     bool m_hasFailed = false;
 };
 
--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -80,7 +80,7 @@
         }
         m_isLooking = false;
         statusCame(std::move(status));
-        m_lookTimer.expires_after(m_step == Step::Loading ? m_settings.m_loadingInterval : m_settings.m_statusInterval);
+        m_lookTimer.expires_after(lookInterval());
         m_lookTimer.async_wait([this, alive](const boost::system::error_code &error) {
             if (*alive && !error) {
                 look();
@@ -89,6 +89,21 @@
     });
 }
 
+bool WeightsKeeper::isNearlyFull() const
+{
+    constexpr double NearlyFull = 0.75; // Of the slots: from here on a burst of a few requests queues.
+    const Fleet::Service *own = service();
+    return m_status && own && m_status->m_running + m_status->m_waiting >= own->m_engine.m_slots * NearlyFull;
+}
+
+Core::Duration WeightsKeeper::lookInterval() const
+{
+    if (m_step == Step::Loading) {
+        return m_settings.m_loadingInterval;
+    }
+    return isNearlyFull() ? m_settings.m_loadedInterval : m_settings.m_statusInterval;
+}
+
 void WeightsKeeper::statusCame(Core::Result<EngineStatus> status)
 {
     if (!status) {
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -22,6 +22,7 @@
     std::string m_service; ///< Of the engine.
     Core::Duration m_statusInterval{250}; ///< Between looks at the engine: half of the interval at which its load is passed on.
     Core::Duration m_loadingInterval{60}; ///< The same while it loads, so that it is used again at once.
+    Core::Duration m_loadedInterval{100}; ///< The same while it is nearly full: it takes a request about every 100 ms then.
     Core::Duration m_retryPause{200}; ///< After a failed step.
     Core::Duration m_manifestLifetime{6000}; ///< A manifest whose chunks do not come within it may itself be spoilt and is asked for again.
     /**
@@ -80,10 +81,8 @@
     /// Looks again at once, since the beliefs have changed.
     void beliefsChanged();
 
-    const std::optional<EngineStatus> &status() const
-    {
-        return m_status;
-    }
+    /// The engine's slots are nearly all taken, by its last report.
+    bool isNearlyFull() const;
 
 private:
     enum class Step {
@@ -100,6 +99,7 @@
     };
 
     void look();
+    Core::Duration lookInterval() const;
     void statusCame(Core::Result<EngineStatus> status);
     std::optional<TargetVersion> wantedTarget() const;
     bool hasTarget() const;
--- /dev/null
+++ b/Tests/LibFleet/TestBeliefs.cpp
@@ -0,0 +1,151 @@
+/// @file Beliefs only move towards newer records, whatever order they come in.
+
+#include "LibFleet/Beliefs.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+const Core::Instant Start = Core::Instant() + Core::Duration(1000000);
+
+Fleet::Declarations configurationAt(Fleet::Offset offset, std::uint64_t version)
+{
+    Fleet::Declarations declarations;
+    declarations.m_end = offset + 1;
+    declarations.m_configuration = Fleet::Configuration{};
+    declarations.m_configuration->m_version = version;
+    declarations.m_configurationOffset = offset;
+    return declarations;
+}
+
+Fleet::Endpoint endpoint(const std::string &id, std::uint64_t started = 1)
+{
+    Fleet::Endpoint made;
+    made.m_id = id;
+    made.m_startedMilliseconds = started;
+    made.m_address = Core::Address{"127.0.0.1", 1};
+    made.m_service = "drafts";
+    made.m_slots = 16;
+    return made;
+}
+
+Fleet::EndpointChanges entry(const Fleet::Endpoint &endpoint, Fleet::Offset offset)
+{
+    return Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{endpoint.m_id, offset, endpoint}}};
+}
+
+Fleet::EndpointChanges removal(const std::string &id, Fleet::Offset offset)
+{
+    return Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{id, offset, std::nullopt}}};
+}
+
+}
+
+TEST_CASE("the first record of a log counts as a configuration")
+{
+    // A log numbers its records from 0. A process that took mark 0 for "none known" told nobody of a configuration at offset 0, so processes beside
+    // engines never learned what to load and joining engines stayed empty.
+    Fleet::Beliefs beliefs;
+    CHECK(beliefs.declarations().configurationMark() == 0);
+    CHECK(beliefs.apply(configurationAt(0, 3)).m_configuration);
+    CHECK(beliefs.declarations().configurationMark() == 1);
+}
+
+TEST_CASE("an older configuration never replaces a newer one")
+{
+    // A peer that was cut off comes back and hands out what it knew. Callers would see a revoked key work again.
+    Fleet::Beliefs beliefs;
+    beliefs.apply(configurationAt(7, 30));
+    CHECK_FALSE(beliefs.apply(configurationAt(5, 20)).any());
+    CHECK(beliefs.configuration()->configuration().m_version == 30);
+    CHECK(beliefs.apply(configurationAt(9, 40)).m_configuration);
+}
+
+TEST_CASE("declared weights only rise")
+{
+    Fleet::Beliefs beliefs;
+    Fleet::Declarations declarations;
+    declarations.m_weights = {Fleet::DeclaredWeights{"draft", 3, 9}};
+    CHECK(beliefs.apply(declarations).m_weights);
+    declarations.m_weights = {Fleet::DeclaredWeights{"draft", 2, 8}};
+    CHECK_FALSE(beliefs.apply(declarations).any());
+    CHECK(beliefs.declaredWeights("draft")->m_version == 3);
+    CHECK(beliefs.declaredWeights("other") == nullptr);
+}
+
+TEST_CASE("an endpoint that leaves stays leaving for its incarnation")
+{
+    // A heartbeat that was under way when the endpoint announced its leaving arrives later. New requests would go to an endpoint that exits.
+    Fleet::Beliefs beliefs;
+    Fleet::Endpoint leaving = endpoint("a");
+    leaving.m_isLeaving = true;
+    beliefs.apply(entry(leaving, 4), false, Start);
+    beliefs.apply(entry(endpoint("a"), 5), false, Start);
+    CHECK(beliefs.endpoints().at("a").m_endpoint.m_isLeaving);
+
+    beliefs.apply(entry(endpoint("a", 2), 6), false, Start);
+    CHECK_FALSE(beliefs.endpoints().at("a").m_endpoint.m_isLeaving);
+}
+
+TEST_CASE("a record of an earlier incarnation is ignored")
+{
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("a", 9), 4), false, Start);
+    CHECK_FALSE(beliefs.apply(entry(endpoint("a", 8), 5), false, Start).any());
+    CHECK(beliefs.endpoints().at("a").m_endpoint.m_startedMilliseconds == 9);
+}
+
+TEST_CASE("an entry that lapses while the list is away is kept until it is still missing after its return")
+{
+    // While the log is down engines cannot renew their entries, which lapse together. Taken for dead, the whole fleet would be refused to callers
+    // at the moment at which the log comes back.
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("a"), 1), false, Start);
+    beliefs.apply(entry(endpoint("b"), 2), false, Start);
+    beliefs.apply(removal("a", 3), true, Start);
+    beliefs.apply(removal("b", 4), true, Start);
+    CHECK(beliefs.endpoints().size() == 2);
+
+    beliefs.apply(entry(endpoint("a"), 5), false, Start + Core::Duration(1500));
+    beliefs.forgetMissing(Core::Duration(2500), Start + Core::Duration(2600));
+    CHECK(beliefs.endpoints().contains("a"));
+    CHECK_FALSE(beliefs.endpoints().contains("b"));
+}
+
+TEST_CASE("an entry that is removed while the list is well is gone at once")
+{
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("a"), 1), false, Start);
+    CHECK(beliefs.apply(removal("a", 2), false, Start).m_endpoints);
+    CHECK(beliefs.endpoints().empty());
+}
+
+TEST_CASE("a snapshot drops what it does not name, but nothing that is newer")
+{
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("old"), 1), false, Start);
+    Fleet::EndpointChanges snapshot = entry(endpoint("kept"), 5);
+    snapshot.m_isSnapshot = true;
+    beliefs.apply(snapshot, false, Start);
+    CHECK_FALSE(beliefs.endpoints().contains("old"));
+    CHECK(beliefs.endpoints().contains("kept"));
+
+    beliefs.apply(entry(endpoint("new"), 9), false, Start);
+    Fleet::EndpointChanges late = entry(endpoint("kept"), 5);
+    late.m_isSnapshot = true;
+    beliefs.apply(late, false, Start);
+    CHECK(beliefs.endpoints().contains("new"));
+}
+
+TEST_CASE("a peer's snapshot does not bring an endpoint back that has gone")
+{
+    Fleet::Beliefs source;
+    source.apply(entry(endpoint("a"), 1), false, Start);
+    const Fleet::EndpointChanges told = source.endpointSnapshot();
+
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("a"), 1), false, Start);
+    beliefs.apply(removal("a", 2), false, Start);
+    beliefs.apply(told, false, Start);
+    CHECK(beliefs.endpoints().empty());
+}
--- /dev/null
+++ b/Tests/LibFleet/TestConfiguration.cpp
@@ -0,0 +1,58 @@
+/// @file Look-ups of routes, accounts and services.
+
+#include "LibFleet/Configuration.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+Fleet::Route route(const std::string &name, const std::string &prefix, Fleet::RequestKind kind = Fleet::RequestKind::Idempotent)
+{
+    Fleet::Route made;
+    made.m_name = name;
+    made.m_host = "plans.example";
+    made.m_pathPrefix = prefix;
+    made.m_kind = kind;
+    made.m_services = {Fleet::ServiceShare{"plans", 1}};
+    return made;
+}
+
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    Fleet::Configuration configuration;
+    configuration.m_routes = {route("short", "/a/"), route("long", "/a/b/")};
+    const Fleet::ConfigurationIndex index(configuration);
+    CHECK(index.route("plans.example", "/a/b/c")->m_name == "long");
+    CHECK(index.route("plans.example", "/a/x")->m_name == "short");
+    CHECK(index.route("plans.example", "/a") == nullptr);
+    CHECK(index.route("other.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("a key names its account and nobody else's")
+{
+    Fleet::Configuration configuration;
+    configuration.m_accounts = {Fleet::ClientAccount{"one", {"k1", "k2"}, 0}, Fleet::ClientAccount{"two", {"k3"}, std::nullopt}};
+    const Fleet::ConfigurationIndex index(configuration);
+    CHECK(index.accountOfKey("k2")->m_name == "one");
+    CHECK(index.accountOfKey("k3")->m_name == "two");
+    CHECK(index.accountOfKey("k4") == nullptr);
+}
+
+TEST_CASE("requests of a service may move only if every route to it allows that")
+{
+    Fleet::Configuration configuration;
+    Fleet::Route stream = route("stream", "/a/", Fleet::RequestKind::Stream);
+    stream.m_isResumable = true;
+    configuration.m_services.resize(1);
+    configuration.m_services[0].m_name = "plans";
+    configuration.m_routes = {stream};
+    Fleet::noteMovableRequests(configuration);
+    CHECK(configuration.m_services[0].m_mayMoveRequests);
+
+    stream.m_isResumable = false;
+    configuration.m_routes.push_back(stream);
+    Fleet::noteMovableRequests(configuration);
+    CHECK_FALSE(configuration.m_services[0].m_mayMoveRequests);
+}
--- /dev/null
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -0,0 +1,106 @@
+/// @file When an answer counts as whole, and what is known of a request whose answer is not.
+
+#include "../Support/LoopbackPeer.h"
+#include "LibHttp/ClientCall.h"
+
+#include <catch2/catch.hpp>
+
+using TestSupport::runUntil;
+using TestSupport::ScriptedConnection;
+using TestSupport::ScriptedServer;
+
+namespace {
+
+/// Makes a call to a server with the script and waits for its end.
+struct Outcome
+{
+    std::optional<Http::AnswerHead> m_head;
+    std::string m_body;
+    std::optional<Http::ClientCallEnd> m_end;
+
+    Outcome(const ScriptedServer::Script &script, Http::ClientCallLimits limits = {})
+    {
+        Http::EventLoop loop;
+        ScriptedServer server(loop, script);
+        Http::ClientCallEvents events;
+        events.m_onHead = [this](const Http::AnswerHead &head) { m_head = head; };
+        events.m_onData = [this](std::string_view bytes) { m_body.append(bytes); };
+        events.m_onEnd = [this](const Http::ClientCallEnd &end) { m_end = end; };
+        const std::shared_ptr<Http::ClientCall> call =
+            std::make_shared<Http::ClientCall>(loop, Core::Address{"127.0.0.1", server.port()}, limits, std::move(events));
+        call->start(Http::ClientRequest{"GET", "/", {{"Host", "a"}}, ""});
+        REQUIRE(runUntil(loop, [this] { return m_end.has_value(); }));
+    }
+};
+
+}
+
+TEST_CASE("an answer is whole at its length, at its last chunk, or at a clean close")
+{
+    const std::string answer = GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull",
+                                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+                                        "HTTP/1.1 200 OK\r\n\r\nfull");
+    const Outcome outcome([&answer](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send(answer);
+        connection->close();
+    });
+    CHECK(outcome.m_end->m_isWhole);
+    CHECK(outcome.m_body == "full");
+}
+
+TEST_CASE("an answer that breaks off is not whole")
+{
+    // An engine crashes in the middle. Taken for whole, half a draft would reach the analyst as a finished one.
+    const std::string answer = GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfull",
+                                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n",
+                                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nfull");
+    const Outcome outcome([&answer](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send(answer);
+        connection->close();
+    });
+    CHECK_FALSE(outcome.m_end->m_isWhole);
+    CHECK(outcome.m_end->m_wasSent);
+}
+
+TEST_CASE("an answer without a length that ends in a reset is not whole")
+{
+    const Outcome outcome([](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\n\r\nfull");
+        connection->reset();
+    });
+    CHECK_FALSE(outcome.m_end->m_isWhole);
+}
+
+TEST_CASE("bytes that are no answer are told apart from a connection that broke")
+{
+    const Outcome garbage([](const std::shared_ptr<ScriptedConnection> &connection) { connection->send("\x01\x02garbage\r\n\r\n"); });
+    CHECK(garbage.m_end->m_error.m_code == Core::ErrorCode::Corrupt);
+    const Outcome broken([](const std::shared_ptr<ScriptedConnection> &connection) { connection->close(); });
+    CHECK(broken.m_end->m_error.m_code == Core::ErrorCode::Ambiguous);
+    CHECK(broken.m_end->m_wasSent);
+}
+
+TEST_CASE("a peer that accepts and then says nothing is given up")
+{
+    Http::ClientCallLimits limits;
+    limits.m_head = Core::Duration(40);
+    const Outcome outcome([](const std::shared_ptr<ScriptedConnection> &) {}, limits);
+    CHECK(outcome.m_end->m_error.m_code == Core::ErrorCode::Timeout);
+    CHECK(outcome.m_end->m_wasSent);
+}
+
+TEST_CASE("a request to a port where nobody listens has surely not run")
+{
+    Http::EventLoop loop;
+    std::uint16_t port = 0;
+    {
+        boost::asio::ip::tcp::acceptor acceptor(loop, TestSupport::loopback(0));
+        port = acceptor.local_endpoint().port();
+    }
+    std::optional<Core::Result<Http::WholeAnswer>> result;
+    Http::fetch(loop, Core::Address{"127.0.0.1", port}, Http::ClientRequest{}, {}, 100, [&result](Core::Result<Http::WholeAnswer> answer) {
+        result = std::move(answer);
+    });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    CHECK(result->error().m_code == Core::ErrorCode::Unavailable);
+}
--- /dev/null
+++ b/Tests/LibHttp/TestHeaderFields.cpp
@@ -0,0 +1,42 @@
+/// @file Header fields and targets.
+
+#include "LibHttp/HeaderFields.h"
+
+#include <catch2/catch.hpp>
+
+TEST_CASE("fields of one connection are not passed on")
+{
+    const Http::HeaderFields fields{{"Host", "a"},
+                                    {"Connection", "close, X-Private"},
+                                    {"x-private", "1"},
+                                    {"Keep-Alive", "timeout=5"},
+                                    {"Transfer-Encoding", "chunked"},
+                                    {"Content-Length", "3"},
+                                    {"X-Kept", "2"}};
+    const Http::HeaderFields kept{{"Host", "a"}, {"X-Kept", "2"}};
+    CHECK(Http::endToEndFields(fields) == kept);
+}
+
+TEST_CASE("hosts are compared without case and port")
+{
+    CHECK(Http::hostName("Plans.Example:8080") == "plans.example");
+    CHECK(Http::hostName(" plans.example ") == "plans.example");
+}
+
+TEST_CASE("queries are decoded, and bad ones are empty")
+{
+    CHECK(Http::queryValue("/r?name=a%20b&zone=x", "name") == "a b");
+    CHECK(Http::queryValue("/r?name=a&zone=x", "zone") == "x");
+    CHECK_FALSE(Http::queryValue("/r?name=%zz", "name"));
+    CHECK_FALSE(Http::queryValue("/r", "name"));
+    CHECK(Http::pathOf("/a/b?c=/d/") == "/a/b");
+}
+
+TEST_CASE("numbers are whole and plain")
+{
+    CHECK(Http::parseNumber("17") == 17);
+    CHECK_FALSE(Http::parseNumber(""));
+    CHECK_FALSE(Http::parseNumber("-1"));
+    CHECK_FALSE(Http::parseNumber("1x"));
+    CHECK_FALSE(Http::parseNumber("99999999999999999999999"));
+}
--- /dev/null
+++ b/Tests/LibHttp/TestServer.cpp
@@ -0,0 +1,137 @@
+/// @file What a server makes of requests that are slow, too large, ambiguous or malformed.
+
+#include "../Support/LoopbackPeer.h"
+#include "LibHttp/Listener.h"
+
+#include <catch2/catch.hpp>
+
+using TestSupport::RawCaller;
+using TestSupport::runUntil;
+
+namespace {
+
+/// A server that answers every request with its body, and remembers what came.
+struct EchoServer
+{
+    Http::EventLoop m_loop;
+    std::shared_ptr<Http::ServerContext> m_context = std::make_shared<Http::ServerContext>();
+    std::vector<Http::ServerRequest> m_requests;
+    std::unique_ptr<Http::Listener> m_listener;
+
+    EchoServer()
+    {
+        m_context->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
+            const std::string body = request.m_body;
+            m_requests.push_back(std::move(request));
+            connection->answer(200, {}, body);
+        };
+        m_listener = std::make_unique<Http::Listener>(m_loop, Core::Address{"127.0.0.1", 0}, m_context, 16);
+        REQUIRE(m_listener->start());
+    }
+
+    /// Sends bytes on a new connection and returns the status of the first answer.
+    std::string statusOf(const std::string &bytes)
+    {
+        RawCaller caller(m_loop, m_listener->port());
+        caller.send(bytes);
+        REQUIRE(runUntil(m_loop, [&caller] { return caller.received().size() >= 12 || caller.isClosed(); }));
+        return caller.received().substr(9, 3);
+    }
+};
+
+}
+
+TEST_CASE("requests on one connection are answered in order, also when they are sent together")
+{
+    EchoServer server;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&server] { return server.m_requests.size() == 2; }));
+    CHECK(server.m_requests[0].m_body == "one");
+    CHECK(server.m_requests[1].m_target == "/2");
+}
+
+TEST_CASE("a body in chunks comes whole, and nothing of it is taken for a request")
+{
+    EchoServer server;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;note=x\r\nGET /\r\n0\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&server] { return !server.m_requests.empty(); }));
+    CHECK(server.m_requests[0].m_body == "GET /");
+    CHECK(server.m_requests.size() == 1);
+}
+
+TEST_CASE("a request whose end can be read in two ways is refused and the connection closed")
+{
+    // One server reads the length, the next one the chunks, and the rest of the body becomes a request that nobody sent: it would run under another
+    // caller's name.
+    const std::string smuggled = GENERATE("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                          "Content-Length: 4\r\nContent-Length: 5\r\n",
+                                          "Transfer-Encoding: gzip\r\n",
+                                          "Transfer-Encoding: chunked, identity\r\n",
+                                          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                          "Content-Length: +4\r\n",
+                                          "Content-Length: 4 4\r\n",
+                                          "Content-Length : 4\r\n");
+    CAPTURE(smuggled);
+    EchoServer server;
+    CHECK(server.statusOf("POST / HTTP/1.1\r\nHost: a\r\n" + smuggled + "\r\nabcd") == "400");
+    CHECK(server.m_requests.empty());
+}
+
+TEST_CASE("a request without one host, or with bare line feeds, is refused")
+{
+    EchoServer server;
+    CHECK(server.statusOf("GET / HTTP/1.1\r\n\r\n") == "400");
+    CHECK(server.statusOf("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n") == "400");
+    CHECK(server.statusOf("GET / HTTP/1.1\nHost: a\n\n") == "400");
+    CHECK(server.m_requests.empty());
+}
+
+TEST_CASE("what is too large or too slow is refused with its own status")
+{
+    EchoServer server;
+    server.m_context->m_limits.m_maximumHeaderBytes = 512;
+    server.m_context->m_limits.m_maximumBodyBytes = 8;
+    server.m_context->m_limits.m_headTimeout = Core::Duration(30);
+    CHECK(server.statusOf("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(1000, 'x') + "\r\n\r\n") == "431");
+    CHECK(server.statusOf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n123456789") == "413");
+    CHECK(server.statusOf("GET / HTTP/1.1\r\nHost:") == "408");
+}
+
+TEST_CASE("an answer whose source breaks off does not look complete")
+{
+    Http::EventLoop loop;
+    const std::shared_ptr<Http::ServerContext> context = std::make_shared<Http::ServerContext>();
+    context->m_onRequest = [](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &) {
+        connection->beginAnswer(200, "OK", {}, Http::AnswerFraming{});
+        connection->sendBody("half");
+        connection->onDrained([connection] { connection->abort(); });
+    };
+    Http::Listener listener(loop, Core::Address{"127.0.0.1", 0}, context, 4);
+    REQUIRE(listener.start());
+    RawCaller caller(loop, listener.port());
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(loop, [&caller] { return caller.isClosed(); }));
+    CHECK(caller.received().find("half") != std::string::npos);
+    CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("a caller that leaves before its answer is noticed")
+{
+    Http::EventLoop loop;
+    bool isGone = false;
+    std::shared_ptr<Http::ServerConnection> kept;
+    const std::shared_ptr<Http::ServerContext> context = std::make_shared<Http::ServerContext>();
+    context->m_onRequest = [&isGone, &kept](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &) {
+        kept = connection;
+        connection->onGone([&isGone] { isGone = true; });
+    };
+    Http::Listener listener(loop, Core::Address{"127.0.0.1", 0}, context, 4);
+    REQUIRE(listener.start());
+    RawCaller caller(loop, listener.port());
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(loop, [&kept] { return kept != nullptr; }));
+    caller.close();
+    CHECK(runUntil(loop, [&isGone] { return isGone; }));
+}
--- /dev/null
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -0,0 +1,165 @@
+/// @file Which endpoint takes a request, and how long it is expected to take.
+
+#include "LibPlacement/Choice.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+const Core::Instant Start = Core::Instant() + Core::Duration(1000000);
+constexpr std::size_t Draws = 200;
+
+Fleet::EngineModel engineModel()
+{
+    Fleet::EngineModel engine;
+    engine.m_slots = 16;
+    engine.m_stepMilliseconds = 9.27;
+    engine.m_stepMillisecondsPerRequest = 0.0232;
+    engine.m_stepMillisecondsPerThousandContext = 0.0322;
+    engine.m_promptTokensPerSecond = 20700;
+    engine.m_millisecondsPerMillionPairs = 1.18;
+    engine.m_usualPromptTokens = 979;
+    engine.m_usualAnswerTokens = 92;
+    return engine;
+}
+
+/// Engines that hold version 1 of one model.
+struct TestFleet
+{
+    std::map<std::string, Fleet::KnownEndpoint> m_endpoints;
+    Placement::EndpointBook m_book;
+    Placement::PlaceLedger m_ledger;
+    Fleet::EngineModel m_engine = engineModel();
+    Core::Random m_random{7};
+
+    Fleet::Endpoint &add(const std::string &id, std::uint64_t version = 1)
+    {
+        Fleet::KnownEndpoint &known = m_endpoints[id];
+        known.m_endpoint.m_id = id;
+        known.m_endpoint.m_service = "drafts";
+        known.m_endpoint.m_slots = 16;
+        known.m_endpoint.m_failureDomain = "here";
+        known.m_endpoint.m_weights = {Fleet::LoadedWeights{"draft", version, true}};
+        return known.m_endpoint;
+    }
+
+    Placement::ChoiceResult choose(const Placement::ChoiceRequest &request, Core::Instant now = Start)
+    {
+        return Placement::chooseEndpoint(request, Placement::ChoiceView{m_endpoints, m_book, m_ledger, m_engine, "here", now}, m_random);
+    }
+};
+
+Placement::ChoiceRequest request()
+{
+    Placement::ChoiceRequest made;
+    made.m_service = "drafts";
+    made.m_model = "draft";
+    made.m_size = {979, 92};
+    return made;
+}
+
+}
+
+TEST_CASE("an engine that leaves, lacks the weights or loads others takes nothing")
+{
+    TestFleet fleet;
+    fleet.add("leaving").m_isLeaving = true;
+    fleet.add("empty").m_weights.clear();
+    fleet.add("partial").m_weights[0].m_isWhole = false;
+    Placement::EngineReport loading;
+    loading.m_isLoading = true;
+    loading.m_weights = {Fleet::LoadedWeights{"draft", 1, true}};
+    fleet.m_book.engineReported(fleet.add("loading"), loading, Start);
+    CHECK_FALSE(fleet.choose(request()).m_choice);
+    CHECK(fleet.choose(request()).m_reason == Placement::NoChoice::NoWeights);
+    fleet.add("good");
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(request()).m_choice->m_endpoint.m_id == "good");
+    }
+}
+
+TEST_CASE("without endpoints a service cannot serve, and says so at once")
+{
+    TestFleet fleet;
+    CHECK(fleet.choose(request()).m_reason == Placement::NoChoice::NoEndpoint);
+    fleet.add("only");
+    Placement::ChoiceRequest again = request();
+    again.m_excluded = {"only"};
+    CHECK(fleet.choose(again).m_reason == Placement::NoChoice::AllTried);
+}
+
+TEST_CASE("the choice tells the version that the engine has, which may be newer than required")
+{
+    // Engines compare the expected version for equality. Told the required version 2, an engine that already had 3 refused, and with it every
+    // engine that was ahead: 324 of 363 requests in two seconds.
+    TestFleet fleet;
+    fleet.add("old", 1);
+    fleet.add("ahead", 3);
+    Placement::ChoiceRequest bound = request();
+    bound.m_requiredVersion = 2;
+    const Placement::ChoiceResult result = fleet.choose(bound);
+    REQUIRE(result.m_choice);
+    CHECK(result.m_choice->m_endpoint.m_id == "ahead");
+    CHECK(result.m_choice->m_version == 3);
+}
+
+TEST_CASE("a request that has moved goes to an engine that will not load soon")
+{
+    TestFleet fleet;
+    fleet.add("old", 1);
+    fleet.add("older", 1);
+    fleet.add("new", 2);
+    Placement::ChoiceRequest moved = request();
+    moved.m_excluded = {"gone"};
+    moved.m_newestVersion = 2;
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(moved).m_choice->m_endpoint.m_id == "new");
+    }
+}
+
+TEST_CASE("an engine that failed is avoided while there is another")
+{
+    TestFleet fleet;
+    const Fleet::Endpoint bad = fleet.add("bad");
+    fleet.add("good");
+    fleet.m_book.failed(bad, Placement::EndpointFailure::Broken, Start);
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(request()).m_choice->m_endpoint.m_id == "good");
+    }
+    fleet.m_endpoints.erase("good");
+    CHECK(fleet.choose(request()).m_choice->m_endpoint.m_id == "bad");
+}
+
+TEST_CASE("own requests since the last report count")
+{
+    // Reports come twice a second. A process that did not count what it has sent since would send a burst to the engine that looked idle.
+    TestFleet fleet;
+    const Fleet::Endpoint first = fleet.add("first");
+    const Fleet::Endpoint second = fleet.add("second");
+    fleet.m_book.loadReported(first, 2, 0, Start);
+    fleet.m_book.loadReported(second, 3, 0, Start);
+    std::map<std::string, int> sent;
+    for (int index = 0; index < 20; ++index) {
+        const Placement::ChoiceResult result = fleet.choose(request());
+        fleet.m_book.sent(result.m_choice->m_endpoint);
+        ++sent[result.m_choice->m_endpoint.m_id];
+    }
+    CHECK(sent["first"] >= 9);
+    CHECK(sent["second"] >= 9);
+}
+
+TEST_CASE("a full engine's queue is foreseen")
+{
+    const Fleet::EngineModel engine = engineModel();
+    const Placement::RequestSize size{979, 92};
+    Placement::EndpointLoad idle;
+    Placement::EndpointLoad full;
+    full.m_running = 16;
+    full.m_waiting = 3;
+    const double first = Placement::firstEventMilliseconds(engine, idle, size);
+    const double queued = Placement::firstEventMilliseconds(engine, full, size);
+    CHECK(first == Approx(57.3).margin(5));
+    CHECK(queued - first > 3 * Placement::saturatedIntervalMilliseconds(engine));
+    full.m_pace = 2;
+    CHECK(Placement::firstEventMilliseconds(engine, full, size) == Approx(2 * queued));
+}
--- /dev/null
+++ b/Tests/LibPlacement/TestRepeatBudgets.cpp
@@ -0,0 +1,31 @@
+/// @file The shared budget for sending requests again.
+
+#include "LibPlacement/RepeatBudgets.h"
+
+#include <catch2/catch.hpp>
+
+TEST_CASE("all processes together stay within the budget of a window")
+{
+    // When a service fails, every process sends its requests again. Each may use its part only, or together they would multiply the load on what is left.
+    constexpr std::size_t Processes = 13;
+    constexpr int RequestsEach = 140;
+    const Placement::RepeatBudgetSettings settings{0.2, 217, 0.85};
+    int repeats = 0;
+    for (std::size_t process = 0; process < Processes; ++process) {
+        Placement::RepeatBudgets budgets(settings);
+        budgets.setSharers(Processes);
+        for (int request = 0; request < RequestsEach; ++request) {
+            budgets.onRequest("drafts");
+            repeats += budgets.tryRepeat("drafts") ? 1 : 0;
+        }
+    }
+    CHECK(repeats <= 0.2 * Processes * RequestsEach + 217);
+    CHECK(repeats > 0.5 * (0.2 * Processes * RequestsEach + 217));
+}
+
+TEST_CASE("services do not use each other's budget")
+{
+    Placement::RepeatBudgets budgets(Placement::RepeatBudgetSettings{0.2, 2, 1});
+    while (budgets.tryRepeat("one")) { }
+    CHECK(budgets.tryRepeat("two"));
+}
--- /dev/null
+++ b/Tests/LibPlacement/TestVersionDeadlines.cpp
@@ -0,0 +1,58 @@
+/// @file From when on requests may only begin on a declared version.
+
+#include "LibPlacement/VersionDeadlines.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+const Core::Instant Start = Core::Instant() + Core::Duration(1000000);
+constexpr Core::Duration Bound{6500};
+
+}
+
+TEST_CASE("a version is required once its bound has passed")
+{
+    Placement::VersionDeadlines deadlines(Bound);
+    deadlines.declared("draft", 2, Core::Duration(0), Start);
+    CHECK_FALSE(deadlines.required("draft", Start + Core::Duration(6400)));
+    CHECK(deadlines.required("draft", Start + Core::Duration(6500)) == 2);
+    CHECK_FALSE(deadlines.required("other", Start + Core::Duration(9000)));
+}
+
+TEST_CASE("the bound of the version before the newest still counts")
+{
+    // Two versions are declared three seconds apart, and a process starts after the second. If it knew only the newest it would let requests begin
+    // on weights that two declarations have replaced.
+    Placement::VersionDeadlines deadlines(Bound);
+    deadlines.declared("draft", 3, Core::Duration(3000), Start);
+    deadlines.declared("draft", 2, Core::Duration(6000), Start);
+    CHECK_FALSE(deadlines.required("draft", Start));
+    CHECK(deadlines.required("draft", Start + Core::Duration(500)) == 2);
+    CHECK(deadlines.required("draft", Start + Core::Duration(3500)) == 3);
+    CHECK(deadlines.recent("draft", Core::Duration(30000), Start).size() == 2);
+    CHECK(deadlines.oldestAge("draft", 1, Start) == Core::Duration(6000));
+    CHECK(deadlines.oldestAge("draft", 2, Start) == Core::Duration(3000));
+}
+
+TEST_CASE("a version that was found declared is required at once, until somebody states its age")
+{
+    Placement::VersionDeadlines deadlines(Bound);
+    deadlines.found("draft", 2, Start);
+    CHECK(deadlines.required("draft", Start) == 2);
+    CHECK_FALSE(deadlines.statedAge("draft", 2, Start));
+
+    deadlines.declared("draft", 2, Core::Duration(1000), Start);
+    CHECK_FALSE(deadlines.required("draft", Start));
+    deadlines.found("draft", 2, Start);
+    CHECK_FALSE(deadlines.required("draft", Start));
+    CHECK(deadlines.statedAge("draft", 2, Start) == Core::Duration(1000));
+}
+
+TEST_CASE("the oldest statement about a version counts")
+{
+    Placement::VersionDeadlines deadlines(Bound);
+    deadlines.declared("draft", 2, Core::Duration(4000), Start);
+    deadlines.declared("draft", 2, Core::Duration(0), Start);
+    CHECK(deadlines.statedAge("draft", 2, Start) == Core::Duration(4000));
+}
--- /dev/null
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -0,0 +1,290 @@
+/// @file The relay between callers and endpoints that misbehave, over real sockets.
+
+#include "../Support/LoopbackPeer.h"
+#include "LibHttp/Listener.h"
+#include "LibRelay/Relay.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using TestSupport::RawCaller;
+using TestSupport::runUntil;
+using TestSupport::ScriptedConnection;
+using TestSupport::ScriptedServer;
+
+namespace {
+
+/// Field names of these tests.
+Relay::Dialect testDialect()
+{
+    Relay::Dialect dialect;
+    dialect.m_readRequest = [](const Http::HeaderFields &fields) {
+        Relay::RequestFacts facts;
+        const std::string *attempt = Http::findField(fields, "Attempt");
+        const std::string *key = Http::findField(fields, "Key");
+        const std::string *patience = Http::findField(fields, "Patience");
+        facts.m_attemptId = attempt ? *attempt : "";
+        facts.m_key = key ? *key : "";
+        if (patience) {
+            facts.m_patience = Core::Duration(static_cast<std::int64_t>(*Http::parseNumber(*patience)));
+        }
+        return facts;
+    };
+    dialect.m_attemptFields = [](const Http::HeaderFields &fields, const Relay::AttemptFacts &attempt) {
+        Http::HeaderFields result = fields;
+        result.push_back({"Endpoint", attempt.m_endpointId});
+        result.push_back({"Account", attempt.m_account});
+        if (attempt.m_resumeAfter) {
+            result.push_back({"After", std::to_string(*attempt.m_resumeAfter)});
+        }
+        return result;
+    };
+    dialect.m_readAnswer = [](const Http::HeaderFields &fields) {
+        Relay::AnswerFacts facts;
+        const std::string *attempt = Http::findField(fields, "Attempt");
+        facts.m_attemptId = attempt ? *attempt : "";
+        facts.m_isSealed = Http::findField(fields, "Seal") != nullptr;
+        facts.m_didNotRun = Http::findField(fields, "Not-Run") != nullptr;
+        return facts;
+    };
+    return dialect;
+}
+
+Fleet::Route route(const std::string &prefix, Fleet::RequestKind kind)
+{
+    Fleet::Route made;
+    made.m_name = prefix;
+    made.m_host = "a";
+    made.m_pathPrefix = prefix;
+    made.m_kind = kind;
+    made.m_services = {Fleet::ServiceShare{"desk", 1}};
+    made.m_timeoutMilliseconds = 3000;
+    made.m_maximumAttempts = 2;
+    return made;
+}
+
+constexpr const char *Good = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
+
+/// A relay before scripted endpoints.
+struct RelayFixture
+{
+    Http::EventLoop m_loop;
+    Telemetry::Metrics m_metrics;
+    Telemetry::EventLog m_log{STDOUT_FILENO, "test", m_metrics, Telemetry::EventLogLimits{0, 0, 0}};
+    Core::Random m_random{5};
+    Fleet::Beliefs m_beliefs;
+    Placement::EndpointBook m_book;
+    Placement::RepeatBudgets m_budgets{Placement::RepeatBudgetSettings{}};
+    Placement::VersionDeadlines m_versions{Core::Duration(6500)};
+    Placement::CallerPatience m_patience;
+    Placement::PlaceLedger m_ledger;
+    std::vector<std::unique_ptr<ScriptedServer>> m_servers;
+    std::vector<std::string> m_requests; ///< As endpoints got them.
+    std::shared_ptr<Http::ServerContext> m_context = std::make_shared<Http::ServerContext>();
+    std::unique_ptr<Relay::Relay> m_relay;
+    std::unique_ptr<Http::Listener> m_listener;
+
+    RelayFixture()
+    {
+        Relay::RelayParts parts{m_loop, m_beliefs, m_book, m_budgets, m_versions, m_patience, m_ledger, m_metrics, m_log, m_random};
+        m_relay = std::make_unique<Relay::Relay>(parts, Relay::RelaySettings{}, testDialect());
+        m_context->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
+            m_relay->handle(connection, std::move(request));
+        };
+        m_listener = std::make_unique<Http::Listener>(m_loop, Core::Address{"127.0.0.1", 0}, m_context, 16);
+        REQUIRE(m_listener->start());
+    }
+
+    void configure()
+    {
+        Fleet::Declarations declarations;
+        declarations.m_end = 1;
+        declarations.m_configuration = Fleet::Configuration{};
+        Fleet::Route stream = route("/stream/", Fleet::RequestKind::Stream);
+        stream.m_isResumable = true;
+        declarations.m_configuration->m_routes = {route("/read/", Fleet::RequestKind::Idempotent), route("/book/", Fleet::RequestKind::NonIdempotent), stream};
+        declarations.m_configuration->m_services.resize(1);
+        declarations.m_configuration->m_services[0].m_name = "desk";
+        declarations.m_configuration->m_accounts = {Fleet::ClientAccount{"buyer", {"k"}, std::nullopt}};
+        m_beliefs.apply(declarations);
+    }
+
+    void addEndpoint(const ScriptedServer::Script &script)
+    {
+        m_servers.push_back(std::make_unique<ScriptedServer>(m_loop, [this, script](const std::shared_ptr<ScriptedConnection> &connection) {
+            m_requests.push_back(connection->request());
+            script(connection);
+        }));
+        addAddress(Core::Address{"127.0.0.1", m_servers.back()->port()});
+    }
+
+    void addAddress(const Core::Address &address)
+    {
+        Fleet::Endpoint endpoint;
+        endpoint.m_id = "e" + std::to_string(m_beliefs.endpoints().size());
+        endpoint.m_address = address;
+        endpoint.m_service = "desk";
+        endpoint.m_slots = 6;
+        const Fleet::Offset offset = m_beliefs.endpointsEnd() + 1;
+        m_beliefs.apply(Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{endpoint.m_id, offset, endpoint}}}, false, Core::Clock::now());
+    }
+
+    /// Sends a request and returns all that comes until @p isDone, or until the connection closes.
+    std::string ask(const std::string &path, const std::function<bool(const std::string &received)> &isDone, const std::string &fields = "Key: k\r\n")
+    {
+        RawCaller caller(m_loop, m_listener->port());
+        caller.send("GET " + path + " HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\n" + fields + "\r\n");
+        REQUIRE(runUntil(m_loop, [&caller, &isDone] { return caller.isClosed() || isDone(caller.received()); }));
+        return caller.received();
+    }
+
+    std::string statusOf(const std::string &path, const std::string &fields = "Key: k\r\n")
+    {
+        return ask(
+                   path, [](const std::string &received) { return received.find("\r\n\r\n") != std::string::npos; }, fields)
+            .substr(9, 3);
+    }
+};
+
+ScriptedServer::Script answering(const std::string &answer)
+{
+    return [answer](const std::shared_ptr<ScriptedConnection> &connection) { connection->send(answer); };
+}
+
+}
+
+TEST_CASE("an entry that knows no configuration says that it is unavailable, not that a route or key is unknown")
+{
+    // A process that has just started and answered 404 would make callers give up for good; after 503 they come back.
+    RelayFixture fixture;
+    CHECK(fixture.statusOf("/read/x") == "503");
+}
+
+TEST_CASE("requests without a route, key or endpoint are answered at once")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    CHECK(fixture.statusOf("/none/x") == "404");
+    CHECK(fixture.statusOf("/read/x", "Key: wrong\r\n") == "401");
+    CHECK(fixture.statusOf("/read/x") == "503");
+}
+
+TEST_CASE("the endpoint gets the account of the key, and the caller the endpoint's answer")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint(answering(Good));
+    const std::string received = fixture.ask("/book/x", [](const std::string &text) { return text.ends_with("done"); });
+    CHECK(received.find("Seal: s") != std::string::npos);
+    REQUIRE(fixture.m_requests.size() == 1);
+    CHECK(fixture.m_requests[0].find("Account: buyer") != std::string::npos);
+    CHECK(fixture.m_requests[0].find("GET /book/x HTTP/1.1") == 0);
+}
+
+TEST_CASE("a request that may run once is never sent again after it may have run")
+{
+    // The endpoint books and its answer is lost. Sent again, the crew would come twice; told "not run", the caller would book again itself.
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint([](const std::shared_ptr<ScriptedConnection> &connection) { connection->reset(); });
+    fixture.addEndpoint([](const std::shared_ptr<ScriptedConnection> &connection) { connection->reset(); });
+    CHECK(fixture.statusOf("/book/x") == "502");
+    CHECK(fixture.m_requests.size() == 1);
+}
+
+TEST_CASE("a status that promises not to have run is not passed on without the endpoint's own promise")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint(answering("HTTP/1.1 503 Busy\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"));
+    CHECK(fixture.statusOf("/book/x") == "502");
+}
+
+TEST_CASE("a request that an endpoint did not run goes to another one")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    std::size_t refusals = 0;
+    const ScriptedServer::Script fullThenGood = [&refusals](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send(refusals++ == 0 ? "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" : Good);
+    };
+    fixture.addEndpoint(fullThenGood);
+    fixture.addEndpoint(fullThenGood);
+    CHECK(fixture.statusOf("/book/x") == "200");
+    CHECK(fixture.m_requests.size() == 2);
+}
+
+TEST_CASE("answers of other requests, unsealed or encoded ones never reach the caller")
+{
+    // A faulty endpoint sends the answer of an earlier request, or bytes that only look like one. The caller would take another's draft for its own.
+    const std::string bad = GENERATE("HTTP/1.1 200 OK\r\nAttempt: 2\r\nSeal: s\r\nContent-Length: 4\r\n\r\nevil",
+                                     "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\n\r\nevil",
+                                     "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Encoding: gzip\r\nContent-Length: 4\r\n\r\nevil",
+                                     "HTTP/1.1 evil\r\n\r\n");
+    CAPTURE(bad);
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint(answering(bad));
+    const std::string received = fixture.ask("/book/x", [](const std::string &text) { return text.find("\r\n\r\n") != std::string::npos; });
+    CHECK(received.substr(9, 3) == "502");
+    CHECK(received.find("evil\n") == std::string::npos);
+}
+
+TEST_CASE("a stream that breaks off in an event goes on at another endpoint, each event once")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    const ScriptedServer::Script script = [](const std::shared_ptr<ScriptedConnection> &connection) {
+        const std::string head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if (connection->request().find("After: 2") == std::string::npos) {
+            connection->send(head + "16\r\nid: 1\n\nid: 2\n\nid: 3\nda\r\n");
+            connection->reset();
+            return;
+        }
+        connection->send(head + "10\r\nid: 3\n\nid: 4\n\n\r\n0\r\n\r\n");
+    };
+    fixture.addEndpoint(script);
+    fixture.addEndpoint(script);
+    const std::string received = fixture.ask("/stream/x", [](const std::string &text) { return text.ends_with("0\r\n\r\n"); });
+    std::string events;
+    for (std::size_t at = received.find("id: "); at != std::string::npos; at = received.find("id: ", at + 1)) {
+        events += received.substr(at + 4, 1);
+    }
+    CHECK(events == "1234");
+}
+
+TEST_CASE("an answer that breaks off after its head cuts the caller's connection")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint([](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf");
+        connection->close();
+    });
+    const std::string received = fixture.ask("/book/x", [](const std::string &) { return false; });
+    CHECK(received.ends_with("half"));
+}
+
+TEST_CASE("a caller that leaves cancels the endpoint's work")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    std::shared_ptr<ScriptedConnection> upstream;
+    fixture.addEndpoint([&upstream](const std::shared_ptr<ScriptedConnection> &connection) { upstream = connection; });
+    {
+        RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+        caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\n\r\n");
+        REQUIRE(runUntil(fixture.m_loop, [&upstream] { return upstream != nullptr; }));
+        caller.close();
+        CHECK(runUntil(fixture.m_loop, [&upstream] { return upstream->isGone(); }));
+    }
+    CHECK(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->open() == 0; }));
+}
+
+TEST_CASE("a request is given up when the caller's patience ends")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint([](const std::shared_ptr<ScriptedConnection> &) {});
+    CHECK(fixture.statusOf("/book/x", "Key: k\r\nPatience: 80\r\n") == "504");
+}
--- /dev/null
+++ b/Tests/Support/LoopbackPeer.h
@@ -0,0 +1,194 @@
+/// @file The other end of a connection, scripted: for tests that need a peer which breaks the rules.
+#pragma once
+
+#include "LibHttp/EventLoop.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace TestSupport {
+
+inline boost::asio::ip::tcp::endpoint loopback(std::uint16_t port)
+{
+    return boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), port);
+}
+
+/// Runs the loop until @p done is true, or too much time has passed; then fails by returning false.
+inline bool runUntil(Http::EventLoop &loop, const std::function<bool()> &done, std::chrono::milliseconds limit = std::chrono::seconds(10))
+{
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
+    loop.restart();
+    while (!done()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        loop.run_for(std::chrono::milliseconds(2));
+        loop.restart();
+    }
+    return true;
+}
+
+/// A caller that sends bytes as they are and collects what comes back.
+class RawCaller
+{
+public:
+    RawCaller(Http::EventLoop &loop, std::uint16_t port)
+        : m_socket(loop)
+    {
+        m_socket.connect(loopback(port));
+        read();
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+    const std::string &received() const
+    {
+        return m_received;
+    }
+
+    bool isClosed() const
+    {
+        return m_isClosed;
+    }
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_buffer), [this](const boost::system::error_code &error, std::size_t size) {
+            if (error == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                m_isClosed = true;
+                return;
+            }
+            m_received.append(m_buffer.data(), size);
+            read();
+        });
+    }
+
+    Http::Socket m_socket;
+    std::array<char, 4096> m_buffer{};
+    std::string m_received;
+    bool m_isClosed = false;
+};
+
+/// One accepted connection of a ScriptedServer.
+class ScriptedConnection : public std::enable_shared_from_this<ScriptedConnection>
+{
+public:
+    explicit ScriptedConnection(Http::Socket socket)
+        : m_socket(std::move(socket))
+    {
+    }
+
+    /// The request as it came, head and body.
+    const std::string &request() const
+    {
+        return m_request;
+    }
+
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored; // The peer may have gone, which the test sees at its own end.
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+    /// Closes so that the peer sees a reset.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
+    bool isGone() const
+    {
+        return m_isGone;
+    }
+
+    void readRequest(std::function<void()> onRequest)
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_buffer),
+                                 [self = shared_from_this(), then = std::move(onRequest)](const boost::system::error_code &error, std::size_t size) {
+                                     if (error) {
+                                         self->m_isGone = true;
+                                         return;
+                                     }
+                                     self->m_request.append(self->m_buffer.data(), size);
+                                     const bool isWhole = !self->m_isTold && self->m_request.find("\r\n\r\n") != std::string::npos;
+                                     if (isWhole) {
+                                         self->m_isTold = true;
+                                         then();
+                                     }
+                                     self->readRequest(then);
+                                 });
+    }
+
+private:
+    Http::Socket m_socket;
+    std::array<char, 4096> m_buffer{};
+    std::string m_request;
+    bool m_isTold = false;
+    bool m_isGone = false;
+};
+
+/// Accepts connections and hands each one over once the head of its request has come.
+class ScriptedServer
+{
+public:
+    using Script = std::function<void(const std::shared_ptr<ScriptedConnection> &connection)>;
+
+    ScriptedServer(Http::EventLoop &loop, Script script)
+        : m_acceptor(loop, loopback(0))
+        , m_script(std::move(script))
+    {
+        accept();
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    std::size_t connections() const
+    {
+        return m_connections;
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error, Http::Socket socket) {
+            if (error) {
+                return;
+            }
+            ++m_connections;
+            const std::shared_ptr<ScriptedConnection> connection = std::make_shared<ScriptedConnection>(std::move(socket));
+            connection->readRequest([this, connection] { m_script(connection); });
+            accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Script m_script;
+    std::size_t m_connections = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/platform/TestDecoders.cpp
@@ -0,0 +1,157 @@
+/// @file The platform's documents and records as the product's types; what cannot be read names nothing and harms nothing.
+
+#include "platform/ConfigurationDecoder.h"
+#include "platform/EndpointDecoder.h"
+#include "platform/EngineClient.h"
+#include "platform/LogClient.h"
+#include "platform/RequestDialect.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+const std::string ConfigurationText = R"({"version":7,"routes":[
+ {"name":"r1","host":"Plans.Example","pathPrefix":"/a/","routeKind":"streaming","timeoutMs":6000,"goalMs":400,"priority":1,"service":"s1","maxAttempts":2,
+  "public":false,"sticky":true,"resumable":true,"gapGoalMs":400},
+ {"name":"r2","host":"b","pathPrefix":"/b/","routeKind":"idempotent","timeoutMs":900,"trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+ {"name":"bad","host":"b","pathPrefix":"/c/","routeKind":"unheard-of","service":"s1"}],
+ "services":[{"name":"s1","maxConns":919,"engineParams":{"slots":16,"step_ms":9.27,"read_per_s":20700.0,"usual":{"prompt":979,"answer":92},
+  "layers":16,"chunkCount":48,"chunkBytes":49152,"models":[{"name":"m","warmS":0.3}]}},
+  {"name":"o","origin":"172.20.0.3:8006","zone":"z","linkMbps":15.0}],
+ "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})";
+
+std::string record(const std::string &key, const std::string &value)
+{
+    const std::string content = std::string(1, static_cast<char>(key.size())) + key + value;
+    std::string encoded;
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        encoded.push_back(static_cast<char>(content.size() >> shift & 0xFF));
+    }
+    return encoded + content;
+}
+
+const std::string Offsets = std::string(7, '\0') + '\x09' + std::string(7, '\0') + '\x02'; ///< End 9, first 2.
+
+}
+
+TEST_CASE("a configuration is read whole, without the routes that cannot be")
+{
+    const Fleet::Configuration configuration = PlatformAdapter::decodeConfiguration(ConfigurationText).value();
+    CHECK(configuration.m_version == 7);
+    REQUIRE(configuration.m_routes.size() == 2);
+    CHECK(configuration.m_routes[0].m_host == "plans.example");
+    CHECK(configuration.m_routes[0].isRepeatable());
+    CHECK(configuration.m_routes[1].m_services.size() == 2);
+    CHECK(configuration.m_services[0].m_engine.m_chunkCount == 48);
+    CHECK(configuration.m_services[1].m_origin == Core::Address{"172.20.0.3", 8006});
+    CHECK(configuration.m_limits.m_idleTimeoutMilliseconds == 400);
+    CHECK(configuration.m_accounts[0].m_keys.size() == 2);
+}
+
+TEST_CASE("documents that are no configuration are refused")
+{
+    for (const char *text : {"", "[]", "{}", "{\"version\":\"7\",\"routes\":[]}", "{\"version\":7}", "{\"version\":-1,\"routes\":[]}", "\xff\xfe"}) {
+        CAPTURE(text);
+        CHECK_FALSE(PlatformAdapter::decodeConfiguration(text));
+    }
+}
+
+TEST_CASE("an entry that anybody may have written names no endpoint")
+{
+    // Entries of the list may be forged or broken. A request sent to what such an entry names would reach a stranger.
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":16,"state":"ready","born":5,
+                                "models":[{"name":"m","version":2}],"layers":[{"from":0,"target":16,"version":2}]})";
+    const Fleet::Endpoint endpoint = PlatformAdapter::decodeEndpoint("i", good).value();
+    CHECK(endpoint.m_startedMilliseconds == 5);
+    CHECK(endpoint.m_weights == std::vector<Fleet::LoadedWeights>{{"m", 2, true}});
+    for (const char *text : {R"({"service":"s","address":"10.0.0.1:80","slots":16,"state":"unheard-of"})",
+                             R"({"service":7,"address":"10.0.0.1:80","slots":16,"state":"ready"})",
+                             R"({"service":"s","address":"nowhere","slots":16,"state":"ready"})",
+                             R"({"service":"s","address":"10.0.0.1:80","slots":"16","state":"ready"})",
+                             "\x01\x02"}) {
+        CAPTURE(text);
+        CHECK_FALSE(PlatformAdapter::decodeEndpoint("i", text));
+    }
+}
+
+TEST_CASE("records keep their offsets, also after older ones have been dropped")
+{
+    const std::string bytes = Offsets + record("a", "1") + record("b", "");
+    const PlatformAdapter::KeyedRecords records = PlatformAdapter::decodeRecords(bytes, 0).value();
+    REQUIRE(records.m_records.size() == 2);
+    CHECK(records.m_records[0] == PlatformAdapter::KeyedRecord{"a", "1", 2});
+    CHECK(records.m_records[1] == PlatformAdapter::KeyedRecord{"b", std::nullopt, 3});
+    CHECK(records.m_end == 4);
+    CHECK(PlatformAdapter::decodeRecords(Offsets, 9).value().m_end == 9);
+}
+
+TEST_CASE("an answer of the log that is cut off is refused")
+{
+    const std::string bytes = Offsets + record("a", "1");
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        if (length != Offsets.size()) {
+            CHECK_FALSE(PlatformAdapter::decodeRecords(bytes.substr(0, length), 0));
+        }
+    }
+}
+
+TEST_CASE("unreadable records are counted and the others hold")
+{
+    Telemetry::Metrics metrics;
+    Telemetry::Counter &unreadable = metrics.counter("unreadable");
+    PlatformAdapter::KeyedRecords records;
+    records.m_records = {{"config", ConfigurationText, 4}, {"config", "broken", 5}, {"version/m", R"({"model":"m","version":3})", 6}};
+    records.m_end = 7;
+    const Fleet::Declarations declarations = PlatformAdapter::decodeDeclarations(records, unreadable);
+    CHECK(declarations.m_configurationOffset == 4);
+    CHECK(declarations.m_weights == std::vector<Fleet::DeclaredWeights>{{"m", 3, 6}});
+    CHECK(unreadable.value() == 1);
+}
+
+TEST_CASE("clients cannot set what only the system may, and keys go no further")
+{
+    // A client that names another account, or sends a key on to an endpoint, would be served under a stranger's name.
+    const Relay::Dialect dialect = PlatformAdapter::makeRequestDialect();
+    const Http::HeaderFields fields{{"Authorization", "Bearer secret"},
+                                    {"X-Tenant", "other"},
+                                    {"x-expect-instance", "i-0"},
+                                    {"X-Attempt-Id", "9"},
+                                    {"X-Request-Deadline", "6000"},
+                                    {"X-Token-Usage", "1460,80"},
+                                    {"Last-Event-Id", "12"}};
+    const Relay::RequestFacts facts = dialect.m_readRequest(fields);
+    CHECK(facts.m_key == "secret");
+    CHECK(facts.m_promptTokens == 1460);
+    CHECK(facts.m_resumeAfter == 12);
+    Relay::AttemptFacts attempt;
+    attempt.m_endpointId = "i-7";
+    attempt.m_timeLeft = Core::Duration(500);
+    attempt.m_account = "own";
+    const Http::HeaderFields sent = dialect.m_attemptFields(fields, attempt);
+    CHECK(Http::findField(sent, "Authorization") == nullptr);
+    CHECK(*Http::findField(sent, "X-Tenant") == "own");
+    CHECK(*Http::findField(sent, "X-Expect-Instance") == "i-7");
+    CHECK(*Http::findField(sent, "X-Request-Deadline") == "500");
+    CHECK(*Http::findField(sent, "X-Attempt-Id") == "9");
+    CHECK(std::count_if(sent.begin(), sent.end(), [](const Http::HeaderField &field) { return Http::isSameName(field.m_name, "X-Expect-Instance"); }) == 1);
+}
+
+TEST_CASE("a manifest and an engine's report are checked field by field")
+{
+    const std::string digest(64, 'a');
+    const Weights::Manifest manifest =
+        PlatformAdapter::decodeManifest(R"({"model":"m","version":2,"chunkBytes":2048,"chunkDigests":[")" + digest + "\"]}").value();
+    CHECK(manifest.m_version == "2");
+    CHECK(manifest.m_totalBytes == 2048);
+    CHECK(Weights::decodeManifest(Weights::encodeManifest(manifest), "origin"));
+    CHECK_FALSE(PlatformAdapter::decodeManifest(R"({"model":"m","version":2,"chunkBytes":2048,"chunkDigests":["short"]})"));
+    CHECK_FALSE(PlatformAdapter::decodeManifest(R"({"model":"m","version":2,"chunkBytes":2048,"chunkDigests":[]})"));
+
+    const Staging::EngineStatus status =
+        PlatformAdapter::decodeEngineStatus(R"({"models":[{"name":"m","version":1}],"busy":true,"seq":2,"numWaiting":1,"numRunning":12,"pace":1.5})").value();
+    CHECK(status.m_isBusy);
+    CHECK(status.m_orders == 2);
+    CHECK(status.m_pace == 1.5);
+    CHECK_FALSE(PlatformAdapter::decodeEngineStatus(R"({"busy":"yes","seq":2})"));
+}
