LibPlacement: Refuse little while the pressure is low

Below a quarter of fresh requests refused two places more are used and returning callers are taken like fresh ones.

--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -23,10 +23,20 @@
     return longest.m_patience - patience;
 }
 
-double neededPlaces(Core::Duration goal, Core::Duration lost, std::size_t engines, double share, const AdmissionSettings &settings)
+void AdmissionPressure::decided(bool isRefused)
 {
+    constexpr double Weight = 0.05;
+    m_value += Weight * ((isRefused ? 1.0 : 0.0) - m_value);
+}
+
+double neededPlaces(Core::Duration goal, Core::Duration lost, const AdmissionView &view, const AdmissionSettings &settings)
+{
+    const double ownEngines = static_cast<double>(view.m_engines) * view.m_share;
+    if (view.m_pressure < settings.m_highPressure) {
+        return settings.m_freshPlaces - settings.m_calmQueuePlaces * ownEngines;
+    }
     const bool canBeInTime = lost < goal;
-    return canBeInTime ? settings.m_freshPlaces : settings.m_latePlacesPerEngine * static_cast<double>(engines) * share;
+    return canBeInTime ? settings.m_freshPlaces : settings.m_latePlacesPerEngine * ownEngines;
 }
 
 ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings)
--- a/Libraries/LibPlacement/Admission.h
+++ b/Libraries/LibPlacement/Admission.h
@@ -37,21 +37,51 @@
 {
     /**
      * Requests that are admitted to an engine beyond its slots. None: parts of places are rounded, and what is sent between two reports queues anyway.
-     * In a model of 16 engines at 1.4 times their capacity for 10 s, 1431 answers begin in time and 69 late; with two places more, 1245 and 326.
+     * In a model of 16 engines at 1.4 times their capacity for 10 s, 1414 answers begin in time and 113 late; with two places more, 1245 and 326.
      */
     double m_queuePlaces = 0;
     double m_freshPlaces = 1; ///< Places that a fresh request needs in this process's part.
     /**
-     * The same for a request whose objective cannot be met any more, for each engine: it takes only what is idle. An answer in time is worth four late
-     * ones, so fresh requests go first.
+     * Places for each engine that a request needs whose objective cannot be met any more, under high pressure: it takes only what is idle. An answer in
+     * time is worth four late ones, so fresh requests go first.
      */
     double m_latePlacesPerEngine = 4;
+    /// Requests that may queue at an engine beyond its slots while the pressure is low: a short peak is answered a little later rather than refused.
+    double m_calmQueuePlaces = 2;
+    /**
+     * Share of fresh requests that are refused, from which on the pressure counts as high. Below it those that come back find room and are answered late;
+     * above it, to answer them would make fresh ones late in turn.
+     */
+    double m_highPressure = 0.25;
 
     bool operator==(const AdmissionSettings &) const = default;
 };
 
-/// Places that a request needs in this process's part of all places, which is @p share of those at @p engines engines. @p lost: time since the first try.
-double neededPlaces(Core::Duration goal, Core::Duration lost, std::size_t engines, double share, const AdmissionSettings &settings);
+/// Share of fresh requests that were refused lately: a moving average over about 20 requests, one or two seconds of an entry under load.
+class AdmissionPressure
+{
+public:
+    void decided(bool isRefused);
+
+    double value() const
+    {
+        return m_value;
+    }
+
+private:
+    double m_value = 0; ///< From 0 to 1.
+};
+
+/// What admission depends on besides the request.
+struct AdmissionView
+{
+    std::size_t m_engines = 0; ///< From which reports came lately.
+    double m_share = 1; ///< This process's part of their places.
+    double m_pressure = 0;
+};
+
+/// Places that a request needs in this process's part of all places; may be negative. @p lost: time since the caller's first try.
+double neededPlaces(Core::Duration goal, Core::Duration lost, const AdmissionView &view, const AdmissionSettings &settings);
 
 /// What a report says of an engine's places.
 ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings);
--- a/Libraries/LibPlacement/PlaceLedger.cpp
+++ b/Libraries/LibPlacement/PlaceLedger.cpp
@@ -55,6 +55,12 @@
     return sum;
 }
 
+std::size_t PlaceLedger::engines(Core::Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_entries.begin(), m_entries.end(), [now](const std::pair<const std::string, Entry> &entry) { return now - entry.second.m_at < ReportLifetime; }));
+}
+
 void PlaceLedger::keepOnly(const std::function<bool(const std::string &engine)> &isKnown)
 {
     std::erase_if(m_entries, [&isKnown](const std::pair<const std::string, Entry> &entry) { return !isKnown(entry.first); });
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -93,6 +93,7 @@
     const RelaySettings m_settings;
     const Dialect m_dialect;
     RelayCounters m_counters;
+    Placement::AdmissionPressure m_pressure;
     std::size_t m_successes = 0;
     std::set<std::shared_ptr<RelayedRequest>> m_open;
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -165,11 +165,9 @@
     request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
     request.m_excluded = m_excluded;
     if (m_attempts == 0 && m_route->m_goalMilliseconds > 0) {
-        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds),
-                                                         m_lost,
-                                                         m_relay.m_parts.m_beliefs.endpoints().size(),
-                                                         m_relay.m_parts.m_ledger.share(),
-                                                         m_relay.m_settings.m_admission);
+        const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
+        const Placement::AdmissionView view{ledger.engines(now), ledger.share(), m_relay.m_pressure.value()};
+        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds), m_lost, view, m_relay.m_settings.m_admission);
     }
     if (m_service->m_engine.m_slots > 0) {
         request.m_model = m_facts.m_model;
@@ -189,6 +187,10 @@
         return;
     }
     const Placement::ChoiceResult result = choose();
+    const bool isFresh = m_attempts == 0 && m_lost < Core::Duration(m_route->m_goalMilliseconds);
+    if (isFresh && m_service->m_engine.m_slots > 0) {
+        m_relay.m_pressure.decided(result.m_reason == Placement::NoChoice::Overloaded);
+    }
     if (result.m_choice) {
         send(*result.m_choice);
         return;
