LibPlacement: Use endpoints that are missing from the list only if there is no other

Ruled out: treating it as gone at once, which after an outage of the log itself would empty the list.

--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -24,6 +24,7 @@
 {
     const Fleet::Endpoint *m_endpoint = nullptr;
     const EndpointRecord *m_record = nullptr;
+    bool m_isMissing = false; ///< Its entry in the list is gone, for an unclear reason.
 };
 
 double expectedMilliseconds(const Usable &candidate, const ChoiceRequest &request, const ChoiceView &view)
@@ -86,6 +87,17 @@
     }
 }
 
+/**
+ * Drops endpoints whose entries are gone, if there are others. When this process was cut off, such an endpoint may be leaving without a notice, and
+ * requests would reach it after it should get none; when the log itself was away, all entries lapse, and all are used.
+ */
+void preferListed(std::vector<Usable> &usable)
+{
+    if (std::any_of(usable.begin(), usable.end(), [](const Usable &candidate) { return !candidate.m_isMissing; })) {
+        std::erase_if(usable, [](const Usable &candidate) { return candidate.m_isMissing; });
+    }
+}
+
 /// Moves a random sample to the front and cuts the rest off.
 void takeSample(std::vector<Usable> &usable, Core::Random &random)
 {
@@ -137,7 +149,7 @@
             continue;
         }
         result.m_reason = std::max(result.m_reason, NoChoice::NoWeights);
-        const Usable candidate{&endpoint, &view.m_book.look(endpoint)};
+        const Usable candidate{&endpoint, &view.m_book.look(endpoint), entry.second.m_missingSince.has_value()};
         if (!hasWeights(candidate, request, view.m_now)) {
             continue;
         }
@@ -147,6 +159,7 @@
         }
     }
     preferNewest(usable, request, view.m_now);
+    preferListed(usable);
     const bool isAnySound =
         std::any_of(usable.begin(), usable.end(), [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil <= view.m_now; });
     if (isAnySound) {
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -163,3 +163,17 @@
     full.m_pace = 2;
     CHECK(Placement::firstEventMilliseconds(engine, full, size) == Approx(2 * queued));
 }
+
+TEST_CASE("an endpoint whose entry is gone for an unclear reason is used only if there is no other")
+{
+    // This process was cut off from the log for some seconds. An entry that has gone since may have lapsed with the log, or its endpoint is leaving
+    // without a notice. Requests that went there reached it 3.4 s after it had left the list.
+    TestFleet fleet;
+    fleet.add("missing");
+    fleet.m_endpoints["missing"].m_missingSince = Start;
+    CHECK(fleet.choose(request()).m_choice->m_endpoint.m_id == "missing");
+    fleet.add("listed");
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(request()).m_choice->m_endpoint.m_id == "listed");
+    }
+}
