LibCore, LibGossip: Keep one copy of seeds and node settings; satisfy the linter

Fields and functions that nothing used are gone (the version in an answer's head, leaving as told by an answer).

--- a/Libraries/LibCore/Random.cpp
+++ b/Libraries/LibCore/Random.cpp
@@ -70,4 +70,9 @@
     return identifier;
 }
 
+std::uint64_t freshSeed(std::string_view instance)
+{
+    return stableHash(std::string(instance) + randomIdentifier());
+}
+
 }
--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -34,6 +34,9 @@
     std::uint64_t m_state;
 };
 
+/// A seed that differs between instances and between starts of a process.
+std::uint64_t freshSeed(std::string_view instance);
+
 /// 128 random bits as 32 lower-case hexadecimal digits, from the system's entropy source.
 std::string randomIdentifier();
 
--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -127,14 +127,6 @@
     return update;
 }
 
-void Beliefs::noteLeaving(const std::string &id, std::uint64_t startedMilliseconds)
-{
-    const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(id);
-    if (known != m_endpoints.end() && known->second.m_endpoint.m_startedMilliseconds == startedMilliseconds) {
-        known->second.m_endpoint.m_isLeaving = true;
-    }
-}
-
 EndpointChanges Beliefs::endpointSnapshot() const
 {
     EndpointChanges snapshot;
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -115,9 +115,6 @@
     /// Lets go of endpoints whose entries have been missing for longer than @p grace.
     BeliefUpdate forgetMissing(Core::Duration grace, Core::Instant now);
 
-    /// Marks an incarnation as leaving, as the endpoint itself said in an answer.
-    void noteLeaving(const std::string &id, std::uint64_t startedMilliseconds);
-
     const Declarations &declarations() const
     {
         return m_declarations;
--- a/Libraries/LibFollow/Follower.cpp
+++ b/Libraries/LibFollow/Follower.cpp
@@ -124,8 +124,8 @@
     noteAcceptance(declarations, isFirst);
     tell(m_parts.m_beliefs.apply(declarations));
     const bool isEmpty = declarations.m_end == 0; // Nothing was ever declared: look again soon.
-    constexpr Core::Duration EmptyPause{300};
-    again(m_declarations, isEmpty ? EmptyPause : Core::Duration(0), &Follower::readDeclarations);
+    constexpr Core::Duration emptyPause{300};
+    again(m_declarations, isEmpty ? emptyPause : Core::Duration(0), &Follower::readDeclarations);
 }
 
 void Follower::noteAcceptance(const Fleet::Declarations &declarations, bool isFirst)
--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -29,6 +29,14 @@
     return hosts;
 }
 
+Wire::NodeSettings nodeSettings(const Core::Address &peers)
+{
+    Wire::NodeSettings settings;
+    settings.m_listen = peers;
+    settings.m_network.m_bindHost = peers.m_host;
+    return settings;
+}
+
 GossipService::GossipService(GossipParts parts, GossipSettings settings, Member self)
     : m_parts(parts)
     , m_settings(std::move(settings))
@@ -154,8 +162,8 @@
 {
     const Core::Instant now = Core::Clock::now();
     const std::size_t known = m_members.alive(now).size();
-    constexpr double MuchLess = 0.7; // Of what is known here.
-    if (static_cast<double>(heartbeat.m_knownMembers) >= static_cast<double>(known) * MuchLess) {
+    constexpr double muchLess = 0.7; // Of what is known here.
+    if (static_cast<double>(heartbeat.m_knownMembers) >= static_cast<double>(known) * muchLess) {
         return;
     }
     Core::Instant &answered = m_newcomersAnswered[heartbeat.m_sender.m_id];
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -35,6 +35,9 @@
 /// Hosts of the addresses under "seeds"; their ports may belong to other interfaces.
 std::vector<std::string> readSeedHosts(Settings::Reader &section);
 
+/// Settings of a node that listens on @p peers and calls from the same host.
+Wire::NodeSettings nodeSettings(const Core::Address &peers);
+
 /// What the service works with. Everything outlives it.
 struct GossipParts
 {
--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -2,6 +2,7 @@
 
 #include "LibHttp/HeaderFields.h"
 
+#include <Poco/Exception.h>
 #include <Poco/URI.h>
 #include <algorithm>
 #include <array>
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -436,8 +436,8 @@
     // Closing at once could reset the connection over unread bytes, and the caller would lose the answer.
     boost::system::error_code ignored;
     m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
-    constexpr Core::Duration Linger{200}; // Longer than a round trip to any caller.
-    m_state->m_timer.expires_after(Linger);
+    constexpr Core::Duration linger{200}; // Longer than a round trip to any caller.
+    m_state->m_timer.expires_after(linger);
     m_state->m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
 }
 
--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -25,8 +25,8 @@
 
 void AdmissionPressure::decided(bool isRefused)
 {
-    constexpr double Weight = 0.05;
-    m_value += Weight * ((isRefused ? 1.0 : 0.0) - m_value);
+    constexpr double weight = 0.05;
+    m_value += weight * ((isRefused ? 1.0 : 0.0) - m_value);
 }
 
 double neededPlaces(Core::Duration goal, Core::Duration lost, const AdmissionView &view, const AdmissionSettings &settings)
@@ -41,12 +41,12 @@
 
 ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings)
 {
-    constexpr double MillisecondsPerSecond = 1000;
+    constexpr double millisecondsPerSecond = 1000;
     ReportedPlaces places;
     places.m_most = engine.m_slots + settings.m_queuePlaces;
     places.m_free = places.m_most - running - waiting;
     const double interval = saturatedIntervalMilliseconds(engine) * std::max(pace, 1.0);
-    places.m_perSecond = interval > 0 ? MillisecondsPerSecond / interval : 0;
+    places.m_perSecond = interval > 0 ? millisecondsPerSecond / interval : 0;
     return places;
 }
 
--- a/Libraries/LibPlacement/EndpointBook.cpp
+++ b/Libraries/LibPlacement/EndpointBook.cpp
@@ -30,10 +30,10 @@
 
 const EndpointRecord &EndpointBook::look(const Fleet::Endpoint &endpoint) const
 {
-    static const EndpointRecord Unknown{};
+    static const EndpointRecord unknown{};
     const std::map<std::string, EndpointRecord>::const_iterator found = m_records.find(endpoint.m_id);
     const bool isCurrent = found != m_records.end() && found->second.m_startedMilliseconds == endpoint.m_startedMilliseconds;
-    return isCurrent ? found->second : Unknown;
+    return isCurrent ? found->second : unknown;
 }
 
 void EndpointBook::sent(const Fleet::Endpoint &endpoint)
--- a/Libraries/LibPlacement/VersionDeadlines.cpp
+++ b/Libraries/LibPlacement/VersionDeadlines.cpp
@@ -28,9 +28,9 @@
 
 void VersionDeadlines::dropOldest(const std::string &model)
 {
-    constexpr std::size_t KeptVersions = 8; // Far more than can be within their bounds at once.
+    constexpr std::size_t keptVersions = 8; // Far more than can be within their bounds at once.
     std::map<std::uint64_t, DeclarationTime> &versions = m_declared[model];
-    while (versions.size() > KeptVersions) {
+    while (versions.size() > keptVersions) {
         versions.erase(versions.begin());
     }
 }
--- a/Libraries/LibRelay/Dialect.h
+++ b/Libraries/LibRelay/Dialect.h
@@ -47,7 +47,6 @@
     bool m_isSealed = false; ///< The endpoint's own mark, without which a success is not its answer.
     bool m_didNotRun = false; ///< The endpoint promises that the request did not run and will not.
     std::optional<Load> m_load;
-    std::optional<std::uint64_t> m_weightsVersion;
 };
 
 /// Reads and writes the fields. Supplied by the adapter of the place where the system runs.
--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -28,16 +28,16 @@
 
 std::optional<std::uint64_t> idOf(std::string_view event)
 {
-    constexpr std::string_view Field = "id:";
+    constexpr std::string_view field = "id:";
     std::size_t lineStart = 0;
     while (lineStart < event.size()) {
         const std::size_t lineEnd = std::min(event.find('\n', lineStart), event.size());
         std::string_view line = event.substr(lineStart, lineEnd - lineStart);
         lineStart = lineEnd + 1;
-        if (!line.starts_with(Field)) {
+        if (!line.starts_with(field)) {
             continue;
         }
-        line.remove_prefix(Field.size());
+        line.remove_prefix(field.size());
         while (!line.empty() && line.front() == ' ') {
             line.remove_prefix(1);
         }
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -20,6 +20,7 @@
 constexpr int BadGateway = 502;
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
+constexpr double MillisecondsPerSecond = 1000;
 
 /// Bytes that wait for a slow caller before its endpoint is held up: some dozens of events.
 constexpr std::size_t MaximumPending = 64 << 10;
@@ -42,7 +43,6 @@
 std::string secondsText(Core::Duration duration)
 {
     std::array<char, 32> text{};
-    constexpr double MillisecondsPerSecond = 1000;
     std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(duration.count()) / MillisecondsPerSecond);
     return text.data();
 }
@@ -331,7 +331,6 @@
     m_isEventStream = m_route->m_kind == Fleet::RequestKind::Stream && head.m_status == Ok;
     m_attempt->m_isStreaming = m_isEventStream;
     const double seconds = Core::secondsBetween(m_arrivedAt, Core::Clock::now());
-    constexpr double MillisecondsPerSecond = 1000;
     m_firstByteMilliseconds = seconds * MillisecondsPerSecond;
     m_relay.m_counters.m_firstByte.record(seconds);
     m_connection->onDrained([weak = weak_from_this()] {
@@ -392,7 +391,6 @@
 void RelayedRequest::answerWhole()
 {
     const Core::Instant now = Core::Clock::now();
-    constexpr double MillisecondsPerSecond = 1000;
     m_relay.m_parts.m_book.succeeded(m_attempt->m_endpoint, Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond);
     m_relay.m_counters.m_whole.record(Core::secondsBetween(m_arrivedAt, now));
     if (m_isEventStream) {
@@ -519,7 +517,6 @@
     if (isPlain && ++m_relay.m_successes % m_relay.m_settings.m_sampleSuccesses != 0) {
         return;
     }
-    constexpr double MillisecondsPerSecond = 1000;
     Telemetry::LogLine line("request");
     line.text("id", m_facts.m_attemptId).text("outcome", outcome).number("status", static_cast<std::int64_t>(status));
     line.text("route", m_route ? m_route->m_name : "").text("account", m_account ? m_account->m_name : "");
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -25,14 +25,6 @@
     return Core::Duration(static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
 }
 
-Wire::NodeSettings nodeSettings(const EntrySettings &settings)
-{
-    Wire::NodeSettings node;
-    node.m_listen = settings.m_peers;
-    node.m_network.m_bindHost = settings.m_peers.m_host;
-    return node;
-}
-
 Relay::RelaySettings relaySettings(const EntrySettings &settings)
 {
     Relay::RelaySettings relay;
@@ -40,21 +32,16 @@
     return relay;
 }
 
-std::uint64_t randomSeed(const std::string &instance)
-{
-    return Core::stableHash(instance + Core::randomIdentifier());
-}
-
 }
 
 EntryProcess::EntryProcess(EntrySettings settings, EntryAdapter adapter)
     : m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
-    , m_random(randomSeed(m_settings.m_instance))
+    , m_random(Core::freshSeed(m_settings.m_instance))
     , m_budgets(m_settings.m_repeats)
     , m_versions(m_settings.m_versionBound - m_settings.m_versionMargin)
-    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_beliefs, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_beliefs, m_versions, m_metrics, m_log, m_random},
                  Follow::FollowerSettings{},
@@ -76,7 +63,7 @@
 {
     Gossip::Member self;
     self.m_id = m_settings.m_instance;
-    self.m_incarnation = static_cast<std::uint32_t>(randomSeed(m_settings.m_instance));
+    self.m_incarnation = static_cast<std::uint32_t>(Core::freshSeed(m_settings.m_instance));
     self.m_role = Gossip::Role::Entry;
     self.m_region = m_settings.m_region;
     self.m_failureDomain = m_settings.m_failureDomain;
@@ -98,7 +85,7 @@
     m_node.stop();
     m_log.write(Telemetry::LogLine("stopped").number("open_requests", static_cast<std::int64_t>(m_relay.open())));
     m_log.flush();
-    return m_hasFailed ? 1 : 0;
+    return 0;
 }
 
 void EntryProcess::onReload(std::function<std::optional<EntrySettings>()> reload)
@@ -337,10 +324,10 @@
 void EntryProcess::measureRate()
 {
     // A moving average over about two seconds: short against a burst, long against the gaps between requests of one entry.
-    constexpr double Weight = 0.1;
+    constexpr double weight = 0.1;
     const std::uint64_t requests = m_relay.requests();
-    constexpr double TicksPerSecond = 1000.0 / TickInterval.count();
-    m_requestRate += Weight * (static_cast<double>(requests - m_countedRequests) * TicksPerSecond - m_requestRate);
+    constexpr double ticksPerSecond = 1000.0 / TickInterval.count();
+    m_requestRate += weight * (static_cast<double>(requests - m_countedRequests) * ticksPerSecond - m_requestRate);
     m_countedRequests = requests;
     m_gossip.setRequestRate(static_cast<std::uint32_t>(m_requestRate + 0.5));
 }
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -97,7 +97,6 @@
     std::optional<Core::Instant> m_leavingSince; ///< Set once the process has been told to end.
     double m_requestRate = 0; ///< Requests per second, as a moving average.
     std::uint64_t m_countedRequests = 0; ///< That the average has taken in.
-    bool m_hasFailed = false;
 };
 
 }
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -15,19 +15,6 @@
 constexpr std::size_t AdminConnections = 16;
 constexpr Core::Duration UnusedBound{8000}; ///< Agents route nothing; they only pass on how old declarations are.
 
-Wire::NodeSettings nodeSettings(const AgentSettings &settings)
-{
-    Wire::NodeSettings node;
-    node.m_listen = settings.m_peers;
-    node.m_network.m_bindHost = settings.m_peers.m_host;
-    return node;
-}
-
-std::uint64_t randomSeed(const std::string &instance)
-{
-    return Core::stableHash(instance + Core::randomIdentifier());
-}
-
 Follow::FollowerSettings followerSettings()
 {
     Follow::FollowerSettings settings;
@@ -58,9 +45,9 @@
     : m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
-    , m_random(randomSeed(m_settings.m_instance))
+    , m_random(Core::freshSeed(m_settings.m_instance))
     , m_versions(UnusedBound)
-    , m_node(nodeSettings(m_settings), m_metrics)
+    , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_beliefs, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_beliefs, m_versions, m_metrics, m_log, m_random},
                  followerSettings(),
@@ -81,7 +68,7 @@
 {
     Gossip::Member self;
     self.m_id = m_settings.m_instance;
-    self.m_incarnation = static_cast<std::uint32_t>(randomSeed(m_settings.m_instance));
+    self.m_incarnation = static_cast<std::uint32_t>(Core::freshSeed(m_settings.m_instance));
     self.m_role = Gossip::Role::Agent;
     self.m_region = m_settings.m_region;
     self.m_failureDomain = m_settings.m_failureDomain;
--- a/Libraries/LibStaging/AgentSettings.cpp
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -24,8 +24,8 @@
 
 void readLink(Settings::Reader &section, AgentSettings &settings)
 {
-    constexpr double MostMegabits = 1e6;
-    const double megabits = section.number("megabits", 0, MostMegabits, 0);
+    constexpr double mostMegabits = 1e6;
+    const double megabits = section.number("megabits", 0, mostMegabits, 0);
     settings.m_transfer.m_uploadBytesPerSecond = static_cast<std::uint64_t>(megabits * BytesPerMegabit * UploadShare);
     settings.m_transfer.m_downloadBytesPerSecond = static_cast<std::uint64_t>(megabits * BytesPerMegabit * DownloadShare);
     settings.m_transfer.m_burstBytes = BurstBytes;
--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -14,8 +14,8 @@
 
 std::string stepName(int step)
 {
-    constexpr std::array<const char *, 10> Names{"idle", "manifest", "stage", "transfer", "put", "turn", "quiet", "verify", "order", "loading"};
-    return Names.at(static_cast<std::size_t>(step));
+    constexpr std::array<const char *, 10> names{"idle", "manifest", "stage", "transfer", "put", "turn", "quiet", "verify", "order", "loading"};
+    return names.at(static_cast<std::size_t>(step));
 }
 
 }
@@ -91,9 +91,9 @@
 
 bool WeightsKeeper::isNearlyFull() const
 {
-    constexpr double NearlyFull = 0.75; // Of the slots: from here on a burst of a few requests queues.
+    constexpr double nearlyFull = 0.75; // Of the slots: from here on a burst of a few requests queues.
     const Fleet::Service *own = service();
-    return m_status && own && m_status->m_running + m_status->m_waiting >= own->m_engine.m_slots * NearlyFull;
+    return m_status && own && m_status->m_running + m_status->m_waiting >= own->m_engine.m_slots * nearlyFull;
 }
 
 Core::Duration WeightsKeeper::lookInterval() const
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -85,8 +85,8 @@
 bool EventLog::mayWrite()
 {
     const std::int64_t now = millisecondsOf<std::chrono::steady_clock>();
-    constexpr double MillisecondsPerSecond = 1000;
-    const double elapsed = static_cast<double>(now - m_refilledAt) / MillisecondsPerSecond;
+    constexpr double millisecondsPerSecond = 1000;
+    const double elapsed = static_cast<double>(now - m_refilledAt) / millisecondsPerSecond;
     m_tokens = std::min(m_limits.m_burst, m_tokens + elapsed * m_limits.m_linesPerSecond);
     m_refilledAt = now;
     if (m_tokens < 1) {
--- a/Tests/LibPlacement/TestRepeatBudgets.cpp
+++ b/Tests/LibPlacement/TestRepeatBudgets.cpp
@@ -7,20 +7,20 @@
 TEST_CASE("all processes together stay within the budget of a window")
 {
     // When a service fails, every process sends its requests again. Each may use its part only, or together they would multiply the load on what is left.
-    constexpr std::size_t Processes = 13;
-    constexpr int RequestsEach = 140;
+    constexpr std::size_t processes = 13;
+    constexpr int requestsEach = 140;
     const Placement::RepeatBudgetSettings settings{0.2, 217, 0.85};
     int repeats = 0;
-    for (std::size_t process = 0; process < Processes; ++process) {
+    for (std::size_t process = 0; process < processes; ++process) {
         Placement::RepeatBudgets budgets(settings);
-        budgets.setSharers(Processes);
-        for (int request = 0; request < RequestsEach; ++request) {
+        budgets.setSharers(processes);
+        for (int request = 0; request < requestsEach; ++request) {
             budgets.onRequest("drafts");
             repeats += budgets.tryRepeat("drafts") ? 1 : 0;
         }
     }
-    CHECK(repeats <= 0.2 * Processes * RequestsEach + 217);
-    CHECK(repeats > 0.5 * (0.2 * Processes * RequestsEach + 217));
+    CHECK(repeats <= 0.2 * processes * requestsEach + 217);
+    CHECK(repeats > 0.5 * (0.2 * processes * requestsEach + 217));
 }
 
 TEST_CASE("services do not use each other's budget")
--- a/Tests/LibStaging/TestTurns.cpp
+++ b/Tests/LibStaging/TestTurns.cpp
@@ -26,28 +26,28 @@
 
 TEST_CASE("every agent works out a rank of its own")
 {
-    constexpr std::size_t Size = 27;
-    const std::vector<std::string> names = fleet(Size);
+    constexpr std::size_t size = 27;
+    const std::vector<std::string> names = fleet(size);
     std::set<std::size_t> ranks;
     for (const std::string &name : names) {
         ranks.insert(Staging::turnRank(name, without(names, name), 2));
     }
-    CHECK(ranks.size() == Size);
-    CHECK(*ranks.rbegin() == Size - 1);
+    CHECK(ranks.size() == size);
+    CHECK(*ranks.rbegin() == size - 1);
 }
 
 TEST_CASE("turns are spread over the time that the bound leaves")
 {
     // Engines that changed all at once would leave nobody to answer while they load.
     const Staging::TurnSettings settings;
-    constexpr std::size_t Size = 27;
+    constexpr std::size_t size = 27;
     Core::Duration before{0};
-    for (std::size_t rank = 0; rank < Size; ++rank) {
-        const Core::Duration turn = Staging::turnAfter(rank, Size, Core::Duration(0), settings);
+    for (std::size_t rank = 0; rank < size; ++rank) {
+        const Core::Duration turn = Staging::turnAfter(rank, size, Core::Duration(0), settings);
         CHECK(turn >= before);
         before = turn;
     }
-    CHECK(Staging::turnAfter(0, Size, Core::Duration(0), settings) == settings.m_first);
+    CHECK(Staging::turnAfter(0, size, Core::Duration(0), settings) == settings.m_first);
     CHECK(before == settings.m_last);
 }
 
