LibStaging: Load an engine again that restarts between two looks

Cause, found in reading: engines here state no time of their start in reports, so a restart that falls between two looks showed only as weights that are gone, and the keeper had nothing left to do. Test first, which waited in vain for the second order.

--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -199,6 +199,11 @@
         }
         return;
     }
+    if (m_step == Step::Idle && m_target && !hasTarget()) {
+        // It restarted between two looks and holds nothing; an engine that states no time of its start shows it by this alone.
+        begin(TargetVersion(*m_target));
+        return;
+    }
     if (m_step == Step::Loading && hasTarget()) {
         enter(Step::Idle);
         return;
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -81,6 +81,11 @@
     /// Looks again at once, since the beliefs have changed.
     void beliefsChanged();
 
+    /// The engine has its target, or there is none.
+    bool isSettled() const
+    {
+        return m_step == Step::Idle;
+    }
     /// The engine's slots are nearly all taken, by its last report.
     bool isNearlyFull() const;
 
--- a/Tests/LibStaging/TestWeightsKeeper.cpp
+++ b/Tests/LibStaging/TestWeightsKeeper.cpp
@@ -207,3 +207,15 @@
         fixture.m_loop, [] { return false; }, std::chrono::milliseconds(50));
     CHECK(fixture.m_engine.m_orders.empty());
 }
+
+TEST_CASE("an engine that restarts between two looks is loaded again")
+{
+    // The engine states no time of its start, and it was back before the agent's next look. It answers nobody until it is given its weights again.
+    KeeperFixture fixture;
+    fixture.m_engine.fill(1);
+    fixture.m_keeper.start();
+    REQUIRE(fixture.awaitOrders(1));
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_keeper.isSettled(); }));
+    fixture.m_engine.m_status.m_weights.clear();
+    CHECK(fixture.awaitOrders(2));
+}
