--- a/Libraries/LibFleet/Endpoint.h
+++ b/Libraries/LibFleet/Endpoint.h
@@ -10,18 +10,32 @@
 
 namespace Fleet {
 
+/// Consecutive layers of a model.
+struct LayerRange
+{
+    std::uint32_t m_first = 0;
+    std::uint32_t m_end = 0; ///< One past the last.
+
+    bool operator==(const LayerRange &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_first, m_end);
+};
+
 /// A version of a model's weights as an engine has it loaded.
 struct LoadedWeights
 {
     std::string m_model;
     std::uint64_t m_version = 0;
-    bool m_isWhole = false; ///< Every layer is loaded.
+    std::vector<LayerRange> m_layers; ///< Empty if the engine lists none; it has them all then.
 
     bool operator==(const LoadedWeights &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_model, m_version, m_isWhole);
+    MSGPACK_DEFINE_ARRAY(m_model, m_version, m_layers);
 };
 
+/// Whether every one of the model's @p layers is loaded. An engine with fewer cannot answer alone.
+bool holdsEveryLayer(const LoadedWeights &weights, std::uint32_t layers);
+
 /// One start of an endpoint. An id may come back with a later start, which knows nothing of the one before.
 struct Endpoint
 {
--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -36,12 +36,17 @@
     return plainAnswerMilliseconds(candidate.m_endpoint->m_slots, candidate.m_record->m_load, usual);
 }
 
-bool hasWeights(const Usable &candidate, const ChoiceRequest &request, Core::Instant now)
+std::optional<std::uint64_t> versionOf(const Usable &candidate, const ChoiceRequest &request, const ChoiceView &view)
+{
+    return usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, view.m_engine.m_layers, view.m_now);
+}
+
+bool hasWeights(const Usable &candidate, const ChoiceRequest &request, const ChoiceView &view)
 {
     if (request.m_model.empty()) {
         return true;
     }
-    const std::optional<std::uint64_t> version = usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, now);
+    const std::optional<std::uint64_t> version = versionOf(candidate, request, view);
     return version && (!request.m_requiredVersion || *version >= *request.m_requiredVersion);
 }
 
@@ -49,13 +54,13 @@
  * For a request that has moved already, drops the engines that will have to load a newer version, if there are others. Its stream would be cut again
  * there, and a request may be sent to few endpoints: the second cut could end it.
  */
-void preferNewest(std::vector<Usable> &usable, const ChoiceRequest &request, Core::Instant now)
+void preferNewest(std::vector<Usable> &usable, const ChoiceRequest &request, const ChoiceView &view)
 {
     if (request.m_excluded.empty() || !request.m_newestVersion) {
         return;
     }
-    const std::function<bool(const Usable &)> isNewest = [&request, now](const Usable &candidate) {
-        return usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, now) >= request.m_newestVersion;
+    const std::function<bool(const Usable &)> isNewest = [&request, &view](const Usable &candidate) {
+        return versionOf(candidate, request, view) >= request.m_newestVersion;
     };
     if (std::any_of(usable.begin(), usable.end(), isNewest)) {
         std::erase_if(usable, [&isNewest](const Usable &candidate) { return !isNewest(candidate); });
@@ -125,14 +130,15 @@
     return "unknown";
 }
 
-std::optional<std::uint64_t> usableVersion(const Fleet::Endpoint &endpoint, const EndpointRecord &record, const std::string &model, Core::Instant now)
+std::optional<std::uint64_t>
+usableVersion(const Fleet::Endpoint &endpoint, const EndpointRecord &record, const std::string &model, std::uint32_t layers, Core::Instant now)
 {
     const bool isReported = record.m_engine && now - record.m_engineReportedAt < ReportLifetime;
     if (isReported && record.m_engine->m_isLoading) {
         return std::nullopt;
     }
     for (const Fleet::LoadedWeights &loaded : isReported ? record.m_engine->m_weights : endpoint.m_weights) {
-        if (loaded.m_model == model && loaded.m_isWhole) {
+        if (loaded.m_model == model && Fleet::holdsEveryLayer(loaded, layers)) {
             return loaded.m_version;
         }
     }
@@ -150,7 +156,7 @@
         }
         result.m_reason = std::max(result.m_reason, NoChoice::NoWeights);
         const Usable candidate{&endpoint, &view.m_book.look(endpoint), entry.second.m_missingSince.has_value()};
-        if (!hasWeights(candidate, request, view.m_now)) {
+        if (!hasWeights(candidate, request, view)) {
             continue;
         }
         result.m_reason = NoChoice::AllTried;
@@ -158,7 +164,7 @@
             usable.push_back(candidate);
         }
     }
-    preferNewest(usable, request, view.m_now);
+    preferNewest(usable, request, view);
     preferListed(usable);
     const bool isAnySound =
         std::any_of(usable.begin(), usable.end(), [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil <= view.m_now; });
@@ -178,8 +184,7 @@
         best = cost;
         const std::optional<Core::Instant> reportedAt = candidate.m_record->m_reportedAt;
         const Core::Duration age = reportedAt ? std::chrono::duration_cast<Core::Duration>(view.m_now - *reportedAt) : Core::Duration(-1);
-        const std::optional<std::uint64_t> version =
-            request.m_model.empty() ? std::nullopt : usableVersion(*candidate.m_endpoint, *candidate.m_record, request.m_model, view.m_now);
+        const std::optional<std::uint64_t> version = request.m_model.empty() ? std::nullopt : versionOf(candidate, request, view);
         result.m_choice = Choice{*candidate.m_endpoint, expected, version, candidate.m_record->m_load, age};
     }
     return result;
--- a/Libraries/LibPlacement/Choice.h
+++ b/Libraries/LibPlacement/Choice.h
@@ -73,7 +73,8 @@
  */
 ChoiceResult chooseEndpoint(const ChoiceRequest &request, const ChoiceView &view, Core::Random &random);
 
-/// The version of the model that an endpoint has whole, by its newest report; empty if it has none or loads another now.
-std::optional<std::uint64_t> usableVersion(const Fleet::Endpoint &endpoint, const EndpointRecord &record, const std::string &model, Core::Instant now);
+/// The version of the model, of @p layers layers, that an endpoint has whole by its newest report; empty if it has none or loads another now.
+std::optional<std::uint64_t>
+usableVersion(const Fleet::Endpoint &endpoint, const EndpointRecord &record, const std::string &model, std::uint32_t layers, Core::Instant now);
 
 }
--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -154,8 +154,10 @@
 
 bool WeightsKeeper::hasTarget() const
 {
-    return m_status && m_target && std::any_of(m_status->m_weights.begin(), m_status->m_weights.end(), [this](const Fleet::LoadedWeights &loaded) {
-               return loaded.m_model == m_target->m_model && loaded.m_version >= m_target->m_version && loaded.m_isWhole;
+    const Fleet::Service *own = service();
+    const std::uint32_t layers = own ? own->m_engine.m_layers : 0;
+    return m_status && m_target && std::any_of(m_status->m_weights.begin(), m_status->m_weights.end(), [this, layers](const Fleet::LoadedWeights &loaded) {
+               return loaded.m_model == m_target->m_model && loaded.m_version >= m_target->m_version && Fleet::holdsEveryLayer(loaded, layers);
            });
 }
 
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -20,6 +20,7 @@
     engine.m_millisecondsPerMillionPairs = 1.18;
     engine.m_usualPromptTokens = 979;
     engine.m_usualAnswerTokens = 92;
+    engine.m_layers = 16;
     return engine;
 }
 
@@ -39,7 +40,7 @@
         known.m_endpoint.m_service = "drafts";
         known.m_endpoint.m_slots = 16;
         known.m_endpoint.m_failureDomain = "here";
-        known.m_endpoint.m_weights = {Fleet::LoadedWeights{"draft", version, true}};
+        known.m_endpoint.m_weights = {Fleet::LoadedWeights{"draft", version, {{0, 16}}}};
         return known.m_endpoint;
     }
 
@@ -65,10 +66,10 @@
     TestFleet fleet;
     fleet.add("leaving").m_isLeaving = true;
     fleet.add("empty").m_weights.clear();
-    fleet.add("partial").m_weights[0].m_isWhole = false;
+    fleet.add("partial").m_weights[0].m_layers = {{0, 8}};
     Placement::EngineReport loading;
     loading.m_isLoading = true;
-    loading.m_weights = {Fleet::LoadedWeights{"draft", 1, true}};
+    loading.m_weights = {Fleet::LoadedWeights{"draft", 1, {{0, 16}}}};
     fleet.m_book.engineReported(fleet.add("loading"), loading, Start);
     CHECK_FALSE(fleet.choose(request()).m_choice);
     CHECK(fleet.choose(request()).m_reason == Placement::NoChoice::NoWeights);
--- a/Tests/LibStaging/TestWeightsKeeper.cpp
+++ b/Tests/LibStaging/TestWeightsKeeper.cpp
@@ -72,7 +72,7 @@
         engine.m_orders.push_back(order);
         engine.m_loaded.push_back(engine.m_stage);
         ++engine.m_status.m_orders;
-        engine.m_status.m_weights = {Fleet::LoadedWeights{order.m_model, order.m_version, true}};
+        engine.m_status.m_weights = {Fleet::LoadedWeights{order.m_model, order.m_version, {}}};
         boost::asio::post(loop, [done] { done(Core::success()); });
     };
     made.m_manifest = [&loop](const Core::Address &, const std::string &, std::uint64_t version, Staging::Done<Weights::Manifest> done) {
@@ -185,7 +185,7 @@
     KeeperFixture fixture;
     fixture.m_engine.fill(2);
     fixture.m_engine.m_stage.erase(3);
-    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, true}};
+    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, {}}};
     fixture.declare(2);
     fixture.m_keeper.start();
     REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_reads == Chunks - 1; }));
@@ -200,7 +200,7 @@
 {
     KeeperFixture fixture;
     fixture.m_engine.fill(1);
-    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, true}};
+    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, {}}};
     fixture.m_keeper.start();
     REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_reads == Chunks; }));
     runUntil(
