--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -308,6 +308,7 @@
 {
     const AnswerFacts facts = m_relay.m_dialect.m_readAnswer(head.m_fields);
     const Core::Instant now = Core::Clock::now();
+    // Engines' loads come from the agents beside them, which also tell of loading; plain services have no agents.
     if (facts.m_load && m_service->m_engine.m_slots == 0) {
         m_relay.m_parts.m_book.loadReported(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
     }
@@ -319,7 +320,6 @@
             attemptFailed(Placement::EndpointFailure::Faulty, true, "the stream was not resumed, status " + std::to_string(head.m_status));
             return;
         }
-        m_attempt->m_isStreaming = true;
         return;
     }
     passHeadOn(head);
@@ -329,7 +329,6 @@
 {
     m_headPassedOn = true;
     m_isEventStream = m_route->m_kind == Fleet::RequestKind::Stream && head.m_status == Ok;
-    m_attempt->m_isStreaming = m_isEventStream;
     const double seconds = Core::secondsBetween(m_arrivedAt, Core::Clock::now());
     m_firstByteMilliseconds = seconds * MillisecondsPerSecond;
     m_relay.m_counters.m_firstByte.record(seconds);
@@ -355,7 +354,6 @@
         }
         m_connection->sendBody(events);
         if (m_framer.hasGap()) {
-            m_attempt->m_call->cancel();
             endAttempt();
             m_connection->abort();
             finish("failed", 0, "an event is missing in the stream");
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -30,7 +30,6 @@
         double m_expectedMilliseconds = 0;
         Placement::EndpointLoad m_load; ///< As the choice saw it.
         Core::Duration m_reportAge{0};
-        bool m_isStreaming = false; ///< Its answer's events are being passed on.
     };
 
     bool findRoute();
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -112,7 +112,7 @@
     m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
     m_gossip.onMembers([this] { membersChanged(); });
     m_follower.onUpdate([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
-    m_keeper.onStatus([this](const EngineStatus &status, bool isOrdered, bool isChange) { engineStatus(status, isOrdered, isChange); });
+    m_keeper.onStatus([this](const EngineStatus &status, bool isAway, bool isChange) { engineStatus(status, isAway, isChange); });
     BOOST_OUTCOME_TRYV(m_node.start());
     m_transfer.start();
     BOOST_OUTCOME_TRYV(m_gossip.start());
@@ -155,7 +155,7 @@
     m_loop.stop();
 }
 
-void AgentProcess::engineStatus(const EngineStatus &status, bool isOrdered, bool isChange)
+void AgentProcess::engineStatus(const EngineStatus &status, bool isAway, bool isChange)
 {
     Gossip::EngineNews news;
     news.m_address = m_settings.m_engine;
@@ -163,7 +163,7 @@
     news.m_report.m_running = status.m_running;
     news.m_report.m_waiting = status.m_waiting;
     news.m_report.m_pace = status.m_pace;
-    news.m_report.m_isLoading = status.m_isBusy || isOrdered;
+    news.m_report.m_isLoading = status.m_isBusy || isAway;
     news.m_report.m_weights = status.m_weights;
     // Entries admit requests by these reports; while an engine is nearly full, half a second is several requests.
     const Core::Instant now = Core::Clock::now();
--- a/Libraries/LibStaging/AgentProcess.h
+++ b/Libraries/LibStaging/AgentProcess.h
@@ -35,7 +35,7 @@
     void awaitSignals();
     void reload();
     void stop();
-    void engineStatus(const EngineStatus &status, bool isOrdered, bool isChange);
+    void engineStatus(const EngineStatus &status, bool isAway, bool isChange);
     void membersChanged();
     void tick();
     Gossip::Member makeSelf() const;
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -58,7 +58,8 @@
 };
 
 /**
- * One step after the other; every step checks that the target is still the newest, so that a superseded version stops at once.
+ * One step after the other, for one target version. A version that is superseded before its draw has begun is dropped at once; one whose draw has begun
+ * is finished first (isWorthFinishing()), and one that is staged whole is loaded in its turn while the newer one is drawn (isNearOrder()).
  *
  * The engine loads whatever lies in its stage, unchecked. A chunk that is missing, spoilt or of another version there would be served to callers
  * as a model that nobody published; therefore every chunk is read back and compared with its digest right before the order. Used on the loop's
@@ -73,10 +74,10 @@
     WeightsKeeper(const WeightsKeeper &) = delete;
     WeightsKeeper &operator=(const WeightsKeeper &) = delete;
 
-    /// Called with each report of the engine. @p isChange: it differs in more than its load.
-    void onStatus(std::function<void(const EngineStatus &status, bool isOrdered, bool isChange)> callback);
+    /// Called with each report of the engine. @p isAway: it should get nothing new. @p isChange: the report differs in more than its load.
+    void onStatus(std::function<void(const EngineStatus &status, bool isAway, bool isChange)> callback);
     void start();
-    /// Tells who the agents of the service are, this one included.
+    /// Tells who the other agents of the service are.
     void setAgents(std::vector<Gossip::Member> agents, const Gossip::Member &self);
     /// Looks again at once, since the beliefs have changed.
     void beliefsChanged();
