LibPlacement: Decide return times beside admission, by the engines that report

The relay worked the rate out from every endpoint, plain services included, where admission counts the engines that report. One view serves both now, and the decision has a test of its own.

--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -39,6 +39,13 @@
     return canBeInTime ? settings.m_freshPlaces : settings.m_latePlacesPerEngine * ownEngines;
 }
 
+Core::Duration returnTime(const Fleet::EngineModel &engine, double missingPlaces, const AdmissionView &view, const AdmissionSettings &settings)
+{
+    const double ownEngines = std::max(1.0, static_cast<double>(view.m_engines)) * view.m_share;
+    const double milliseconds = missingPlaces * saturatedIntervalMilliseconds(engine) / ownEngines;
+    return std::clamp(Core::Duration(static_cast<std::int64_t>(milliseconds)), settings.m_shortestReturn, settings.m_longestReturn);
+}
+
 ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings)
 {
     constexpr double millisecondsPerSecond = 1000;
--- a/Libraries/LibPlacement/Admission.h
+++ b/Libraries/LibPlacement/Admission.h
@@ -53,6 +53,8 @@
      * above it, to answer them would make fresh ones late in turn.
      */
     double m_highPressure = 0.25;
+    Core::Duration m_shortestReturn{150}; ///< One request of a full engine, and a half.
+    Core::Duration m_longestReturn{1500}; ///< A quarter of the time that callers have; later they would only have been kept waiting.
 
     bool operator==(const AdmissionSettings &) const = default;
 };
@@ -83,6 +85,12 @@
 /// Places that a request needs in this process's part of all places; may be negative. @p lost: time since the caller's first try.
 double neededPlaces(Core::Duration goal, Core::Duration lost, const AdmissionView &view, const AdmissionSettings &settings);
 
+/**
+ * Shortest time until a caller that was refused should come back: until the fleet has made room for the places that were missing in this process's
+ * part, at its share of the rate at which full engines finish requests; within bounds.
+ */
+Core::Duration returnTime(const Fleet::EngineModel &engine, double missingPlaces, const AdmissionView &view, const AdmissionSettings &settings);
+
 /// What a report says of an engine's places.
 ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings);
 
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -28,9 +28,6 @@
 constexpr double PatienceInGoals = 4;
 constexpr Core::Duration ShortestPatience{400};
 constexpr Core::Duration LongestPatience{2000};
-/// Callers that are refused under load come back when there is room again, spread over as long again, within the bounds.
-constexpr Core::Duration ShortestReturn{150};
-constexpr Core::Duration LongestReturn{1500};
 /// A stream that could be resumed elsewhere is given up after a pause of this many times the longest pause that is on time.
 constexpr double PatienceInGaps = 4;
 
@@ -165,9 +162,7 @@
     request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
     request.m_excluded = m_excluded;
     if (m_attempts == 0 && m_route->m_goalMilliseconds > 0) {
-        const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
-        const Placement::AdmissionView view{ledger.engines(now), ledger.share(), m_relay.m_pressure.value()};
-        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds), m_lost, view, m_relay.m_settings.m_admission);
+        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds), m_lost, admissionView(), m_relay.m_settings.m_admission);
     }
     if (m_service->m_engine.m_slots > 0) {
         request.m_model = m_facts.m_model;
@@ -203,13 +198,16 @@
     refuse(reason, result.m_reason == Placement::NoChoice::Overloaded ? returnTime(result.m_missingPlaces) : m_relay.m_settings.m_retryAfter);
 }
 
+Placement::AdmissionView RelayedRequest::admissionView() const
+{
+    const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
+    return Placement::AdmissionView{ledger.engines(Core::Clock::now()), ledger.share(), m_relay.m_pressure.value()};
+}
+
 Core::Duration RelayedRequest::returnTime(double missingPlaces) const
 {
-    // The fleet makes room for this process's part at its share of the rate at which full engines finish requests.
-    const double interval = Placement::saturatedIntervalMilliseconds(m_service->m_engine);
-    const double engines = std::max<double>(1, static_cast<double>(m_relay.m_parts.m_beliefs.endpoints().size()));
-    const Core::Duration wait(static_cast<std::int64_t>(missingPlaces * interval / engines / m_relay.m_parts.m_ledger.share()));
-    const Core::Duration least = std::clamp(wait, ShortestReturn, LongestReturn);
+    const Core::Duration least = Placement::returnTime(m_service->m_engine, missingPlaces, admissionView(), m_relay.m_settings.m_admission);
+    // Spread over as long again, so that those who were refused together do not come back together.
     return least + Core::Duration(m_relay.m_parts.m_random.below(static_cast<std::uint64_t>(least.count())));
 }
 
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -38,6 +38,7 @@
     const Fleet::Service *chooseService();
     void tryEndpoint();
     Placement::ChoiceResult choose() const;
+    Placement::AdmissionView admissionView() const;
     /// When a caller that is refused under load should come back.
     Core::Duration returnTime(double missingPlaces) const;
     void send(const Placement::Choice &choice);
--- a/Tests/LibPlacement/TestAdmission.cpp
+++ b/Tests/LibPlacement/TestAdmission.cpp
@@ -200,3 +200,17 @@
     }
     CHECK(repeats <= 2);
 }
+
+TEST_CASE("callers that are refused come back when there is room, neither at once nor too late")
+{
+    const Placement::AdmissionSettings settings;
+    const Placement::AdmissionView view{16, 1.0 / 13, 0.5};
+    CHECK(Placement::returnTime(engineModel(), 0, view, settings) == settings.m_shortestReturn);
+    CHECK(Placement::returnTime(engineModel(), 1000, view, settings) == settings.m_longestReturn);
+    const Core::Duration one = Placement::returnTime(engineModel(), 5, view, settings);
+    const Core::Duration two = Placement::returnTime(engineModel(), 10, view, settings);
+    CHECK(one > settings.m_shortestReturn);
+    CHECK(two > one);
+    // Without a recent report there is no rate to go by.
+    CHECK(Placement::returnTime(engineModel(), 1, Placement::AdmissionView{}, settings) == settings.m_shortestReturn);
+}
