LibPlacement, LibRelay: Let requests wait for a place instead of refusing them; tell fresh callers from returned ones by what they state while calm

After a loss of power, a kill or a change of versions no engine has a place for one to three seconds, while callers have six and one return. Of the fresh requests half were taken for late ones: callers state 5.1 to 6.0 s, and the longest time stated was held to be what every fresh caller states.

A queue at the entry for each service of engines, ordered by the time left for the objective, then by that left for the answer; a request for which no place is expected in its time is refused at once. The forecast goes by the places and rates that engines report and by the fresh requests that keep coming. Requests that come before the first configuration wait for it. The range of times that fresh callers state is learned while nobody is refused.

--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -11,39 +11,64 @@
 namespace {
 
 constexpr Core::Duration Memory{20000}; ///< After it a route's longest patience is learned anew, since operators change time limits.
+constexpr Core::Duration CalmAfterRefusal{3500}; ///< By then whoever was refused has come back or given up.
+constexpr std::size_t KeptPatiences = 64; ///< Of a route: some ten seconds of one process.
+constexpr std::size_t EnoughPatiences = 20;
+constexpr std::size_t OutlierParts = 20; ///< One in so many callers may have lost time elsewhere, as on a connection that failed.
+constexpr std::int64_t UnknownSpreadParts = 6; ///< Of the longest patience: the spread before enough callers were seen.
+constexpr std::int64_t MostSpreadParts = 4; ///< The same for the widest spread that is believed.
+
+/// The shortest time that a fresh caller states, judged by the times that callers stated while none came back.
+Core::Duration shortestFresh(Core::Duration longest, std::vector<Core::Duration> stated)
+{
+    if (stated.size() < EnoughPatiences) {
+        return longest - longest / UnknownSpreadParts;
+    }
+    const std::vector<Core::Duration>::iterator low = stated.begin() + static_cast<std::ptrdiff_t>(stated.size() / OutlierParts);
+    std::nth_element(stated.begin(), low, stated.end());
+    return std::max(*low, longest - longest / MostSpreadParts);
+}
 
 }
 
 Core::Duration CallerPatience::lost(const std::string &route, Core::Duration patience, Core::Instant now)
 {
-    Longest &longest = m_longest[route];
-    if (patience >= longest.m_patience || now - longest.m_seenAt > Memory) {
-        longest = Longest{patience, now};
+    Stated &stated = m_stated[route];
+    if (patience >= stated.m_longest || now - stated.m_longestAt > Memory) {
+        stated.m_longest = patience;
+        stated.m_longestAt = now;
+    }
+    if (!m_refusedAt || now - *m_refusedAt > CalmAfterRefusal) {
+        if (stated.m_calm.size() < KeptPatiences) {
+            stated.m_calm.push_back(patience);
+        } else {
+            stated.m_calm[stated.m_next++ % KeptPatiences] = patience;
+        }
     }
-    return longest.m_patience - patience;
+    const Core::Duration shortest = shortestFresh(stated.m_longest, stated.m_calm);
+    return patience >= shortest ? Core::Duration(0) : (stated.m_longest + shortest) / 2 - patience;
 }
 
-void AdmissionPressure::decided(bool isRefused)
+void CallerPatience::refused(Core::Instant now)
 {
-    constexpr double weight = 0.05;
-    m_value += weight * ((isRefused ? 1.0 : 0.0) - m_value);
+    m_refusedAt = now;
 }
 
-double neededPlaces(Core::Duration goal, Core::Duration lost, const AdmissionView &view, const AdmissionSettings &settings)
+double neededPlaces(const AdmissionView &view, const AdmissionSettings &settings)
 {
     const double ownEngines = static_cast<double>(view.m_engines) * view.m_share;
-    if (view.m_pressure < settings.m_highPressure) {
-        return settings.m_freshPlaces - settings.m_calmQueuePlaces * ownEngines;
-    }
-    const bool canBeInTime = lost < goal;
-    return canBeInTime ? settings.m_freshPlaces : settings.m_latePlacesPerEngine * ownEngines;
+    return settings.m_ownPlaces - settings.m_queuePlaces * ownEngines;
 }
 
-Core::Duration returnTime(const Fleet::EngineModel &engine, double missingPlaces, const AdmissionView &view, const AdmissionSettings &settings)
+Core::Duration returnTime(const QueueForecast &forecast, std::size_t ahead, const AdmissionSettings &settings)
 {
-    const double ownEngines = std::max(1.0, static_cast<double>(view.m_engines)) * view.m_share;
-    const double milliseconds = missingPlaces * saturatedIntervalMilliseconds(engine) / ownEngines;
-    return std::clamp(Core::Duration(static_cast<std::int64_t>(milliseconds)), settings.m_shortestReturn, settings.m_longestReturn);
+    constexpr double millisecondsPerSecond = 1000;
+    const double spare = forecast.m_placesPerSecond - forecast.m_freshPerSecond;
+    if (spare <= 0) {
+        return settings.m_longestReturn;
+    }
+    const double milliseconds = std::min(static_cast<double>(ahead + 1) / spare * millisecondsPerSecond, static_cast<double>(settings.m_longestReturn.count()));
+    return std::max(settings.m_shortestReturn, Core::Duration(static_cast<std::int64_t>(milliseconds)));
 }
 
 Core::Duration returnTimeWithoutWeights(Core::Duration timeLeft, Core::Random &random)
@@ -54,14 +79,12 @@
     return Core::Duration(static_cast<std::int64_t>(milliseconds * waitedShare * (1 - spread * random.unit())));
 }
 
-ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace, const AdmissionSettings &settings)
+ReportedPlaces reportedPlaces(const Fleet::EngineModel &engine, std::uint32_t running, std::uint32_t waiting, double pace)
 {
-    constexpr double millisecondsPerSecond = 1000;
     ReportedPlaces places;
-    places.m_most = engine.m_slots + settings.m_queuePlaces;
+    places.m_most = engine.m_slots;
     places.m_free = places.m_most - running - waiting;
-    const double interval = saturatedIntervalMilliseconds(engine) * std::max(pace, 1.0);
-    places.m_perSecond = interval > 0 ? millisecondsPerSecond / interval : 0;
+    places.m_perSecond = finishedPerSecond(engine) / std::max(pace, 1.0);
     return places;
 }
 
--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -77,7 +77,6 @@
     if (places && *places < *request.m_neededPlaces) {
         usable.clear();
         result.m_reason = NoChoice::Overloaded;
-        result.m_missingPlaces = *request.m_neededPlaces - *places;
     }
 }
 
@@ -168,7 +167,7 @@
     preferListed(usable);
     const bool isAnySound =
         std::any_of(usable.begin(), usable.end(), [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil <= view.m_now; });
-    if (isAnySound) {
+    if (isAnySound || request.m_canWait) {
         std::erase_if(usable, [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil > view.m_now; });
     }
     dropIfOverloaded(usable, request, view, result);
--- a/Libraries/LibPlacement/Choice.h
+++ b/Libraries/LibPlacement/Choice.h
@@ -25,6 +25,7 @@
      */
     std::optional<double> m_neededPlaces;
     std::set<std::string> m_excluded; ///< Endpoints that have failed this request.
+    bool m_canWait = false; ///< Endpoints that failed lately are not taken, even if there is no other.
 };
 
 /// What the decision needs to know of the fleet.
@@ -62,7 +63,6 @@
 {
     std::optional<Choice> m_choice;
     NoChoice m_reason = NoChoice::NoEndpoint;
-    double m_missingPlaces = 0; ///< If overloaded: how many places were missing in this process's part.
 };
 
 /**
--- a/Libraries/LibPlacement/EngineForecast.h
+++ b/Libraries/LibPlacement/EngineForecast.h
@@ -42,6 +42,12 @@
 /// Mean milliseconds between two requests that a full engine finishes.
 double saturatedIntervalMilliseconds(const Fleet::EngineModel &engine);
 
+/// Requests that a full engine finishes in a second; 0 if that is not stated.
+double finishedPerSecond(const Fleet::EngineModel &engine);
+
+/// Expected milliseconds from the first step of a request until its answer ends, at a full engine.
+double answerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request);
+
 /// Expected milliseconds from sending a request until the engine begins to read its prompt.
 double queueMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load);
 
--- a/Libraries/LibPlacement/PlaceLedger.cpp
+++ b/Libraries/LibPlacement/PlaceLedger.cpp
@@ -55,6 +55,17 @@
     return sum;
 }
 
+double PlaceLedger::placesPerSecond(Core::Instant now) const
+{
+    double sum = 0;
+    for (const std::pair<const std::string, Entry> &entry : m_entries) {
+        if (now - entry.second.m_at < ReportLifetime) {
+            sum += entry.second.m_places.m_perSecond;
+        }
+    }
+    return m_share * sum;
+}
+
 std::size_t PlaceLedger::engines(Core::Instant now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/Libraries/LibPlacement/PlaceLedger.h
+++ b/Libraries/LibPlacement/PlaceLedger.h
@@ -45,6 +45,8 @@
     double places(const std::string &engine, Core::Instant now) const;
     /// Sum of the parts at all engines from which a report came lately; empty if there is no such engine.
     std::optional<double> total(Core::Instant now) const;
+    /// This process's part of the requests that these engines finish in a second while they are full.
+    double placesPerSecond(Core::Instant now) const;
     /// Engines from which a report came lately.
     std::size_t engines(Core::Instant now) const;
     /// Drops the engines that are not known any more.
--- /dev/null
+++ b/Libraries/LibPlacement/RequestQueue.h
@@ -0,0 +1,77 @@
+/// @file Which of the requests that wait for a place go first, and which have waited in vain: pure decisions.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Placement {
+
+/// A request that waits at this process, as far as the decisions need to know it.
+struct QueuedRequest
+{
+    std::uint64_t m_ticket = 0; ///< Names the request.
+    Core::Instant m_latestInTime; ///< Sent later, its answer begins after its latency objective.
+    Core::Instant m_latest; ///< Sent later, its answer cannot end within the caller's time.
+
+    bool operator==(const QueuedRequest &) const = default;
+};
+
+/// What is expected of the engines that the requests wait for.
+struct QueueForecast
+{
+    Core::Duration m_untilWeights{0}; ///< Until engines have weights; zero if some have.
+    double m_freePlaces = 0; ///< This process's part of the places that are free once there are weights.
+    double m_placesPerSecond = 0; ///< This process's part of the requests that the engines finish.
+    double m_freshPerSecond = 0; ///< Requests that come to this process and can still be answered within their objective.
+
+    bool operator==(const QueueForecast &) const = default;
+};
+
+struct QueueSettings
+{
+    /// Of the time until a request must be sent, the part within which its place must be expected: forecasts are rough.
+    double m_trustedShare = 0.7;
+    std::size_t m_mostRequests = 256; ///< Requests that wait at once; a bound on memory.
+    Core::Duration m_usualOutage{1000}; ///< Until engines without weights have them, at the least.
+    double m_outageGrowth = 0.5; ///< A longer outage is expected to last on for this part of its length so far.
+
+    bool operator==(const QueueSettings &) const = default;
+};
+
+/// Order and fate of the requests in a queue.
+struct QueueDecision
+{
+    std::vector<std::uint64_t> m_order; ///< Tickets of those that go on waiting, the first to be sent first.
+    std::vector<std::uint64_t> m_hopeless; ///< Tickets of those for which no place is expected in time.
+
+    bool operator==(const QueueDecision &) const = default;
+};
+
+/// Whether sent now its answer would begin within the objective.
+bool canBeInTime(const QueuedRequest &request, Core::Instant now);
+
+/**
+ * Orders the requests of one service: first those that can be answered within their objectives, then the others, each by the time that is left for
+ * sending them. The latter get what the engines can do beyond the fresh requests that keep coming.
+ */
+QueueDecision decideQueue(std::vector<QueuedRequest> queued, const QueueForecast &forecast, Core::Instant now, const QueueSettings &settings);
+
+/// How long engines will go on to have no weights after @p lasted without any.
+Core::Duration remainingOutage(Core::Duration lasted, const QueueSettings &settings);
+
+/// Rate of events as a moving average over about two seconds. Used by one thread.
+class EventRate
+{
+public:
+    void happened(Core::Instant now);
+    /// Events a second.
+    double value(Core::Instant now) const;
+
+private:
+    double m_value = 0;
+    Core::Instant m_at; ///< To which the value refers.
+};
+
+}
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -23,12 +23,56 @@
     : m_parts(parts)
     , m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
+    , m_waiting(
+          parts.m_loop, [this](const std::string &service) { return forecast(service); }, m_settings.m_queue)
     , m_counters(parts.m_metrics)
 {
 }
 
 Relay::~Relay() = default;
 
+void Relay::configurationChanged()
+{
+    const std::vector<std::weak_ptr<RelayedRequest>> unconfigured = std::move(m_unconfigured);
+    m_unconfigured.clear();
+    for (const std::weak_ptr<RelayedRequest> &waiting : unconfigured) {
+        const std::shared_ptr<RelayedRequest> request = waiting.lock();
+        if (request) {
+            request->configurationCame();
+        }
+    }
+}
+
+void Relay::placesChanged()
+{
+    m_waiting.serve();
+}
+
+Placement::QueueForecast Relay::forecast(const std::string &service) const
+{
+    Placement::QueueForecast forecast;
+    const std::shared_ptr<const Fleet::ConfigurationIndex> configuration = m_parts.m_beliefs.configuration();
+    const Fleet::Service *known = configuration ? configuration->service(service) : nullptr;
+    if (!known || known->m_engine.m_slots == 0) {
+        return forecast;
+    }
+    const Core::Instant now = Core::Clock::now();
+    forecast.m_placesPerSecond = m_parts.m_ledger.placesPerSecond(now);
+    if (forecast.m_placesPerSecond > 0) {
+        forecast.m_freePlaces = std::max(0.0, m_parts.m_ledger.total(now).value_or(0));
+        return forecast;
+    }
+    // No engine reports weights. Those that are listed will have the same rate once they do.
+    std::size_t engines = 0;
+    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_parts.m_beliefs.endpoints()) {
+        engines += entry.second.m_endpoint.m_service == service && !entry.second.m_endpoint.m_isLeaving ? 1 : 0;
+    }
+    const double own = m_parts.m_ledger.share() * static_cast<double>(engines);
+    forecast.m_placesPerSecond = own * Placement::finishedPerSecond(known->m_engine);
+    forecast.m_freePlaces = own * known->m_engine.m_slots;
+    return forecast;
+}
+
 void Relay::handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request)
 {
     m_counters.m_requests.add();
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -9,6 +9,7 @@
 #include "LibPlacement/RepeatBudgets.h"
 #include "LibPlacement/VersionDeadlines.h"
 #include "LibRelay/Dialect.h"
+#include "LibRelay/WaitingRequests.h"
 #include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
 
@@ -27,6 +28,9 @@
     Core::Duration m_minimumTime{20}; ///< A request with less time left is not sent any more.
     Core::Duration m_retryAfter{300}; ///< Told to callers that are refused: a few times the interval at which a full engine takes requests.
     Placement::AdmissionSettings m_admission;
+    Placement::QueueSettings m_queue;
+    /// How long a request waits for the first configuration of a process that has just started.
+    Core::Duration m_configurationWait{1000};
     std::size_t m_sampleSuccesses = 20; ///< One in so many successes gets a line in the log.
 
     bool operator==(const RelaySettings &) const = default;
@@ -75,11 +79,20 @@
 
     /// Takes a request over; it is answered on its connection.
     void handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request);
+    /// Called when the configuration has changed.
+    void configurationChanged();
+    /// Called when engines have reported: places may have become free.
+    void placesChanged();
     /// Requests taken over since the start.
     std::uint64_t requests() const
     {
         return m_counters.m_requests.value();
     }
+    /// Requests that wait for a place at an engine.
+    std::size_t waiting() const
+    {
+        return m_waiting.size();
+    }
     /// Requests that have no whole answer yet.
     std::size_t open() const
     {
@@ -89,11 +102,14 @@
 private:
     friend class RelayedRequest;
 
+    Placement::QueueForecast forecast(const std::string &service) const;
+
     const RelayParts m_parts;
     const RelaySettings m_settings;
     const Dialect m_dialect;
+    WaitingRequests m_waiting;
+    std::vector<std::weak_ptr<RelayedRequest>> m_unconfigured; ///< Requests that wait for the first configuration.
     RelayCounters m_counters;
-    Placement::AdmissionPressure m_pressure;
     std::size_t m_successes = 0;
     std::set<std::shared_ptr<RelayedRequest>> m_open;
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -29,6 +29,8 @@
 constexpr double PatienceInGoals = 4;
 constexpr Core::Duration ShortestPatience{400};
 constexpr Core::Duration LongestPatience{2000};
+/// Callers leave a stream, also before its first event, that stays silent for this many times the longest pause that is on time.
+constexpr double SilenceInGaps = 8;
 /// A stream that could be resumed elsewhere is given up after a pause of this many times the longest pause that is on time.
 constexpr double PatienceInGaps = 4;
 
@@ -73,9 +75,35 @@
         }
     });
     if (!m_configuration) {
-        refuse("no configuration is known yet", m_relay.m_settings.m_retryAfter);
+        awaitConfiguration();
         return;
     }
+    configurationCame();
+}
+
+void RelayedRequest::awaitConfiguration()
+{
+    constexpr int patienceParts = 3; // Of the caller's time; the rest is left for another process and the answer.
+    Core::Duration wait = m_relay.m_settings.m_configurationWait;
+    if (m_facts.m_patience) {
+        wait = std::min(wait, *m_facts.m_patience / patienceParts);
+    }
+    m_relay.m_unconfigured.push_back(weak_from_this());
+    m_timer.expires_after(wait);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<RelayedRequest> self = weak.lock();
+        if (!error && self && !self->m_isOver && !self->m_configuration) {
+            self->refuse("no configuration is known yet", self->m_relay.m_settings.m_retryAfter);
+        }
+    });
+}
+
+void RelayedRequest::configurationCame()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_configuration = m_relay.m_parts.m_beliefs.configuration();
     if (!findRoute() || !findAccount()) {
         return;
     }
@@ -86,7 +114,21 @@
         return;
     }
     m_relay.m_parts.m_budgets.onRequest(m_service->m_name);
-    tryEndpoint();
+    if (isFresh()) {
+        m_relay.m_waiting.freshCame(m_service->m_name, m_arrivedAt);
+    }
+    if (m_relay.m_waiting.isEmpty(m_service->m_name) || !joinQueue()) {
+        tryEndpoint();
+    }
+}
+
+bool RelayedRequest::joinQueue()
+{
+    if (!wait(Placement::ChoiceResult{std::nullopt, Placement::NoChoice::Overloaded})) {
+        return false;
+    }
+    m_relay.m_waiting.serve();
+    return true;
 }
 
 bool RelayedRequest::findRoute()
@@ -162,8 +204,9 @@
     request.m_service = m_service->m_name;
     request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
     request.m_excluded = m_excluded;
+    request.m_canWait = m_service->m_engine.m_slots > 0;
     if (!m_isAdmitted && m_route->m_goalMilliseconds > 0) {
-        request.m_neededPlaces = Placement::neededPlaces(Core::Duration(m_route->m_goalMilliseconds), m_lost, admissionView(), m_relay.m_settings.m_admission);
+        request.m_neededPlaces = Placement::neededPlaces(admissionView(), m_relay.m_settings.m_admission);
     }
     if (m_service->m_engine.m_slots > 0) {
         request.m_model = m_facts.m_model;
@@ -183,38 +226,133 @@
         return;
     }
     const Placement::ChoiceResult result = choose();
-    const bool isFresh = !m_isAdmitted && m_lost < Core::Duration(m_route->m_goalMilliseconds);
-    if (isFresh && m_service->m_engine.m_slots > 0) {
-        m_relay.m_pressure.decided(result.m_reason == Placement::NoChoice::Overloaded);
-    }
     if (result.m_choice) {
-        m_isAdmitted = true;
-        send(*result.m_choice);
+        chosen(*result.m_choice);
+        return;
+    }
+    if (!wait(result)) {
+        giveUp(result, returnTime(result.m_reason));
+    }
+}
+
+void RelayedRequest::chosen(const Placement::Choice &choice)
+{
+    m_isAdmitted = true;
+    m_relay.m_waiting.noteWeights(m_service->m_name, true, Core::Clock::now());
+    send(choice);
+}
+
+void RelayedRequest::giveUp(const Placement::ChoiceResult &refusal, Core::Duration retryAfter)
+{
+    const std::string reason = std::string(Placement::noChoiceName(refusal.m_reason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
+    if (m_headPassedOn) {
+        m_connection->abort();
+        finish("failed", 0, "the answer broke off: " + reason);
         return;
     }
-    const std::string reason = std::string(Placement::noChoiceName(result.m_reason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
     if (m_mayHaveRun) {
         fail(BadGateway, reason);
         return;
     }
-    refuse(reason, returnTime(result));
+    refuse(reason, retryAfter);
+}
+
+Core::Duration RelayedRequest::lostNow() const
+{
+    return m_lost + std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_arrivedAt);
+}
+
+bool RelayedRequest::isFresh() const
+{
+    return lostNow() < Core::Duration(m_route->m_goalMilliseconds);
+}
+
+Placement::QueuedRequest RelayedRequest::queueBounds() const
+{
+    const Fleet::EngineModel &engine = m_service->m_engine;
+    const Placement::RequestSize size{m_facts.m_promptTokens, m_facts.m_answerTokens};
+    const Core::Duration first(static_cast<std::int64_t>(Placement::firstEventMilliseconds(engine, Placement::EndpointLoad{engine.m_slots - 1}, size)));
+    const Core::Duration whole = first + Core::Duration(static_cast<std::int64_t>(Placement::answerMilliseconds(engine, size)));
+    Placement::QueuedRequest bounds;
+    bounds.m_latestInTime = m_arrivedAt - m_lost + Core::Duration(m_route->m_goalMilliseconds) - first;
+    bounds.m_latest = m_deadline - m_relay.m_settings.m_answerMargin - whole;
+    if (m_route->m_gapGoalMilliseconds > 0) {
+        const Core::Duration silence = std::max(scaled(m_route->m_gapGoalMilliseconds, SilenceInGaps), scaled(m_route->m_goalMilliseconds, PatienceInGoals));
+        bounds.m_latest = std::min(bounds.m_latest, m_arrivedAt + silence - first);
+    }
+    if (m_lastEventAt) {
+        // Its caller is reading already, and leaves a stream that has paused for long.
+        bounds.m_latestInTime = *m_lastEventAt + Core::Duration(m_route->m_gapGoalMilliseconds) - first;
+        bounds.m_latest = *m_lastEventAt + scaled(m_route->m_gapGoalMilliseconds, PatienceInGaps) - first;
+    }
+    return bounds;
+}
+
+bool RelayedRequest::wait(const Placement::ChoiceResult &refusal)
+{
+    if (m_service->m_engine.m_slots == 0) {
+        return false;
+    }
+    m_lastRefusal = refusal;
+    const bool hasWeights = refusal.m_reason == Placement::NoChoice::Overloaded;
+    if (!hasWeights && refusal.m_reason != Placement::NoChoice::NoEndpoint) {
+        m_relay.m_waiting.noteWeights(m_service->m_name, false, Core::Clock::now());
+    }
+    // What failed it so far may have recovered by the time that it is sent; until then it is avoided.
+    m_excluded.clear();
+    m_ticket = m_relay.m_waiting.join(m_service->m_name, queueBounds(), weak_from_this());
+    m_waitingSince = Core::Clock::now();
+    return isWaiting();
+}
+
+void RelayedRequest::stopWaiting()
+{
+    if (!isWaiting()) {
+        return;
+    }
+    m_waited += std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_waitingSince);
+    m_relay.m_waiting.leave(*m_ticket);
+    m_ticket.reset();
+}
+
+QueueStep RelayedRequest::tryFromQueue()
+{
+    const Placement::ChoiceResult result = choose();
+    if (result.m_choice) {
+        stopWaiting();
+        chosen(*result.m_choice);
+        return QueueStep::Left;
+    }
+    m_lastRefusal = result;
+    m_relay.m_waiting.noteWeights(m_service->m_name, result.m_reason == Placement::NoChoice::Overloaded, Core::Clock::now());
+    return result.m_reason == Placement::NoChoice::Overloaded ? QueueStep::NoPlace : QueueStep::NoEndpoint;
+}
+
+void RelayedRequest::giveUpWaiting(const Placement::QueueForecast &forecast, std::size_t ahead)
+{
+    logQueue(forecast, ahead);
+    stopWaiting();
+    const bool hasWeights = forecast.m_untilWeights.count() == 0;
+    m_lastRefusal.m_reason = hasWeights ? Placement::NoChoice::Overloaded : Placement::NoChoice::NoWeights;
+    giveUp(m_lastRefusal, returnTime(m_lastRefusal.m_reason));
 }
 
 Placement::AdmissionView RelayedRequest::admissionView() const
 {
     const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
-    return Placement::AdmissionView{ledger.engines(Core::Clock::now()), ledger.share(), m_relay.m_pressure.value()};
+    return Placement::AdmissionView{ledger.engines(Core::Clock::now()), ledger.share()};
 }
 
-Core::Duration RelayedRequest::returnTime(const Placement::ChoiceResult &refusal) const
+Core::Duration RelayedRequest::returnTime(Placement::NoChoice reason) const
 {
-    if (refusal.m_reason == Placement::NoChoice::NoWeights || m_metRestarted) {
+    if (reason == Placement::NoChoice::NoWeights || m_metRestarted) {
         return Placement::returnTimeWithoutWeights(timeLeft(), m_relay.m_parts.m_random);
     }
-    if (refusal.m_reason != Placement::NoChoice::Overloaded) {
+    if (reason != Placement::NoChoice::Overloaded) {
         return m_relay.m_settings.m_retryAfter;
     }
-    const Core::Duration least = Placement::returnTime(m_service->m_engine, refusal.m_missingPlaces, admissionView(), m_relay.m_settings.m_admission);
+    const Placement::QueueForecast forecast = m_relay.m_waiting.forecast(m_service->m_name, Core::Clock::now());
+    const Core::Duration least = Placement::returnTime(forecast, m_relay.m_waiting.size(), m_relay.m_settings.m_admission);
     // Spread over as long again, so that those who were refused together do not come back together.
     return least + Core::Duration(m_relay.m_parts.m_random.below(static_cast<std::uint64_t>(least.count())));
 }
@@ -453,7 +591,7 @@
         fail(BadGateway, detail);
         return;
     }
-    refuse(detail, returnTime(Placement::ChoiceResult{}));
+    refuse(detail, returnTime(Placement::NoChoice::NoEndpoint));
 }
 
 bool RelayedRequest::mayRepeat(bool mayHaveRun)
@@ -469,14 +607,14 @@
     if (!m_isEventStream || timeLeft() < m_relay.m_settings.m_minimumTime || !mayRepeat(true)) {
         return false;
     }
-    const Placement::ChoiceResult result = choose();
-    if (!result.m_choice) {
-        return false;
-    }
     m_framer.dropRest();
     m_relay.m_counters.m_resumed.add();
-    send(*result.m_choice);
-    return true;
+    const Placement::ChoiceResult result = choose();
+    if (result.m_choice) {
+        chosen(*result.m_choice);
+        return true;
+    }
+    return wait(result);
 }
 
 void RelayedRequest::timeIsUp()
@@ -485,6 +623,7 @@
         return;
     }
     m_mayHaveRun = m_mayHaveRun || m_attempt.has_value();
+    stopWaiting();
     endAttempt();
     if (m_headPassedOn) {
         m_connection->abort();
@@ -503,12 +642,14 @@
     if (m_isOver) {
         return;
     }
+    stopWaiting();
     endAttempt();
     finish("caller_left", 0, "the caller closed its connection");
 }
 
 void RelayedRequest::refuse(const std::string &reason, Core::Duration retryAfter)
 {
+    m_relay.m_parts.m_patience.refused(Core::Clock::now());
     answerPlainly(ServiceUnavailable, {Http::HeaderField{"Retry-After", secondsText(retryAfter)}}, reason);
 }
 
@@ -537,7 +678,7 @@
     line.number("took_ms", Core::secondsBetween(m_arrivedAt, Core::Clock::now()) * MillisecondsPerSecond);
     line.number("first_byte_ms", m_firstByteMilliseconds).number("lost_ms", static_cast<std::int64_t>(m_lost.count()));
     line.number("longest_pause_ms", static_cast<std::int64_t>(m_longestPause.count()));
-    line.number("attempts", static_cast<std::int64_t>(m_attempts));
+    line.number("attempts", static_cast<std::int64_t>(m_attempts)).number("waited_ms", static_cast<std::int64_t>(m_waited.count()));
     line.number("configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->configuration().m_version : 0));
     if (m_attempt) {
         line.text("endpoint", m_attempt->m_endpoint.m_id).number("expected_ms", m_attempt->m_expectedMilliseconds);
@@ -552,6 +693,19 @@
     m_relay.m_parts.m_log.write(line);
 }
 
+void RelayedRequest::logQueue(const Placement::QueueForecast &forecast, std::size_t ahead)
+{
+    const Core::Instant now = Core::Clock::now();
+    const Placement::QueuedRequest bounds = queueBounds();
+    Telemetry::LogLine line("no_place_expected");
+    line.text("id", m_facts.m_attemptId).text("service", m_service->m_name).number("ahead", static_cast<std::int64_t>(ahead));
+    line.number("in_time_within_ms", Core::secondsBetween(now, bounds.m_latestInTime) * MillisecondsPerSecond);
+    line.number("sent_within_ms", Core::secondsBetween(now, bounds.m_latest) * MillisecondsPerSecond);
+    line.number("weights_in_ms", static_cast<std::int64_t>(forecast.m_untilWeights.count())).number("free_places", forecast.m_freePlaces);
+    line.number("places_per_s", forecast.m_placesPerSecond).number("fresh_per_s", forecast.m_freshPerSecond);
+    m_relay.m_parts.m_log.write(line);
+}
+
 void RelayedRequest::finish(const std::string &outcome, int status, const std::string &reason)
 {
     if (m_isOver) {
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -13,12 +13,25 @@
  *
  * Whatever happens, the caller gets one final answer, or a cut connection if an answer broke off after its head had been passed on.
  */
+/// What came of trying to send a request that waits.
+enum class QueueStep {
+    Left, ///< It does not wait any more.
+    NoPlace, ///< There is no place for it, nor for those behind it.
+    NoEndpoint, ///< No endpoint can take it; others may have better luck.
+};
+
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>
 {
 public:
     RelayedRequest(Relay &relay, std::shared_ptr<Http::ServerConnection> connection, Http::ServerRequest request);
 
     void start();
+    /// Called once the first configuration is known.
+    void configurationCame();
+    /// Sends the request if there is a place for it now.
+    QueueStep tryFromQueue();
+    /// Refuses it, since no place is expected in time. @p ahead: requests that go on waiting.
+    void giveUpWaiting(const Placement::QueueForecast &forecast, std::size_t ahead);
 
 private:
     /// What is known of an attempt that has not ended.
@@ -32,15 +45,31 @@
         Core::Duration m_reportAge{0};
     };
 
+    void awaitConfiguration();
     bool findRoute();
     bool findAccount();
     void setDeadline();
     const Fleet::Service *chooseService();
     void tryEndpoint();
     Placement::ChoiceResult choose() const;
+    void chosen(const Placement::Choice &choice);
+    /// Goes behind the requests that wait already; false if it may not.
+    bool joinQueue();
+    /// Lets the request wait for a place; false if it may not.
+    bool wait(const Placement::ChoiceResult &refusal);
+    bool isWaiting() const
+    {
+        return m_ticket.has_value();
+    }
+    void stopWaiting();
+    Placement::QueuedRequest queueBounds() const;
+    /// Time since the caller's first try.
+    Core::Duration lostNow() const;
+    bool isFresh() const;
+    void giveUp(const Placement::ChoiceResult &refusal, Core::Duration retryAfter);
     Placement::AdmissionView admissionView() const;
     /// When a caller that is refused should come back.
-    Core::Duration returnTime(const Placement::ChoiceResult &refusal) const;
+    Core::Duration returnTime(Placement::NoChoice reason) const;
     void send(const Placement::Choice &choice);
     Http::ClientCallLimits callLimits() const;
     AttemptFacts attemptFacts(const Placement::Choice &choice) const;
@@ -67,6 +96,8 @@
     void endAttempt();
     void finish(const std::string &outcome, int status, const std::string &reason);
     void logEnd(const std::string &outcome, int status, const std::string &reason);
+    /// Logs why no place is expected for the request.
+    void logQueue(const Placement::QueueForecast &forecast, std::size_t ahead);
     Core::Duration timeLeft() const;
 
     Relay &m_relay;
@@ -82,6 +113,10 @@
     Core::Instant m_deadline;
     Core::Duration m_lost{0}; ///< Time since the caller's first try, as far as it can be told.
     std::uint32_t m_attempts = 0; ///< Endpoints that the request was sent to; one that took no connection is none.
+    std::optional<std::uint64_t> m_ticket; ///< While it waits for a place.
+    Placement::ChoiceResult m_lastRefusal; ///< Why it waits.
+    Core::Instant m_waitingSince;
+    Core::Duration m_waited{0}; ///< For places, in all.
     bool m_isAdmitted = false; ///< An endpoint was chosen for it; what follows are further attempts.
     double m_firstByteMilliseconds = 0; ///< From arrival to the head of the answer; 0 before.
     std::optional<Core::Instant> m_lastEventAt; ///< When events were last passed on.
--- /dev/null
+++ b/Libraries/LibRelay/WaitingRequests.cpp
@@ -0,0 +1,149 @@
+/// @file Implementation of the waiting requests.
+
+#include "LibRelay/WaitingRequests.h"
+
+#include "LibRelay/RelayedRequest.h"
+
+#include <set>
+
+namespace Relay {
+
+namespace {
+
+constexpr Core::Duration ServeInterval{25}; ///< A fraction of the interval at which a full engine finishes requests.
+
+}
+
+WaitingRequests::WaitingRequests(Http::EventLoop &loop, Forecast forecast, Placement::QueueSettings settings)
+    : m_forecast(std::move(forecast))
+    , m_settings(settings)
+    , m_timer(loop)
+{
+}
+
+void WaitingRequests::freshCame(const std::string &service, Core::Instant now)
+{
+    m_services[service].m_fresh.happened(now);
+}
+
+double WaitingRequests::freshPerSecond(const std::string &service, Core::Instant now) const
+{
+    const std::map<std::string, ServiceState>::const_iterator state = m_services.find(service);
+    return state == m_services.end() ? 0 : state->second.m_fresh.value(now);
+}
+
+void WaitingRequests::noteWeights(const std::string &service, bool hasWeights, Core::Instant now)
+{
+    std::optional<Core::Instant> &since = m_services[service].m_withoutWeightsSince;
+    if (hasWeights) {
+        since.reset();
+    } else if (!since) {
+        since = now;
+    }
+}
+
+bool WaitingRequests::isEmpty(const std::string &service) const
+{
+    return std::none_of(
+        m_requests.begin(), m_requests.end(), [&service](const std::pair<const std::uint64_t, Waiting> &entry) { return entry.second.m_service == service; });
+}
+
+std::optional<std::uint64_t> WaitingRequests::join(const std::string &service, Placement::QueuedRequest bounds, std::weak_ptr<RelayedRequest> request)
+{
+    if (m_requests.size() >= m_settings.m_mostRequests) {
+        return std::nullopt;
+    }
+    bounds.m_ticket = ++m_lastTicket;
+    m_requests.emplace(bounds.m_ticket, Waiting{service, bounds, std::move(request)});
+    serveLater();
+    return bounds.m_ticket;
+}
+
+void WaitingRequests::leave(std::uint64_t ticket)
+{
+    m_requests.erase(ticket);
+}
+
+void WaitingRequests::serveLater()
+{
+    if (m_isTimerSet || m_requests.empty()) {
+        return;
+    }
+    m_isTimerSet = true;
+    m_timer.expires_after(ServeInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_isTimerSet = false;
+        serve();
+        serveLater();
+    });
+}
+
+void WaitingRequests::serve()
+{
+    // What a request does when it is sent or given up may lead back here.
+    if (m_isServing) {
+        return;
+    }
+    m_isServing = true;
+    std::set<std::string> services;
+    for (const std::pair<const std::uint64_t, Waiting> &entry : m_requests) {
+        services.insert(entry.second.m_service);
+    }
+    for (const std::string &service : services) {
+        serve(service);
+    }
+    m_isServing = false;
+}
+
+Placement::QueueForecast WaitingRequests::forecast(const std::string &service, Core::Instant now) const
+{
+    Placement::QueueForecast forecast = m_forecast(service);
+    forecast.m_freshPerSecond = freshPerSecond(service, now);
+    const std::map<std::string, ServiceState>::const_iterator state = m_services.find(service);
+    if (state != m_services.end() && state->second.m_withoutWeightsSince) {
+        const Core::Duration lasted = std::chrono::duration_cast<Core::Duration>(now - *state->second.m_withoutWeightsSince);
+        forecast.m_untilWeights = Placement::remainingOutage(lasted, m_settings);
+    }
+    return forecast;
+}
+
+void WaitingRequests::serve(const std::string &service)
+{
+    const Core::Instant now = Core::Clock::now();
+    std::vector<Placement::QueuedRequest> queued;
+    for (const std::pair<const std::uint64_t, Waiting> &entry : m_requests) {
+        if (entry.second.m_service == service) {
+            queued.push_back(entry.second.m_bounds);
+        }
+    }
+    const Placement::QueueForecast expected = forecast(service, now);
+    const Placement::QueueDecision decision = Placement::decideQueue(std::move(queued), expected, now, m_settings);
+    sendInOrder(decision.m_order);
+    for (const std::uint64_t ticket : decision.m_hopeless) {
+        const std::shared_ptr<RelayedRequest> request = find(ticket);
+        if (request) {
+            request->giveUpWaiting(expected, decision.m_order.size());
+        }
+    }
+}
+
+void WaitingRequests::sendInOrder(const std::vector<std::uint64_t> &tickets)
+{
+    for (const std::uint64_t ticket : tickets) {
+        const std::shared_ptr<RelayedRequest> request = find(ticket);
+        if (request && request->tryFromQueue() == QueueStep::NoPlace) {
+            return; // Those behind it need as much.
+        }
+    }
+}
+
+std::shared_ptr<RelayedRequest> WaitingRequests::find(std::uint64_t ticket) const
+{
+    const std::map<std::uint64_t, Waiting>::const_iterator waiting = m_requests.find(ticket);
+    return waiting == m_requests.end() ? nullptr : waiting->second.m_request.lock();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/WaitingRequests.h
@@ -0,0 +1,81 @@
+/// @file Requests that wait at this process until an engine has a place for them.
+#pragma once
+
+#include "LibHttp/EventLoop.h"
+#include "LibPlacement/Choice.h"
+#include "LibPlacement/RequestQueue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Relay {
+
+class RelayedRequest;
+
+/**
+ * One queue for each service of engines.
+ *
+ * A place that is missing now is often there within the time that callers have: engines finish requests all the time, and weights arrive a few seconds
+ * after a loss of power. A refusal would use up the one return that most callers have. Requests for which no place is expected in time are given up
+ * at once. Used on the loop's thread.
+ */
+class WaitingRequests
+{
+public:
+    /// Expectations for a service's engines, but for their weights.
+    using Forecast = std::function<Placement::QueueForecast(const std::string &service)>;
+
+    WaitingRequests(Http::EventLoop &loop, Forecast forecast, Placement::QueueSettings settings);
+
+    /// Notes that a request which can be answered within its objective came in for the service.
+    void freshCame(const std::string &service, Core::Instant now);
+    double freshPerSecond(const std::string &service, Core::Instant now) const;
+    /// Notes whether the service has engines with weights, as a request has just found.
+    void noteWeights(const std::string &service, bool hasWeights, Core::Instant now);
+
+    Placement::QueueForecast forecast(const std::string &service, Core::Instant now) const;
+    bool isEmpty(const std::string &service) const;
+    std::size_t size() const
+    {
+        return m_requests.size();
+    }
+    /// The ticket is that of leave(). Empty if too many wait already.
+    std::optional<std::uint64_t> join(const std::string &service, Placement::QueuedRequest bounds, std::weak_ptr<RelayedRequest> request);
+    void leave(std::uint64_t ticket);
+    /// Sends and gives up what can be decided now.
+    void serve();
+
+private:
+    struct Waiting
+    {
+        std::string m_service;
+        Placement::QueuedRequest m_bounds;
+        std::weak_ptr<RelayedRequest> m_request;
+    };
+
+    struct ServiceState
+    {
+        Placement::EventRate m_fresh;
+        std::optional<Core::Instant> m_withoutWeightsSince;
+    };
+
+    void serve(const std::string &service);
+    void sendInOrder(const std::vector<std::uint64_t> &tickets);
+    /// Null if the request does not wait any more.
+    std::shared_ptr<RelayedRequest> find(std::uint64_t ticket) const;
+    void serveLater();
+
+    const Forecast m_forecast;
+    const Placement::QueueSettings m_settings;
+    Http::Timer m_timer;
+    bool m_isTimerSet = false;
+    bool m_isServing = false;
+    std::uint64_t m_lastTicket = 0;
+    std::map<std::uint64_t, Waiting> m_requests; ///< By ticket.
+    std::map<std::string, ServiceState> m_services;
+};
+
+}
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -238,6 +238,7 @@
 {
     if (update.m_configuration) {
         applyLimits();
+        m_relay.configurationChanged();
         const Fleet::Configuration &configuration = m_beliefs.configuration()->configuration();
         Telemetry::LogLine line("configuration");
         line.number("version", static_cast<std::int64_t>(configuration.m_version)).text("source", isFromLog ? "log" : "peer");
@@ -282,6 +283,7 @@
             const Core::Instant now = Core::Clock::now();
             m_book.engineReported(endpoint, news.m_report, now);
             notePlaces(endpoint, news.m_report, now);
+            m_relay.placesChanged();
         }
     }
 }
@@ -292,8 +294,7 @@
     if (!service || service->m_engine.m_slots == 0) {
         return;
     }
-    Placement::ReportedPlaces places =
-        Placement::reportedPlaces(service->m_engine, report.m_running, report.m_waiting, report.m_pace, Placement::AdmissionSettings{});
+    Placement::ReportedPlaces places = Placement::reportedPlaces(service->m_engine, report.m_running, report.m_waiting, report.m_pace);
     if (report.m_isLoading || report.m_weights.empty() || endpoint.m_isLeaving) {
         places = Placement::ReportedPlaces{};
     }
--- a/Tests/LibRelay/TestRelay.cpp
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -23,8 +23,10 @@
         const std::string *attempt = Http::findField(fields, "Attempt");
         const std::string *key = Http::findField(fields, "Key");
         const std::string *patience = Http::findField(fields, "Patience");
+        const std::string *model = Http::findField(fields, "Model");
         facts.m_attemptId = attempt ? *attempt : "";
         facts.m_key = key ? *key : "";
+        facts.m_model = model ? *model : "";
         if (patience) {
             facts.m_patience = Core::Duration(static_cast<std::int64_t>(*Http::parseNumber(*patience)));
         }
@@ -113,6 +115,39 @@
         m_beliefs.apply(declarations);
     }
 
+    /// The same with a service of engines, of which none has weights yet.
+    void configureEngines()
+    {
+        configure();
+        Fleet::Declarations declarations;
+        declarations.m_end = 2;
+        declarations.m_configurationOffset = 1;
+        declarations.m_configuration = m_beliefs.configuration()->configuration();
+        declarations.m_configuration->m_version = 1;
+        Fleet::EngineModel &engine = declarations.m_configuration->m_services[0].m_engine;
+        engine.m_slots = 4;
+        engine.m_stepMilliseconds = 5;
+        engine.m_promptTokensPerSecond = 20000;
+        engine.m_usualPromptTokens = 400;
+        engine.m_usualAnswerTokens = 100;
+        engine.m_layers = 1;
+        engine.m_models = {"m"};
+        m_beliefs.apply(declarations);
+    }
+
+    /// Every endpoint reports that it has the weights and nothing to do.
+    void reportWeights()
+    {
+        const Core::Instant now = Core::Clock::now();
+        Fleet::LoadedWeights loaded;
+        loaded.m_model = "m";
+        loaded.m_version = 1;
+        for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_beliefs.endpoints()) {
+            m_book.engineReported(entry.second.m_endpoint, Placement::EngineReport{0, 0, 1, false, {loaded}}, now);
+            m_ledger.reported(entry.first, Placement::ReportedPlaces{4, 4, 4}, now);
+        }
+    }
+
     void addEndpoint(const ScriptedServer::Script &script)
     {
         m_servers.push_back(std::make_unique<ScriptedServer>(m_loop, [this, script](const std::shared_ptr<ScriptedConnection> &connection) {
@@ -331,3 +366,63 @@
     CHECK(fixture.m_requests[0].find("Priority: 1") != std::string::npos);
     CHECK(fixture.m_requests[1].find("Priority: 0") != std::string::npos);
 }
+
+TEST_CASE("a request that comes before the first configuration is answered once that is known")
+{
+    // Guards against refusing callers in the moments after a restart, when the configuration is on its way.
+    RelayFixture fixture;
+    fixture.addEndpoint(answering(Good));
+    RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+    caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\n\r\n");
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->open() == 1; }));
+    fixture.configure();
+    fixture.m_relay->configurationChanged();
+    REQUIRE(runUntil(fixture.m_loop, [&caller] { return caller.received().ends_with("done"); }));
+    CHECK(caller.received().substr(9, 3) == "200");
+}
+
+TEST_CASE("a request waits until an engine has the weights")
+{
+    // Guards against refusing callers in the seconds in which weights arrive after a loss of power.
+    RelayFixture fixture;
+    fixture.configureEngines();
+    fixture.addEndpoint(answering(Good));
+    RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+    caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n");
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
+    CHECK(fixture.m_requests.empty());
+    fixture.reportWeights();
+    fixture.m_relay->placesChanged();
+    REQUIRE(runUntil(fixture.m_loop, [&caller] { return caller.received().ends_with("done"); }));
+    CHECK(fixture.m_requests.size() == 1);
+    CHECK(fixture.m_relay->waiting() == 0);
+}
+
+TEST_CASE("a caller that leaves while it waits gives up its place in the queue and reaches no engine")
+{
+    // Guards against work for callers who are gone.
+    RelayFixture fixture;
+    fixture.configureEngines();
+    fixture.addEndpoint(answering(Good));
+    {
+        RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+        caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n");
+        REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
+        caller.close();
+        CHECK(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 0; }));
+    }
+    CHECK(fixture.m_relay->open() == 0);
+    fixture.reportWeights();
+    fixture.m_relay->placesChanged();
+    CHECK(fixture.m_requests.empty());
+}
+
+TEST_CASE("a request that has too little time for any engine is refused at once, as not run")
+{
+    // Guards against holding callers whose answer could not end within their time.
+    RelayFixture fixture;
+    fixture.configureEngines();
+    fixture.addEndpoint(answering(Good));
+    CHECK(fixture.statusOf("/read/x", "Key: k\r\nModel: m\r\nPatience: 300\r\n") == "503");
+    CHECK(fixture.m_requests.empty());
+}
