LibPlacement, LibRelay: Count engines that are about to get weights while most are missing

Engines that are listed and have no weights yet count for those who wait, while they are more than those with weights. Fresh requests go by the engines that there are now.

--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -63,7 +63,7 @@
 Core::Duration returnTime(const QueueForecast &forecast, std::size_t ahead, const AdmissionSettings &settings)
 {
     constexpr double millisecondsPerSecond = 1000;
-    const double spare = forecast.m_placesPerSecond - forecast.m_freshPerSecond;
+    const double spare = sparePerSecond(forecast);
     if (spare <= 0) {
         return settings.m_longestReturn;
     }
--- a/Libraries/LibPlacement/PlaceLedger.cpp
+++ b/Libraries/LibPlacement/PlaceLedger.cpp
@@ -66,6 +66,13 @@
     return m_share * sum;
 }
 
+std::size_t PlaceLedger::enginesWithPlaces(Core::Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [now](const std::pair<const std::string, Entry> &entry) {
+        return now - entry.second.m_at < ReportLifetime && entry.second.m_places.m_most > 0;
+    }));
+}
+
 std::size_t PlaceLedger::engines(Core::Instant now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/Libraries/LibPlacement/PlaceLedger.h
+++ b/Libraries/LibPlacement/PlaceLedger.h
@@ -47,6 +47,8 @@
     std::optional<double> total(Core::Instant now) const;
     /// This process's part of the requests that these engines finish in a second while they are full.
     double placesPerSecond(Core::Instant now) const;
+    /// Engines that have reported lately and have places, free or taken.
+    std::size_t enginesWithPlaces(Core::Instant now) const;
     /// Engines from which a report came lately.
     std::size_t engines(Core::Instant now) const;
     /// Drops the engines that are not known any more.
--- a/Libraries/LibPlacement/RequestQueue.cpp
+++ b/Libraries/LibPlacement/RequestQueue.cpp
@@ -30,6 +30,11 @@
 
 }
 
+double sparePerSecond(const QueueForecast &forecast)
+{
+    return forecast.m_placesPerSecond + forecast.m_comingPerSecond - forecast.m_freshPerSecond;
+}
+
 bool canBeInTime(const QueuedRequest &request, Core::Instant now)
 {
     return now <= request.m_latestInTime;
@@ -43,18 +48,19 @@
     std::sort(late, queued.end(), [](const QueuedRequest &left, const QueuedRequest &right) { return left.m_latest < right.m_latest; });
 
     const double untilWeights = Core::secondsBetween(now, now + forecast.m_untilWeights);
-    const double sparePerSecond = forecast.m_placesPerSecond - forecast.m_freshPerSecond;
+    const double spare = sparePerSecond(forecast);
+    const double freeLater = forecast.m_freePlaces + forecast.m_comingPlaces;
     std::size_t inTime = 0;
     std::size_t afterwards = 0;
     QueueDecision decision;
     for (const QueuedRequest &request : queued) {
-        const double freshPlace = untilWeights + secondsFor(inTime + 1, forecast.m_freePlaces, forecast.m_placesPerSecond);
+        const double freshPlace = secondsFor(inTime + 1, forecast.m_freePlaces, forecast.m_placesPerSecond);
         if (isEarlyEnough(freshPlace / settings.m_trustedShare, request.m_latestInTime, now)) {
             ++inTime;
             decision.m_order.push_back(request.m_ticket);
             continue;
         }
-        const double sparePlace = untilWeights + secondsFor(inTime + afterwards + 1, forecast.m_freePlaces, sparePerSecond);
+        const double sparePlace = untilWeights + secondsFor(inTime + afterwards + 1, freeLater, spare);
         if (isEarlyEnough(sparePlace, request.m_latest, now)) {
             ++afterwards;
             decision.m_order.push_back(request.m_ticket);
--- a/Libraries/LibPlacement/RequestQueue.h
+++ b/Libraries/LibPlacement/RequestQueue.h
@@ -22,9 +22,11 @@
 struct QueueForecast
 {
     Core::Duration m_untilWeights{0}; ///< Until engines have weights; zero if some have.
-    double m_freePlaces = 0; ///< This process's part of the places that are free once there are weights.
+    double m_freePlaces = 0; ///< This process's part of the places that are free at engines with weights.
     double m_placesPerSecond = 0; ///< This process's part of the requests that the engines finish.
     double m_freshPerSecond = 0; ///< Requests that come to this process and can still be answered within their objective.
+    double m_comingPlaces = 0; ///< This process's part of the places at engines that are listed and have no weights yet.
+    double m_comingPerSecond = 0; ///< The same of the requests that they will finish.
 
     bool operator==(const QueueForecast &) const = default;
 };
@@ -49,6 +51,9 @@
     bool operator==(const QueueDecision &) const = default;
 };
 
+/// What the engines, with those that are coming, finish in a second beyond the fresh requests; may be negative.
+double sparePerSecond(const QueueForecast &forecast);
+
 /// Whether sent now its answer would begin within the objective.
 bool canBeInTime(const QueuedRequest &request, Core::Instant now);
 
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -4,6 +4,8 @@
 
 #include "LibRelay/RelayedRequest.h"
 
+#include <algorithm>
+
 namespace Relay {
 
 RelayCounters::RelayCounters(Telemetry::Metrics &metrics)
@@ -48,6 +50,15 @@
     m_waiting.serve();
 }
 
+std::size_t Relay::enginesListed(const std::string &service) const
+{
+    const std::map<std::string, Fleet::KnownEndpoint> &endpoints = m_parts.m_beliefs.endpoints();
+    return static_cast<std::size_t>(
+        std::count_if(endpoints.begin(), endpoints.end(), [&service](const std::pair<const std::string, Fleet::KnownEndpoint> &entry) {
+            return entry.second.m_endpoint.m_service == service && !entry.second.m_endpoint.m_isLeaving;
+        }));
+}
+
 Placement::QueueForecast Relay::forecast(const std::string &service) const
 {
     Placement::QueueForecast forecast;
@@ -57,19 +68,16 @@
         return forecast;
     }
     const Core::Instant now = Core::Clock::now();
-    forecast.m_placesPerSecond = m_parts.m_ledger.placesPerSecond(now);
-    if (forecast.m_placesPerSecond > 0) {
-        forecast.m_freePlaces = std::max(0.0, m_parts.m_ledger.total(now).value_or(0));
-        return forecast;
-    }
-    // No engine reports weights. Those that are listed will have the same rate once they do.
-    std::size_t engines = 0;
-    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_parts.m_beliefs.endpoints()) {
-        engines += entry.second.m_endpoint.m_service == service && !entry.second.m_endpoint.m_isLeaving ? 1 : 0;
-    }
-    const double own = m_parts.m_ledger.share() * static_cast<double>(engines);
-    forecast.m_placesPerSecond = own * Placement::finishedPerSecond(known->m_engine);
-    forecast.m_freePlaces = own * known->m_engine.m_slots;
+    const Placement::PlaceLedger &ledger = m_parts.m_ledger;
+    forecast.m_placesPerSecond = ledger.placesPerSecond(now);
+    forecast.m_freePlaces = std::max(0.0, ledger.total(now).value_or(0));
+    const std::size_t listed = enginesListed(service);
+    const std::size_t active = std::min(listed, ledger.enginesWithPlaces(now));
+    // A few engines that are away for a change of versions or have died do not make an outage.
+    const std::size_t coming = listed - active > active ? listed - active : 0;
+    const double ownComing = ledger.share() * static_cast<double>(coming);
+    forecast.m_comingPlaces = ownComing * known->m_engine.m_slots;
+    forecast.m_comingPerSecond = ownComing * Placement::finishedPerSecond(known->m_engine);
     return forecast;
 }
 
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -102,6 +102,8 @@
 private:
     friend class RelayedRequest;
 
+    /// Engines of the service that take work by the list.
+    std::size_t enginesListed(const std::string &service) const;
     Placement::QueueForecast forecast(const std::string &service) const;
 
     const RelayParts m_parts;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -703,6 +703,7 @@
     line.number("sent_within_ms", Core::secondsBetween(now, bounds.m_latest) * MillisecondsPerSecond);
     line.number("weights_in_ms", static_cast<std::int64_t>(forecast.m_untilWeights.count())).number("free_places", forecast.m_freePlaces);
     line.number("places_per_s", forecast.m_placesPerSecond).number("fresh_per_s", forecast.m_freshPerSecond);
+    line.number("coming_places", forecast.m_comingPlaces);
     m_relay.m_parts.m_log.write(line);
 }
 
--- a/Tests/LibPlacement/TestRequestQueue.cpp
+++ b/Tests/LibPlacement/TestRequestQueue.cpp
@@ -89,8 +89,11 @@
     {
         Placement::QueueForecast forecast;
         forecast.m_untilWeights = m_hasWeights ? Core::Duration(0) : Placement::remainingOutage(sinceStart(), m_settings);
-        forecast.m_freePlaces = std::max(0.0, m_stretch.m_places - static_cast<double>(m_ends.size()));
-        forecast.m_placesPerSecond = m_stretch.m_places * 1000 / static_cast<double>(Answer.count());
+        const double perSecond = m_stretch.m_places * 1000 / static_cast<double>(Answer.count());
+        forecast.m_freePlaces = m_hasWeights ? std::max(0.0, m_stretch.m_places - static_cast<double>(m_ends.size())) : 0;
+        forecast.m_placesPerSecond = m_hasWeights ? perSecond : 0;
+        forecast.m_comingPlaces = m_hasWeights ? 0 : m_stretch.m_places;
+        forecast.m_comingPerSecond = m_hasWeights ? 0 : perSecond;
         forecast.m_freshPerSecond = m_fresh.value(m_now);
         return forecast;
     }
@@ -245,10 +248,24 @@
     const Placement::QueueForecast none{Core::Duration(0), 0, 10, 10};
     CHECK(Placement::decideQueue(late, spare, now, settings).m_hopeless.empty());
     CHECK(Placement::decideQueue(late, none, now, settings).m_hopeless.size() == 1);
-    const Placement::QueueForecast longOutage{Core::Duration(5000), 16, 10, 5};
+    const Placement::QueueForecast longOutage{Core::Duration(5000), 0, 0, 5, 16, 10};
     CHECK(Placement::decideQueue(late, longOutage, now, settings).m_hopeless.size() == 1);
 }
 
+TEST_CASE("callers go on waiting while the first engines come back")
+{
+    // Guards against taking the first of many engines that get their weights for all that there will be.
+    const Core::Instant now = Start + Core::Duration(5000);
+    std::vector<Placement::QueuedRequest> queued;
+    for (std::uint64_t ticket = 1; ticket <= 12; ++ticket) {
+        queued.push_back(waitingSince(ticket, now - Core::Duration(1500)));
+    }
+    const Placement::QueueForecast firstOnly{Core::Duration(0), 1, 0.5, 5, 0, 0};
+    const Placement::QueueForecast othersFollow{Core::Duration(0), 1, 0.5, 5, 14, 8};
+    CHECK(Placement::decideQueue(queued, firstOnly, now, Placement::QueueSettings{}).m_hopeless.size() == 11);
+    CHECK(Placement::decideQueue(queued, othersFollow, now, Placement::QueueSettings{}).m_hopeless.empty());
+}
+
 TEST_CASE("an outage is expected to last the longer the longer it has lasted")
 {
     const Placement::QueueSettings settings;
