--- a/Libraries/LibPlacement/RequestQueue.h
+++ b/Libraries/LibPlacement/RequestQueue.h
@@ -35,7 +35,8 @@
 {
     /// Of the time until a request must be sent, the part within which its place must be expected: forecasts are rough.
     double m_trustedShare = 0.7;
-    std::size_t m_mostRequests = 256; ///< Requests that wait at once; a bound on memory.
+    std::size_t m_mostRequests = 256; ///< Requests that wait at once.
+    std::size_t m_mostBytes = 8 << 20; ///< Of their bodies, in all.
     Core::Duration m_usualOutage{1000}; ///< Until engines without weights have them, at the least.
     double m_outageGrowth = 0.5; ///< A longer outage is expected to last on for this part of its length so far.
 
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -8,11 +8,6 @@
 
 namespace Relay {
 
-/**
- * The state machine of a request: checked, sent to an endpoint, answered; or sent again, where that is allowed; or given up.
- *
- * Whatever happens, the caller gets one final answer, or a cut connection if an answer broke off after its head had been passed on.
- */
 /// What came of trying to send a request that waits.
 enum class QueueStep {
     Left, ///< It does not wait any more.
@@ -20,6 +15,11 @@
     NoEndpoint, ///< No endpoint can take it; others may have better luck.
 };
 
+/**
+ * The state machine of a request: checked, sent to an endpoint, answered; or sent again, where that is allowed; or given up.
+ *
+ * Whatever happens, the caller gets one final answer, or a cut connection if an answer broke off after its head had been passed on.
+ */
 class RelayedRequest : public std::enable_shared_from_this<RelayedRequest>
 {
 public:
--- a/Libraries/LibRelay/WaitingRequests.cpp
+++ b/Libraries/LibRelay/WaitingRequests.cpp
@@ -48,20 +48,27 @@
         m_requests.begin(), m_requests.end(), [&service](const std::pair<const std::uint64_t, Waiting> &entry) { return entry.second.m_service == service; });
 }
 
-std::optional<std::uint64_t> WaitingRequests::join(const std::string &service, Placement::QueuedRequest bounds, std::weak_ptr<RelayedRequest> request)
+std::optional<std::uint64_t>
+WaitingRequests::join(const std::string &service, Placement::QueuedRequest bounds, std::size_t bytes, std::weak_ptr<RelayedRequest> request)
 {
-    if (m_requests.size() >= m_settings.m_mostRequests) {
+    if (m_requests.size() >= m_settings.m_mostRequests || m_bytes + bytes > m_settings.m_mostBytes) {
         return std::nullopt;
     }
     bounds.m_ticket = ++m_lastTicket;
-    m_requests.emplace(bounds.m_ticket, Waiting{service, bounds, std::move(request)});
+    m_requests.emplace(bounds.m_ticket, Waiting{service, bounds, bytes, std::move(request)});
+    m_bytes += bytes;
     serveLater();
     return bounds.m_ticket;
 }
 
 void WaitingRequests::leave(std::uint64_t ticket)
 {
-    m_requests.erase(ticket);
+    const std::map<std::uint64_t, Waiting>::iterator waiting = m_requests.find(ticket);
+    if (waiting == m_requests.end()) {
+        return;
+    }
+    m_bytes -= waiting->second.m_bytes;
+    m_requests.erase(waiting);
 }
 
 void WaitingRequests::serveLater()
--- a/Libraries/LibRelay/WaitingRequests.h
+++ b/Libraries/LibRelay/WaitingRequests.h
@@ -42,8 +42,8 @@
     {
         return m_requests.size();
     }
-    /// The ticket is that of leave(). Empty if too many wait already.
-    std::optional<std::uint64_t> join(const std::string &service, Placement::QueuedRequest bounds, std::weak_ptr<RelayedRequest> request);
+    /// Returns a ticket for leave(); empty if too much waits already. @p bytes: of the request's body.
+    std::optional<std::uint64_t> join(const std::string &service, Placement::QueuedRequest bounds, std::size_t bytes, std::weak_ptr<RelayedRequest> request);
     void leave(std::uint64_t ticket);
     /// Sends and gives up what can be decided now.
     void serve();
@@ -53,6 +53,7 @@
     {
         std::string m_service;
         Placement::QueuedRequest m_bounds;
+        std::size_t m_bytes = 0; ///< Of the request's body.
         std::weak_ptr<RelayedRequest> m_request;
     };
 
@@ -75,6 +76,7 @@
     bool m_isServing = false;
     std::uint64_t m_lastTicket = 0;
     std::map<std::uint64_t, Waiting> m_requests; ///< By ticket.
+    std::size_t m_bytes = 0; ///< Of the bodies of m_requests.
     std::map<std::string, ServiceState> m_services;
 };
 
--- /dev/null
+++ b/Tests/LibRelay/TestWaitingRequests.cpp
@@ -0,0 +1,27 @@
+/// @file Bounds of the queue of requests that wait for a place.
+
+#include "LibRelay/RelayedRequest.h"
+#include "LibRelay/WaitingRequests.h"
+
+#include <catch2/catch.hpp>
+
+TEST_CASE("the queue takes no more requests and no more bytes than it may")
+{
+    // Guards against a process that runs out of memory while no engine takes anything.
+    Http::EventLoop loop;
+    Placement::QueueSettings settings;
+    settings.m_mostRequests = 2;
+    settings.m_mostBytes = 100;
+    Relay::WaitingRequests queue(
+        loop, [](const std::string &) { return Placement::QueueForecast{}; }, settings);
+    const std::optional<std::uint64_t> first = queue.join("models", Placement::QueuedRequest{}, 60, {});
+    REQUIRE(first);
+    CHECK_FALSE(queue.join("models", Placement::QueuedRequest{}, 60, {}));
+    CHECK(queue.join("models", Placement::QueuedRequest{}, 40, {}));
+    CHECK_FALSE(queue.join("models", Placement::QueuedRequest{}, 0, {}));
+    queue.leave(*first);
+    queue.leave(*first);
+    CHECK(queue.join("models", Placement::QueuedRequest{}, 60, {}));
+    CHECK_FALSE(queue.isEmpty("models"));
+    CHECK(queue.isEmpty("others"));
+}
