--- a/Libraries/LibPlacement/PlaceLedger.h
+++ b/Libraries/LibPlacement/PlaceLedger.h
@@ -24,9 +24,8 @@
 /**
  * Deals the places of every engine out to the processes by their share of the traffic.
  *
- * All processes hear the same reports. If each sent to whatever looked free, all would send to the same few engines until the next report: with 13
- * processes and 16 engines at 1.4 times their capacity, an engine that reported three free slots had a median wait of 0.8 s. Each process therefore
- * counts only its own part of the places as free; the parts add up to the whole. Used by one thread.
+ * All processes hear the same reports. If each sent to whatever looked free, all would send to the same few engines until the next report. Each process
+ * therefore counts only its own part of the places as free; the parts add up to the whole. Used by one thread.
  */
 class PlaceLedger
 {
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -451,8 +451,7 @@
     m_relay.m_parts.m_log.write(line);
     endAttempt();
     // Nothing of the request arrived where there was no connection, so that costs neither an attempt nor a part of the budget for repeats. When many
-    // endpoints die at once, each entry finds out for itself which: within two seconds of a loss of power some 1,300 tries were refused for want of a
-    // connection.
+    // endpoints die at once, each entry finds out for itself which.
     const bool wasSent = failure != Placement::EndpointFailure::Unreachable;
     m_attempts -= wasSent ? 0 : 1;
     if (m_headPassedOn) {
--- a/Libraries/LibStaging/AgentSettings.cpp
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -14,8 +14,7 @@
 constexpr double UploadShare = 0.9;
 constexpr double DownloadShare = 0.95;
 constexpr std::uint64_t BurstBytes = 16 << 10;
-/// A chunk is about 0.17 s on its way with its wait at the uploader, so that three ahead leave a third of the link idle. In a fleet of 58 half of the replicas
-/// were whole after 3.5 s with three, 3.3 with five and 3.1 with eight, while 658, 694 and 725 of some 2,870 answers were late (a run each).
+/// Chunks that are asked for ahead: enough to keep the link busy while a request waits at an uploader, few enough that answers are not held up.
 constexpr std::uint32_t ChunksAhead = 5;
 /**
  * Requests that wait at an uploader of one slot; it refuses more, and who asked goes elsewhere. At 46 ms a chunk the last of twelve waits for half a second
--- a/Libraries/LibStaging/Turns.h
+++ b/Libraries/LibStaging/Turns.h
@@ -15,8 +15,7 @@
  */
 struct TurnSettings
 {
-    /// After the declaration: shortly before most agents hold a whole version. Those whose turn is earlier would all change at the moment at which theirs is
-    /// whole. From 2.9 s instead of 2.3, three sites, a run each: 0.569, 0.408, 0.577 of the worth of a day with one version against 0.560, 0.395, 0.571.
+    /// After the declaration: shortly before most agents hold a whole version. Those whose turn is earlier would all change as soon as theirs is whole.
     Core::Duration m_first{2900};
     Core::Duration m_last{6300}; ///< The same for the last: from its order on an engine begins nothing on the old version, for which the bound is 8 s.
 
--- a/Libraries/LibStaging/WeightsKeeper.cpp
+++ b/Libraries/LibStaging/WeightsKeeper.cpp
@@ -298,7 +298,7 @@
 
 /**
  * Draws a version before its own run begins: while an older one is staged or loaded, or before the engine has answered. An engine that starts with its
- * instance answers about a second after the agent, and the last 40 of 98 engines would have their weights a second later.
+ * instance answers about a second after the agent, and would have its weights so much later.
  */
 void WeightsKeeper::prefetch(const TargetVersion &target)
 {
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -30,8 +30,8 @@
     std::size_t m_chunksAtOnce = 4; ///< Calls to the engine under way while chunks are staged or read back.
     Core::Duration m_manifestLifetime{6000}; ///< A manifest whose chunks do not come within it may itself be spoilt and is asked for again.
     /**
-     * From telling the entries until the order, if running streams will be cut. Half of them end within it, at the price of some idle slots: cut at
-     * once, 216 streams of 27 engines moved and 45 in 100 paused for longer than 400 ms; left to end, an engine was away for 2.3 s.
+     * From telling the entries until the order, if running streams will be cut. About half of them end within it. Without it more streams move and
+     * pause; to wait for the last one keeps the engine away for seconds.
      */
     Core::Duration m_quietTime{500};
     /// Share of the chunks that must be here for a superseded version to be finished. After an outage of the log two versions are read at once; to load both
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -47,7 +47,7 @@
 
 /**
  * When the origin is away from everybody, everybody says that it cannot draw. If each then stood in for all before it, the origin would be asked for every
- * chunk by every successor on its return: it sent 5.3 copies, and 88 engines had a version 11 s after its declaration.
+ * chunk by every successor on its return, and its link would carry each chunk several times.
  */
 bool Exchange::mayReplaceDrawers(Core::Instant now) const
 {
--- a/Tests/LibPlacement/TestAdmission.cpp
+++ b/Tests/LibPlacement/TestAdmission.cpp
@@ -117,8 +117,7 @@
 TEST_CASE("under sustained overload the engines answer in time those whom they take")
 {
     // A burst asks for 1.4 times what the fleet can do. If everybody is taken, the queues grow until every answer is late and callers give up; if
-    // all entries send to whatever looked free in the last report, a few engines get everything. Played here: 310 answers in time and
-    // 1319 late without the ledger, 1414 in time and 113 late with it.
+    // all entries send to whatever looked free in the last report, a few engines get everything.
     const Outcome open = play(false);
     const Outcome dealt = play(true);
     CAPTURE(open.m_inTime, open.m_late, dealt.m_inTime, dealt.m_late, dealt.m_refused, dealt.m_asked);
--- a/Tests/LibRelay/TestRelay.cpp
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -70,6 +70,8 @@
 
 constexpr const char *Good = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
 
+constexpr const char *RequestOfModel = "GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n";
+
 /// A relay before scripted endpoints.
 struct RelayFixture
 {
@@ -388,7 +390,7 @@
     fixture.configureEngines();
     fixture.addEndpoint(answering(Good));
     RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n");
+    caller.send(RequestOfModel);
     REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
     CHECK(fixture.m_requests.empty());
     fixture.reportWeights();
@@ -406,7 +408,7 @@
     fixture.addEndpoint(answering(Good));
     {
         RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-        caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n");
+        caller.send(RequestOfModel);
         REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
         caller.close();
         CHECK(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 0; }));
