Tests: Hold that a returned caller is sent while there is room; share the waiting caller of the relay's tests

The case 'while few are refused, those that come back are taken like fresh ones' had gone with the threshold of pressure. What it promised to callers is held again, now also while many are refused.

--- a/Tests/LibPlacement/TestRequestQueue.cpp
+++ b/Tests/LibPlacement/TestRequestQueue.cpp
@@ -239,6 +239,17 @@
     CHECK(decision.m_hopeless.empty());
 }
 
+TEST_CASE("those that come back are sent while there is room, however many are refused")
+{
+    // Guards against refusing a caller a second time, which ends its request, although a place is free.
+    const Core::Instant now = Start + Core::Duration(5000);
+    const std::vector<Placement::QueuedRequest> returned{waitingSince(1, now - Core::Duration(800))};
+    const Placement::QueueForecast overloaded{Core::Duration(0), 1, 10, 30};
+    const Placement::QueueDecision decision = Placement::decideQueue(returned, overloaded, now, Placement::QueueSettings{});
+    CHECK(decision.m_order == std::vector<std::uint64_t>{1});
+    CHECK(decision.m_hopeless.empty());
+}
+
 TEST_CASE("a request is given up as soon as no place is expected within its time")
 {
     const Core::Instant now = Start + Core::Duration(5000);
--- a/Tests/LibRelay/TestRelay.cpp
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -137,6 +137,13 @@
         m_beliefs.apply(declarations);
     }
 
+    /// Sends a request for the model and returns once it waits for a place.
+    void letWait(RawCaller &caller)
+    {
+        caller.send(RequestOfModel);
+        REQUIRE(runUntil(m_loop, [this] { return m_relay->waiting() == 1; }));
+    }
+
     /// Every endpoint reports that it has the weights and nothing to do.
     void reportWeights()
     {
@@ -390,8 +397,7 @@
     fixture.configureEngines();
     fixture.addEndpoint(answering(Good));
     RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send(RequestOfModel);
-    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
+    fixture.letWait(caller);
     CHECK(fixture.m_requests.empty());
     fixture.reportWeights();
     fixture.m_relay->placesChanged();
@@ -408,8 +414,7 @@
     fixture.addEndpoint(answering(Good));
     {
         RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-        caller.send(RequestOfModel);
-        REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 1; }));
+        fixture.letWait(caller);
         caller.close();
         CHECK(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->waiting() == 0; }));
     }
