LibRelay: Drop the last refusal of a waiting request, which decided nothing; note refusals in one place

joinQueue made a reason up only to fill it in. The rate of fresh requests is read where the forecast is made.

--- a/Libraries/LibPlacement/Admission.cpp
+++ b/Libraries/LibPlacement/Admission.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t KeptPatiences = 64; ///< Of a route: some ten seconds of one process.
 constexpr std::size_t EnoughPatiences = 20;
 constexpr std::size_t OutlierParts = 20; ///< One in so many callers may have lost time elsewhere, as on a connection that failed.
-constexpr std::int64_t UnknownSpreadParts = 6; ///< Of the longest patience: the spread before enough callers were seen.
+constexpr std::int64_t UnknownSpreadParts = 6; ///< Of the longest patience: the spread that is assumed until enough callers were seen.
 constexpr std::int64_t MostSpreadParts = 4; ///< The same for the widest spread that is believed.
 
 /// The shortest time that a fresh caller states, judged by the times that callers stated while none came back.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -194,8 +194,9 @@
         chosen(*result.m_choice);
         return;
     }
-    if (!wait(result)) {
-        giveUp(result, returnTime(result.m_reason));
+    noteRefusal(result.m_reason);
+    if (!wait()) {
+        giveUp(result.m_reason);
     }
 }
 
@@ -206,9 +207,9 @@
     send(choice);
 }
 
-void RelayedRequest::giveUp(const Placement::ChoiceResult &refusal, Core::Duration retryAfter)
+void RelayedRequest::giveUp(Placement::NoChoice noChoice)
 {
-    const std::string reason = std::string(Placement::noChoiceName(refusal.m_reason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
+    const std::string reason = std::string(Placement::noChoiceName(noChoice)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
     if (m_headPassedOn) {
         m_connection->abort();
         finish("failed", 0, "the answer broke off: " + reason);
@@ -218,7 +219,7 @@
         fail(BadGateway, reason);
         return;
     }
-    refuse(reason, retryAfter);
+    refuse(reason, returnTime(noChoice));
 }
 
 Core::Duration RelayedRequest::lostNow() const
@@ -493,7 +494,8 @@
         chosen(*result.m_choice);
         return true;
     }
-    return wait(result);
+    noteRefusal(result.m_reason);
+    return wait();
 }
 
 void RelayedRequest::timeIsUp()
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -45,6 +45,7 @@
         Core::Duration m_reportAge{0};
     };
 
+    /// Lets the request wait for the first configuration, or refuses it if too many wait for that already.
     void awaitConfiguration();
     bool findRoute();
     bool findAccount();
@@ -52,21 +53,27 @@
     const Fleet::Service *chooseService();
     void tryEndpoint();
     Placement::ChoiceResult choose() const;
+    /// Sends the request to the endpoint that was chosen for it.
     void chosen(const Placement::Choice &choice);
     /// Goes behind the requests that wait already; false if it may not.
     bool joinQueue();
     /// Lets the request wait for a place; false if it may not.
-    bool wait(const Placement::ChoiceResult &refusal);
+    bool wait();
+    /// Notes what the refusal of an engine service tells of its weights.
+    void noteRefusal(Placement::NoChoice reason);
     bool isWaiting() const
     {
         return m_ticket.has_value();
     }
     void stopWaiting();
+    /// Until when it must be sent; without a ticket.
     Placement::QueuedRequest queueBounds() const;
     /// Time since the caller's first try.
     Core::Duration lostNow() const;
+    /// Its answer could still begin within the objective.
     bool isFresh() const;
-    void giveUp(const Placement::ChoiceResult &refusal, Core::Duration retryAfter);
+    /// Ends the request, for which no endpoint was chosen, by what has become of it so far: a refusal, a failure or a cut connection.
+    void giveUp(Placement::NoChoice noChoice);
     Placement::AdmissionView admissionView() const;
     /// When a caller that is refused should come back.
     Core::Duration returnTime(Placement::NoChoice reason) const;
@@ -114,7 +121,6 @@
     Core::Duration m_lost{0}; ///< Time since the caller's first try, as far as it can be told.
     std::uint32_t m_attempts = 0; ///< Endpoints that the request was sent to; one that took no connection is none.
     std::optional<std::uint64_t> m_ticket; ///< While it waits for a place.
-    Placement::ChoiceResult m_lastRefusal; ///< Why it waits.
     Core::Instant m_waitingSince;
     Core::Duration m_waited{0}; ///< For places, in all.
     bool m_isAdmitted = false; ///< An endpoint was chosen for it; what follows are further attempts.
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -31,7 +31,7 @@
 
 bool RelayedRequest::joinQueue()
 {
-    if (!wait(Placement::ChoiceResult{std::nullopt, Placement::NoChoice::Overloaded})) {
+    if (!wait()) {
         return false;
     }
     m_relay.m_waiting.serve();
@@ -59,16 +59,18 @@
     return bounds;
 }
 
-bool RelayedRequest::wait(const Placement::ChoiceResult &refusal)
+void RelayedRequest::noteRefusal(Placement::NoChoice reason)
+{
+    if (m_service->m_engine.m_slots > 0) {
+        m_relay.m_waiting.noteWeights(m_service->m_name, reason == Placement::NoChoice::Overloaded, Core::Clock::now());
+    }
+}
+
+bool RelayedRequest::wait()
 {
     if (m_service->m_engine.m_slots == 0) {
         return false;
     }
-    m_lastRefusal = refusal;
-    const bool hasWeights = refusal.m_reason == Placement::NoChoice::Overloaded;
-    if (!hasWeights && refusal.m_reason != Placement::NoChoice::NoEndpoint) {
-        m_relay.m_waiting.noteWeights(m_service->m_name, false, Core::Clock::now());
-    }
     // What failed it so far may have recovered by the time that it is sent; until then it is avoided.
     m_excluded.clear();
     m_ticket = m_relay.m_waiting.join(m_service->m_name, queueBounds(), m_request.m_body.size(), weak_from_this());
@@ -94,8 +96,7 @@
         chosen(*result.m_choice);
         return QueueStep::Left;
     }
-    m_lastRefusal = result;
-    m_relay.m_waiting.noteWeights(m_service->m_name, result.m_reason == Placement::NoChoice::Overloaded, Core::Clock::now());
+    noteRefusal(result.m_reason);
     return result.m_reason == Placement::NoChoice::Overloaded ? QueueStep::NoPlace : QueueStep::NoEndpoint;
 }
 
@@ -104,8 +105,7 @@
     logQueue(forecast, ahead);
     stopWaiting();
     const bool hasWeights = forecast.m_untilWeights.count() == 0;
-    m_lastRefusal.m_reason = hasWeights ? Placement::NoChoice::Overloaded : Placement::NoChoice::NoWeights;
-    giveUp(m_lastRefusal, returnTime(m_lastRefusal.m_reason));
+    giveUp(hasWeights ? Placement::NoChoice::Overloaded : Placement::NoChoice::NoWeights);
 }
 
 Core::Duration RelayedRequest::returnTime(Placement::NoChoice reason) const
--- a/Libraries/LibRelay/WaitingRequests.cpp
+++ b/Libraries/LibRelay/WaitingRequests.cpp
@@ -26,12 +26,6 @@
     m_services[service].m_fresh.happened(now);
 }
 
-double WaitingRequests::freshPerSecond(const std::string &service, Core::Instant now) const
-{
-    const std::map<std::string, ServiceState>::const_iterator state = m_services.find(service);
-    return state == m_services.end() ? 0 : state->second.m_fresh.value(now);
-}
-
 void WaitingRequests::noteWeights(const std::string &service, bool hasWeights, Core::Instant now)
 {
     std::optional<Core::Instant> &since = m_services[service].m_withoutWeightsSince;
@@ -108,9 +102,12 @@
 Placement::QueueForecast WaitingRequests::forecast(const std::string &service, Core::Instant now) const
 {
     Placement::QueueForecast forecast = m_forecast(service);
-    forecast.m_freshPerSecond = freshPerSecond(service, now);
     const std::map<std::string, ServiceState>::const_iterator state = m_services.find(service);
-    if (state != m_services.end() && state->second.m_withoutWeightsSince) {
+    if (state == m_services.end()) {
+        return forecast;
+    }
+    forecast.m_freshPerSecond = state->second.m_fresh.value(now);
+    if (state->second.m_withoutWeightsSince) {
         const Core::Duration lasted = std::chrono::duration_cast<Core::Duration>(now - *state->second.m_withoutWeightsSince);
         forecast.m_untilWeights = Placement::remainingOutage(lasted, m_settings);
     }
--- a/Libraries/LibRelay/WaitingRequests.h
+++ b/Libraries/LibRelay/WaitingRequests.h
@@ -25,17 +25,17 @@
 class WaitingRequests
 {
 public:
-    /// Expectations for a service's engines, but for their weights.
+    /// The places of a service's engines; the rest of the forecast is filled in here.
     using Forecast = std::function<Placement::QueueForecast(const std::string &service)>;
 
     WaitingRequests(Http::EventLoop &loop, Forecast forecast, Placement::QueueSettings settings);
 
     /// Notes that a request which can be answered within its objective came in for the service.
     void freshCame(const std::string &service, Core::Instant now);
-    double freshPerSecond(const std::string &service, Core::Instant now) const;
     /// Notes whether the service has engines with weights, as a request has just found.
     void noteWeights(const std::string &service, bool hasWeights, Core::Instant now);
 
+    /// What is expected of the service's engines, with the fresh requests that keep coming and the time until there are weights.
     Placement::QueueForecast forecast(const std::string &service, Core::Instant now) const;
     bool isEmpty(const std::string &service) const;
     std::size_t size() const
@@ -60,7 +60,7 @@
     struct ServiceState
     {
         Placement::EventRate m_fresh;
-        std::optional<Core::Instant> m_withoutWeightsSince;
+        std::optional<Core::Instant> m_withoutWeightsSince; ///< Empty while some engine has weights.
     };
 
     void serve(const std::string &service);
