LibEntry: Name the other entries in every refusal of a leaving entry

Known red: Entry/TestLeaving met the refusal 'no whole version serves yet' before that of leaving, and with it no address to go to. An entry that was starved of processor time loses the stream of its agent's reports while it still takes work, and refused then without saying that it leaves. To its caller both refusals are the same: the request has not run, and the other entries are where it can. Each refusal that promises 'not run' names them now while the entry is not serving. Test: an entry that is leaving loses sight of the weights; it failed before this change by construction (no addresses were set in that refusal).

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -318,7 +318,7 @@
             response.setKeepAlive(false);
             return;
         }
-        sendError(response, *failed);
+        sendError(response, withOtherEntries(m_frontend, *failed));
     }
 
     void handleCall(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &path, const std::string &body, Core::Instant arrival)
@@ -337,7 +337,7 @@
         Poco::Net::StreamSocket &socket = socketOf(request);
         const ServiceResult result = callService(m_frontend, parsed.value(), arrival + timeout.value(), [&socket] { return isClosed(socket); });
         if (const CallerError *error = std::get_if<CallerError>(&result)) {
-            sendError(response, *error);
+            sendError(response, withOtherEntries(m_frontend, *error));
             return;
         }
         const ServiceAnswer &answer = std::get<ServiceAnswer>(result);
--- a/Libraries/LibEntry/Frontend.cpp
+++ b/Libraries/LibEntry/Frontend.cpp
@@ -40,7 +40,14 @@
     error.m_code = CallerCode::NotRun;
     error.m_error = Core::makeError(Core::ErrorCode::Unavailable, "accept request", frontend.m_settings->m_instance.m_member.m_id, "this entry is leaving");
     error.m_retryAfter = ShortRetry;
-    error.m_addresses = callerAddresses(frontend, frontend.m_settings->m_addressesPerAnswer);
+    return withOtherEntries(frontend, std::move(error));
+}
+
+CallerError withOtherEntries(const Frontend &frontend, CallerError error)
+{
+    if (error.m_code == CallerCode::NotRun && frontend.m_standing != Standing::Serving) {
+        error.m_addresses = callerAddresses(frontend, frontend.m_settings->m_addressesPerAnswer);
+    }
     return error;
 }
 
--- a/Libraries/LibEntry/Frontend.h
+++ b/Libraries/LibEntry/Frontend.h
@@ -36,6 +36,8 @@
 
 /// The refusal of new work while leaving; empty if work is taken.
 std::optional<CallerError> refusalWhileLeaving(const Frontend &frontend);
+/// Adds to a refusal of an entry that is leaving where the caller may go instead, whatever the reason of the refusal.
+CallerError withOtherEntries(const Frontend &frontend, CallerError error);
 /// The refusal before any accepted state is known; empty if it is.
 std::optional<CallerError> refusalUnlessReady(const Frontend &frontend);
 
--- a/Tests/Entry/TestLeaving.cpp
+++ b/Tests/Entry/TestLeaving.cpp
@@ -44,3 +44,27 @@
     REQUIRE(running.get().isWhole());
     REQUIRE(drained.get());
 }
+
+TEST_CASE("a leaving entry names the others whatever it refuses a request for")
+{
+    // Guards against callers that return to an entry which has lost sight of the engines and is leaving.
+    FakePlatform platform;
+    platform.publish();
+    FakeAgent agent("engine-1", ModelService);
+    platform.list(agent.member());
+    TestEntry stays("entry-1", platform, {});
+    TestEntry leaves("entry-2", platform, {stays.member().m_wire});
+    await([&leaves] { return leaves.generate().isWhole(); });
+    await([&leaves, &stays] { return leaves.addresses().find(stays.member().m_callers.toString()) != std::string::npos; });
+
+    leaves.entry().startLeaving();
+    agent.change([](Protocol::AgentReport &report) { report.m_attestations.clear(); });
+    HttpReply refused = leaves.generate();
+    while (refused.m_status == 200) {
+        refused = leaves.generate();
+    }
+    INFO("the refusal: " << refused.m_body);
+    REQUIRE(refused.m_status == 503);
+    REQUIRE(refused.code() == "not-run");
+    REQUIRE(refused.m_body.find(stays.member().m_callers.toString()) != std::string::npos);
+}
