Tests: Declare the newer version once three chunks are here, as the test says

A newer version that is declared in between meets a draw that has not begun, and is rightly preferred; the log of the failed run has version 2 dropped before a chunk was kept. The case is about a draw that has begun, so it waits for three chunks held.

--- a/Tests/LibStaging/TestWeightsKeeper.cpp
+++ b/Tests/LibStaging/TestWeightsKeeper.cpp
@@ -237,7 +237,10 @@
     fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, {}}};
     fixture.declare(2);
     fixture.m_keeper.start();
-    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_reads == Chunks - 1; }));
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] {
+        const std::vector<Protocol::TransferProgress> progress = fixture.m_transfer.progress();
+        return progress.size() == 1 && progress.front().m_chunksHeld == Chunks - 1;
+    }));
     fixture.declare(3);
     fixture.m_transfer.offerChunk(Weights::manifestDigest(Weights::encodeManifest(manifestOf(2))), 3, chunkOf(2, 3));
     REQUIRE(fixture.awaitOrders(1));
