LibRelay: Act upon a burst of reports once, and find out cheaply that there is no place

Every report of an engine served the whole queue of waiting requests: a forecast over all engines and a choice among them. Reports are acted upon every 10 ms at the most (the timer of 25 ms stays), and a request whose process has too few places in all is known to have none without a look at each engine.

--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -47,7 +47,7 @@
 
 void Relay::placesChanged()
 {
-    m_waiting.serve();
+    m_waiting.placesChanged();
 }
 
 std::size_t Relay::enginesListed(const std::string &service) const
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -169,9 +169,7 @@
     request.m_size = {m_facts.m_promptTokens, m_facts.m_answerTokens};
     request.m_excluded = m_excluded;
     request.m_canWait = m_service->m_engine.m_slots > 0;
-    if (!m_isAdmitted && m_route->m_goalMilliseconds > 0) {
-        request.m_neededPlaces = Placement::neededPlaces(admissionView(), m_relay.m_settings.m_admission);
-    }
+    request.m_neededPlaces = neededPlaces();
     if (m_service->m_engine.m_slots > 0) {
         request.m_model = m_facts.m_model;
         request.m_requiredVersion = m_relay.m_parts.m_versions.required(m_facts.m_model, now);
@@ -232,6 +230,14 @@
     return lostNow() < Core::Duration(m_route->m_goalMilliseconds);
 }
 
+std::optional<double> RelayedRequest::neededPlaces() const
+{
+    if (m_isAdmitted || m_route->m_goalMilliseconds == 0) {
+        return std::nullopt;
+    }
+    return Placement::neededPlaces(admissionView(), m_relay.m_settings.m_admission);
+}
+
 Placement::AdmissionView RelayedRequest::admissionView() const
 {
     const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -53,6 +53,10 @@
     const Fleet::Service *chooseService();
     void tryEndpoint();
     Placement::ChoiceResult choose() const;
+    /// Places that this process's part must hold for it; empty once it is admitted, and where requests have no objective.
+    std::optional<double> neededPlaces() const;
+    /// Whether the engines have places, but not enough for it: less work to find out than choose().
+    bool isWithoutPlace() const;
     /// Sends the request to the endpoint that was chosen for it.
     void chosen(const Placement::Choice &choice);
     /// Goes behind the requests that wait already; false if it may not.
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -88,8 +88,19 @@
     m_ticket.reset();
 }
 
+bool RelayedRequest::isWithoutPlace() const
+{
+    const std::optional<double> needed = neededPlaces();
+    const Core::Instant now = Core::Clock::now();
+    const Placement::PlaceLedger &ledger = m_relay.m_parts.m_ledger;
+    return needed && ledger.enginesWithPlaces(now) > 0 && ledger.total(now).value_or(0) < *needed;
+}
+
 QueueStep RelayedRequest::tryFromQueue()
 {
+    if (isWithoutPlace()) {
+        return QueueStep::NoPlace;
+    }
     const Placement::ChoiceResult result = choose();
     if (result.m_choice) {
         stopWaiting();
--- a/Libraries/LibRelay/WaitingRequests.cpp
+++ b/Libraries/LibRelay/WaitingRequests.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Core::Duration ServeInterval{25}; ///< A fraction of the interval at which a full engine finishes requests.
+constexpr Core::Duration LeastServePause{10}; ///< Between two reports that are acted upon: hundreds of engines report many times in between.
 
 }
 
@@ -89,6 +90,7 @@
         return;
     }
     m_isServing = true;
+    m_servedAt = Core::Clock::now();
     std::set<std::string> services;
     for (const std::pair<const std::uint64_t, Waiting> &entry : m_requests) {
         services.insert(entry.second.m_service);
@@ -99,6 +101,13 @@
     m_isServing = false;
 }
 
+void WaitingRequests::placesChanged()
+{
+    if (Core::Clock::now() - m_servedAt >= LeastServePause) {
+        serve();
+    }
+}
+
 Placement::QueueForecast WaitingRequests::forecast(const std::string &service, Core::Instant now) const
 {
     Placement::QueueForecast forecast = m_forecast(service);
--- a/Libraries/LibRelay/WaitingRequests.h
+++ b/Libraries/LibRelay/WaitingRequests.h
@@ -47,6 +47,8 @@
     void leave(std::uint64_t ticket);
     /// Sends and gives up what can be decided now.
     void serve();
+    /// Serves, since places may have become free, unless the queue was served a moment ago.
+    void placesChanged();
 
 private:
     struct Waiting
@@ -74,6 +76,7 @@
     Http::Timer m_timer;
     bool m_isTimerSet = false;
     bool m_isServing = false;
+    Core::Instant m_servedAt;
     std::uint64_t m_lastTicket = 0;
     std::map<std::uint64_t, Waiting> m_requests; ///< By ticket.
     std::size_t m_bytes = 0; ///< Of the bodies of m_requests.
--- a/Tests/LibRelay/TestWaitingRequests.cpp
+++ b/Tests/LibRelay/TestWaitingRequests.cpp
@@ -25,3 +25,26 @@
     CHECK_FALSE(queue.isEmpty("models"));
     CHECK(queue.isEmpty("others"));
 }
+
+TEST_CASE("a burst of reports is acted upon once")
+{
+    // Guards against a process that does nothing but look at its queue again while hundreds of engines report.
+    constexpr std::size_t reports = 300;
+    Http::EventLoop loop;
+    std::size_t looks = 0;
+    Relay::WaitingRequests queue(
+        loop,
+        [&looks](const std::string &) {
+            ++looks;
+            return Placement::QueueForecast{};
+        },
+        Placement::QueueSettings{});
+    REQUIRE(queue.join("models", Placement::QueuedRequest{}, 0, {}));
+    const Core::Instant begun = Core::Clock::now();
+    for (std::size_t report = 0; report < reports; ++report) {
+        queue.placesChanged();
+    }
+    const std::int64_t spans = (Core::Clock::now() - begun) / Core::Duration(10);
+    CHECK(looks >= 1);
+    CHECK(looks <= static_cast<std::size_t>(spans) + 1);
+}
