LibStaging: Look at a nearly full engine as often as its load is told

An agent looked every 100 ms and told every 180 ms at the soonest, so that every second look was told: at 200 ms. One look at 180 ms, each told, halves the connections to engines and is no later.

--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Core::Duration TickInterval{250}; ///< Logs are flushed so often.
-constexpr Core::Duration LoadedReportInterval{180}; ///< Between reports of a nearly full engine, on top of the regular ones.
 constexpr std::size_t AdminConnections = 16;
 constexpr Core::Duration UnusedBound{8000}; ///< Agents route nothing; they only pass on how old declarations are.
 
@@ -165,12 +164,9 @@
     news.m_report.m_pace = status.m_pace;
     news.m_report.m_isLoading = status.m_isBusy || isAway;
     news.m_report.m_weights = status.m_weights;
-    // Entries admit requests by these reports; while an engine is nearly full, half a second is several requests.
-    const Core::Instant now = Core::Clock::now();
-    const bool isDue = m_keeper.isNearlyFull() && now - m_reportedAt >= LoadedReportInterval;
-    m_reportedAt = isDue || isChange ? now : m_reportedAt;
-    const Gossip::ReportUrgency soon = isDue ? Gossip::ReportUrgency::Soon : Gossip::ReportUrgency::Regular;
-    m_gossip.setEngineNews(std::move(news), isChange ? Gossip::ReportUrgency::Certain : soon);
+    // Entries admit requests by these reports.
+    const Gossip::ReportUrgency usual = m_keeper.isNearlyFull() ? Gossip::ReportUrgency::Soon : Gossip::ReportUrgency::Regular;
+    m_gossip.setEngineNews(std::move(news), isChange ? Gossip::ReportUrgency::Certain : usual);
 }
 
 void AgentProcess::membersChanged()
--- a/Libraries/LibStaging/AgentProcess.h
+++ b/Libraries/LibStaging/AgentProcess.h
@@ -60,7 +60,6 @@
     Http::Timer m_tick;
     std::function<std::optional<AgentSettings>()> m_reload;
     Core::Instant m_startedAt;
-    Core::Instant m_reportedAt; ///< When the engine's load was last told out of turn.
 };
 
 }
--- a/Libraries/LibStaging/WeightsKeeper.h
+++ b/Libraries/LibStaging/WeightsKeeper.h
@@ -24,7 +24,8 @@
     bool m_mayHoldWeights = false;
     Core::Duration m_statusInterval{250}; ///< Between looks at the engine: half of the interval at which its load is passed on.
     Core::Duration m_loadingInterval{60}; ///< The same while it loads, so that it is used again at once.
-    Core::Duration m_loadedInterval{100}; ///< The same while it is nearly full: it takes a request about every 100 ms then.
+    /// The same while it is nearly full, when each look is passed on: half a second is several requests then.
+    Core::Duration m_loadedInterval{180};
     Core::Duration m_absentInterval{100}; ///< The same while it does not answer, as after a start: a fraction of the time that its weights take.
     Core::Duration m_retryPause{200}; ///< After a failed step.
     std::size_t m_chunksAtOnce = 4; ///< Calls to the engine under way while chunks are staged or read back.
