--- a/Libraries/LibFleet/Beliefs.cpp
+++ b/Libraries/LibFleet/Beliefs.cpp
@@ -60,7 +60,7 @@
     std::erase_if(m_endpoints, [&endpoint](const std::pair<const std::string, KnownEndpoint> &entry) { return replaces(endpoint, entry.second.m_endpoint); });
 }
 
-bool Beliefs::applyOne(const EndpointChange &change, bool mayBeOutage, Core::Instant now)
+bool Beliefs::applyOne(const EndpointChange &change, std::optional<Core::Instant> regainedAt)
 {
     const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
     if (known != m_endpoints.end() && change.m_offset <= known->second.m_offset) {
@@ -70,13 +70,13 @@
         if (known == m_endpoints.end()) {
             return false;
         }
-        if (!mayBeOutage) {
+        if (!regainedAt) {
             m_endpoints.erase(known);
             return true;
         }
         known->second.m_offset = change.m_offset;
         const bool isNew = !known->second.m_missingSince;
-        known->second.m_missingSince = isNew ? now : *known->second.m_missingSince;
+        known->second.m_missingSince = isNew ? *regainedAt : *known->second.m_missingSince;
         return isNew;
     }
     if (known == m_endpoints.end()) {
@@ -99,7 +99,7 @@
     return isChanged;
 }
 
-bool Beliefs::removeUnnamed(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now)
+bool Beliefs::removeUnnamed(const EndpointChanges &changes, std::optional<Core::Instant> regainedAt)
 {
     std::set<std::string> named;
     for (const EndpointChange &change : changes.m_changes) {
@@ -112,9 +112,9 @@
             ++it;
             continue;
         }
-        if (mayBeOutage) {
+        if (regainedAt) {
             if (!it->second.m_missingSince) {
-                it->second.m_missingSince = now;
+                it->second.m_missingSince = regainedAt;
                 isChanged = true;
             }
             ++it;
@@ -126,20 +126,20 @@
     return isChanged;
 }
 
-bool Beliefs::noteMissing(const EndpointChange &change, Core::Instant now)
+bool Beliefs::noteMissing(const EndpointChange &change, Core::Instant since)
 {
     const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
     if (!change.m_isMissing || known == m_endpoints.end() || known->second.m_offset > change.m_offset || known->second.m_missingSince) {
         return false;
     }
-    known->second.m_missingSince = now;
+    known->second.m_missingSince = since;
     return true;
 }
 
-BeliefUpdate Beliefs::apply(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now)
+BeliefUpdate Beliefs::apply(const EndpointChanges &changes, std::optional<Core::Instant> regainedAt, Core::Instant now)
 {
     BeliefUpdate update;
-    if (changes.m_isSnapshot && changes.m_end >= m_endpointsEnd && removeUnnamed(changes, mayBeOutage, now)) {
+    if (changes.m_isSnapshot && changes.m_end >= m_endpointsEnd && removeUnnamed(changes, regainedAt)) {
         update.m_endpoints = true;
         m_endpointsMark = std::max(m_endpointsMark, changes.m_mark > 0 ? changes.m_mark : changes.m_end);
     }
@@ -149,8 +149,8 @@
         if (isOld) {
             continue;
         }
-        const bool isChanged = applyOne(change, mayBeOutage, now);
-        if (noteMissing(change, now) || isChanged) {
+        const bool isChanged = applyOne(change, regainedAt);
+        if (noteMissing(change, regainedAt.value_or(now)) || isChanged) {
             update.m_endpoints = true;
             m_endpointsMark = std::max(m_endpointsMark, changes.m_mark > 0 ? changes.m_mark : change.m_offset + 1);
         }
--- a/Libraries/LibFleet/Beliefs.h
+++ b/Libraries/LibFleet/Beliefs.h
@@ -69,11 +69,12 @@
     bool m_isSnapshot = false; ///< The newest record of every endpoint; one that is not named is gone.
     std::vector<EndpointChange> m_changes;
     Offset m_mark = 0; ///< From a peer: see Beliefs::endpointsMark().
-    bool m_isDoubtful = false; ///< From a peer: it could not read the list shortly before, so entries may have lapsed although their endpoints live.
+    /// From a peer: the time for which the list has been within its reach again, if entries may still be missing since then although their endpoints live.
+    std::optional<std::uint64_t> m_regainedMilliseconds;
 
     bool operator==(const EndpointChanges &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_end, m_isSnapshot, m_changes, m_mark, m_isDoubtful);
+    MSGPACK_DEFINE_ARRAY(m_end, m_isSnapshot, m_changes, m_mark, m_regainedMilliseconds);
 };
 
 /// Which parts of the beliefs a record changed.
@@ -94,7 +95,8 @@
 {
     Endpoint m_endpoint;
     Offset m_offset = 0; ///< Of the newest record about it.
-    std::optional<Core::Instant> m_missingSince; ///< Its entry is gone, for a reason that may be the list's own outage.
+    /// Its entry is gone, for a reason that may be the list's own outage: when the list came back, from which on the entry should have done so too.
+    std::optional<Core::Instant> m_missingSince;
 };
 
 /**
@@ -110,12 +112,12 @@
     BeliefUpdate apply(const Declarations &declarations);
 
     /**
-     * Takes records of the list of endpoints. @p mayBeOutage: the list was out of reach shortly before, so that entries may have lapsed
-     * although their endpoints live.
+     * Takes records of the list of endpoints. @p regainedAt: when the list came within reach again, if that is so short ago that entries may have
+     * lapsed although their endpoints live; their time to come back counts from then.
      */
-    BeliefUpdate apply(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now);
+    BeliefUpdate apply(const EndpointChanges &changes, std::optional<Core::Instant> regainedAt, Core::Instant now);
 
-    /// Lets go of endpoints whose entries have been missing for longer than @p grace.
+    /// Lets go of endpoints whose entries have not come back within @p grace.
     BeliefUpdate forgetMissing(Core::Duration grace, Core::Instant now);
 
     const Declarations &declarations() const
@@ -148,15 +150,15 @@
     const DeclaredWeights *declaredWeights(const std::string &model) const;
 
 private:
-    bool applyOne(const EndpointChange &change, bool mayBeOutage, Core::Instant now);
+    bool applyOne(const EndpointChange &change, std::optional<Core::Instant> regainedAt);
     /// Whether another endpoint of the service has started later at the same address: this one is no more, though its entry still stands.
     bool isReplaced(const Endpoint &endpoint) const;
     void dropReplacedBy(const Endpoint &endpoint);
-    bool removeUnnamed(const EndpointChanges &changes, bool mayBeOutage, Core::Instant now);
+    bool removeUnnamed(const EndpointChanges &changes, std::optional<Core::Instant> regainedAt);
 
     Declarations m_declarations;
     std::shared_ptr<const ConfigurationIndex> m_index;
-    bool noteMissing(const EndpointChange &change, Core::Instant now);
+    bool noteMissing(const EndpointChange &change, Core::Instant since);
 
     Offset m_endpointsEnd = 0;
     Offset m_endpointsMark = 0; ///< At most m_endpointsEnd.
--- a/Libraries/LibFollow/Follower.cpp
+++ b/Libraries/LibFollow/Follower.cpp
@@ -40,7 +40,7 @@
     m_onUnreachable = std::move(callback);
 }
 
-void Follower::onEndpointsRead(std::function<void()> callback)
+void Follower::onEndpointsRead(std::function<void(Core::Instant asked)> callback)
 {
     m_onEndpointsRead = std::move(callback);
 }
@@ -50,11 +50,21 @@
     m_mayRest = std::move(mayRest);
 }
 
-bool Follower::isListDoubtful() const
+std::optional<Core::Instant> Follower::outageEnd() const
 {
     const Core::Instant now = Core::Clock::now();
-    const bool isNew = m_startedAt && now - *m_startedAt < m_settings.m_outageMemory;
-    return isNew || (m_endpoints.m_failedAt && now - *m_endpoints.m_failedAt < m_settings.m_outageMemory);
+    if (m_endpoints.m_failures > 0) {
+        return now;
+    }
+    const bool isRecent = m_endpoints.m_regainedAt && now - *m_endpoints.m_regainedAt < m_settings.m_outageMemory;
+    return isRecent ? m_endpoints.m_regainedAt : std::nullopt;
+}
+
+std::optional<Core::Instant> Follower::doubtfulSince() const
+{
+    const std::optional<Core::Instant> end = outageEnd();
+    const bool isNew = m_startedAt && Core::Clock::now() - *m_startedAt < m_settings.m_outageMemory;
+    return end || !isNew ? end : m_startedAt;
 }
 
 void Follower::forgetMissing()
@@ -62,7 +72,7 @@
     if (m_endpoints.m_failures == 0) {
         tell(m_parts.m_beliefs.forgetMissing(m_settings.m_outageMemory, Core::Clock::now()));
     }
-    m_forgetTimer.expires_after(m_settings.m_endpointsInterval);
+    m_forgetTimer.expires_after(m_settings.m_forgetInterval);
     m_forgetTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code &error) {
         if (*alive && !error) {
             forgetMissing();
@@ -119,7 +129,6 @@
         m_parts.m_log.write(Telemetry::LogLine("log_unreachable").text("what", what).text("error", error.message()));
     }
     ++reading.m_failures;
-    reading.m_failedAt = Core::Clock::now();
     if (m_onUnreachable) {
         m_onUnreachable();
     }
@@ -186,9 +195,9 @@
 void Follower::readEndpoints()
 {
     m_reads.add();
-    EndpointsRead done = [this, alive = m_isAlive](Core::Result<Fleet::EndpointChanges> result) {
+    EndpointsRead done = [this, alive = m_isAlive, asked = Core::Clock::now()](Core::Result<Fleet::EndpointChanges> result) {
         if (*alive) {
-            endpointsCame(std::move(result));
+            endpointsCame(std::move(result), asked);
         }
     };
     if (m_endpoints.m_next == 0) {
@@ -199,7 +208,7 @@
     m_source.m_readEndpoints(std::max(m_endpoints.m_next, m_parts.m_beliefs.endpointsEnd()), std::move(done));
 }
 
-void Follower::endpointsCame(Core::Result<Fleet::EndpointChanges> result)
+void Follower::endpointsCame(Core::Result<Fleet::EndpointChanges> result, Core::Instant asked)
 {
     const Core::Instant now = Core::Clock::now();
     if (!result) {
@@ -212,14 +221,13 @@
     }
     if (m_endpoints.m_failures > 0) {
         m_parts.m_log.write(Telemetry::LogLine("log_regained").text("what", "endpoints"));
+        m_endpoints.m_regainedAt = now;
     }
     m_endpoints.m_failures = 0;
     m_endpoints.m_next = result.value().m_end;
-    const bool mayBeOutage = m_endpoints.m_failedAt && now - *m_endpoints.m_failedAt < m_settings.m_outageMemory;
-    const Fleet::BeliefUpdate update = m_parts.m_beliefs.apply(result.value(), mayBeOutage, now);
-    tell(update);
+    tell(m_parts.m_beliefs.apply(result.value(), outageEnd(), now));
     if (m_onEndpointsRead) {
-        m_onEndpointsRead();
+        m_onEndpointsRead(asked);
     }
     again(m_endpoints, m_settings.m_endpointsInterval, &Follower::readEndpoints);
 }
--- a/Libraries/LibFollow/Follower.h
+++ b/Libraries/LibFollow/Follower.h
@@ -20,7 +20,8 @@
     Core::Duration m_firstRetry{150};
     Core::Duration m_longestRetry{1200};
     Core::Duration m_restInterval{200}; ///< Between looks whether this process still may rest: a fraction of the age at which it may not.
-    Core::Duration m_outageMemory{2500}; ///< After a failed read entries that vanish may only have lapsed; live endpoints are back within two seconds.
+    Core::Duration m_outageMemory{2500}; ///< After an outage, for which entries that vanish may only have lapsed; live endpoints are back within two seconds.
+    Core::Duration m_forgetInterval{200}; ///< Between looks for entries that have not come back: an engine behind one may be leaving.
 
     bool operator==(const FollowerSettings &) const = default;
 };
@@ -51,12 +52,15 @@
     /// Called with each failed read, so that peers can be asked.
     void onUnreachable(std::function<void()> callback);
 
-    /// Called after every read of the list of endpoints that succeeded.
-    void onEndpointsRead(std::function<void()> callback);
+    /// Called after every read of the list of endpoints that succeeded. @p asked: when it was sent, as of which the list is known.
+    void onEndpointsRead(std::function<void(Core::Instant asked)> callback);
     /// Asked before each read but the first: while it says yes, peers keep this process up to date and nothing is read.
     void onMayRest(std::function<bool()> mayRest);
-    /// Entries may have lapsed from the list though their endpoints live: it could not be read shortly before, or has just been read first.
-    bool isListDoubtful() const;
+    /**
+     * When the list came within reach again, or was first read, if that is so short ago that entries may have lapsed from it though their endpoints
+     * live. Now, while it is out of reach.
+     */
+    std::optional<Core::Instant> doubtfulSince() const;
 
     /// Begins to read. Without effect once begun.
     void start();
@@ -77,19 +81,21 @@
         Http::Timer m_timer;
         Fleet::Offset m_next = 0; ///< Where the next read begins; 0 before everything was read.
         std::uint32_t m_failures = 0; ///< In a row.
-        std::optional<Core::Instant> m_failedAt; ///< When a read last failed.
+        std::optional<Core::Instant> m_regainedAt; ///< When a read last succeeded after one that had failed.
     };
 
     void readDeclarations();
     void declarationsCame(Core::Result<Fleet::Declarations> result, bool isFirst);
     void noteAcceptance(const Fleet::Declarations &declarations, bool isFirst);
     void readEndpoints();
-    void endpointsCame(Core::Result<Fleet::EndpointChanges> result);
+    void endpointsCame(Core::Result<Fleet::EndpointChanges> result, Core::Instant asked);
     /// Lets go of endpoints that stay missing, unless the list is out of reach: whether they are back cannot be seen then.
     void forgetMissing();
     void failed(Reading &reading, const Core::Error &error, const char *what);
     void again(Reading &reading, Core::Duration pause, void (Follower::*read)());
     bool mayRest(const Reading &reading) const;
+    /// The same as doubtfulSince(), but for processes that have just started.
+    std::optional<Core::Instant> outageEnd() const;
     Core::Duration retryPause(const Reading &reading);
     void tell(const Fleet::BeliefUpdate &update);
 
@@ -102,7 +108,7 @@
     bool m_isStarted = false;
     std::function<void(const Fleet::BeliefUpdate &)> m_onUpdate;
     std::function<void()> m_onUnreachable;
-    std::function<void()> m_onEndpointsRead;
+    std::function<void(Core::Instant asked)> m_onEndpointsRead;
     std::function<bool()> m_mayRest;
     std::optional<Core::Instant> m_startedAt;
     Telemetry::Counter &m_reads;
--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -70,7 +70,7 @@
     return Core::success();
 }
 
-void GossipService::onEngineNews(std::function<void(const EngineNews &)> callback)
+void GossipService::onEngineNews(std::function<void(const std::vector<EngineNews> &)> callback)
 {
     m_onEngineNews = std::move(callback);
 }
@@ -157,27 +157,30 @@
 void GossipService::takeEngines(const Heartbeat &heartbeat)
 {
     const bool isFirstHand = heartbeat.m_sender.m_role == Role::Agent;
+    const Core::Instant now = Core::Clock::now();
+    std::vector<EngineNews> fresh;
     for (const EngineNews &news : heartbeat.m_engines) {
         if (!isNews(news)) {
             continue;
         }
-        m_members.heardAlive(news.m_agentIncarnation, Core::Clock::now());
-        if (m_onEngineNews) {
-            m_onEngineNews(news);
-        }
+        m_members.heardAlive(news.m_agentIncarnation, now);
+        fresh.push_back(news);
         if (isFirstHand && m_self.m_role == Role::Entry) {
             passOnLater(news);
         }
     }
+    if (!fresh.empty() && m_onEngineNews) {
+        m_onEngineNews(fresh);
+    }
 }
 
 bool GossipService::isNews(const EngineNews &news)
 {
-    std::pair<std::uint32_t, std::uint64_t> &heard = m_reportsHeard[news.m_address];
-    if (heard.first == news.m_agentIncarnation && news.m_number <= heard.second) {
+    std::uint64_t &heard = m_reportsHeard[news.m_agentIncarnation]; // Reports are numbered from 1.
+    if (news.m_number <= heard) {
         return false;
     }
-    heard = {news.m_agentIncarnation, news.m_number};
+    heard = news.m_number;
     return true;
 }
 
@@ -220,10 +223,13 @@
 
 void GossipService::answerNewcomer(const Heartbeat &heartbeat)
 {
-    const Core::Instant now = Core::Clock::now();
-    const std::size_t known = m_members.countAlive(now);
     constexpr double muchLess = 0.7; // Of what is known here.
-    if (static_cast<double>(heartbeat.m_knownMembers) >= static_cast<double>(known) * muchLess) {
+    const std::function<bool(std::size_t)> knowsMuchLess = [&heartbeat](std::size_t known) {
+        return static_cast<double>(heartbeat.m_knownMembers) < static_cast<double>(known) * muchLess;
+    };
+    const Core::Instant now = Core::Clock::now();
+    // To find out who lives takes a look at every member, and nearly every datagram comes from a process that knows as many.
+    if (!knowsMuchLess(m_members.countKnown()) || !knowsMuchLess(m_members.countAlive(now))) {
         return;
     }
     Core::Instant &answered = m_newcomersAnswered[heartbeat.m_sender.m_id];
@@ -321,14 +327,14 @@
     sendHeartbeat(std::move(heartbeat), seedTargets());
 }
 
-void GossipService::beatAsAgent(bool isUrgent)
+void GossipService::beatAsAgent(ReportUrgency urgency)
 {
     Heartbeat heartbeat = makeHeartbeat(0);
     std::vector<Core::Address> targets = seedTargets();
     std::vector<Core::Address> entries;
     if (m_engine) {
         heartbeat.m_engines = {*m_engine};
-        entries = reportTargets(m_members.alive(Role::Entry, Core::Clock::now()), isUrgent, m_settings.m_reports, m_parts.m_random);
+        entries = reportTargets(m_members.alive(Role::Entry, Core::Clock::now()), m_self.m_failureDomain, urgency, m_settings.m_reports, m_parts.m_random);
     } else {
         entries = fewOf(Role::Entry);
     }
@@ -336,12 +342,12 @@
     sendHeartbeat(std::move(heartbeat), targets);
 }
 
-void GossipService::beat(bool isUrgent)
+void GossipService::beat(ReportUrgency urgency)
 {
     if (m_self.m_role == Role::Entry) {
         beatAsEntry();
     } else {
-        beatAsAgent(isUrgent);
+        beatAsAgent(urgency);
     }
 }
 
@@ -349,11 +355,9 @@
 {
     const Core::Instant now = Core::Clock::now();
     m_members.forget(now);
-    std::erase_if(m_reportsHeard, [this](const std::pair<const Core::Address, std::pair<std::uint32_t, std::uint64_t>> &heard) {
-        return !m_members.knows(heard.second.first);
-    });
+    std::erase_if(m_reportsHeard, [this](const std::pair<const std::uint32_t, std::uint64_t> &heard) { return !m_members.knows(heard.first); });
     std::erase_if(m_newcomersAnswered, [now](const std::pair<const std::string, Core::Instant> &entry) { return now - entry.second > NewcomerInterval; });
-    beat(false);
+    beat(ReportUrgency::Regular);
     if (m_onMembers) {
         m_onMembers();
     }
@@ -371,7 +375,7 @@
     if (m_self.m_isReady != isReady) {
         m_self.m_isReady = isReady;
         ++m_self.m_revision;
-        beat(false);
+        beat(ReportUrgency::Regular);
     }
 }
 
@@ -402,7 +406,7 @@
     news.m_number = ++m_reportNumber;
     m_engine = std::move(news);
     if (urgency != ReportUrgency::Regular) {
-        beat(urgency == ReportUrgency::Certain);
+        beat(urgency);
     }
 }
 
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -16,6 +16,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <memory>
+#include <unordered_map>
 
 namespace Gossip {
 
@@ -45,13 +46,6 @@
 /// Settings of a node that listens on @p peers and calls from the same host.
 Wire::NodeSettings nodeSettings(const Core::Address &peers);
 
-/// How soon the entries need a report.
-enum class ReportUrgency {
-    Regular, ///< With the next heartbeat.
-    Soon, ///< Now; the next one makes up for it if it is lost.
-    Certain, ///< Now, and it must reach every entry: what it says decides where requests may go.
-};
-
 /// What the service works with. Everything outlives it.
 struct GossipParts
 {
@@ -85,8 +79,8 @@
 
     /// Called after state from a peer has been applied.
     void onStateApplied(std::function<void(const Fleet::BeliefUpdate &update)> callback);
-    /// Called for each engine report.
-    void onEngineNews(std::function<void(const EngineNews &news)> callback);
+    /// Called with the engine reports of a datagram that are newer than all before.
+    void onEngineNews(std::function<void(const std::vector<EngineNews> &news)> callback);
     /// Called when the set of live members may have changed.
     void onMembers(std::function<void()> callback);
 
@@ -97,19 +91,19 @@
     void setSeedHosts(std::vector<std::string> hosts);
     /// Tells everybody at once that this process takes no new work.
     void announceLeaving();
-    /// Sends this engine report with the next heartbeats, and now if it is not ReportUrgency::Regular.
+    /// Sends this engine report with the next heartbeats, and now unless it is ReportUrgency::Regular.
     void setEngineNews(EngineNews news, ReportUrgency urgency);
     /// Sends a heartbeat to many, since the beliefs have changed.
     void spread();
     /// The same to agents alone, on news that came from a peer. Few entries read the log, and what they send reaches two in five agents; the others would
     /// begin to draw a new version up to half a second later.
     void spreadToAgents();
-    /// Notes that the list of endpoints has just been read, and tells the entries nearby, which then need not read it.
-    void listRead();
+    /// Notes that the list of endpoints is known here as of @p asked, and tells the entries nearby, which then need not read it.
+    void listRead(Core::Instant asked);
     /// Time since what is known here of the list was known to be its newest state; empty if it never was.
     std::optional<Core::Duration> listAge() const;
-    /// Tells whether entries may have lapsed from the list as known here.
-    void onListDoubt(std::function<bool()> isDoubtful);
+    /// Asked since when entries may have lapsed from the list as known here; empty if they have not.
+    void onListDoubt(std::function<std::optional<Core::Instant>()> doubtfulSince);
     /// Asks a live entry for what it knows, since the log is out of reach.
     void pullFromAnyEntry();
 
@@ -140,13 +134,13 @@
     void passOnLater(const EngineNews &news);
     void passOn();
     void tick();
-    void beat(bool isUrgent);
+    void beat(ReportUrgency urgency);
     /// With @p sampled members in full and without notes.
     Heartbeat makeHeartbeat(std::size_t sampled);
     void sendTo(const Core::Address &peer, const std::string &encoded);
     void sendHeartbeat(Heartbeat heartbeat, const std::vector<Core::Address> &targets);
     void beatAsEntry();
-    void beatAsAgent(bool isUrgent);
+    void beatAsAgent(ReportUrgency urgency);
     /// The seeds, if this process still has to find the others.
     std::vector<Core::Address> seedTargets() const;
     /// Some members of a role, near ones above all.
@@ -167,7 +161,7 @@
     Http::Timer m_timer;
     std::optional<EngineNews> m_engine;
     std::uint64_t m_reportNumber = 0; ///< Of the newest report of this agent.
-    std::map<Core::Address, std::pair<std::uint32_t, std::uint64_t>> m_reportsHeard; ///< By engine: incarnation of the agent and number of its newest report.
+    std::unordered_map<std::uint32_t, std::uint64_t> m_reportsHeard; ///< Number of the newest report, by incarnation of the agent.
     std::vector<EngineNews> m_toPassOn;
     Http::Timer m_relayTimer;
     std::optional<Core::Instant> m_entryHeardAt;
@@ -176,8 +170,8 @@
     bool m_isPulling = false;
     std::function<void(const Fleet::BeliefUpdate &)> m_onStateApplied;
     LogKnowledge m_logKnowledge; ///< When what is known of the list was known to be its newest state.
-    std::function<bool()> m_isListDoubtful;
-    std::function<void(const EngineNews &)> m_onEngineNews;
+    std::function<std::optional<Core::Instant>()> m_listDoubtfulSince;
+    std::function<void(const std::vector<EngineNews> &)> m_onEngineNews;
     std::function<void()> m_onMembers;
     Telemetry::Counter &m_datagramsSent;
     Telemetry::Counter &m_datagramsBad;
--- a/Libraries/LibGossip/GossipState.cpp
+++ b/Libraries/LibGossip/GossipState.cpp
@@ -59,9 +59,9 @@
     m_logKnowledge.m_confirmedAt = std::max(m_logKnowledge.m_confirmedAt.value_or(at), at);
 }
 
-void GossipService::listRead()
+void GossipService::listRead(Core::Instant asked)
 {
-    listConfirmed(Core::Clock::now());
+    listConfirmed(asked);
     const std::string encoded = Wire::pack(makeHeartbeat(0));
     for (const Member &entry : nearMembers(Role::Entry)) {
         sendTo(entry.m_peers, encoded);
@@ -76,9 +76,9 @@
     return std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_logKnowledge.m_confirmedAt);
 }
 
-void GossipService::onListDoubt(std::function<bool()> isDoubtful)
+void GossipService::onListDoubt(std::function<std::optional<Core::Instant>()> doubtfulSince)
 {
-    m_isListDoubtful = std::move(isDoubtful);
+    m_listDoubtfulSince = std::move(doubtfulSince);
 }
 
 void GossipService::takeWeights(const std::vector<AgedWeights> &weights)
@@ -140,7 +140,11 @@
     }
     if (!request.m_forAgent && m_parts.m_beliefs.endpointsMark() > request.m_endpointsMark) {
         answer.m_endpoints = m_parts.m_beliefs.endpointSnapshot();
-        answer.m_endpoints.m_isDoubtful = m_isListDoubtful && m_isListDoubtful();
+        const std::optional<Core::Instant> since = m_listDoubtfulSince ? m_listDoubtfulSince() : std::nullopt;
+        if (since) {
+            const Core::Duration regained = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *since);
+            answer.m_endpoints.m_regainedMilliseconds = static_cast<std::uint64_t>(regained.count());
+        }
     }
     return answer;
 }
@@ -183,7 +187,12 @@
     Fleet::BeliefUpdate update = m_parts.m_beliefs.apply(answer.value().m_declarations);
     if (answer.value().m_endpoints.m_isSnapshot) {
         const Fleet::EndpointChanges &endpoints = answer.value().m_endpoints;
-        update.m_endpoints = m_parts.m_beliefs.apply(endpoints, endpoints.m_isDoubtful, Core::Clock::now()).m_endpoints;
+        const Core::Instant now = Core::Clock::now();
+        std::optional<Core::Instant> regainedAt;
+        if (endpoints.m_regainedMilliseconds) {
+            regainedAt = now - Core::Duration(*endpoints.m_regainedMilliseconds);
+        }
+        update.m_endpoints = m_parts.m_beliefs.apply(endpoints, regainedAt, now).m_endpoints;
     }
     if (update.any() && m_onStateApplied) {
         m_onStateApplied(update);
--- a/Libraries/LibGossip/Membership.cpp
+++ b/Libraries/LibGossip/Membership.cpp
@@ -29,7 +29,7 @@
         if (!isFirstHand && !isSilent) {
             return false;
         }
-        m_ids.erase(entry.m_member.m_incarnation);
+        m_byIncarnation.erase(entry.m_member.m_incarnation);
         remember(member, now);
         return true;
     }
@@ -51,27 +51,29 @@
 
 void Membership::remember(const Member &member, Core::Instant now)
 {
-    m_known[member.m_id] = Known{member, now};
-    m_ids[member.m_incarnation] = member.m_id;
+    Known &known = m_known[member.m_id];
+    known = Known{member, now};
+    m_byIncarnation[member.m_incarnation] = &known;
+}
+
+Membership::Known *Membership::find(std::uint32_t incarnation)
+{
+    const std::unordered_map<std::uint32_t, Known *>::iterator found = m_byIncarnation.find(incarnation);
+    return found == m_byIncarnation.end() ? nullptr : found->second;
 }
 
 std::vector<std::uint32_t> Membership::heardBeats(const std::vector<BeatNote> &beats, Core::Instant now)
 {
     std::vector<std::uint32_t> lacking;
     for (const BeatNote &note : beats) {
-        const std::unordered_map<std::uint32_t, std::string>::const_iterator id = m_ids.find(note.m_incarnation);
-        if (id == m_ids.end()) {
-            lacking.push_back(note.m_incarnation);
-            continue;
-        }
-        Known &entry = m_known.at(id->second);
-        if (note.m_revision > entry.m_member.m_revision) {
+        Known *known = find(note.m_incarnation);
+        if (!known || note.m_revision > known->m_member.m_revision) {
             lacking.push_back(note.m_incarnation);
         }
-        if (note.m_beat > entry.m_member.m_beat) {
-            entry.m_member.m_beat = note.m_beat;
-            entry.m_member.m_requestsPerSecond = note.m_requestsPerSecond;
-            entry.m_heardAt = now;
+        if (known && note.m_beat > known->m_member.m_beat) {
+            known->m_member.m_beat = note.m_beat;
+            known->m_member.m_requestsPerSecond = note.m_requestsPerSecond;
+            known->m_heardAt = now;
         }
     }
     return lacking;
@@ -81,9 +83,9 @@
 {
     std::vector<Member> members;
     for (const std::uint32_t incarnation : incarnations) {
-        const std::unordered_map<std::uint32_t, std::string>::const_iterator id = m_ids.find(incarnation);
-        if (id != m_ids.end()) {
-            members.push_back(m_known.at(id->second).m_member);
+        const std::unordered_map<std::uint32_t, Known *>::const_iterator known = m_byIncarnation.find(incarnation);
+        if (known != m_byIncarnation.end()) {
+            members.push_back(known->second->m_member);
         }
     }
     return members;
@@ -91,32 +93,33 @@
 
 void Membership::heardAlive(std::uint32_t incarnation, Core::Instant now)
 {
-    const std::unordered_map<std::uint32_t, std::string>::const_iterator id = m_ids.find(incarnation);
-    if (id != m_ids.end()) {
-        m_known.at(id->second).m_heardAt = now;
+    Known *known = find(incarnation);
+    if (known) {
+        known->m_heardAt = now;
     }
 }
 
 bool Membership::knows(std::uint32_t incarnation) const
 {
-    return m_ids.contains(incarnation);
+    return m_byIncarnation.contains(incarnation);
 }
 
-Core::Duration Membership::silenceLimit(Role role) const
+Membership::SilenceLimits Membership::silenceLimits() const
 {
-    const std::int64_t members = std::count_if(
-        m_known.begin(), m_known.end(), [role](const std::pair<const std::string, Known> &entry) { return entry.second.m_member.m_role == role; });
-    return std::max(m_settings.m_silenceLimit, m_settings.m_silencePerMember * members);
+    const std::int64_t entries = std::count_if(
+        m_known.begin(), m_known.end(), [](const std::pair<const std::string, Known> &known) { return known.second.m_member.m_role == Role::Entry; });
+    const std::int64_t agents = static_cast<std::int64_t>(m_known.size()) - entries;
+    return SilenceLimits{std::max(m_settings.m_silenceLimit, m_settings.m_silencePerMember * entries),
+                         std::max(m_settings.m_silenceLimit, m_settings.m_silencePerMember * agents)};
 }
 
 std::vector<const Member *> Membership::livePointers(Core::Instant now) const
 {
-    const Core::Duration entryLimit = silenceLimit(Role::Entry);
-    const Core::Duration agentLimit = silenceLimit(Role::Agent);
+    const SilenceLimits limits = silenceLimits();
     std::vector<const Member *> members;
     members.reserve(m_known.size());
     for (const std::pair<const std::string, Known> &entry : m_known) {
-        const Core::Duration limit = entry.second.m_member.m_role == Role::Entry ? entryLimit : agentLimit;
+        const Core::Duration limit = entry.second.m_member.m_role == Role::Entry ? limits.m_entry : limits.m_agent;
         if (now - entry.second.m_heardAt <= limit) {
             members.push_back(&entry.second.m_member);
         }
@@ -177,7 +180,7 @@
     std::erase_if(m_known, [this, now](const std::pair<const std::string, Known> &entry) {
         const bool isOld = now - entry.second.m_heardAt > m_settings.m_forgetAfter;
         if (isOld) {
-            m_ids.erase(entry.second.m_member.m_incarnation);
+            m_byIncarnation.erase(entry.second.m_member.m_incarnation);
         }
         return isOld;
     });
--- a/Libraries/LibGossip/Membership.h
+++ b/Libraries/LibGossip/Membership.h
@@ -103,6 +103,11 @@
     std::vector<Member> alive(Core::Instant now) const;
     std::vector<Member> alive(Role role, Core::Instant now) const;
     std::size_t countAlive(Core::Instant now) const;
+    /// Every other member that is known, also those that are dead and not yet forgotten.
+    std::size_t countKnown() const
+    {
+        return m_known.size();
+    }
     /// Notes of up to @p count live members, chosen at random; of one role only if it is given.
     std::vector<BeatNote> sampleBeats(std::size_t count, std::optional<Role> role, Core::Instant now, Core::Random &random) const;
     /// Up to @p count live members, chosen at random.
@@ -118,13 +123,22 @@
     };
 
     void remember(const Member &member, Core::Instant now);
+    /// Null if no member has this incarnation.
+    Known *find(std::uint32_t incarnation);
     std::vector<const Member *> livePointers(Core::Instant now) const;
-    Core::Duration silenceLimit(Role role) const;
+    /// Silence after which members are dead.
+    struct SilenceLimits
+    {
+        Core::Duration m_entry;
+        Core::Duration m_agent;
+    };
+
+    SilenceLimits silenceLimits() const;
 
     const std::string m_self;
     const MembershipSettings m_settings;
     std::map<std::string, Known> m_known; ///< By id; never holds this process.
-    std::unordered_map<std::uint32_t, std::string> m_ids; ///< By incarnation; exactly one for each entry of m_known.
+    std::unordered_map<std::uint32_t, Known *> m_byIncarnation; ///< Exactly one for each entry of m_known, to which it points.
 };
 
 /// Moves a random choice of @p count elements to the front and cuts the rest off.
--- a/Libraries/LibGossip/ReportFanOut.cpp
+++ b/Libraries/LibGossip/ReportFanOut.cpp
@@ -24,7 +24,8 @@
     return entriesInDomain > fanOut.m_mostDirect;
 }
 
-std::vector<Core::Address> reportTargets(const std::vector<Member> &entries, bool isUrgent, const ReportFanOut &fanOut, Core::Random &random)
+std::vector<Core::Address>
+reportTargets(const std::vector<Member> &entries, const std::string &failureDomain, ReportUrgency urgency, const ReportFanOut &fanOut, Core::Random &random)
 {
     std::map<std::string, std::vector<Member>> byDomain;
     for (const Member &entry : entries) {
@@ -33,9 +34,13 @@
     std::vector<Core::Address> targets;
     for (std::pair<const std::string, std::vector<Member>> &domain : byDomain) {
         std::vector<Member> &chosen = domain.second;
-        if (passesReportsOn(chosen.size(), fanOut)) {
+        const bool isRelayed = passesReportsOn(chosen.size(), fanOut);
+        if (isRelayed && urgency == ReportUrgency::Soon && domain.first != failureDomain) {
+            continue;
+        }
+        if (isRelayed) {
             chosen = relaysOf(std::move(chosen), fanOut.m_relays);
-            keepRandom(chosen, isUrgent ? fanOut.m_urgentCopies : 1, random);
+            keepRandom(chosen, urgency == ReportUrgency::Certain ? fanOut.m_urgentCopies : 1, random);
         }
         for (const Member &entry : chosen) {
             targets.push_back(entry.m_peers);
--- a/Libraries/LibGossip/ReportFanOut.h
+++ b/Libraries/LibGossip/ReportFanOut.h
@@ -5,11 +5,19 @@
 
 namespace Gossip {
 
+/// How soon the entries need a report.
+enum class ReportUrgency {
+    Regular, ///< With the next heartbeat.
+    Soon, ///< Now, in the engine's own failure domain above all; the next one makes up for it if it is lost.
+    Certain, ///< Now, and it must reach every entry: what it says decides where requests may go.
+};
+
 /**
  * How reports of engines reach every entry.
  *
  * If each agent told each entry, the datagrams would grow with the product of both: 58 agents and 52 entries at three reports a second would make 9,000 a
- * second, and the links between regions carry each one alone. In a large failure domain a few entries therefore take the reports and pass them on in batches.
+ * second, and the links between regions carry each one alone. In a large failure domain a few entries therefore take the reports and pass them on in batches,
+ * and those between two heartbeats stay in the engine's own one, whose entries send it most of its requests.
  */
 struct ReportFanOut
 {
@@ -24,8 +32,9 @@
     bool operator==(const ReportFanOut &) const = default;
 };
 
-/// Entries that a report is sent to. @p isUrgent: it must reach every entry in spite of a lost datagram or a dead relay.
-std::vector<Core::Address> reportTargets(const std::vector<Member> &entries, bool isUrgent, const ReportFanOut &fanOut, Core::Random &random);
+/// Entries that a report of an engine in @p failureDomain is sent to.
+std::vector<Core::Address>
+reportTargets(const std::vector<Member> &entries, const std::string &failureDomain, ReportUrgency urgency, const ReportFanOut &fanOut, Core::Random &random);
 
 /// Whether an entry passes on what agents report to it. @p entriesInDomain: in its failure domain, itself included.
 bool passesReportsOn(std::size_t entriesInDomain, const ReportFanOut &fanOut);
--- a/Libraries/LibPlacement/EndpointBook.cpp
+++ b/Libraries/LibPlacement/EndpointBook.cpp
@@ -11,6 +11,14 @@
 constexpr double AverageWeight = 0.1; ///< Of a new answer time in the moving average: about the last ten answers.
 constexpr std::uint32_t MaximumDoublings = 5;
 
+void noteLoad(EndpointRecord &entry, std::uint32_t running, std::uint32_t waiting, Core::Instant now)
+{
+    entry.m_load.m_running = running;
+    entry.m_load.m_waiting = waiting;
+    entry.m_load.m_sentSince = 0;
+    entry.m_reportedAt = now;
+}
+
 }
 
 EndpointBook::EndpointBook(AvoidanceSettings settings)
@@ -52,17 +60,13 @@
 
 void EndpointBook::loadReported(const Fleet::Endpoint &endpoint, std::uint32_t running, std::uint32_t waiting, Core::Instant now)
 {
-    EndpointRecord &entry = record(endpoint);
-    entry.m_load.m_running = running;
-    entry.m_load.m_waiting = waiting;
-    entry.m_load.m_sentSince = 0;
-    entry.m_reportedAt = now;
+    noteLoad(record(endpoint), running, waiting, now);
 }
 
 void EndpointBook::engineReported(const Fleet::Endpoint &endpoint, const EngineReport &report, Core::Instant now)
 {
-    loadReported(endpoint, report.m_running, report.m_waiting, now);
     EndpointRecord &entry = record(endpoint);
+    noteLoad(entry, report.m_running, report.m_waiting, now);
     entry.m_load.m_pace = report.m_pace;
     entry.m_engine = report;
     entry.m_engineReportedAt = now;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -119,11 +119,11 @@
     addDump();
     m_gossip.registerMethods();
     m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, false); });
-    m_gossip.onEngineNews([this](const Gossip::EngineNews &news) { engineNews(news); });
+    m_gossip.onEngineNews([this](const std::vector<Gossip::EngineNews> &news) { engineNews(news); });
     m_gossip.onMembers([this] { shareOut(); });
     m_follower.onUpdate([this](const Fleet::BeliefUpdate &update) { beliefsChanged(update, true); });
-    m_gossip.onListDoubt([this] { return m_follower.isListDoubtful(); });
-    m_follower.onEndpointsRead([this] { m_gossip.listRead(); });
+    m_gossip.onListDoubt([this] { return m_follower.doubtfulSince(); });
+    m_follower.onEndpointsRead([this](Core::Instant asked) { m_gossip.listRead(asked); });
     m_follower.onMayRest([this] {
         const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
         return mayRest(isReader(m_gossip.self(), entries, m_settings.m_readDuty), m_gossip.listAge(), m_settings.m_readDuty);
@@ -253,6 +253,7 @@
         }
     }
     if (update.m_endpoints) {
+        m_endpointsByAddress.rebuild(m_beliefs.endpoints());
         m_book.keepOnly(m_beliefs.endpoints());
         m_ledger.keepOnly([this](const std::string &engine) { return m_beliefs.endpoints().contains(engine); });
         std::int64_t leaving = 0;
@@ -273,17 +274,23 @@
     }
 }
 
-void EntryProcess::engineNews(const Gossip::EngineNews &news)
+void EntryProcess::engineNews(const std::vector<Gossip::EngineNews> &news)
 {
-    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_beliefs.endpoints()) {
-        const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
+    const Core::Instant now = Core::Clock::now();
+    for (const Gossip::EngineNews &one : news) {
+        takeReport(one, now);
+    }
+    m_relay.placesChanged();
+}
+
+void EntryProcess::takeReport(const Gossip::EngineNews &news, Core::Instant now)
+{
+    for (const std::string &id : m_endpointsByAddress.idsAt(news.m_address)) {
+        const Fleet::Endpoint &endpoint = m_beliefs.endpoints().at(id).m_endpoint;
         // An engine that does not state its start in reports is told by its address alone.
-        const bool isSameStart = news.m_startedMilliseconds == 0 || endpoint.m_startedMilliseconds == news.m_startedMilliseconds;
-        if (endpoint.m_address == news.m_address && isSameStart) {
-            const Core::Instant now = Core::Clock::now();
+        if (news.m_startedMilliseconds == 0 || endpoint.m_startedMilliseconds == news.m_startedMilliseconds) {
             m_book.engineReported(endpoint, news.m_report, now);
             notePlaces(endpoint, news.m_report, now);
-            m_relay.placesChanged();
         }
     }
 }
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -1,6 +1,7 @@
 /// @file The process on an entry instance: answers callers on one event loop and keeps its beliefs up to date.
 #pragma once
 
+#include "LibFleet/EndpointIndex.h"
 #include "LibFollow/Follower.h"
 #include "LibGossip/GossipService.h"
 #include "LibHttp/Listener.h"
@@ -56,7 +57,8 @@
     void continueLeaving();
     void stop();
     void beliefsChanged(const Fleet::BeliefUpdate &update, bool isFromLog);
-    void engineNews(const Gossip::EngineNews &news);
+    void engineNews(const std::vector<Gossip::EngineNews> &news);
+    void takeReport(const Gossip::EngineNews &news, Core::Instant now);
     void applyLimits();
     void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
     /// Takes a report of an engine's load into the ledger of places.
@@ -76,6 +78,7 @@
     Telemetry::EventLog m_log;
     Core::Random m_random;
     Fleet::Beliefs m_beliefs;
+    Fleet::EndpointIndex m_endpointsByAddress; ///< Of the endpoints in m_beliefs.
     Placement::EndpointBook m_book;
     Placement::RepeatBudgets m_budgets;
     Placement::VersionDeadlines m_versions;
--- a/Tests/LibFleet/TestBeliefs.cpp
+++ b/Tests/LibFleet/TestBeliefs.cpp
@@ -79,19 +79,19 @@
     Fleet::Beliefs beliefs;
     Fleet::Endpoint leaving = endpoint("a");
     leaving.m_isLeaving = true;
-    beliefs.apply(entry(leaving, 4), false, Start);
-    beliefs.apply(entry(endpoint("a"), 5), false, Start);
+    beliefs.apply(entry(leaving, 4), std::nullopt, Start);
+    beliefs.apply(entry(endpoint("a"), 5), std::nullopt, Start);
     CHECK(beliefs.endpoints().at("a").m_endpoint.m_isLeaving);
 
-    beliefs.apply(entry(endpoint("a", 2), 6), false, Start);
+    beliefs.apply(entry(endpoint("a", 2), 6), std::nullopt, Start);
     CHECK_FALSE(beliefs.endpoints().at("a").m_endpoint.m_isLeaving);
 }
 
 TEST_CASE("a record of an earlier incarnation is ignored")
 {
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("a", 9), 4), false, Start);
-    CHECK_FALSE(beliefs.apply(entry(endpoint("a", 8), 5), false, Start).any());
+    beliefs.apply(entry(endpoint("a", 9), 4), std::nullopt, Start);
+    CHECK_FALSE(beliefs.apply(entry(endpoint("a", 8), 5), std::nullopt, Start).any());
     CHECK(beliefs.endpoints().at("a").m_endpoint.m_startedMilliseconds == 9);
 }
 
@@ -100,53 +100,66 @@
     // While the log is down engines cannot renew their entries, which lapse together. Taken for dead, the whole fleet would be refused to callers
     // at the moment at which the log comes back.
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("a"), 1), false, Start);
-    beliefs.apply(entry(endpoint("b"), 2), false, Start);
-    beliefs.apply(removal("a", 3), true, Start);
-    beliefs.apply(removal("b", 4), true, Start);
+    beliefs.apply(entry(endpoint("a"), 1), std::nullopt, Start);
+    beliefs.apply(entry(endpoint("b"), 2), std::nullopt, Start);
+    beliefs.apply(removal("a", 3), Start, Start);
+    beliefs.apply(removal("b", 4), Start, Start);
     CHECK(beliefs.endpoints().size() == 2);
 
-    beliefs.apply(entry(endpoint("a"), 5), false, Start + Core::Duration(1500));
+    beliefs.apply(entry(endpoint("a"), 5), std::nullopt, Start + Core::Duration(1500));
     beliefs.forgetMissing(Core::Duration(2500), Start + Core::Duration(2600));
     CHECK(beliefs.endpoints().contains("a"));
     CHECK_FALSE(beliefs.endpoints().contains("b"));
 }
 
+TEST_CASE("an entry that is removed shortly after an outage has no more time to come back than those that lapsed in it")
+{
+    // Guards against requests to an engine that left without a notice once the list was back: entries that live are back two seconds after that.
+    Fleet::Beliefs beliefs;
+    beliefs.apply(entry(endpoint("a"), 1), std::nullopt, Start);
+    const Core::Instant removedAt = Start + Core::Duration(2000);
+    beliefs.apply(removal("a", 2), Start, removedAt);
+    beliefs.forgetMissing(Core::Duration(2500), Start + Core::Duration(2400));
+    CHECK(beliefs.endpoints().contains("a"));
+    beliefs.forgetMissing(Core::Duration(2500), Start + Core::Duration(2600));
+    CHECK_FALSE(beliefs.endpoints().contains("a"));
+}
+
 TEST_CASE("an entry that is removed while the list is well is gone at once")
 {
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("a"), 1), false, Start);
-    CHECK(beliefs.apply(removal("a", 2), false, Start).m_endpoints);
+    beliefs.apply(entry(endpoint("a"), 1), std::nullopt, Start);
+    CHECK(beliefs.apply(removal("a", 2), std::nullopt, Start).m_endpoints);
     CHECK(beliefs.endpoints().empty());
 }
 
 TEST_CASE("a snapshot drops what it does not name, but nothing that is newer")
 {
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("old"), 1), false, Start);
+    beliefs.apply(entry(endpoint("old"), 1), std::nullopt, Start);
     Fleet::EndpointChanges snapshot = entry(endpoint("kept"), 5);
     snapshot.m_isSnapshot = true;
-    beliefs.apply(snapshot, false, Start);
+    beliefs.apply(snapshot, std::nullopt, Start);
     CHECK_FALSE(beliefs.endpoints().contains("old"));
     CHECK(beliefs.endpoints().contains("kept"));
 
-    beliefs.apply(entry(endpoint("new"), 9), false, Start);
+    beliefs.apply(entry(endpoint("new"), 9), std::nullopt, Start);
     Fleet::EndpointChanges late = entry(endpoint("kept"), 5);
     late.m_isSnapshot = true;
-    beliefs.apply(late, false, Start);
+    beliefs.apply(late, std::nullopt, Start);
     CHECK(beliefs.endpoints().contains("new"));
 }
 
 TEST_CASE("a peer's snapshot does not bring an endpoint back that has gone")
 {
     Fleet::Beliefs source;
-    source.apply(entry(endpoint("a"), 1), false, Start);
+    source.apply(entry(endpoint("a"), 1), std::nullopt, Start);
     const Fleet::EndpointChanges told = source.endpointSnapshot();
 
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("a"), 1), false, Start);
-    beliefs.apply(removal("a", 2), false, Start);
-    beliefs.apply(told, false, Start);
+    beliefs.apply(entry(endpoint("a"), 1), std::nullopt, Start);
+    beliefs.apply(removal("a", 2), std::nullopt, Start);
+    beliefs.apply(told, std::nullopt, Start);
     CHECK(beliefs.endpoints().empty());
 }
 
@@ -154,17 +167,17 @@
 {
     // The list grows by a record for each sign of life. If a peer's further reading counted as news, everybody would ask everybody for it all the time.
     Fleet::Beliefs reader;
-    reader.apply(entry(endpoint("a"), 1), false, Start);
+    reader.apply(entry(endpoint("a"), 1), std::nullopt, Start);
     CHECK(reader.endpointsMark() == 2);
-    reader.apply(entry(endpoint("a"), 5), false, Start);
+    reader.apply(entry(endpoint("a"), 5), std::nullopt, Start);
     CHECK(reader.endpointsMark() == 2);
     Fleet::Endpoint leaving = endpoint("a");
     leaving.m_isLeaving = true;
-    reader.apply(entry(leaving, 7), false, Start);
+    reader.apply(entry(leaving, 7), std::nullopt, Start);
     CHECK(reader.endpointsMark() == 8);
 
     Fleet::Beliefs peer;
-    peer.apply(reader.endpointSnapshot(), false, Start);
+    peer.apply(reader.endpointSnapshot(), std::nullopt, Start);
     CHECK(peer.endpointsMark() == reader.endpointsMark());
     CHECK(peer.endpoints().at("a").m_endpoint.m_isLeaving);
 }
@@ -174,11 +187,11 @@
     // An engine leaves without a notice while the log is away. An entry that has its list from a peer must pass it over just as the peer does.
     Fleet::Beliefs reader;
     Fleet::Beliefs peer;
-    reader.apply(entry(endpoint("a"), 1), false, Start);
-    reader.apply(entry(endpoint("b"), 2), false, Start);
-    peer.apply(reader.endpointSnapshot(), false, Start);
-    CHECK(reader.apply(removal("a", 3), true, Start).m_endpoints);
-    CHECK(peer.apply(reader.endpointSnapshot(), false, Start).m_endpoints);
+    reader.apply(entry(endpoint("a"), 1), std::nullopt, Start);
+    reader.apply(entry(endpoint("b"), 2), std::nullopt, Start);
+    peer.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    CHECK(reader.apply(removal("a", 3), Start, Start).m_endpoints);
+    CHECK(peer.apply(reader.endpointSnapshot(), std::nullopt, Start).m_endpoints);
     CHECK(peer.endpoints().at("a").m_missingSince);
     CHECK_FALSE(peer.endpoints().at("b").m_missingSince);
     CHECK(peer.endpointsMark() == reader.endpointsMark());
@@ -189,25 +202,25 @@
     // All machines lose power. The engines are back under new ids within a second, but their old entries stand until they lapse; many requests went
     // to engines that are no more and were refused.
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("old", 100), 1), false, Start);
-    beliefs.apply(entry(endpoint("new", 200), 2), false, Start);
+    beliefs.apply(entry(endpoint("old", 100), 1), std::nullopt, Start);
+    beliefs.apply(entry(endpoint("new", 200), 2), std::nullopt, Start);
     CHECK_FALSE(beliefs.endpoints().contains("old"));
     CHECK(beliefs.endpoints().contains("new"));
     // A late sign of life of the old one, and a list that names it last.
-    beliefs.apply(entry(endpoint("old", 100), 3), false, Start);
+    beliefs.apply(entry(endpoint("old", 100), 3), std::nullopt, Start);
     CHECK_FALSE(beliefs.endpoints().contains("old"));
 
     // Another service may get the address of an engine that has gone; the two are told apart by their ids.
     Fleet::Endpoint other = endpoint("other", 300);
     other.m_service = "portal";
-    beliefs.apply(entry(other, 4), false, Start);
+    beliefs.apply(entry(other, 4), std::nullopt, Start);
     CHECK(beliefs.endpoints().contains("new"));
 }
 
 TEST_CASE("endpoints that state no time of their start replace nobody")
 {
     Fleet::Beliefs beliefs;
-    beliefs.apply(entry(endpoint("a", 0), 1), false, Start);
-    beliefs.apply(entry(endpoint("b", 0), 2), false, Start);
+    beliefs.apply(entry(endpoint("a", 0), 1), std::nullopt, Start);
+    beliefs.apply(entry(endpoint("b", 0), 2), std::nullopt, Start);
     CHECK(beliefs.endpoints().size() == 2);
 }
--- a/Tests/LibFollow/TestFollower.cpp
+++ b/Tests/LibFollow/TestFollower.cpp
@@ -115,3 +115,31 @@
     mayRest = false;
     CHECK(runUntil(fixture.m_loop, [&fixture, before] { return fixture.m_waitingReads > before; }));
 }
+
+TEST_CASE("the list of endpoints is known as of the moment at which it was asked for")
+{
+    // Guards against processes that rest on a list whose reader got its answer late: an endpoint that left meanwhile is not in it.
+    Http::EventLoop loop;
+    Telemetry::Metrics metrics;
+    Telemetry::EventLog log{STDOUT_FILENO, "test", metrics, Telemetry::EventLogLimits{0, 0, 0}};
+    Core::Random random{3};
+    Fleet::Beliefs beliefs;
+    Placement::VersionDeadlines versions{Core::Duration(6500)};
+    constexpr Core::Duration answersAfter{60};
+    Http::Timer answer(loop);
+    std::optional<Core::Instant> sentAt;
+    Follow::RecordSource source;
+    source.m_readAllDeclarations = [](const Follow::DeclarationsRead &) {};
+    source.m_readAllEndpoints = [&answer, &sentAt, answersAfter](const Follow::EndpointsRead &done) {
+        sentAt = sentAt.value_or(Core::Clock::now());
+        answer.expires_after(answersAfter);
+        answer.async_wait([done](const boost::system::error_code &) { done(Fleet::EndpointChanges{1, true, {}}); });
+    };
+    source.m_readEndpoints = [](Fleet::Offset, const Follow::EndpointsRead &) {};
+    Follow::Follower follower(Follow::FollowerParts{loop, beliefs, versions, metrics, log, random}, Follow::FollowerSettings{}, std::move(source));
+    std::optional<Core::Instant> knownAsOf;
+    follower.onEndpointsRead([&knownAsOf](Core::Instant asked) { knownAsOf = asked; });
+    follower.start();
+    REQUIRE(runUntil(loop, [&knownAsOf] { return knownAsOf.has_value(); }));
+    CHECK(*knownAsOf <= *sentAt);
+}
--- a/Tests/LibRelay/TestRelay.cpp
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -174,7 +174,7 @@
         endpoint.m_service = "desk";
         endpoint.m_slots = 6;
         const Fleet::Offset offset = m_beliefs.endpointsEnd() + 1;
-        m_beliefs.apply(Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{endpoint.m_id, offset, endpoint}}}, false, Core::Clock::now());
+        m_beliefs.apply(Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{endpoint.m_id, offset, endpoint}}}, std::nullopt, Core::Clock::now());
     }
 
     /// Sends a request and returns all that comes until @p isDone, or until the connection closes.
