LibStaging: Get the manifest of a version from the few agents that ask the origin

Change: all agents of a service rank each other alike for each version; the first 16 ask the origin and the rest are dealt out among them. A peer that is gone or slow, and every further question, leads to the origin. Services of up to 16 engines ask as before. Ruled out: to pace the questions by rank, since a drawer would begin that much later.

--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -52,8 +52,9 @@
                  followerSettings(),
                  m_adapter.m_makeSource(m_loop, m_settings.m_log, m_metrics))
     , m_transfer(transferParts(m_settings, m_adapter, m_node, m_metrics))
-    , m_keeper(
-          KeeperParts{m_loop, m_beliefs, m_versions, m_transfer, m_metrics, m_log}, m_settings.m_keeper, m_adapter.m_makeEngine(m_loop, m_settings.m_engine))
+    , m_engine(m_adapter.m_makeEngine(m_loop, m_settings.m_engine))
+    , m_manifests(m_loop, m_node, m_engine.m_manifest)
+    , m_keeper(KeeperParts{m_loop, m_beliefs, m_versions, m_transfer, m_metrics, m_log}, m_settings.m_keeper, engineControl())
     , m_admin(m_settings.m_admin, m_metrics)
     , m_adminContext(std::make_shared<Http::ServerContext>())
     , m_adminListener(m_loop, m_settings.m_admin, m_adminContext, AdminConnections)
@@ -63,6 +64,15 @@
 {
 }
 
+EngineControl AgentProcess::engineControl()
+{
+    EngineControl control = m_engine;
+    control.m_manifest = [this](const Core::Address &origin, const std::string &model, std::uint64_t version, Done<Weights::Manifest> done) {
+        m_manifests.fetch(origin, ModelVersion{model, version}, std::move(done));
+    };
+    return control;
+}
+
 Gossip::Member AgentProcess::makeSelf() const
 {
     Gossip::Member self;
@@ -108,6 +118,7 @@
     BOOST_OUTCOME_TRYV(m_adminListener.start());
     m_admin.addDumpSection("transfer", [this] { return m_transfer.dump(); });
     m_gossip.registerMethods();
+    m_manifests.registerMethod();
     m_gossip.onStateApplied([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
     m_gossip.onMembers([this] { membersChanged(); });
     m_follower.onUpdate([this](const Fleet::BeliefUpdate &) { m_keeper.beliefsChanged(); });
@@ -173,6 +184,7 @@
 {
     std::vector<Gossip::Member> agents = m_gossip.members().alive(Gossip::Role::Agent, Core::Clock::now());
     std::erase_if(agents, [this](const Gossip::Member &member) { return member.m_service != m_settings.m_keeper.m_service || member.m_isLeaving; });
+    m_manifests.setAgents(m_settings.m_instance, agents);
     m_keeper.setAgents(std::move(agents), m_gossip.self());
 }
 
--- a/Libraries/LibStaging/AgentProcess.h
+++ b/Libraries/LibStaging/AgentProcess.h
@@ -5,6 +5,7 @@
 #include "LibGossip/GossipService.h"
 #include "LibHttp/Listener.h"
 #include "LibStaging/AgentSettings.h"
+#include "LibStaging/ManifestSharing.h"
 #include "LibTelemetry/AdminServer.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -39,6 +40,8 @@
     void membersChanged();
     void tick();
     Gossip::Member makeSelf() const;
+    /// The engine as the keeper sees it: manifests may come from other agents.
+    EngineControl engineControl();
 
     const AgentSettings m_settings;
     const AgentAdapter m_adapter;
@@ -52,6 +55,8 @@
     Gossip::GossipService m_gossip;
     Follow::Follower m_follower;
     Transfer::TransferManager m_transfer;
+    const EngineControl m_engine;
+    ManifestSharing m_manifests;
     WeightsKeeper m_keeper;
     Telemetry::AdminServer m_admin;
     std::shared_ptr<Http::ServerContext> m_adminContext;
--- /dev/null
+++ b/Libraries/LibStaging/ManifestSharing.cpp
@@ -0,0 +1,158 @@
+/// @file Implementation of the sharing of manifests.
+
+#include "LibStaging/ManifestSharing.h"
+
+#include "LibCore/Random.h"
+#include "LibWire/Pack.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace Staging {
+
+namespace {
+
+constexpr const char *ManifestMethod = "staging.manifest";
+
+bool isManifestOf(const Weights::Manifest &manifest, const ModelVersion &version)
+{
+    return manifest.m_model == version.m_model && manifest.m_version == std::to_string(version.m_version);
+}
+
+}
+
+std::optional<Core::Address>
+manifestSource(const std::string &self, const std::vector<Gossip::Member> &others, const ModelVersion &version, std::size_t originAskers)
+{
+    const std::string key = version.m_model + "/" + std::to_string(version.m_version);
+    const std::uint64_t own = Core::rendezvousWeight(key, self);
+    std::vector<std::pair<std::uint64_t, const Gossip::Member *>> before;
+    for (const Gossip::Member &other : others) {
+        const std::uint64_t weight = Core::rendezvousWeight(key, other.m_id);
+        if (weight > own) {
+            before.emplace_back(weight, &other);
+        }
+    }
+    if (before.size() < originAskers) {
+        return std::nullopt;
+    }
+    const std::ptrdiff_t asked = static_cast<std::ptrdiff_t>(before.size() % originAskers);
+    std::nth_element(before.begin(), before.begin() + asked, before.end(), std::greater<>());
+    return before[static_cast<std::size_t>(asked)].second->m_peers;
+}
+
+ManifestSharing::ManifestSharing(Http::EventLoop &loop, Wire::Node &node, AskOrigin askOrigin, ManifestSharingSettings settings)
+    : m_loop(loop)
+    , m_node(node)
+    , m_askOrigin(std::move(askOrigin))
+    , m_settings(settings)
+    , m_isAlive(std::make_shared<bool>(true))
+{
+}
+
+ManifestSharing::~ManifestSharing()
+{
+    *m_isAlive = false;
+}
+
+void ManifestSharing::registerMethod()
+{
+    m_node.handle(ManifestMethod, [this, alive = m_isAlive](const Wire::IncomingCall &call) {
+        const Core::Result<ModelVersion> version = Wire::unpack<ModelVersion>(call.m_body, call.m_peer);
+        if (!version) {
+            call.m_responder.fail(version.error());
+            return;
+        }
+        boost::asio::post(m_loop, [this, alive, asked = version.value(), responder = call.m_responder] {
+            if (*alive) {
+                answer(asked, responder);
+            }
+        });
+    });
+}
+
+void ManifestSharing::answer(const ModelVersion &version, const Wire::Responder &responder)
+{
+    const std::map<ModelVersion, std::string>::const_iterator known = m_versions.find(version);
+    if (known != m_versions.end() && !known->second.empty()) {
+        responder.reply(known->second);
+        return;
+    }
+    // Agents learn of a version at slightly different times.
+    std::erase_if(m_waiters, [](const Waiter &waiter) { return waiter.m_responder.isCancelled(); });
+    if (m_waiters.size() >= m_settings.m_mostWaiting) {
+        responder.fail(Core::makeError(Core::ErrorCode::Overloaded, "give manifest", "", "too many wait"));
+        return;
+    }
+    m_waiters.push_back(Waiter{version, responder});
+}
+
+void ManifestSharing::setAgents(const std::string &self, std::vector<Gossip::Member> others)
+{
+    m_self = self;
+    m_others = std::move(others);
+}
+
+void ManifestSharing::fetch(const Core::Address &origin, const ModelVersion &version, Done<Weights::Manifest> done)
+{
+    const bool isFirst = m_versions.try_emplace(version).second;
+    const std::optional<Core::Address> peer = isFirst ? manifestSource(m_self, m_others, version, m_settings.m_originAskers) : std::nullopt;
+    if (peer) {
+        fetchFromPeer(*peer, origin, version, std::move(done));
+    } else {
+        fetchFromOrigin(origin, version, std::move(done));
+    }
+}
+
+void ManifestSharing::fetchFromOrigin(const Core::Address &origin, const ModelVersion &version, Done<Weights::Manifest> done)
+{
+    m_askOrigin(origin,
+                version.m_model,
+                version.m_version,
+                [this, alive = m_isAlive, version, finish = std::move(done)](const Core::Result<Weights::Manifest> &manifest) {
+                    if (*alive && manifest) {
+                        keep(version, manifest.value());
+                    }
+                    finish(manifest);
+                });
+}
+
+void ManifestSharing::fetchFromPeer(const Core::Address &peer, const Core::Address &origin, const ModelVersion &version, Done<Weights::Manifest> done)
+{
+    const std::shared_ptr<std::string> encoded = std::make_shared<std::string>();
+    Wire::CallEvents events;
+    events.m_onFrame = [encoded](std::string frame) { *encoded = std::move(frame); };
+    events.m_onEnd = [this, alive = m_isAlive, encoded, origin, version, name = peer.toString(), finish = std::move(done)](const Wire::CallEnd &end) {
+        const Core::Result<Weights::Manifest> manifest =
+            end.m_succeeded ? Weights::decodeManifest(*encoded, name) : Core::Result<Weights::Manifest>(end.m_error);
+        boost::asio::post(m_loop, [this, alive, manifest, origin, version, finish] {
+            if (!*alive) {
+                return;
+            }
+            if (!manifest || !isManifestOf(manifest.value(), version)) {
+                fetchFromOrigin(origin, version, finish);
+                return;
+            }
+            keep(version, manifest.value());
+            finish(manifest);
+        });
+    };
+    m_node.call(peer, ManifestMethod, Wire::pack(version), Wire::CallOptions{m_settings.m_peerTimeout}, std::move(events));
+}
+
+void ManifestSharing::keep(const ModelVersion &version, const Weights::Manifest &manifest)
+{
+    const std::string encoded = Weights::encodeManifest(manifest);
+    m_versions[version] = encoded;
+    std::erase_if(m_versions, [this, &version](const std::pair<const ModelVersion, std::string> &entry) {
+        return entry.first.m_model == version.m_model && entry.first.m_version + m_settings.m_keptVersions <= version.m_version;
+    });
+    for (const Waiter &waiter : m_waiters) {
+        if (waiter.m_version == version) {
+            waiter.m_responder.reply(encoded);
+        }
+    }
+    std::erase_if(m_waiters, [&version](const Waiter &waiter) { return waiter.m_version == version; });
+}
+
+}
--- /dev/null
+++ b/Tests/LibStaging/TestManifestSharing.cpp
@@ -0,0 +1,170 @@
+/// @file Manifests that few agents ask the origin for, and the others those.
+
+#include "../Support/LoopbackPeer.h"
+#include "LibStaging/ManifestSharing.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <catch2/catch.hpp>
+
+using TestSupport::runUntil;
+
+namespace {
+
+const Core::Address Origin{"127.0.0.1", 9};
+const Staging::ModelVersion Version{"draft", 2};
+
+std::vector<Gossip::Member> agents(std::size_t count)
+{
+    std::vector<Gossip::Member> members;
+    for (std::size_t index = 0; index < count; ++index) {
+        Gossip::Member member;
+        member.m_id = "agent-" + std::to_string(index);
+        member.m_peers = Core::Address{"10.0.0.1", static_cast<std::uint16_t>(index + 1)};
+        members.push_back(member);
+    }
+    return members;
+}
+
+Weights::Manifest manifestOf(std::uint64_t version)
+{
+    return Weights::buildManifest("draft", std::to_string(version), std::string(3000, 'a'), 1024).value();
+}
+
+Core::Address freeAddress()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return Core::Address{"127.0.0.1", socket.address().port()};
+}
+
+/// An agent with a node of its own, whose origin is counted.
+struct TestAgent
+{
+    Core::Address m_address = freeAddress();
+    Telemetry::Metrics m_metrics;
+    Wire::Node m_node;
+    std::size_t m_originAsked = 0;
+    Staging::ManifestSharing m_sharing;
+    std::optional<Weights::Manifest> m_manifest;
+
+    explicit TestAgent(Http::EventLoop &loop)
+        : m_node(settings(m_address), m_metrics)
+        , m_sharing(
+              loop,
+              m_node,
+              [this, &loop](const Core::Address &, const std::string &, std::uint64_t version, const Staging::Done<Weights::Manifest> &done) {
+                  ++m_originAsked;
+                  boost::asio::post(loop, [version, done] { done(manifestOf(version)); });
+              },
+              Staging::ManifestSharingSettings{1})
+    {
+        m_sharing.registerMethod();
+    }
+
+    static Wire::NodeSettings settings(const Core::Address &listen)
+    {
+        Wire::NodeSettings settings;
+        settings.m_listen = listen;
+        return settings;
+    }
+
+    Gossip::Member member(const std::string &id) const
+    {
+        Gossip::Member member;
+        member.m_id = id;
+        member.m_peers = m_address;
+        return member;
+    }
+
+    void fetch()
+    {
+        m_manifest.reset();
+        m_sharing.fetch(Origin, Version, [this](const Core::Result<Weights::Manifest> &manifest) { m_manifest = manifest.value(); });
+    }
+};
+
+/// Two agents, of which only the first asks the origin.
+struct TwoAgents
+{
+    Http::EventLoop m_loop;
+    TestAgent m_first{m_loop};
+    TestAgent m_second{m_loop};
+
+    TwoAgents()
+    {
+        const bool isFirst = !Staging::manifestSource("a", {m_second.member("b")}, Version, 1);
+        m_first.m_sharing.setAgents(isFirst ? "a" : "b", {m_second.member(isFirst ? "b" : "a")});
+        m_second.m_sharing.setAgents(isFirst ? "b" : "a", {m_first.member(isFirst ? "a" : "b")});
+    }
+};
+
+}
+
+TEST_CASE("of a large service few agents ask the origin, and the others are dealt out among them")
+{
+    // Guards against agents whose questions for the manifest take all connections of the origin, so that no chunk leaves it.
+    const Staging::ManifestSharingSettings settings;
+    const std::vector<Gossip::Member> all = agents(156);
+    std::size_t askers = 0;
+    std::map<Core::Address, std::size_t> asked;
+    for (const Gossip::Member &agent : all) {
+        std::vector<Gossip::Member> others = all;
+        std::erase(others, agent);
+        const std::optional<Core::Address> source = Staging::manifestSource(agent.m_id, others, Version, settings.m_originAskers);
+        askers += source ? 0 : 1;
+        if (source) {
+            ++asked[*source];
+        }
+    }
+    CHECK(askers == settings.m_originAskers);
+    CHECK(asked.size() == settings.m_originAskers);
+    for (const std::pair<const Core::Address, std::size_t> &peer : asked) {
+        CHECK(peer.second <= all.size() / settings.m_originAskers + 1);
+    }
+}
+
+TEST_CASE("in a small service every agent asks the origin")
+{
+    const std::vector<Gossip::Member> all = agents(16);
+    for (const Gossip::Member &agent : all) {
+        std::vector<Gossip::Member> others = all;
+        std::erase(others, agent);
+        CHECK_FALSE(Staging::manifestSource(agent.m_id, others, Version, Staging::ManifestSharingSettings{}.m_originAskers));
+    }
+}
+
+TEST_CASE("a manifest comes from the agent that asked the origin, also if that one asks later")
+{
+    TwoAgents fixture;
+    REQUIRE(fixture.m_first.m_node.start());
+    REQUIRE(fixture.m_second.m_node.start());
+    fixture.m_second.fetch();
+    fixture.m_first.fetch();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_first.m_manifest && fixture.m_second.m_manifest; }));
+    CHECK(*fixture.m_second.m_manifest == manifestOf(Version.m_version));
+    CHECK(fixture.m_first.m_originAsked == 1);
+    CHECK(fixture.m_second.m_originAsked == 0);
+}
+
+TEST_CASE("an agent whose peer is gone asks the origin")
+{
+    // Guards against agents that wait for a manifest from one that has died.
+    TwoAgents fixture;
+    REQUIRE(fixture.m_second.m_node.start());
+    fixture.m_second.fetch();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_manifest.has_value(); }));
+    CHECK(fixture.m_second.m_originAsked == 1);
+}
+
+TEST_CASE("a manifest that is asked for again comes from the origin")
+{
+    // Guards against a spoilt manifest that an agent gets from the same peer for ever.
+    TwoAgents fixture;
+    REQUIRE(fixture.m_first.m_node.start());
+    REQUIRE(fixture.m_second.m_node.start());
+    fixture.m_first.fetch();
+    fixture.m_second.fetch();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_manifest.has_value(); }));
+    fixture.m_second.fetch();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_manifest.has_value(); }));
+    CHECK(fixture.m_second.m_originAsked == 1);
+}
