LibPlacement: Choose among the engines nearby while enough of them have places; a missing endpoint is never preferred for its version

Engines were drawn at random from the whole service, so four in five answers of the larger deployment crossed the thin links between its regions. A request that has moved preferred engines with the newest version before it preferred listed ones, so an endpoint whose entry is gone could be chosen for its version alone.

--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -15,6 +15,8 @@
  * requests, so that load still decides where it differs.
  */
 constexpr double FarMilliseconds = 10;
+/// Engines of the own failure domain with places from which on they are chosen from alone. Among few, two choices even the load out badly.
+constexpr std::size_t EnoughNear = 8;
 /// A report by the process beside an engine is used for so long: four reporting intervals, after which the list is the better source.
 constexpr Core::Duration ReportLifetime{2000};
 /// Usual time of a plain service before one was measured.
@@ -50,6 +52,15 @@
     return version && (!request.m_requiredVersion || *version >= *request.m_requiredVersion);
 }
 
+/// Drops what does not meet the condition, unless nothing does.
+template <typename Condition>
+void prefer(std::vector<Usable> &usable, const Condition &isPreferred)
+{
+    if (std::any_of(usable.begin(), usable.end(), isPreferred)) {
+        std::erase_if(usable, [&isPreferred](const Usable &candidate) { return !isPreferred(candidate); });
+    }
+}
+
 /**
  * For a request that has moved already, drops the engines that will have to load a newer version, if there are others. Its stream would be cut again
  * there, and a request may be sent to few endpoints: the second cut could end it.
@@ -59,12 +70,7 @@
     if (request.m_excluded.empty() || !request.m_newestVersion) {
         return;
     }
-    const std::function<bool(const Usable &)> isNewest = [&request, &view](const Usable &candidate) {
-        return versionOf(candidate, request, view) >= request.m_newestVersion;
-    };
-    if (std::any_of(usable.begin(), usable.end(), isNewest)) {
-        std::erase_if(usable, [&isNewest](const Usable &candidate) { return !isNewest(candidate); });
-    }
+    prefer(usable, [&request, &view](const Usable &candidate) { return versionOf(candidate, request, view) >= request.m_newestVersion; });
 }
 
 /// Drops every engine if this process's part of all places does not suffice for the request.
@@ -80,14 +86,25 @@
     }
 }
 
-/// Keeps the engines at which this process's part is not used up, if there are any.
+/**
+ * Keeps the engines at which this process's part is not used up, if there are any, and of them those of its own failure domain, if they are enough: links
+ * between regions are thin, and the reports of engines nearby are the newest.
+ */
 void preferOwnPlaces(std::vector<Usable> &usable, const ChoiceView &view)
 {
-    const std::function<bool(const Usable &)> hasPlace = [&view](const Usable &candidate) {
-        return view.m_ledger.places(candidate.m_endpoint->m_id, view.m_now) > 0;
-    };
-    if (view.m_engine.m_slots > 0 && std::any_of(usable.begin(), usable.end(), hasPlace)) {
-        std::erase_if(usable, [&hasPlace](const Usable &candidate) { return !hasPlace(candidate); });
+    if (view.m_engine.m_slots == 0) {
+        return;
+    }
+    std::vector<Usable> withPlace = usable;
+    std::erase_if(withPlace, [&view](const Usable &candidate) { return view.m_ledger.places(candidate.m_endpoint->m_id, view.m_now) <= 0; });
+    if (withPlace.empty()) {
+        return;
+    }
+    usable = std::move(withPlace);
+    std::vector<Usable> near = usable;
+    std::erase_if(near, [&view](const Usable &candidate) { return candidate.m_endpoint->m_failureDomain != view.m_ownFailureDomain; });
+    if (near.size() >= EnoughNear) {
+        usable = std::move(near);
     }
 }
 
@@ -97,9 +114,7 @@
  */
 void preferListed(std::vector<Usable> &usable)
 {
-    if (std::any_of(usable.begin(), usable.end(), [](const Usable &candidate) { return !candidate.m_isMissing; })) {
-        std::erase_if(usable, [](const Usable &candidate) { return candidate.m_isMissing; });
-    }
+    prefer(usable, [](const Usable &candidate) { return !candidate.m_isMissing; });
 }
 
 /// Moves a random sample to the front and cuts the rest off.
@@ -163,8 +178,8 @@
             usable.push_back(candidate);
         }
     }
-    preferNewest(usable, request, view);
     preferListed(usable);
+    preferNewest(usable, request, view);
     const bool isAnySound =
         std::any_of(usable.begin(), usable.end(), [&view](const Usable &candidate) { return candidate.m_record->m_avoidUntil <= view.m_now; });
     if (isAnySound || request.m_canWait) {
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -178,3 +178,45 @@
         REQUIRE(fleet.choose(request()).m_choice->m_endpoint.m_id == "listed");
     }
 }
+
+TEST_CASE("a request that has moved does not go to a missing endpoint for its newer version")
+{
+    // Guards against requests that reach an engine after it left without a notice.
+    TestFleet fleet;
+    fleet.add("missing", 2);
+    fleet.m_endpoints["missing"].m_missingSince = Start;
+    fleet.add("listed", 1);
+    Placement::ChoiceRequest moved = request();
+    moved.m_excluded = {"gone"};
+    moved.m_newestVersion = 2;
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(moved).m_choice->m_endpoint.m_id == "listed");
+    }
+}
+
+TEST_CASE("engines of the own failure domain are taken while enough of them have places, and others then")
+{
+    // Guards against answers that cross thin links between regions although engines nearby are free, and against crowding the last free ones nearby.
+    TestFleet fleet;
+    std::vector<std::string> near;
+    for (int index = 0; index < 10; ++index) {
+        near.push_back(fleet.add("near-" + std::to_string(index)).m_id);
+        fleet.m_ledger.reported(near.back(), Placement::ReportedPlaces{2, 16, 8}, Start);
+        const std::string far = "far-" + std::to_string(index);
+        fleet.add(far).m_failureDomain = "elsewhere";
+        fleet.m_ledger.reported(far, Placement::ReportedPlaces{16, 16, 8}, Start);
+    }
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        REQUIRE(fleet.choose(request()).m_choice->m_endpoint.m_failureDomain == "here");
+    }
+    for (int index = 0; index < 5; ++index) {
+        fleet.m_ledger.reported(near[index], Placement::ReportedPlaces{-1, 16, 8}, Start);
+    }
+    std::size_t far = 0;
+    for (std::size_t draw = 0; draw < Draws; ++draw) {
+        const Fleet::Endpoint chosen = fleet.choose(request()).m_choice->m_endpoint;
+        far += chosen.m_failureDomain == "elsewhere" ? 1 : 0;
+        CHECK(std::find(near.begin(), near.begin() + 5, chosen.m_id) == near.begin() + 5);
+    }
+    CHECK(far > 0);
+}
