--- a/Libraries/LibFollow/Follower.h
+++ b/Libraries/LibFollow/Follower.h
@@ -94,7 +94,7 @@
     void failed(Reading &reading, const Core::Error &error, const char *what);
     void again(Reading &reading, Core::Duration pause, void (Follower::*read)());
     bool mayRest(const Reading &reading) const;
-    /// The same as doubtfulSince(), but for processes that have just started.
+    /// Like doubtfulSince(), but a process that has only just started is no reason for doubt.
     std::optional<Core::Instant> outageEnd() const;
     Core::Duration retryPause(const Reading &reading);
     void tell(const Fleet::BeliefUpdate &update);
