--- a/Tests/Entry/TestLeaving.cpp
+++ b/Tests/Entry/TestLeaving.cpp
@@ -4,15 +4,39 @@
 
 using namespace EntryTest;
 
+namespace {
+
+/// Two entries before one engine; the second one is to leave.
+struct LeavingSite
+{
+    FakePlatform m_platform;
+    FakeAgent m_agent{"engine-1", ModelService};
+    TestEntry m_stays;
+    TestEntry m_leaves;
+
+    LeavingSite()
+        : m_stays("entry-1", published(), {})
+        , m_leaves("entry-2", m_platform, {m_stays.member().m_wire})
+    {
+    }
+
+    FakePlatform &published()
+    {
+        m_platform.publish();
+        m_platform.list(m_agent.member());
+        return m_platform;
+    }
+};
+
+}
+
 TEST_CASE("a leaving entry hands out others' addresses, serves one lifetime more, refuses then, and cuts nothing off")
 {
     // A technician restarts an entry during the day. Callers hold its address for a while yet, and one is in the middle of a long draft.
-    FakePlatform platform;
-    platform.publish();
-    FakeAgent agent("engine-1", ModelService);
-    platform.list(agent.member());
-    TestEntry stays("entry-1", platform, {});
-    TestEntry leaves("entry-2", platform, {stays.member().m_wire});
+    LeavingSite site;
+    FakeAgent &agent = site.m_agent;
+    TestEntry &stays = site.m_stays;
+    TestEntry &leaves = site.m_leaves;
     await([&stays, &leaves] { return stays.sees(1) && leaves.sees(1); });
     await([&leaves, &stays] { return leaves.addresses().find(stays.member().m_callers.toString()) != std::string::npos; });
 
@@ -48,12 +72,10 @@
 TEST_CASE("a leaving entry names the others whatever it refuses a request for")
 {
     // Guards against callers that return to an entry which has lost sight of the engines and is leaving.
-    FakePlatform platform;
-    platform.publish();
-    FakeAgent agent("engine-1", ModelService);
-    platform.list(agent.member());
-    TestEntry stays("entry-1", platform, {});
-    TestEntry leaves("entry-2", platform, {stays.member().m_wire});
+    LeavingSite site;
+    FakeAgent &agent = site.m_agent;
+    TestEntry &stays = site.m_stays;
+    TestEntry &leaves = site.m_leaves;
     await([&leaves] { return leaves.generate().isWhole(); });
     await([&leaves, &stays] { return leaves.addresses().find(stays.member().m_callers.toString()) != std::string::npos; });
 
