LibTransfer: Pace downloads by the stated rate of the origin's link

Cause: downloads were started at twice the rate of an instance's link, which was the origin's rate on earlier deployments. On a deployment whose origin has no faster link than an instance, all chunks were requested within half the time that the link takes, shared it and ended late, with nothing to pass on before. The configuration states the rate.

Change: the rate goes from the configuration to the exchange, less a share for headers and new connections.

--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -13,6 +13,7 @@
 
 constexpr Core::Duration TransferPollInterval{25}; ///< Poll interval of a transfer: a fraction of the time that a chunk takes on the slowest link.
 constexpr Core::Duration OrderSettleTime{600}; ///< Several polls. A status requested before the order was sent does not reflect the order.
+constexpr double BytesPerMegabit = 1e6 / 8;
 constexpr std::uint64_t FirstVersion = 1; ///< Version of a model for which no version has been declared.
 
 std::string stepName(int step)
@@ -66,7 +67,7 @@
 {
     const Fleet::Service *origin = m_parts.m_fleetState.configuration() ? m_parts.m_fleetState.configuration()->origin() : nullptr;
     if (origin) {
-        m_parts.m_transfer.setOrigin(*origin->m_origin);
+        m_parts.m_transfer.setOrigin(*origin->m_origin, static_cast<std::uint64_t>(origin->m_originLinkMegabits * BytesPerMegabit));
     }
     advance();
 }
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -100,10 +100,21 @@
     m_events->push(WakeUp{});
 }
 
-void Coordinator::setOrigin(const Core::Address &origin)
+void Coordinator::setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond)
 {
     const std::lock_guard<std::mutex> lock(m_pendingMutex);
     m_origin = origin;
+    m_originBytesPerSecond = linkBytesPerSecond;
+}
+
+TransferSettings Coordinator::exchangeSettings()
+{
+    TransferSettings settings = m_parts.m_settings;
+    const std::lock_guard<std::mutex> lock(m_pendingMutex);
+    if (m_originBytesPerSecond > 0) {
+        settings.m_originBytesPerSecond = m_originBytesPerSecond;
+    }
+    return settings;
 }
 
 Core::Address Coordinator::origin()
@@ -366,7 +377,7 @@
         return false;
     }
     Exchange::Identity identity{version.m_deployment.m_digest, m_parts.m_self.m_id, m_parts.m_self.m_region, m_random.next()};
-    version.m_exchange = std::make_unique<Exchange>(m_parts.m_settings, std::move(identity), *version.m_manifest, now);
+    version.m_exchange = std::make_unique<Exchange>(exchangeSettings(), std::move(identity), *version.m_manifest, now);
     version.m_exchange->setReplicas(version.m_deployment.m_replicas, originCopies(version.m_deployment));
     version.m_chunks.assign(version.m_manifest->chunkCount(), nullptr);
     reuseChunks(version, now);
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -35,7 +35,7 @@
 
     void setTargets(std::vector<Control::Deployment> wanted);
     void release(const std::string &digest);
-    void setOrigin(const Core::Address &origin);
+    void setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond);
     void offerManifest(const std::string &digest, std::string encoded);
     void offerChunk(const std::string &digest, Weights::ChunkIndex chunk, std::string bytes);
     void onManifestVerified(std::function<void(const std::string &)> callback);
@@ -92,6 +92,8 @@
     std::uint64_t memoryUsed() const;
     Version *findVersion(const std::string &digest);
     Core::Address origin();
+    /// Returns the settings with the rate of the origin's link, as far as it is known.
+    TransferSettings exchangeSettings();
     bool isBusy() const;
     void publish();
 
@@ -106,6 +108,7 @@
     std::optional<std::vector<Control::Deployment>> m_pendingTargets; ///< The newest targets that have not been applied.
     std::set<std::string> m_pendingReleases;
     Core::Address m_origin; ///< Guarded by m_pendingMutex, as are the targets. Empty until the origin is known.
+    std::uint64_t m_originBytesPerSecond = 0; ///< Rate of the origin's link; 0 if unknown. Guarded by m_pendingMutex.
     std::atomic<std::uint64_t> m_liveBytes = 0; ///< Bytes of live traffic not yet charged to m_download.
 
     mutable std::mutex m_publishedMutex;
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -25,6 +25,8 @@
 /// The delay is at most half a second: a fleet without weights serves no requests, and these attempts put little load on the origin.
 constexpr std::uint32_t MaximumOriginDoublings = 1;
 constexpr double SmoothingFactor = 0.2;
+/// Share of the origin's link that carries chunks. The rest carries headers, manifests and the packets that open connections.
+constexpr double ChunkShareOfOriginLink = 0.97;
 constexpr std::uint64_t OriginToInstanceLinkRatio = 2; ///< Used if the origin's rate is not set: its link carries about twice as much as an instance's link.
 
 Core::Duration backoffDelay(Core::Duration base, std::uint32_t failures, std::uint32_t maximumDoublings)
@@ -33,15 +35,11 @@
     return base * (std::int64_t{1} << doublings);
 }
 
-Core::Duration originChunkTime(const TransferSettings &settings, std::uint32_t chunkBytes)
+std::chrono::duration<double, std::milli> originChunkTime(const TransferSettings &settings, std::uint32_t chunkBytes)
 {
-    const std::uint64_t rate =
-        settings.m_originBytesPerSecond > 0 ? settings.m_originBytesPerSecond : OriginToInstanceLinkRatio * settings.m_downloadBytesPerSecond;
-    if (rate == 0) {
-        return Core::Duration(0);
-    }
-    constexpr std::uint64_t millisecondsPerSecond = 1000;
-    return Core::Duration(chunkBytes * millisecondsPerSecond / rate);
+    const double rate = settings.m_originBytesPerSecond > 0 ? ChunkShareOfOriginLink * static_cast<double>(settings.m_originBytesPerSecond)
+                                                            : static_cast<double>(OriginToInstanceLinkRatio * settings.m_downloadBytesPerSecond);
+    return rate > 0 ? std::chrono::duration<double>(chunkBytes / rate) : std::chrono::duration<double>(0);
 }
 
 /// Returns the delay after which the ranked downloaders and importers of a chunk follow all its possible sources, if the chunk is due and not held by any
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -228,7 +228,7 @@
     const Weights::Manifest m_manifest;
     const Core::Instant m_startedAt;
     Core::Random m_random;
-    Core::Duration m_originChunkTime{0}; ///< Time that one chunk takes on the origin's link.
+    std::chrono::duration<double, std::milli> m_originChunkTime{0}; ///< Time that one chunk takes on the origin's link.
     Core::Duration m_probeDelay{0};
     std::uint32_t m_originCopies = 1;
     std::vector<Peer> m_peers; ///< Indices never change. Peers that left the plan are kept but not listed.
--- a/Libraries/LibTransfer/TransferManager.cpp
+++ b/Libraries/LibTransfer/TransferManager.cpp
@@ -50,9 +50,9 @@
     m_coordinator->release(manifestDigest);
 }
 
-void TransferManager::setOrigin(const Core::Address &origin)
+void TransferManager::setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond)
 {
-    m_coordinator->setOrigin(origin);
+    m_coordinator->setOrigin(origin, linkBytesPerSecond);
 }
 
 void TransferManager::offerManifest(const std::string &manifestDigest, std::string encoded)
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -86,8 +86,8 @@
     /// Returns the progress of each wanted or held version.
     std::vector<Protocol::TransferProgress> progress() const;
 
-    /// Replaces the origin's address.
-    void setOrigin(const Core::Address &origin);
+    /// Replaces the origin's address and the rate of its link. @p linkBytesPerSecond: 0 if the rate is unknown.
+    void setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond = 0);
     /// Passes in a manifest that was found on this instance. It is accepted if its digest is that of a wanted version.
     void offerManifest(const std::string &manifestDigest, std::string encoded);
     /// Passes in a chunk that was found on this instance. It is accepted if it matches its digest; it then need not be downloaded, and peers can fetch it from
