LibTransfer: Probe an unreachable origin and restart the downloads in order

Cause: while the origin was unreachable every chunk became due. At its return all replicas requested theirs at once, the requests shared the origin's link, and nothing ended early enough to be passed on meanwhile. Chunks also counted as late, so that the second and third replica in rank requested them too, and replicas went on to follow every possible source, which spoils the spread of requests.

Change: after a failed download a replica only opens and closes connections, every 100 ms (a request took up to 5 s to time out before). When one succeeds after an outage of 300 ms or more, the missing chunks get new positions in the schedule of downloads from that time on, no chunk counts as late, and the usual neighbours are followed. A single corrupt answer is repeated at once.

--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -66,6 +66,7 @@
     void handle(const FollowEnded &event);
     void handle(const PeerRequestEnded &event);
     void handle(const OriginRequestEnded &event);
+    void handle(const OriginProbeEnded &event);
     void handle(const ManifestRequestEnded &event);
     void handle(const ManifestRequested &event);
     void handle(const FollowRequested &event);
@@ -84,6 +85,7 @@
     void followPeer(Version &version, const Core::Address &peer);
     void requestFromPeer(Version &version, const Action &action);
     void requestFromOrigin(Version &version, const Action &action);
+    void probeOrigin(Version &version);
     void acceptChunk(Version &version, Weights::ChunkIndex chunk, std::string bytes, Core::Instant now);
     void storeChunk(Version &version, Weights::ChunkIndex chunk, Weights::ChunkBytes bytes, Core::Instant now);
     void completeVersion(Version &version);
--- a/Libraries/LibTransfer/CoordinatorEvents.cpp
+++ b/Libraries/LibTransfer/CoordinatorEvents.cpp
@@ -157,6 +157,14 @@
     acceptChunk(*version, request.m_chunk, event.m_bytes.value(), now);
 }
 
+void Coordinator::handle(const OriginProbeEnded &event)
+{
+    const Version *version = findVersion(event.m_digest);
+    if (version && version->m_exchange) {
+        version->m_exchange->onOriginProbed(event.m_isReachable, Core::Clock::now());
+    }
+}
+
 void Coordinator::handle(const ManifestRequestEnded &event)
 {
     Version *version = findVersion(event.m_digest);
--- a/Libraries/LibTransfer/CoordinatorRequests.cpp
+++ b/Libraries/LibTransfer/CoordinatorRequests.cpp
@@ -67,7 +67,7 @@
     if (!peer) {
         const Core::Address origin = this->origin();
         const std::string from = origin.toString();
-        OriginJob job{origin, OriginChunk{version.m_deployment.m_model, version.m_deployment.m_version, 0, 0, 0}, {}};
+        OriginJob job{OriginJobKind::ReadManifest, origin, OriginChunk{version.m_deployment.m_model, version.m_deployment.m_version, 0, 0, 0}, {}};
         job.m_done = [queue = m_events, digest, from](Core::Result<std::string> bytes) { queue->push(ManifestRequestEnded{digest, from, std::move(bytes)}); };
         if (!m_originWorker.offer(std::move(job))) {
             version.m_manifestFetch.m_isOpen = false;
@@ -126,6 +126,9 @@
         case ActionKind::RequestFromOrigin:
             requestFromOrigin(version, action);
             break;
+        case ActionKind::ProbeOrigin:
+            probeOrigin(version);
+            break;
         case ActionKind::Cancel: {
             const std::map<RequestId, OpenRequest>::iterator open = version.m_requests.find(action.m_request);
             if (open == version.m_requests.end()) {
@@ -198,7 +201,7 @@
                             action.m_chunk,
                             version.m_manifest->chunkOffset(action.m_chunk),
                             version.m_manifest->chunkLength(action.m_chunk)};
-    OriginJob job{origin(), chunk, {}};
+    OriginJob job{OriginJobKind::ReadChunk, origin(), chunk, {}};
     job.m_done = [queue = m_events, digest, id](Core::Result<std::string> bytes) { queue->push(OriginRequestEnded{digest, id, std::move(bytes)}); };
     if (!m_originWorker.offer(std::move(job))) {
         version.m_requests.erase(id);
@@ -206,6 +209,16 @@
     }
 }
 
+void Coordinator::probeOrigin(Version &version)
+{
+    const std::string digest = version.m_deployment.m_digest;
+    OriginJob job{OriginJobKind::Probe, origin(), {}, {}};
+    job.m_done = [queue = m_events, digest](const Core::Result<std::string> &result) { queue->push(OriginProbeEnded{digest, result.has_value()}); };
+    if (!m_originWorker.offer(std::move(job))) {
+        version.m_exchange->onOriginProbed(false, Core::Clock::now());
+    }
+}
+
 void Coordinator::acceptChunk(Version &version, Weights::ChunkIndex chunk, std::string bytes, Core::Instant now)
 {
     if (version.m_chunks[chunk]) {
--- a/Libraries/LibTransfer/Events.h
+++ b/Libraries/LibTransfer/Events.h
@@ -66,6 +66,12 @@
     Core::Result<std::string> m_bytes;
 };
 
+struct OriginProbeEnded
+{
+    std::string m_digest;
+    bool m_isReachable = false;
+};
+
 struct ManifestRequestEnded
 {
     std::string m_digest;
@@ -114,6 +120,7 @@
                            FollowEnded,
                            PeerRequestEnded,
                            OriginRequestEnded,
+                           OriginProbeEnded,
                            ManifestRequestEnded,
                            ManifestRequested,
                            FollowRequested,
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -3,6 +3,7 @@
 #include "LibTransfer/Exchange.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Transfer {
 
@@ -20,10 +21,12 @@
 constexpr Core::Duration FailureRetryDelay{1000};
 constexpr std::uint32_t FailuresUntilExclusion = 3;
 constexpr Core::Duration ExclusionTime{30000};
-constexpr Core::Duration OriginRetryDelay{250};
-constexpr std::uint32_t OriginFailuresUntilTakeover = 3;
-/// The delay is at most half a second: a fleet without weights serves no requests, and these attempts put little load on the origin.
-constexpr std::uint32_t MaximumOriginDoublings = 1;
+/// Delay between probes of an unreachable origin. A fleet whose weights are missing serves no requests, and a probe transfers no data.
+constexpr Core::Duration OriginProbeDelay{100};
+constexpr std::uint32_t OriginFailuresUntilTakeover = 5; ///< Half a second of failed probes.
+/// An outage of at least this length restarts the schedule of downloads. A connection that the origin reset because it had too many does not.
+constexpr Core::Duration MinimumOriginOutage{300};
+constexpr Core::Duration CorruptDownloadDelay{250}; ///< Delay after the second corrupt answer in a row. A single one is repeated at once.
 constexpr double SmoothingFactor = 0.2;
 /// Share of the origin's link that carries chunks. The rest carries headers, manifests and the packets that open connections.
 constexpr double ChunkShareOfOriginLink = 0.97;
@@ -64,10 +67,13 @@
     , m_random(m_identity.m_seed)
     , m_originChunkTime(originChunkTime(settings, manifest.m_chunkBytes))
     , m_probeDelay(probeDelay(settings, manifest))
+    , m_downloadScheduleStart(now)
+    , m_downloadPositions(manifest.chunkCount())
     , m_chunks(manifest.chunkCount())
     , m_held(manifest.chunkCount(), false)
     , m_nextRequest(m_random.next() >> 8U)
 {
+    std::iota(m_downloadPositions.begin(), m_downloadPositions.end(), 0U);
 }
 
 void Exchange::setReplicas(const std::vector<Control::PlannedReplica> &replicas, std::uint32_t originCopies)
@@ -229,8 +235,8 @@
         m_peers[*found->second.m_peer].m_consecutiveFailures = 0;
         m_smoothedRequestSeconds = m_smoothedRequestSeconds == 0 ? seconds : m_smoothedRequestSeconds + SmoothingFactor * (seconds - m_smoothedRequestSeconds);
     } else {
-        m_originRecoveredAt = canDownloadFromOrigin() ? m_originRecoveredAt : std::optional<Core::Instant>(now);
-        m_consecutiveOriginFailures = 0;
+        recordOriginReachable(now);
+        m_isOriginRecovering = false;
     }
     closeRequest(found);
 }
@@ -247,8 +253,7 @@
         ++m_counts.m_badChunks;
     }
     if (!request.m_peer) {
-        ++m_consecutiveOriginFailures;
-        m_nextOriginRequestAt = now + backoffDelay(OriginRetryDelay, m_consecutiveOriginFailures, MaximumOriginDoublings);
+        recordOriginFailure(failure, now);
         return;
     }
     Peer &peer = m_peers[*request.m_peer];
@@ -268,6 +273,57 @@
     }
 }
 
+void Exchange::recordOriginFailure(Failure failure, Core::Instant now)
+{
+    if (failure == Failure::Corrupt) {
+        // The origin is reachable, and no other replica would get a better answer.
+        m_nextOriginRequestAt = m_wasLastDownloadCorrupt ? now + CorruptDownloadDelay : now;
+        m_wasLastDownloadCorrupt = true;
+        return;
+    }
+    ++m_consecutiveOriginFailures;
+    m_nextOriginRequestAt = now + OriginProbeDelay;
+    m_originUnreachableSince = m_originUnreachableSince.value_or(now);
+}
+
+void Exchange::recordOriginReachable(Core::Instant now)
+{
+    if (!canDownloadFromOrigin() || m_isOriginRecovering) {
+        m_originRecoveredAt = now;
+    }
+    m_consecutiveOriginFailures = 0;
+    m_originUnreachableSince.reset();
+    m_wasLastDownloadCorrupt = false;
+}
+
+void Exchange::onOriginProbed(bool isReachable, Core::Instant now)
+{
+    m_originProbeSentAt.reset();
+    if (!isReachable) {
+        recordOriginFailure(Failure::Unavailable, now);
+        return;
+    }
+    if (m_originUnreachableSince && now - *m_originUnreachableSince >= MinimumOriginOutage) {
+        restartDownloadSchedule(now);
+    }
+    m_isOriginRecovering = m_isOriginRecovering || !canDownloadFromOrigin();
+    recordOriginReachable(now);
+}
+
+void Exchange::restartDownloadSchedule(Core::Instant now)
+{
+    m_downloadScheduleStart = now;
+    std::uint32_t position = 0;
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        m_downloadPositions[index] = position;
+        position += m_held[index] || isHeldByPeer(index, now) ? 0 : 1;
+        // By the new schedule no chunk is late.
+        m_chunks[index].m_isLateDownload = false;
+        m_chunks[index].m_isLateImport = false;
+    }
+    selectFollowedPeers(); // During the outage many more peers were searched for chunks that no peer held.
+}
+
 void Exchange::recordFailure(Peer &peer, Core::Instant now)
 {
     peer.m_usableAfter = now + FailureRetryDelay;
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -27,6 +27,7 @@
     Unfollow,
     RequestFromPeer, ///< Request a chunk from a peer.
     RequestFromOrigin, ///< Download a chunk from the origin.
+    ProbeOrigin, ///< Open and close a connection to the origin, to find out whether it is reachable again.
     Cancel, ///< Abandon a request. Its end is not reported back.
 };
 
@@ -97,6 +98,8 @@
     /// Records that the request delivered its chunk. Must be followed by onChunkHeld().
     void onRequestSucceeded(RequestId request, Core::Instant now);
     void onRequestFailed(RequestId request, Failure failure, Core::Instant now);
+    /// Records the result of a ProbeOrigin action.
+    void onOriginProbed(bool isReachable, Core::Instant now);
     /// Records the number of bytes received so far for a request.
     void onRequestProgress(RequestId request, std::uint64_t bytes, Core::Instant now);
 
@@ -209,6 +212,8 @@
     bool mayDownload(Weights::ChunkIndex index, Core::Instant now) const;
     bool isHeldByPeer(Weights::ChunkIndex index, Core::Instant now) const;
     void recordFailure(Peer &peer, Core::Instant now);
+    void recordOriginFailure(Failure failure, Core::Instant now);
+    void recordOriginReachable(Core::Instant now);
     static bool isExcluded(const Peer &peer, Core::Instant now);
     bool haveNeighboursAnswered(Core::Instant now) const;
     void followSources(Weights::ChunkIndex index, Core::Instant now);
@@ -218,6 +223,10 @@
     bool isStalled(const Request &request, Core::Instant now) const;
     void decideStalls(std::vector<Action> &actions, Core::Instant now);
     void decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now);
+    bool wantsDownload(Weights::ChunkIndex index, Core::Instant now) const;
+    void probeOrigin(std::vector<Action> &actions, Core::Instant now);
+    /// Restarts the schedule of downloads with the chunks that no known replica holds.
+    void restartDownloadSchedule(Core::Instant now);
     void decideRequests(std::vector<Action> &actions, Pacer &download, Core::Instant now);
     void decideHedges(std::vector<Action> &actions, Pacer &download, Core::Instant now);
     Action openPeerRequest(Weights::ChunkIndex chunk, PeerIndex peer, Core::Instant now);
@@ -231,6 +240,8 @@
     std::chrono::duration<double, std::milli> m_originChunkTime{0}; ///< Time that one chunk takes on the origin's link.
     Core::Duration m_probeDelay{0};
     std::uint32_t m_originCopies = 1;
+    Core::Instant m_downloadScheduleStart; ///< Time at which the download of the chunk at the first position is due.
+    std::vector<std::uint32_t> m_downloadPositions; ///< Positions of the chunks in the schedule of downloads. Missing chunks have different positions.
     std::vector<Peer> m_peers; ///< Indices never change. Peers that left the plan are kept but not listed.
     std::optional<PeerIndex> m_self;
     std::optional<PeerIndex> m_treeParent; ///< For the tree strategy only; empty at the root.
@@ -242,8 +253,13 @@
     RequestId m_nextRequest = 1;
     std::uint32_t m_peerRequests = 0; ///< Open requests to peers.
     std::uint32_t m_originRequests = 0; ///< Open requests to the origin.
-    std::uint32_t m_consecutiveOriginFailures = 0; ///< Failed downloads since the last successful one.
-    std::optional<Core::Instant> m_originRecoveredAt; ///< First success after so many failures that other replicas took over; empty without such failures.
+    std::uint32_t m_consecutiveOriginFailures = 0; ///< Failed downloads and probes since the last successful one.
+    std::optional<Core::Instant> m_originUnreachableSince; ///< Set while the last download or probe failed without an answer. Only probes are sent meanwhile.
+    std::optional<Core::Instant> m_originProbeSentAt; ///< Set while a probe is open.
+    bool m_wasLastDownloadCorrupt = false;
+    /// First successful download, or probe before it, after so many failures that other replicas took over; empty without such failures.
+    std::optional<Core::Instant> m_originRecoveredAt;
+    bool m_isOriginRecovering = false; ///< A probe succeeded after so many failures, and no download since.
     Core::Instant m_nextOriginRequestAt; ///< No download from the origin starts before this time.
     Core::Instant m_nextSourceCheck; ///< When the followed sources of missing chunks are next reviewed.
     double m_smoothedRequestSeconds = 0; ///< Smoothed time from a request to a peer until the chunk is complete, in seconds; 0 while unknown.
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -31,6 +31,7 @@
 /// At least this many due chunks are required for each scarce chunk. If more chunks are scarce the origin is slow, and requesting chunks twice would slow it
 /// down further.
 constexpr std::size_t DueChunksPerScarceChunk = 4;
+constexpr Core::Duration LostProbeAge{3000}; ///< After this time the result of a probe counts as lost; longer than any probe takes.
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
 constexpr std::uint32_t ConcurrentOriginDownloads = 2; ///< Concurrent downloads that share the origin's link, so that it is never idle between two of them.
@@ -80,9 +81,9 @@
 {
     // If all downloads began at the same time they would share the origin's link and all end late, with nothing to pass on before. Start times by chunk
     // position serialize them without coordination between the downloaders.
-    const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + index;
+    const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + m_downloadPositions[index];
     const std::uint64_t slots = position > ConcurrentOriginDownloads ? position - ConcurrentOriginDownloads : 0;
-    return now - m_startedAt >= m_originChunkTime * static_cast<std::int64_t>(slots);
+    return now - m_downloadScheduleStart >= m_originChunkTime * static_cast<std::int64_t>(slots);
 }
 
 bool Exchange::areDownloadsDue(Core::Instant now) const
@@ -302,17 +303,46 @@
     }
 }
 
+bool Exchange::wantsDownload(Weights::ChunkIndex index, Core::Instant now) const
+{
+    const Chunk &chunk = m_chunks[index];
+    const bool isOpen = chunk.m_isLateDownload ? isRequestedFromOrigin(index) : chunk.m_openRequests > 0;
+    return !m_held[index] && !isOpen && mayDownload(index, now);
+}
+
+/**
+ * If every replica requested its chunks again until one request succeeds, all of them would share the origin's link when it recovers, and none would end early
+ * enough to be passed on meanwhile. Probes show the recovery to all replicas at about the same time, so that they can restart their schedules together.
+ */
+void Exchange::probeOrigin(std::vector<Action> &actions, Core::Instant now)
+{
+    const bool isOpen = m_originProbeSentAt && now - *m_originProbeSentAt < LostProbeAge;
+    if (isOpen || now < m_nextOriginRequestAt) {
+        return;
+    }
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        if (wantsDownload(index, now)) {
+            m_originProbeSentAt = now;
+            actions.push_back(Action{ActionKind::ProbeOrigin, {}, 0, 0, false});
+            return;
+        }
+    }
+}
+
 void Exchange::decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now)
 {
+    if (m_originUnreachableSince) {
+        probeOrigin(actions, now);
+        return;
+    }
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         if (m_originRequests >= m_settings.m_originConnections || now < m_nextOriginRequestAt) {
             return;
         }
-        Chunk &chunk = m_chunks[index];
-        const bool isOpen = chunk.m_isLateDownload ? isRequestedFromOrigin(index) : chunk.m_openRequests > 0;
-        if (m_held[index] || isOpen || !mayDownload(index, now)) {
+        if (!wantsDownload(index, now)) {
             continue;
         }
+        Chunk &chunk = m_chunks[index];
         if (!download.tryTake(m_manifest.chunkLength(index), now)) {
             return;
         }
--- a/Libraries/LibTransfer/OriginClient.cpp
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -16,6 +16,12 @@
 constexpr std::size_t ReadBufferBytes = 64 << 10;
 constexpr int KeepAliveSeconds = 3600; ///< The session must not reconnect by itself, because it would bypass the gateway.
 
+Poco::Timespan toTimespan(Core::Duration duration)
+{
+    constexpr std::int64_t microsecondsPerMillisecond = 1000;
+    return Poco::Timespan(duration.count() * microsecondsPerMillisecond);
+}
+
 /// Reads up to one byte more than the limit, so that an excessive length can be detected.
 std::string readBounded(std::istream &stream, std::size_t maximumBytes)
 {
@@ -31,10 +37,10 @@
 
 }
 
-OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, OriginDialect dialect)
+OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect)
     : m_network(std::move(network))
     , m_origin(std::move(origin))
-    , m_timeout(timeout)
+    , m_timeouts(timeouts)
     , m_dialect(std::move(dialect))
 {
 }
@@ -60,6 +66,12 @@
     return bytes;
 }
 
+Core::Result<void> OriginClient::probe() const
+{
+    BOOST_OUTCOME_TRY(Network::dialHttp(m_network, m_origin, m_timeouts.m_connect));
+    return Core::success();
+}
+
 Core::Result<std::string> OriginClient::get(const OriginRequest &request, std::size_t maximumBytes)
 {
     const bool isReused = m_session != nullptr;
@@ -75,7 +87,8 @@
 Core::Result<std::string> OriginClient::tryGet(const OriginRequest &request, std::size_t maximumBytes)
 {
     if (!m_session) {
-        m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeout));
+        m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeouts.m_connect));
+        m_session->setTimeout(toTimespan(m_timeouts.m_connect), toTimespan(m_timeouts.m_read), toTimespan(m_timeouts.m_read));
         m_session->setKeepAlive(true);
         m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
     }
--- a/Libraries/LibTransfer/OriginClient.h
+++ b/Libraries/LibTransfer/OriginClient.h
@@ -4,6 +4,7 @@
 #include "LibCore/Clock.h"
 #include "LibNetwork/Dialer.h"
 #include "LibTransfer/OriginDialect.h"
+#include "LibTransfer/OriginTimeouts.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <cstdint>
@@ -16,7 +17,7 @@
 class OriginClient
 {
 public:
-    OriginClient(Network::NetworkSettings network, Core::Address origin, Core::Duration timeout, OriginDialect dialect);
+    OriginClient(Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect);
     ~OriginClient();
 
     const Core::Address &origin() const
@@ -28,6 +29,8 @@
     Core::Result<std::string> readManifest(const std::string &model, const std::string &version);
     /// Returns exactly the chunk's length in bytes, unverified. Fails with Corrupt if the answer is shorter.
     Core::Result<std::string> readChunk(const OriginChunk &chunk);
+    /// Opens a connection and closes it again, to find out whether the origin is reachable.
+    Core::Result<void> probe() const;
 
 private:
     Core::Result<std::string> get(const OriginRequest &request, std::size_t maximumBytes);
@@ -36,7 +39,7 @@
 
     const Network::NetworkSettings m_network;
     const Core::Address m_origin;
-    const Core::Duration m_timeout;
+    const OriginTimeouts m_timeouts;
     const OriginDialect m_dialect;
     std::unique_ptr<Poco::Net::HTTPClientSession> m_session; ///< Null before the first request and after a failure.
 };
--- /dev/null
+++ b/Libraries/LibTransfer/OriginTimeouts.h
@@ -0,0 +1,16 @@
+/// @file Time limits of calls to the origin.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+namespace Transfer {
+
+struct OriginTimeouts
+{
+    Core::Duration m_connect{500}; ///< For opening a connection.
+    Core::Duration m_read{5000}; ///< Longest wait for a byte.
+
+    bool operator==(const OriginTimeouts &) const = default;
+};
+
+}
--- a/Libraries/LibTransfer/OriginWorker.cpp
+++ b/Libraries/LibTransfer/OriginWorker.cpp
@@ -16,9 +16,9 @@
 
 }
 
-OriginWorker::OriginWorker(Network::NetworkSettings network, Core::Duration timeout, std::uint32_t connections, OriginDialect dialect)
+OriginWorker::OriginWorker(Network::NetworkSettings network, OriginTimeouts timeouts, std::uint32_t connections, OriginDialect dialect)
     : m_network(std::move(network))
-    , m_timeout(timeout)
+    , m_timeouts(timeouts)
     , m_connections(connections)
     , m_dialect(std::move(dialect))
     , m_jobs(MaximumWaiting)
@@ -60,15 +60,28 @@
             client.reset();
             continue;
         }
-        if (job->m_origin.isEmpty()) {
-            job->m_done(Core::makeError(Core::ErrorCode::Unavailable, "read from origin", "", "no origin is known"));
-            continue;
-        }
-        if (!client || client->origin() != job->m_origin) {
-            client.emplace(m_network, job->m_origin, m_timeout, m_dialect);
-        }
-        job->m_done(job->m_chunk.m_length == 0 ? client->readManifest(job->m_chunk.m_model, job->m_chunk.m_version) : client->readChunk(job->m_chunk));
+        job->m_done(perform(*job, client));
+    }
+}
+
+Core::Result<std::string> OriginWorker::perform(const OriginJob &job, std::optional<OriginClient> &client) const
+{
+    if (job.m_origin.isEmpty()) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", "", "no origin is known");
+    }
+    if (!client || client->origin() != job.m_origin) {
+        client.emplace(m_network, job.m_origin, m_timeouts, m_dialect);
+    }
+    switch (job.m_kind) {
+    case OriginJobKind::ReadManifest:
+        return client->readManifest(job.m_chunk.m_model, job.m_chunk.m_version);
+    case OriginJobKind::ReadChunk:
+        return client->readChunk(job.m_chunk);
+    case OriginJobKind::Probe:
+        break;
     }
+    BOOST_OUTCOME_TRYV(client->probe());
+    return std::string();
 }
 
 }
--- a/Libraries/LibTransfer/OriginWorker.h
+++ b/Libraries/LibTransfer/OriginWorker.h
@@ -11,19 +11,26 @@
 
 namespace Transfer {
 
-/// A manifest or chunk to be read.
+enum class OriginJobKind {
+    ReadManifest,
+    ReadChunk,
+    Probe, ///< Opens and closes a connection.
+};
+
+/// A manifest or chunk to be read, or a probe.
 struct OriginJob
 {
+    OriginJobKind m_kind = OriginJobKind::ReadChunk;
     Core::Address m_origin; ///< Empty while unknown; the job then fails.
-    OriginChunk m_chunk; ///< Has length 0 if the manifest is to be read.
-    std::function<void(Core::Result<std::string> bytes)> m_done; ///< Called on a thread of the worker, unless the worker stops before.
+    OriginChunk m_chunk; ///< For ReadManifest only the model and the version, for Probe nothing.
+    std::function<void(Core::Result<std::string> bytes)> m_done; ///< Called on a thread of the worker, unless the worker stops before. Probes yield no bytes.
 };
 
 /// Reads manifests and chunks from the origin on its own threads. Thread-safe.
 class OriginWorker
 {
 public:
-    OriginWorker(Network::NetworkSettings network, Core::Duration timeout, std::uint32_t connections, OriginDialect dialect);
+    OriginWorker(Network::NetworkSettings network, OriginTimeouts timeouts, std::uint32_t connections, OriginDialect dialect);
     ~OriginWorker();
 
     void start();
@@ -34,9 +41,10 @@
 
 private:
     void run();
+    Core::Result<std::string> perform(const OriginJob &job, std::optional<OriginClient> &client) const;
 
     const Network::NetworkSettings m_network;
-    const Core::Duration m_timeout;
+    const OriginTimeouts m_timeouts;
     const std::uint32_t m_connections;
     const OriginDialect m_dialect;
     Core::Ring<OriginJob> m_jobs;
--- a/Libraries/LibTransfer/TransferSettings.cpp
+++ b/Libraries/LibTransfer/TransferSettings.cpp
@@ -48,7 +48,9 @@
     settings.m_neighbours = readCount(reader, "neighbours", MaximumNeighbours, settings.m_neighbours);
     settings.m_originConnections = readCount(reader, "origin_connections", MaximumSlots, settings.m_originConnections);
     settings.m_stallLimit = reader.milliseconds("stall_limit_ms", 10, MaximumWaitMilliseconds, settings.m_stallLimit.count());
-    settings.m_originTimeout = reader.milliseconds("origin_timeout_ms", 10, MaximumWaitMilliseconds, settings.m_originTimeout.count());
+    settings.m_originTimeouts.m_connect =
+        reader.milliseconds("origin_connect_timeout_ms", 10, MaximumWaitMilliseconds, settings.m_originTimeouts.m_connect.count());
+    settings.m_originTimeouts.m_read = reader.milliseconds("origin_timeout_ms", 10, MaximumWaitMilliseconds, settings.m_originTimeouts.m_read.count());
     return settings;
 }
 
--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibSettings/Reader.h"
+#include "LibTransfer/OriginTimeouts.h"
 
 #include <cstdint>
 #include <string>
@@ -31,7 +32,7 @@
     std::uint32_t m_neighbours = 10; ///< Peers whose holdings are followed.
     std::uint32_t m_originConnections = 2; ///< Concurrent requests to the origin.
     Core::Duration m_stallLimit{1500}; ///< A requested chunk that makes no progress for this long is requested elsewhere.
-    Core::Duration m_originTimeout{5000}; ///< Longest wait for a byte from the origin.
+    OriginTimeouts m_originTimeouts;
 
     bool operator==(const TransferSettings &) const = default;
 };
--- a/Tests/LibTransfer/TestExchange.cpp
+++ b/Tests/LibTransfer/TestExchange.cpp
@@ -26,6 +26,8 @@
 {
     Transfer::TransferSettings m_settings;
     std::vector<Control::PlannedReplica> m_replicas;
+    std::uint32_t m_own = 0; ///< Index of the replica whose exchange is tested.
+    std::uint32_t m_originCopies = 1;
     std::unique_ptr<Transfer::Exchange> m_exchange;
     Transfer::Pacer m_pacer{0, 0, Core::Instant()};
     Core::Instant m_now;
@@ -35,7 +37,8 @@
     std::map<Core::Address, std::vector<std::uint32_t>> m_holdings;
     std::set<Core::Address> m_followed;
     std::vector<Transfer::Action> m_requests; ///< Every RequestFromPeer and RequestFromOrigin action so far.
-    bool m_isOriginDown = false; ///< Requests to the origin fail immediately.
+    bool m_isOriginDown = false; ///< Requests to the origin and probes fail immediately.
+    std::size_t m_probes = 0;
     Transfer::TransferMode m_mode = Transfer::TransferMode::Full;
 
     ExchangeFixture(std::uint32_t replicas, std::uint32_t own, std::uint32_t originCopies = 1)
@@ -45,9 +48,17 @@
         for (std::uint32_t number = 0; number < replicas; ++number) {
             m_replicas.push_back(makeReplica(number, "hcm"));
         }
+        m_own = own;
+        m_originCopies = originCopies;
+        restartExchange();
+    }
+
+    /// Creates the exchange anew, with the settings of the fixture.
+    void restartExchange()
+    {
         m_exchange = std::make_unique<Transfer::Exchange>(
-            m_settings, Transfer::Exchange::Identity{"digest", m_replicas[own].m_instance, "hcm", 1}, makeManifest(), m_now);
-        m_exchange->setReplicas(m_replicas, originCopies);
+            m_settings, Transfer::Exchange::Identity{"digest", m_replicas[m_own].m_instance, "hcm", 1}, makeManifest(), m_now);
+        m_exchange->setReplicas(m_replicas, m_originCopies);
     }
 
     /// Advances the time. Peers send updates as configured; requests stay open unless the test ends them.
@@ -61,6 +72,9 @@
                     m_followed.insert(action.m_peer);
                 } else if (action.m_kind == Transfer::ActionKind::Unfollow) {
                     m_followed.erase(action.m_peer);
+                } else if (action.m_kind == Transfer::ActionKind::ProbeOrigin) {
+                    ++m_probes;
+                    m_exchange->onOriginProbed(!m_isOriginDown, m_now);
                 } else if (action.m_kind != Transfer::ActionKind::Cancel) {
                     requests.push_back(action);
                 }
@@ -183,6 +197,66 @@
     CHECK(fixture.downloadedChunks().size() == Chunks);
 }
 
+TEST_CASE("After an outage of the origin the missing chunks are downloaded one after the other")
+{
+    // The origin is unreachable while all downloads become due. If all replicas requested their chunks at its recovery, the requests would share its link, all
+    // chunks would end late, and nothing could be passed on meanwhile.
+    constexpr Core::Duration chunkTime(100);
+    constexpr std::uint64_t originBytesPerSecond = 10556; // A chunk takes 100 ms on the share of the link that carries chunks.
+    ExchangeFixture fixture(2, 0);
+    fixture.m_settings.m_originBytesPerSecond = originBytesPerSecond;
+    fixture.restartExchange();
+    std::vector<std::uint32_t> held;
+    for (Weights::ChunkIndex chunk = 0; chunk < Chunks / 2; ++chunk) {
+        held.push_back(chunk);
+    }
+    fixture.m_holdings[fixture.m_replicas[1].m_wire] = held;
+    fixture.m_originUnreachable.insert(fixture.m_replicas[1].m_wire);
+    fixture.m_isOriginDown = true;
+    fixture.advance(Core::Duration(6000));
+    CHECK(fixture.m_probes > 0);
+    fixture.m_isOriginDown = false;
+    fixture.m_originUnreachable.clear();
+    fixture.m_requests.clear();
+    fixture.advance(Core::Duration(120));
+    constexpr std::size_t concurrentDownloads = 3; // Two that share the link, and the next one when the first of them is due to end.
+    CHECK(fixture.downloadedChunks().size() <= concurrentDownloads);
+    fixture.advance(chunkTime * static_cast<std::int64_t>(Chunks / 2));
+    std::set<Weights::ChunkIndex> missing = fixture.rankedChunks(0, 0);
+    std::erase_if(missing, [](Weights::ChunkIndex chunk) { return chunk < Chunks / 2; });
+    CHECK(fixture.downloadedChunks() == missing);
+}
+
+TEST_CASE("An unreachable origin is only probed, ten times a second at most")
+{
+    // Every replica of a large fleet retries while the origin is down. The origin accepts a limited number of connections, and requests that are open at its
+    // recovery would all be answered at the same time.
+    ExchangeFixture fixture(2, 0);
+    fixture.m_isOriginDown = true;
+    fixture.advance(Core::Duration(100));
+    fixture.m_requests.clear();
+    fixture.m_probes = 0;
+    fixture.advance(Core::Duration(3000));
+    CHECK(fixture.downloadedChunks().empty());
+    CHECK(fixture.m_probes > 0);
+    CHECK(fixture.m_probes <= 30);
+}
+
+TEST_CASE("A single corrupt chunk from the origin is requested again at once")
+{
+    ExchangeFixture fixture(1, 0);
+    fixture.m_settings.m_originConnections = 1;
+    fixture.restartExchange();
+    const std::vector<Transfer::Action> first = fixture.advance(Core::Duration(200));
+    REQUIRE(first.size() == 1);
+    fixture.m_exchange->onRequestFailed(first[0].m_request, Transfer::Failure::Corrupt, fixture.m_now);
+    const std::vector<Transfer::Action> second = fixture.advance(Step);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].m_chunk == first[0].m_chunk);
+    fixture.m_exchange->onRequestFailed(second[0].m_request, Transfer::Failure::Corrupt, fixture.m_now);
+    CHECK(fixture.advance(Core::Duration(200)).empty());
+}
+
 TEST_CASE("For a version that is not the most urgent, a replica downloads only the chunks for which it is ranked first")
 {
     // Two versions are declared two seconds apart, and the origin goes down soon after the second. Chunks of the second version that were downloaded by then
--- a/Tests/LibTransfer/TestOriginWorker.cpp
+++ b/Tests/LibTransfer/TestOriginWorker.cpp
@@ -30,10 +30,10 @@
     const Core::Address origin{"127.0.0.1", listener.address().port()};
     Transfer::OriginDialect dialect;
     dialect.m_makeChunkRequest = [](const Transfer::OriginChunk &) { return Transfer::OriginRequest{"/chunk", "", 200}; };
-    Transfer::OriginWorker worker(Network::NetworkSettings{}, Core::Duration(2000), 1, dialect);
+    Transfer::OriginWorker worker(Network::NetworkSettings{}, Transfer::OriginTimeouts{Core::Duration(2000), Core::Duration(2000)}, 1, dialect);
     worker.start();
     std::promise<bool> isDownloaded;
-    Transfer::OriginJob job{origin, Transfer::OriginChunk{"drafts", "1", 0, 0, 4}, [&isDownloaded](const Core::Result<std::string> &bytes) {
+    Transfer::OriginJob job{Transfer::OriginJobKind::ReadChunk, origin, Transfer::OriginChunk{"drafts", "1", 0, 0, 4}, [&isDownloaded](const Core::Result<std::string> &bytes) {
                                 isDownloaded.set_value(bytes && bytes.value() == "abcd");
                             }};
     const bool isQueued = worker.offer(std::move(job));
