LibStaging: Keep manifests off the origin's link when it recovers

Cause: an agent whose chunks had not arrived for 6 s, or whose first read of the manifest had failed, read the manifest from the origin again and again, and so did all others. At the origin's return 98 manifests of 6.5 KB took 0.7 s of its link, and an agent that waited for its manifest did not notice that its chunks were complete.

Change: while a manifest is unknown, agents wait for it at the sixteen that read from the origin, and read it there themselves on every third attempt. A manifest is checked only if no chunk arrived for 6 s, and the download goes on meanwhile.

--- a/Libraries/LibStaging/ManifestSharing.cpp
+++ b/Libraries/LibStaging/ManifestSharing.cpp
@@ -21,8 +21,8 @@
 
 }
 
-std::optional<Core::Address>
-manifestSource(const std::string &self, const std::vector<Gossip::Member> &others, const ModelVersion &version, std::size_t originFetchers)
+std::optional<Core::Address> manifestSource(
+    const std::string &self, const std::vector<Gossip::Member> &others, const ModelVersion &version, std::size_t originFetchers, std::size_t attempt)
 {
     const std::string key = version.m_model + "/" + std::to_string(version.m_version);
     const std::uint64_t ownWeight = Core::rendezvousWeight(key, self);
@@ -36,7 +36,7 @@
     if (rankedBefore.size() < originFetchers) {
         return std::nullopt;
     }
-    const std::ptrdiff_t sourceRank = static_cast<std::ptrdiff_t>(rankedBefore.size() % originFetchers);
+    const std::ptrdiff_t sourceRank = static_cast<std::ptrdiff_t>((rankedBefore.size() + attempt) % originFetchers);
     std::nth_element(rankedBefore.begin(), rankedBefore.begin() + sourceRank, rankedBefore.end(), std::greater<>());
     return rankedBefore[static_cast<std::size_t>(sourceRank)].second->m_peers;
 }
@@ -73,9 +73,9 @@
 
 void ManifestSharing::handleRequest(const ModelVersion &version, const Wire::Responder &responder)
 {
-    const std::map<ModelVersion, std::string>::const_iterator known = m_manifests.find(version);
-    if (known != m_manifests.end() && !known->second.empty()) {
-        responder.reply(known->second);
+    const std::map<ModelVersion, FetchState>::const_iterator known = m_fetches.find(version);
+    if (known != m_fetches.end() && !known->second.m_encoded.empty()) {
+        responder.reply(known->second.m_encoded);
         return;
     }
     // Agents learn of a version at slightly different times, so a version that is unknown now may become known soon.
@@ -95,10 +95,15 @@
 
 void ManifestSharing::fetch(const Core::Address &origin, const ModelVersion &version, Done<Weights::Manifest> done)
 {
-    const bool isFirst = m_manifests.try_emplace(version).second;
-    const std::optional<Core::Address> peer = isFirst ? manifestSource(m_self, m_otherAgents, version, m_settings.m_originFetchers) : std::nullopt;
+    FetchState &state = m_fetches[version];
+    if (!state.m_encoded.empty()) {
+        fetchFromOrigin(origin, version, std::move(done));
+        return;
+    }
+    const std::size_t attempt = state.m_attempts++;
+    const std::optional<Core::Address> peer = manifestSource(m_self, m_otherAgents, version, m_settings.m_originFetchers, attempt);
     if (peer) {
-        fetchFromPeer(*peer, origin, version, std::move(done));
+        fetchFromPeer(*peer, origin, version, attempt, std::move(done));
     } else {
         fetchFromOrigin(origin, version, std::move(done));
     }
@@ -117,34 +122,42 @@
                   });
 }
 
-void ManifestSharing::fetchFromPeer(const Core::Address &peer, const Core::Address &origin, const ModelVersion &version, Done<Weights::Manifest> done)
+void ManifestSharing::fetchFromPeer(
+    const Core::Address &peer, const Core::Address &origin, const ModelVersion &version, std::size_t attempt, Done<Weights::Manifest> done)
 {
+    const bool mayReadFromOrigin = attempt % m_settings.m_originAttemptPeriod == 0;
     const std::shared_ptr<std::string> encoded = std::make_shared<std::string>();
     Wire::CallEvents events;
     events.m_onFrame = [encoded](std::string frame) { *encoded = std::move(frame); };
-    events.m_onEnd = [this, alive = m_isAlive, encoded, origin, version, name = peer.toString(), finish = std::move(done)](const Wire::CallEnd &end) {
+    events.m_onEnd = [this, alive = m_isAlive, encoded, origin, version, mayReadFromOrigin, name = peer.toString(), finish = std::move(done)](
+                         const Wire::CallEnd &end) {
         const Core::Result<Weights::Manifest> manifest =
             end.m_succeeded ? Weights::decodeManifest(*encoded, name) : Core::Result<Weights::Manifest>(end.m_error);
-        boost::asio::post(m_loop, [this, alive, manifest, origin, version, finish] {
+        boost::asio::post(m_loop, [this, alive, manifest, origin, version, mayReadFromOrigin, name, finish] {
             if (!*alive) {
                 return;
             }
-            if (!manifest || !isManifestOf(manifest.value(), version)) {
+            if (manifest && isManifestOf(manifest.value(), version)) {
+                storeManifest(version, manifest.value());
+                finish(manifest);
+                return;
+            }
+            if (mayReadFromOrigin) {
                 fetchFromOrigin(origin, version, finish);
                 return;
             }
-            storeManifest(version, manifest.value());
-            finish(manifest);
+            finish(manifest ? Core::makeError(Core::ErrorCode::Corrupt, "read manifest", name, "it describes another version") : manifest);
         });
     };
-    m_node.call(peer, ManifestMethod, Wire::pack(version), Wire::CallOptions{m_settings.m_peerTimeout}, std::move(events));
+    const Core::Duration timeout = attempt == 0 ? m_settings.m_peerTimeout : m_settings.m_laterPeerTimeout;
+    m_node.call(peer, ManifestMethod, Wire::pack(version), Wire::CallOptions{timeout}, std::move(events));
 }
 
 void ManifestSharing::storeManifest(const ModelVersion &version, const Weights::Manifest &manifest)
 {
     const std::string encoded = Weights::encodeManifest(manifest);
-    m_manifests[version] = encoded;
-    std::erase_if(m_manifests, [this, &version](const std::pair<const ModelVersion, std::string> &entry) {
+    m_fetches[version].m_encoded = encoded;
+    std::erase_if(m_fetches, [this, &version](const std::pair<const ModelVersion, FetchState> &entry) {
         return entry.first.m_model == version.m_model && entry.first.m_version + m_settings.m_keptVersionsPerModel <= version.m_version;
     });
     for (const Waiter &waiter : m_waiters) {
--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -280,19 +280,22 @@
  */
 bool WeightsManager::shouldFinishTarget() const
 {
-    if (!m_target || m_step == Step::Idle || m_step == Step::Loading || heldChunkShare() < m_settings.m_minimumShareToFinish) {
+    if (!m_target || !m_manifest || m_step == Step::Idle || m_step == Step::Loading) {
+        return false;
+    }
+    if (heldChunkCount() < m_settings.m_minimumShareToFinish * m_manifest->chunkCount()) {
         return false;
     }
     const std::optional<Core::Duration> age = m_parts.m_versions.knownAge(m_target->m_model, m_target->m_version, Core::Clock::now());
     return age && *age < m_settings.m_finishAgeLimit;
 }
 
-/// Returns the share of the target's chunks that are held, from 0 to 1.
-double WeightsManager::heldChunkShare() const
+/// Returns the number of the target's chunks that are held.
+std::uint32_t WeightsManager::heldChunkCount() const
 {
     for (const Protocol::TransferProgress &progress : m_parts.m_transfer.progress()) {
-        if (progress.m_digest == m_manifestDigest && progress.m_chunksTotal > 0) {
-            return static_cast<double>(progress.m_chunksHeld) / progress.m_chunksTotal;
+        if (progress.m_digest == m_manifestDigest) {
+            return progress.m_chunksHeld;
         }
     }
     return 0;
@@ -369,7 +372,8 @@
     m_manifest = manifest.value();
     const std::string encoded = Weights::encodeManifest(*m_manifest);
     m_manifestDigest = Weights::manifestDigest(encoded);
-    m_manifestReceivedAt = Core::Clock::now();
+    m_manifestCheckedAt = Core::Clock::now();
+    m_isManifestCheckOpen = false;
     updateTransferTargets();
     m_parts.m_transfer.offerManifest(m_manifestDigest, encoded);
     listStagedChunks();
@@ -464,13 +468,48 @@
         stageMissingChunks(run);
         return;
     }
-    if (Core::Clock::now() - m_manifestReceivedAt > m_settings.m_manifestLifetime) {
-        fetchManifest();
-        return;
+    if (isManifestCheckDue()) {
+        checkManifest();
     }
     runAfter(TransferPollInterval, run, [this] { awaitTransfer(); });
 }
 
+bool WeightsManager::isManifestCheckDue()
+{
+    const Core::Instant now = Core::Clock::now();
+    const std::uint32_t held = heldChunkCount();
+    if (held != m_heldAtManifestCheck) {
+        m_heldAtManifestCheck = held;
+        m_manifestCheckedAt = now;
+    }
+    return !m_isManifestCheckOpen && now - m_manifestCheckedAt > m_settings.m_manifestCheckDelay;
+}
+
+/// Fetches the manifest again and starts over if it differs. The download goes on meanwhile: usually its chunks are only delayed.
+void WeightsManager::checkManifest()
+{
+    const Fleet::Service *origin = m_parts.m_fleetState.configuration()->origin();
+    if (!origin) {
+        return;
+    }
+    m_isManifestCheckOpen = true;
+    const auto onFetched = [this, alive = m_isAlive, run = m_run](const Core::Result<Weights::Manifest> &manifest) {
+        if (!*alive || !isCurrentRun(run)) {
+            return;
+        }
+        m_isManifestCheckOpen = false;
+        m_manifestCheckedAt = Core::Clock::now();
+        if (!manifest) {
+            m_parts.m_log.write(Telemetry::LogLine("manifest_failed").text("error", manifest.error().message()));
+        } else if (m_step == Step::AwaitTransfer && manifest.value() != *m_manifest) {
+            ++m_run;
+            m_stagedChunks.clear();
+            handleManifest(m_run, manifest);
+        }
+    };
+    m_engine.m_fetchManifest(*origin->m_origin, m_target->m_model, m_target->m_version, onFetched);
+}
+
 void WeightsManager::stageMissingChunks(std::uint64_t run)
 {
     enterStep(Step::StageChunks);
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -30,7 +30,7 @@
     Core::Duration m_unreachableStatusInterval{100};
     Core::Duration m_retryDelay{200}; ///< Delay before a failed step is retried.
     std::size_t m_concurrentChunks = 4; ///< Concurrent calls to the engine while chunks are staged or read back.
-    Core::Duration m_manifestLifetime{6000}; ///< If the chunks do not arrive within this time, the manifest itself may be corrupt and is fetched again.
+    Core::Duration m_manifestCheckDelay{6000}; ///< If no chunk arrives within this time, the manifest itself may be corrupt and is fetched again.
     /**
      * Time between announcing the drain to the entries and sending the load order, if running streams will be aborted. About half of the streams end within it.
      * Without it more streams are moved and interrupted; waiting for the last stream would make the engine unavailable for seconds.
@@ -127,7 +127,7 @@
     void beginTarget(const TargetVersion &target);
     bool isReadyToLoad() const;
     bool shouldFinishTarget() const;
-    double heldChunkShare() const;
+    std::uint32_t heldChunkCount() const;
     void prefetch(const TargetVersion &target);
     void fetchNextManifest(const TargetVersion &target);
     void handleNextManifest(const TargetVersion &target, const Core::Result<Weights::Manifest> &manifest);
@@ -139,6 +139,8 @@
     void listStagedChunks();
     void readStagedChunks(std::uint64_t run, std::vector<Weights::ChunkIndex> chunks);
     void awaitTransfer();
+    bool isManifestCheckDue();
+    void checkManifest();
     void stageMissingChunks(std::uint64_t run);
     void awaitLoadTime();
     bool hasReachedLoadTime() const;
@@ -162,7 +164,9 @@
     std::string m_manifestDigest;
     std::optional<TargetVersion> m_nextTarget; ///< Newer than the target. Its chunks are downloaded while the target is staged and loaded.
     std::optional<Weights::Manifest> m_nextManifest; ///< Manifest of the next target, once known.
-    Core::Instant m_manifestReceivedAt;
+    Core::Instant m_manifestCheckedAt; ///< When the manifest was last received, or a chunk arrived.
+    std::uint32_t m_heldAtManifestCheck = 0; ///< Chunks that were held then.
+    bool m_isManifestCheckOpen = false;
     Core::Instant m_orderSentAt; ///< When the last load order was sent.
     std::set<Weights::ChunkIndex> m_stagedChunks; ///< Chunks of the target that are in the staging area.
     Step m_step = Step::Idle;
--- a/Tests/LibStaging/TestManifestSharing.cpp
+++ b/Tests/LibStaging/TestManifestSharing.cpp
@@ -43,6 +43,7 @@
     Telemetry::Metrics m_metrics;
     Wire::Node m_node;
     std::size_t m_originRequests = 0;
+    bool m_isOriginUnreachable = false;
     Staging::ManifestSharing m_sharing;
     std::optional<Weights::Manifest> m_manifest;
 
@@ -53,13 +54,25 @@
               m_node,
               [this, &loop](const Core::Address &, const std::string &, std::uint64_t version, const Staging::Done<Weights::Manifest> &done) {
                   ++m_originRequests;
-                  boost::asio::post(loop, [version, done] { done(manifestOf(version)); });
+                  boost::asio::post(loop, [this, version, done] {
+                      done(m_isOriginUnreachable ? Core::makeError(Core::ErrorCode::Unavailable, "read manifest", "origin", "refused")
+                                                 : Core::Result<Weights::Manifest>(manifestOf(version)));
+                  });
               },
-              Staging::ManifestSharingSettings{1})
+              settings())
     {
         m_sharing.registerMethod();
     }
 
+    static Staging::ManifestSharingSettings settings()
+    {
+        Staging::ManifestSharingSettings settings;
+        settings.m_originFetchers = 1;
+        settings.m_peerTimeout = Core::Duration(50);
+        settings.m_laterPeerTimeout = Core::Duration(50);
+        return settings;
+    }
+
     static Wire::NodeSettings settings(const Core::Address &listen)
     {
         Wire::NodeSettings settings;
@@ -80,6 +93,18 @@
         m_manifest.reset();
         m_sharing.fetch(Origin, Version, [this](const Core::Result<Weights::Manifest> &manifest) { m_manifest = manifest.value(); });
     }
+
+    /// Fetches until an attempt succeeds.
+    void fetchRepeatedly()
+    {
+        m_sharing.fetch(Origin, Version, [this](const Core::Result<Weights::Manifest> &manifest) {
+            if (manifest) {
+                m_manifest = manifest.value();
+            } else {
+                fetchRepeatedly();
+            }
+        });
+    }
 };
 
 /// Two agents, of which only the first reads from the origin.
@@ -168,3 +193,39 @@
     REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_manifest.has_value(); }));
     CHECK(fixture.m_second.m_originRequests == 1);
 }
+
+TEST_CASE("While the origin is unreachable, most agents wait for the manifest at another agent")
+{
+    // Guards against a fleet whose agents all request the manifest when the origin recovers. The manifests would delay the chunks by most of a second.
+    TwoAgents fixture;
+    REQUIRE(fixture.m_first.m_node.start());
+    REQUIRE(fixture.m_second.m_node.start());
+    fixture.m_first.m_isOriginUnreachable = true;
+    fixture.m_second.m_isOriginUnreachable = true;
+    fixture.m_second.fetchRepeatedly();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_originRequests == 2; }));
+    fixture.m_first.m_isOriginUnreachable = false;
+    fixture.m_first.fetch();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_second.m_manifest.has_value(); }));
+    CHECK(fixture.m_second.m_originRequests == 2);
+}
+
+TEST_CASE("Each further request for a manifest goes to another agent")
+{
+    // Guards against an agent that keeps asking a dead one.
+    const std::vector<Gossip::Member> all = agents(60);
+    std::set<Core::Address> sources;
+    constexpr std::size_t originFetchers = 16;
+    for (const Gossip::Member &agent : all) {
+        std::vector<Gossip::Member> others = all;
+        std::erase(others, agent);
+        if (!Staging::manifestSource(agent.m_id, others, Version, originFetchers)) {
+            continue;
+        }
+        sources.clear();
+        for (std::size_t attempt = 0; attempt < originFetchers; ++attempt) {
+            sources.insert(*Staging::manifestSource(agent.m_id, others, Version, originFetchers, attempt));
+        }
+        CHECK(sources.size() == originFetchers);
+    }
+}
--- a/Tests/LibStaging/TestWeightsManager.cpp
+++ b/Tests/LibStaging/TestWeightsManager.cpp
@@ -39,6 +39,9 @@
     std::size_t m_reads = 0;
     bool m_isUnreachable = false; ///< The engine does not respond.
     bool m_isOriginUnreachable = false; ///< Reading a manifest fails.
+    bool m_isOriginSilent = false; ///< Reading a manifest never ends.
+    std::size_t m_manifestReads = 0;
+    std::set<std::uint64_t> m_corruptManifests; ///< Versions whose manifest the origin sends with one wrong digest, once each.
     std::size_t m_corruptAtRead = 0; ///< Number of the read before which chunk 1 is corrupted; 0 for never.
 
     void fill(std::uint64_t version)
@@ -86,12 +89,20 @@
         boost::asio::post(loop, [done] { done(Core::success()); });
     };
     result.m_fetchManifest = [&loop, &engine](const Core::Address &, const std::string &, std::uint64_t version, Staging::Done<Weights::Manifest> done) {
+        ++engine.m_manifestReads;
         boost::asio::post(loop, [&engine, version, done] {
+            if (engine.m_isOriginSilent) {
+                return;
+            }
             if (engine.m_isOriginUnreachable) {
                 done(Core::makeError(Core::ErrorCode::Unavailable, "read manifest", "origin", "refused"));
-            } else {
-                done(manifestOf(version));
+                return;
+            }
+            Weights::Manifest manifest = manifestOf(version);
+            if (engine.m_corruptManifests.erase(version) > 0) {
+                manifest.m_chunkDigests[0][0] ^= 1;
             }
+            done(manifest);
         });
     };
     return result;
@@ -151,6 +162,7 @@
         result.m_service = "drafts";
         result.m_statusInterval = Core::Duration(5);
         result.m_loadSchedule = Staging::LoadScheduleSettings{Core::Duration(0), Core::Duration(0)};
+        result.m_manifestCheckDelay = Core::Duration(100);
         return result;
     }
 
@@ -296,3 +308,30 @@
     fixture.m_engine.m_status.m_weights.clear();
     CHECK(fixture.awaitOrders(2));
 }
+
+TEST_CASE("A corrupt manifest is replaced, because its chunks do not arrive")
+{
+    // No chunk matches the wrong digest. Without a second look at the manifest the engine would never get the version.
+    WeightsManagerFixture fixture;
+    fixture.m_engine.fill(1);
+    fixture.m_engine.m_corruptManifests.insert(1);
+    fixture.m_manager.start();
+    REQUIRE(fixture.awaitOrders(1));
+    CHECK(fixture.m_engine.m_manifestReads == 2);
+}
+
+TEST_CASE("A download goes on while the manifest is checked")
+{
+    // The origin is away for longer than the check waits, and does not answer. An agent that waited for the manifest would not notice that its chunks are
+    // complete, and its engine would get the version late.
+    WeightsManagerFixture fixture;
+    fixture.m_engine.fill(1);
+    fixture.m_engine.m_stage.erase(3);
+    fixture.m_manager.start();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return !fixture.m_transfer.progress().empty(); }));
+    fixture.m_engine.m_isOriginSilent = true;
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_manifestReads == 2; }));
+    fixture.m_transfer.offerChunk(Weights::manifestDigest(Weights::encodeManifest(manifestOf(1))), 3, chunkOf(1, 3));
+    REQUIRE(fixture.awaitOrders(1));
+    CHECK(fixture.m_engine.m_manifestReads == 2);
+}
