LibStaging: Spread load times over the time that is left

Cause: engines loaded a version from 2.9 to 6.3 s after its acceptance, whatever its bound and the links. Where a copy takes 2.6 s at least, the early load times were over before an agent could hold the version, and those engines all loaded as soon as it was complete.

Change: load times are spread from the moment at which an agent has staged the version to two seconds before the bound, which agents now read from their settings.

--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -12,7 +12,6 @@
 
 constexpr Core::Duration TickInterval{250}; ///< Interval at which buffered log lines are flushed.
 constexpr std::size_t MaximumAdminConnections = 16;
-constexpr Core::Duration UnusedVersionBound{8000}; ///< Never applied: agents route no requests and only pass on the age of declarations.
 
 Follow::FollowerSettings followerSettings()
 {
@@ -45,7 +44,7 @@
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
-    , m_versions(UnusedVersionBound)
+    , m_versions(m_settings.m_versionBound)
     , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
--- a/Libraries/LibStaging/AgentSettings.h
+++ b/Libraries/LibStaging/AgentSettings.h
@@ -17,6 +17,7 @@
     Core::Address m_admin; ///< Listening address for metrics, state dump and health checks.
     Core::Address m_log; ///< Address of the platform's log.
     Core::Address m_engine; ///< Address of the engine on this instance.
+    Core::Duration m_versionBound{8000}; ///< Time from the acceptance of a version until no request may start on an older one.
     Core::Duration m_entrySilenceLimit{5000}; ///< After this long without a message from any entry, the agent reads the log directly.
     WeightsManagerSettings m_weightsManager;
     Gossip::GossipSettings m_gossip;
--- a/Libraries/LibStaging/LoadSchedule.cpp
+++ b/Libraries/LibStaging/LoadSchedule.cpp
@@ -16,10 +16,10 @@
         std::count_if(others.begin(), others.end(), [&key, ownWeight](const std::string &other) { return Core::rendezvousWeight(key, other) > ownWeight; }));
 }
 
-Core::Duration loadDelay(std::size_t rank, std::size_t count, Core::Duration lead, const LoadScheduleSettings &settings)
+Core::Duration loadDelay(std::size_t rank, std::size_t count, Core::Duration staged, Core::Duration lead, const LoadScheduleSettings &settings)
 {
-    const Core::Duration last = std::max(Core::Duration(0), settings.m_lastDelay - lead);
-    const Core::Duration first = std::min(settings.m_firstDelay, last);
+    const Core::Duration last = std::max(Core::Duration(0), settings.m_versionBound - settings.m_boundMargin - lead);
+    const Core::Duration first = std::min(staged, last);
     if (count < 2) {
         return first;
     }
--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -249,6 +249,7 @@
     m_manifest.reset();
     m_manifestDigest.clear();
     m_stagedChunks.clear();
+    m_stagedAt.reset();
     Telemetry::LogLine line("weights_wanted");
     line.text("model", target.m_model).number("version", static_cast<std::int64_t>(target.m_version));
     m_parts.m_log.write(line);
@@ -569,12 +570,14 @@
         loaded = std::max(loaded, weights.m_model == m_target->m_model ? weights.m_version : 0);
     }
     const Core::Duration oldest = m_parts.m_versions.oldestAgeAfter(m_target->m_model, loaded, now).value_or(*age);
-    return *age >= loadDelay(rank, others.size() + 1, std::max(Core::Duration(0), oldest - *age), m_settings.m_loadSchedule);
+    const Core::Duration staged = *age - std::chrono::duration_cast<Core::Duration>(now - m_stagedAt.value_or(now));
+    return *age >= loadDelay(rank, others.size() + 1, staged, std::max(Core::Duration(0), oldest - *age), m_settings.m_loadSchedule);
 }
 
 void WeightsManager::awaitLoadTime()
 {
     enterStep(Step::AwaitLoadTime);
+    m_stagedAt = m_stagedAt.value_or(Core::Clock::now());
     const std::uint64_t run = m_run;
     if (!m_status || m_status->m_isBusy || !hasReachedLoadTime()) {
         runAfter(TransferPollInterval, run, [this] { awaitLoadTime(); });
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -168,6 +168,7 @@
     std::uint32_t m_heldAtManifestCheck = 0; ///< Chunks that were held then.
     bool m_isManifestCheckOpen = false;
     Core::Instant m_orderSentAt; ///< When the last load order was sent.
+    std::optional<Core::Instant> m_stagedAt; ///< When all chunks of the target were first staged.
     std::set<Weights::ChunkIndex> m_stagedChunks; ///< Chunks of the target that are in the staging area.
     Step m_step = Step::Idle;
     std::uint64_t m_run = 0; ///< Incremented for each new target or engine. Callbacks of earlier runs are ignored.
--- a/Tests/LibStaging/TestLoadSchedule.cpp
+++ b/Tests/LibStaging/TestLoadSchedule.cpp
@@ -36,19 +36,29 @@
     CHECK(*ranks.rbegin() == size - 1);
 }
 
-TEST_CASE("Load times are spread over the time until the deadline")
+TEST_CASE("Load times are spread over the time that is left when the version is staged")
 {
-    // Guards against engines that all load at the same time, so that none is available for requests.
-    const Staging::LoadScheduleSettings settings;
+    // Guards against engines that all load at the same time, so that none is available for requests. Links of different rates leave different times.
+    const Staging::LoadScheduleSettings settings{Core::Duration(10000), Core::Duration(2000)};
+    const Core::Duration last(8000);
     constexpr std::size_t size = 27;
-    Core::Duration previous{0};
-    for (std::size_t rank = 0; rank < size; ++rank) {
-        const Core::Duration delay = Staging::loadDelay(rank, size, Core::Duration(0), settings);
-        CHECK(delay >= previous);
-        previous = delay;
+    for (const Core::Duration staged : {Core::Duration(500), Core::Duration(3000), Core::Duration(7000)}) {
+        Core::Duration previous = staged;
+        for (std::size_t rank = 0; rank < size; ++rank) {
+            const Core::Duration delay = Staging::loadDelay(rank, size, staged, Core::Duration(0), settings);
+            CHECK(delay >= previous);
+            CHECK(delay - previous <= (last - staged) / static_cast<std::int64_t>(size - 1) + Core::Duration(1));
+            previous = delay;
+        }
+        CHECK(Staging::loadDelay(0, size, staged, Core::Duration(0), settings) == staged);
+        CHECK(previous == last);
     }
-    CHECK(Staging::loadDelay(0, size, Core::Duration(0), settings) == settings.m_firstDelay);
-    CHECK(previous == settings.m_lastDelay);
+}
+
+TEST_CASE("A version that is staged late is loaded at once")
+{
+    const Staging::LoadScheduleSettings settings{Core::Duration(10000), Core::Duration(2000)};
+    CHECK(Staging::loadDelay(26, 27, Core::Duration(9000), Core::Duration(0), settings) == Core::Duration(8000));
 }
 
 TEST_CASE("An older version that was not loaded moves the load times forward")
@@ -56,12 +66,13 @@
     // The engine skipped a version that was declared three seconds earlier. The deadline of that version still applies, and it expires first.
     const Staging::LoadScheduleSettings settings;
     const Core::Duration lead(3000);
-    CHECK(Staging::loadDelay(26, 27, lead, settings) == settings.m_lastDelay - lead);
-    CHECK(Staging::loadDelay(0, 27, Core::Duration(60000), settings) == Core::Duration(0));
+    const Core::Duration last = settings.m_versionBound - settings.m_boundMargin;
+    CHECK(Staging::loadDelay(26, 27, Core::Duration(1000), lead, settings) == last - lead);
+    CHECK(Staging::loadDelay(0, 27, Core::Duration(1000), Core::Duration(60000), settings) == Core::Duration(0));
 }
 
-TEST_CASE("A single agent loads at the earliest scheduled time")
+TEST_CASE("A single agent loads as soon as the version is staged")
 {
     const Staging::LoadScheduleSettings settings;
-    CHECK(Staging::loadDelay(0, 1, Core::Duration(0), settings) == settings.m_firstDelay);
+    CHECK(Staging::loadDelay(0, 1, Core::Duration(2900), Core::Duration(0), settings) == Core::Duration(2900));
 }
