LibLogs, LibRelay: Account for every ended request in the log, and explain it

Cause: of successful requests one in twenty is logged, so what an interval lost, and why, could not be read from the logs of entries.

Change: an entry counts ended requests by the cause of their outcome and logs the counts once a second; a line that the log drops goes into the next. oriolerail explain request ID FILE... shows what several logs say about a request, explain interval FROM TO FILE... adds up the counts and reports missing, inconsistent, malformed and foreign lines.

--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -50,6 +50,11 @@
     m_waitingRequests.onSlotsChanged();
 }
 
+void Relay::logAccount(bool isFinal)
+{
+    m_account.writeIfDue(m_parts.m_log, Core::Clock::now(), isFinal);
+}
+
 std::size_t Relay::listedEngines(const std::string &service) const
 {
     const std::map<std::string, Fleet::KnownEndpoint> &endpoints = m_parts.m_fleetState.endpoints();
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -9,6 +9,7 @@
 #include "LibPlacement/RetryBudgets.h"
 #include "LibPlacement/VersionDeadlines.h"
 #include "LibRelay/Dialect.h"
+#include "LibRelay/RequestAccount.h"
 #include "LibRelay/WaitingRequests.h"
 #include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
@@ -83,6 +84,8 @@
     void onConfigurationChanged();
     /// Must be called when engines have reported, because slots may have become free.
     void onSlotsChanged();
+    /// Logs the counts of ended requests if they are due, or in any case if the process is about to end.
+    void logAccount(bool isFinal = false);
     /// Returns the number of requests handled since the start.
     std::uint64_t requests() const
     {
@@ -112,6 +115,7 @@
     WaitingRequests m_waitingRequests;
     std::vector<std::weak_ptr<RelayedRequest>> m_awaitingConfiguration; ///< Requests that wait for the first configuration.
     RelayCounters m_counters;
+    RequestAccount m_account;
     std::size_t m_successes = 0;
     std::set<std::shared_ptr<RelayedRequest>> m_openRequests;
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -35,6 +35,31 @@
     return status == RequestTimeout || status == Misdirected || status == TooManyRequests || status == ServiceUnavailable;
 }
 
+/// Returns the outcome of a request that is ended with an own answer of this status.
+RequestOutcome outcomeOfStatus(int status)
+{
+    if (guaranteesNotRun(status)) {
+        return RequestOutcome::Refused;
+    }
+    return status < InternalError ? RequestOutcome::Rejected : RequestOutcome::Failed;
+}
+
+std::string_view outcomeName(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        return "answered";
+    case RequestOutcome::Refused:
+        return "refused";
+    case RequestOutcome::CallerLeft:
+        return "caller_left";
+    case RequestOutcome::Failed:
+    case RequestOutcome::Rejected:
+        break;
+    }
+    return "failed";
+}
+
 std::string secondsText(Core::Duration duration)
 {
     std::array<char, 32> text{};
@@ -214,7 +239,7 @@
     const std::string reason = std::string(Placement::noChoiceReasonName(noChoiceReason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
     if (m_isHeadForwarded) {
         m_connection->abort();
-        finish("failed", 0, "the answer broke off: " + reason);
+        finish(RequestOutcome::Failed, 0, "the answer broke off: " + reason);
         return;
     }
     if (m_mayHaveRun) {
@@ -306,6 +331,8 @@
     attempt.m_endpoint = choice.m_endpoint;
     attempt.m_sentAt = Core::Clock::now();
     attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
+    m_expectedFirstByte = std::chrono::duration_cast<Core::Duration>(attempt.m_sentAt - m_arrivedAt)
+        + Core::Duration(static_cast<std::int64_t>(choice.m_expectedMilliseconds));
     attempt.m_load = choice.m_load;
     attempt.m_reportAge = choice.m_reportAge;
     attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
@@ -397,7 +424,7 @@
         if (m_framer.hasGap()) {
             endAttempt();
             m_connection->abort();
-            finish("failed", 0, "an event is missing in the stream");
+            finish(RequestOutcome::Failed, 0, "an event is missing in the stream");
             return;
         }
     } else {
@@ -436,9 +463,9 @@
         m_connection->sendBody(m_framer.partialEvent());
     }
     m_connection->finish();
-    logEnd("answered", Ok, "");
+    logEnd(RequestOutcome::Answered, Ok, "");
     endAttempt();
-    finish("answered", Ok, "");
+    finish(RequestOutcome::Answered, Ok, "");
 }
 
 void RelayedRequest::endAttempt()
@@ -470,7 +497,7 @@
     if (m_isHeadForwarded) {
         if (!resumeStream()) {
             m_connection->abort();
-            finish("failed", 0, "the answer broke off: " + detail);
+            finish(RequestOutcome::Failed, 0, "the answer broke off: " + detail);
         }
         return;
     }
@@ -520,7 +547,7 @@
     endAttempt();
     if (m_isHeadForwarded) {
         m_connection->abort();
-        finish("failed", 0, "the time limit was reached within the answer");
+        finish(RequestOutcome::Failed, 0, "the time limit was reached within the answer");
         return;
     }
     if (m_mayHaveRun) {
@@ -537,7 +564,7 @@
     }
     stopWaiting();
     endAttempt();
-    finish("caller_left", 0, "the caller closed its connection");
+    finish(RequestOutcome::CallerLeft, 0, "the caller closed its connection");
 }
 
 void RelayedRequest::refuse(const std::string &reason, Core::Duration retryAfter)
@@ -555,18 +582,18 @@
 {
     fields.push_back(Http::HeaderField{"Content-Type", "text/plain"});
     m_connection->answer(status, std::move(fields), reason + "\n");
-    finish(guaranteesNotRun(status) ? "refused" : "failed", status, reason);
+    finish(outcomeOfStatus(status), status, reason);
 }
 
-void RelayedRequest::logEnd(const std::string &outcome, int status, const std::string &reason)
+void RelayedRequest::logEnd(RequestOutcome outcome, int status, const std::string &reason)
 {
-    const bool isSuccess = outcome == "answered";
+    const bool isSuccess = outcome == RequestOutcome::Answered;
     const bool isFirstAttemptSuccess = isSuccess && m_attempts == 1;
     if (isFirstAttemptSuccess && ++m_relay.m_successes % m_relay.m_settings.m_successSampleInterval != 0) {
         return;
     }
     Telemetry::LogLine line("request");
-    line.text("id", m_facts.m_attemptId).text("outcome", outcome).number("status", static_cast<std::int64_t>(status));
+    line.text("id", m_facts.m_attemptId).text("outcome", outcomeName(outcome)).number("status", static_cast<std::int64_t>(status));
     line.text("route", m_route ? m_route->m_name : "").text("account", m_account ? m_account->m_name : "");
     line.number("took_ms", Core::secondsBetween(m_arrivedAt, Core::Clock::now()) * MillisecondsPerSecond);
     line.number("first_byte_ms", m_firstByteMilliseconds).number("lost_ms", static_cast<std::int64_t>(m_elapsedBeforeArrival.count()));
@@ -586,20 +613,52 @@
     m_relay.m_parts.m_log.write(line);
 }
 
-void RelayedRequest::finish(const std::string &outcome, int status, const std::string &reason)
+RequestEnd RelayedRequest::describeEnd(RequestOutcome outcome) const
+{
+    RequestEnd end;
+    end.m_outcome = outcome;
+    end.m_isHeadForwarded = m_isHeadForwarded;
+    end.m_goal = Core::Duration(m_route ? m_route->m_goalMilliseconds : 0);
+    end.m_gapGoal = Core::Duration(m_route && m_isEventStream ? m_route->m_gapGoalMilliseconds : 0);
+    end.m_elapsedBefore = m_elapsedBeforeArrival;
+    end.m_waited = m_totalWait;
+    end.m_firstByte = Core::Duration(static_cast<std::int64_t>(m_firstByteMilliseconds));
+    end.m_expectedFirstByte = m_expectedFirstByte;
+    end.m_longestPause = m_longestPause;
+    end.m_attempts = m_attempts;
+    return end;
+}
+
+void RelayedRequest::countEnd(RequestOutcome outcome)
+{
+    m_relay.m_account.record(endCause(describeEnd(outcome)));
+    RelayCounters &counters = m_relay.m_counters;
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        counters.m_succeeded.add();
+        break;
+    case RequestOutcome::Refused:
+        counters.m_refused.add();
+        break;
+    case RequestOutcome::CallerLeft:
+        counters.m_abandoned.add();
+        break;
+    case RequestOutcome::Failed:
+    case RequestOutcome::Rejected:
+        counters.m_failed.add();
+        break;
+    }
+}
+
+void RelayedRequest::finish(RequestOutcome outcome, int status, const std::string &reason)
 {
     if (m_isFinished) {
         return;
     }
     m_isFinished = true;
-    if (outcome == "answered") {
-        m_relay.m_counters.m_succeeded.add();
-    } else {
+    countEnd(outcome);
+    if (outcome != RequestOutcome::Answered) {
         logEnd(outcome, status, reason);
-        Telemetry::Counter &counter = outcome == "refused" ? m_relay.m_counters.m_refused
-            : outcome == "caller_left"                     ? m_relay.m_counters.m_abandoned
-                                                           : m_relay.m_counters.m_failed;
-        counter.add();
     }
     m_timer.cancel();
     m_relay.m_openRequests.erase(shared_from_this());
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -105,8 +105,11 @@
     void fail(int status, const std::string &reason);
     void answerWithText(int status, Http::HeaderFields fields, const std::string &reason);
     void endAttempt();
-    void finish(const std::string &outcome, int status, const std::string &reason);
-    void logEnd(const std::string &outcome, int status, const std::string &reason);
+    void finish(RequestOutcome outcome, int status, const std::string &reason);
+    void countEnd(RequestOutcome outcome);
+    void logEnd(RequestOutcome outcome, int status, const std::string &reason);
+    /// Returns what the account of ended requests needs to know of this one.
+    RequestEnd describeEnd(RequestOutcome outcome) const;
     /// Logs why no slot is expected for the request.
     void logNoSlotExpected(const Placement::QueueForecast &forecast, std::size_t ahead);
     Core::Duration timeLeft() const;
@@ -128,6 +131,7 @@
     Core::Instant m_waitingSince;
     Core::Duration m_totalWait{0}; ///< Total time spent waiting for slots.
     bool m_isAdmitted = false; ///< An endpoint was chosen for the request before; later attempts need no admission.
+    Core::Duration m_expectedFirstByte{0}; ///< From the request's arrival, as expected when the last attempt was sent.
     double m_firstByteMilliseconds = 0; ///< From the request's arrival to the head of the answer; 0 until the head arrives.
     std::optional<Core::Instant> m_lastEventAt; ///< When events were last forwarded.
     Core::Duration m_longestPause{0}; ///< Longest pause between events of the stream so far.
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -85,6 +85,7 @@
     m_log.write(Telemetry::LogLine("started").text("callers", m_settings.m_callers.toString()).text("peers", m_settings.m_peers.toString()));
     m_loop.run();
     m_node.stop();
+    m_relay.logAccount(true);
     m_log.write(Telemetry::LogLine("stopped").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_log.flush();
     return 0;
@@ -353,6 +354,7 @@
 void EntryProcess::tick()
 {
     updateRequestRate();
+    m_relay.logAccount();
     m_log.flush();
     m_tickTimer.expires_after(TickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code &error) {
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -96,16 +96,17 @@
     return true;
 }
 
-void EventLog::write(const LogLine &line)
+bool EventLog::write(const LogLine &line)
 {
     const std::string time = std::to_string(currentMilliseconds<std::chrono::system_clock>());
     const std::string text = "{\"time_ms\":" + time + ",\"process\":" + m_process + "," + line.fields() + "}\n";
     const std::lock_guard<std::mutex> lock(m_mutex);
     if (!takeToken() || m_buffer.size() + text.size() > m_limits.m_bufferBytes) {
         m_dropped.add();
-        return;
+        return false;
     }
     m_buffer += text;
+    return true;
 }
 
 void EventLog::flush()
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -53,8 +53,8 @@
 public:
     EventLog(int descriptor, std::string process, Metrics &metrics, EventLogLimits limits = {});
 
-    /// Adds the time and the name of the process to a line and buffers it, or drops it if a limit is reached.
-    void write(const LogLine &line);
+    /// Adds the time and the name of the process to a line and buffers it, or drops it if a limit is reached. Returns whether it was buffered.
+    bool write(const LogLine &line);
     /// Writes as much of the buffer as possible without blocking. Must be called a few times a second and before the process ends.
     void flush();
 
--- a/Utilities/oriolerail/Command.h
+++ b/Utilities/oriolerail/Command.h
@@ -45,6 +45,8 @@
 int runDump(const Arguments &arguments);
 int runAddresses(const Arguments &arguments);
 int runExplain(const Arguments &arguments);
+/// Runs "explain request" or "explain interval".
+int runExplainLogs(const Arguments &arguments);
 
 /// Prints an error to standard error, and in JSON to standard output if JSON is selected. Returns ExitFailed.
 int reportError(const Arguments &arguments, const Core::Error &error);
--- a/Utilities/oriolerail/Main.cpp
+++ b/Utilities/oriolerail/Main.cpp
@@ -21,6 +21,10 @@
   dump IP:PORT         show the state of the process with this administrative address
   addresses IP:PORT    ask an entry for addresses, as callers do
   explain WHAT NAME    why a record was refused (WHAT = record), or where an account's replicas are (WHAT = account) (--log)
+  explain request ID FILE...
+                       what the logs of processes say about a request, in order
+  explain interval FROM TO FILE...
+                       requests that ended in an interval, by cause; times in Unix milliseconds, or +SECONDS after the first record
 
 Exit codes: 0 done, 1 failed, 2 wrong usage.
 )";
--- a/Utilities/oriolerail/Show.cpp
+++ b/Utilities/oriolerail/Show.cpp
@@ -265,9 +265,12 @@
 
 int runExplain(const Arguments &arguments)
 {
+    if (!arguments.m_operands.empty() && (arguments.m_operands[0] == "request" || arguments.m_operands[0] == "interval")) {
+        return runExplainLogs(arguments);
+    }
     const bool isComplete = arguments.m_operands.size() == 2 && arguments.m_log;
     if (!isComplete || (arguments.m_operands[0] != "record" && arguments.m_operands[0] != "account")) {
-        return reportUsage("explain needs \"record ID\" or \"account NAME\", and --log");
+        return reportUsage("explain needs \"record ID\" or \"account NAME\", and --log, or \"request ID FILE...\" or \"interval FROM TO FILE...\"");
     }
     Platform::HttpLog log(arguments.m_network, *arguments.m_log);
     Control::Publisher publisher(log);
