LibTransfer: Limit the queue of uploads by its time

Cause: agents queued four requests for chunks of any size. For chunks of 24 KiB that is 0.12 s, so that uploaders were idle between requests and requesters were refused and paused.

Change: requests are queued for up to 190 ms of the uploader's rate: four of 48 KiB at 9.4 Mbit/s as before, six of 24 KiB at 7.3 Mbit/s.

--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -168,7 +168,7 @@
         settings.m_uploadBytesPerSecond = static_cast<std::uint64_t>(link * UploadShare);
         settings.m_downloadBytesPerSecond = static_cast<std::uint64_t>(link * DownloadShare);
         settings.m_concurrentPeerRequests = m_parameters.m_concurrentPeerRequests;
-        settings.m_queuedUploads = m_parameters.m_queuedUploads;
+        settings.m_uploadQueueTime = m_parameters.m_uploadQueueTime;
         if (m_parameters.m_isOriginRateKnown) {
             settings.m_originBytesPerSecond = static_cast<std::uint64_t>(bytesPerSecond(m_parameters.m_originRate));
         }
@@ -293,7 +293,9 @@
             waiting.push_back(queued.m_upload);
         }
         Transfer::UploadLimits limits;
-        limits.m_waiting = m_parameters.m_queuedUploads;
+        const Transfer::TransferSettings transferSettings = settings();
+        limits.m_waiting = Transfer::queuedUploadLimit(
+            m_parameters.m_chunkBytes, transferSettings.m_uploadBytesPerSecond, transferSettings.m_uploadQueueTime, transferSettings.m_queuedUploads);
         if (!Transfer::canQueueUpload(waiting, action.m_forRegion, limits)) {
             send([this, receiver, id = action.m_request] { m_replicas[receiver].m_exchange->onRequestFailed(id, Transfer::Failure::Busy, m_now); });
             return;
--- a/Libraries/LibEmulator/SwarmEmulator.h
+++ b/Libraries/LibEmulator/SwarmEmulator.h
@@ -29,7 +29,7 @@
     double m_instanceRate = 7.3; ///< Of an instance's link, in each direction.
     double m_regionPairRate = 27; ///< Between two regions, in each direction.
     std::uint32_t m_concurrentPeerRequests = 5; ///< As in Transfer::TransferSettings.
-    std::uint32_t m_queuedUploads = 4; ///< As in Transfer::TransferSettings.
+    Core::Duration m_uploadQueueTime{190}; ///< As in Transfer::TransferSettings.
     Core::Duration m_delay{1}; ///< One way, between any two processes.
     Core::Duration m_startSpread{100}; ///< The replicas learn of the version at random times within this delay.
     double m_slowShare = 0; ///< Share of the replicas whose links are slow.
--- a/Libraries/LibStaging/AgentSettings.cpp
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -17,11 +17,9 @@
 /// Chunks requested from peers concurrently: enough to keep the link busy while a request is queued at an uploader, few enough not to delay the engine's
 /// answers.
 constexpr std::uint32_t ConcurrentPeerRequests = 5;
-/**
- * Maximum number of requests queued at an uploader with one slot. Further requests are refused, and the requester asks another peer. Sending a chunk takes
- * 46 ms, so with twelve queued requests the last one would wait for half a second while other uploaders are idle.
- */
-constexpr std::uint32_t QueuedUploads = 4;
+/// Longest time that a request waits at an uploader with one slot. Further requests are refused, and the requester asks another peer. With a longer queue the
+/// last requests would wait while other uploaders are idle.
+constexpr Core::Duration UploadQueueTime{190};
 
 void readEngine(Settings::Reader &section, AgentSettings &settings)
 {
@@ -39,7 +37,7 @@
     settings.m_transfer.m_burstBytes = BurstBytes;
     settings.m_transfer.m_concurrentPeerRequests = ConcurrentPeerRequests;
     settings.m_transfer.m_uploadSlots = 1;
-    settings.m_transfer.m_queuedUploads = QueuedUploads;
+    settings.m_transfer.m_uploadQueueTime = UploadQueueTime;
     settings.m_transfer.m_memoryMebibytes = static_cast<std::uint32_t>(section.integer("weights_mebibytes", 1, 1 << 20, 48));
 }
 
--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -28,6 +28,8 @@
     std::uint32_t m_memoryMebibytes = 4096; ///< Limit on the memory for chunks of all versions held or in transfer.
     std::uint32_t m_uploadSlots = 2; ///< Chunks uploaded concurrently.
     std::uint32_t m_queuedUploads = 12; ///< Requests that wait for an upload slot. Further requests are refused as busy.
+    /// Longest time that a request waits for an upload slot. It takes the place of m_queuedUploads if the upload rate is limited; 0 if not used.
+    Core::Duration m_uploadQueueTime{0};
     std::uint32_t m_concurrentPeerRequests = 10; ///< Chunks requested from peers concurrently.
     std::uint32_t m_neighbours = 10; ///< Peers whose holdings are followed.
     std::uint32_t m_originConnections = 2; ///< Concurrent requests to the origin.
--- a/Libraries/LibTransfer/UploadQueue.cpp
+++ b/Libraries/LibTransfer/UploadQueue.cpp
@@ -21,6 +21,16 @@
 
 }
 
+std::size_t queuedUploadLimit(std::size_t chunkBytes, std::uint64_t uploadBytesPerSecond, Core::Duration queueTime, std::size_t fallback)
+{
+    constexpr std::size_t minimum = 2; // With one waiting request, the uploader would be idle while the next one is on its way.
+    if (queueTime.count() == 0 || uploadBytesPerSecond == 0 || chunkBytes == 0) {
+        return fallback;
+    }
+    const double chunkSeconds = static_cast<double>(chunkBytes) / static_cast<double>(uploadBytesPerSecond);
+    return std::max(minimum, static_cast<std::size_t>(std::chrono::duration<double>(queueTime).count() / chunkSeconds));
+}
+
 bool canQueueUpload(const std::vector<QueuedUpload> &waiting, bool forRegion, const UploadLimits &limits)
 {
     const std::ptrdiff_t sameKind =
--- a/Tests/LibTransfer/TestDecisions.cpp
+++ b/Tests/LibTransfer/TestDecisions.cpp
@@ -127,3 +127,14 @@
     REQUIRE(pacer.timeUntilReady(now) == Core::Duration(0));
     REQUIRE(pacer.tryTake(1, now));
 }
+
+TEST_CASE("The number of queued uploads follows from the size of a chunk and the rate of the link")
+{
+    // With a fixed number, small chunks leave uploaders idle and large ones wait while other uploaders are idle.
+    constexpr Core::Duration queueTime(190);
+    CHECK(Transfer::queuedUploadLimit(24576, 821250, queueTime, 12) == 6);
+    CHECK(Transfer::queuedUploadLimit(49152, 1057500, queueTime, 12) == 4);
+    CHECK(Transfer::queuedUploadLimit(1 << 20, 821250, queueTime, 12) == 2);
+    CHECK(Transfer::queuedUploadLimit(24576, 0, queueTime, 12) == 12);
+    CHECK(Transfer::queuedUploadLimit(24576, 821250, Core::Duration(0), 12) == 12);
+}
