LibStaging: Let all agents rank the same list of agents

Cause: agents ranked the agents that they took for alive.

Change: agents rank all agents that they know; one that does not answer at all counts as absent after a second. Eight agents read the manifest from the origin instead of sixteen. Four downloads share the origin's link instead of two, since one takes 0.1 s, most of it to open a connection.

--- a/Libraries/LibGossip/Membership.cpp
+++ b/Libraries/LibGossip/Membership.cpp
@@ -153,6 +153,17 @@
     return members;
 }
 
+std::vector<Member> Membership::known(Role role) const
+{
+    std::vector<Member> members;
+    for (const std::pair<const std::string, KnownMember> &entry : m_knownMembers) {
+        if (entry.second.m_member.m_role == role) {
+            members.push_back(entry.second.m_member);
+        }
+    }
+    return members;
+}
+
 std::vector<Member> Membership::sample(std::size_t count, Core::Instant now, Core::Random &random) const
 {
     std::vector<const Member *> chosen = liveMembers(now);
--- a/Libraries/LibGossip/Membership.h
+++ b/Libraries/LibGossip/Membership.h
@@ -105,6 +105,8 @@
     /// Returns every other member that is not dead, in order of id.
     std::vector<Member> alive(Core::Instant now) const;
     std::vector<Member> alive(Role role, Core::Instant now) const;
+    /// Returns the members of the role that are in the table, alive or not. Different processes agree on them better than on which ones are alive.
+    std::vector<Member> known(Role role) const;
     std::size_t countAlive(Core::Instant now) const;
     /// Returns the number of other members in the table, including dead ones that have not been removed yet.
     std::size_t countKnown() const
--- a/Libraries/LibStaging/ManifestSharing.h
+++ b/Libraries/LibStaging/ManifestSharing.h
@@ -15,7 +15,8 @@
 
 struct ManifestSharingSettings
 {
-    std::size_t m_originFetchers = 16; ///< Agents that read from the origin concurrently. The origin accepts only a few dozen connections from the whole fleet.
+    /// Agents that read from the origin concurrently. Its link is shared with chunks, and it accepts only a few dozen connections from the whole fleet.
+    std::size_t m_originFetchers = 8;
     Core::Duration m_peerTimeout{400}; ///< After this time an agent that asked a peer reads from the origin instead. Many times the usual response time.
     /// Timeout of later requests to peers, which wait there until the peer has read the manifest from an origin that was unreachable.
     Core::Duration m_laterPeerTimeout{1000};
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t RequestsPerPeer = 2;
 constexpr Core::Duration PeerSilenceLimit{2500}; ///< Peers send a heartbeat every half second.
+constexpr Core::Duration FirstAnswerLimit{1000}; ///< Longest wait for the first answer of a peer, which is sent at once. Instances that are gone never send it.
 /// Longest wait for the first answers of neighbours: several round trips. If the version is new, the origin's link is needlessly idle during this time.
 constexpr Core::Duration NeighbourAnswerLimit{150};
 constexpr Core::Duration SourceCheckInterval{100};
@@ -34,7 +35,8 @@
 constexpr Core::Duration LostProbeAge{3000}; ///< After this time the result of a probe counts as lost; longer than any probe takes.
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
-constexpr std::uint32_t ConcurrentOriginDownloads = 2; ///< Concurrent downloads that share the origin's link, so that it is never idle between two of them.
+/// Concurrent downloads that share the origin's link, so that it is never idle between two of them. Opening a connection takes about as long as a chunk.
+constexpr std::uint32_t ConcurrentOriginDownloads = 4;
 
 }
 
@@ -242,7 +244,8 @@
             peer.m_followState = FollowState::NotFollowing;
             actions.push_back(Action{ActionKind::Unfollow, peer.m_replica.m_wire, 0, 0, false});
         }
-        if (peer.m_followState == FollowState::Following && now - peer.m_lastHeardAt > PeerSilenceLimit) {
+        const Core::Duration silenceLimit = peer.m_hasAnswered ? PeerSilenceLimit : FirstAnswerLimit;
+        if (peer.m_followState == FollowState::Following && now - peer.m_lastHeardAt > silenceLimit) {
             // The socket may stay open long after the peer froze, so only heartbeats count.
             markAbsent(peer, now);
         }
--- a/Tests/LibStaging/TestManifestSharing.cpp
+++ b/Tests/LibStaging/TestManifestSharing.cpp
@@ -149,7 +149,7 @@
 
 TEST_CASE("In a small service every agent reads from the origin")
 {
-    const std::vector<Gossip::Member> all = agents(16);
+    const std::vector<Gossip::Member> all = agents(Staging::ManifestSharingSettings{}.m_originFetchers);
     for (const Gossip::Member &agent : all) {
         std::vector<Gossip::Member> others = all;
         std::erase(others, agent);
