--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -23,6 +23,7 @@
 /// Shares of an instance's link that the agent's pacing leaves to transfers.
 constexpr double UploadShare = 0.9;
 constexpr double DownloadShare = 0.95;
+constexpr double MessageBytes = 130; ///< Of a message between replicas, with the headers of all layers.
 constexpr std::uint32_t RequestOverheadBytes = 300; ///< Headers of a request to the origin and of its answer.
 
 double bytesPerSecond(double megabits)
@@ -56,6 +57,8 @@
     Control::PlannedReplica m_planned;
     std::size_t m_region = 0;
     double m_linkBytesPerSecond = 0;
+    double m_messageBytesSent = 0; ///< Not yet subtracted from the link's capacity.
+    double m_messageBytesReceived = 0; ///< The same for the other direction.
     Core::Instant m_startsAt;
     std::unique_ptr<Transfer::Exchange> m_exchange; ///< Null until the replica knows the version.
     Transfer::Pacer m_download{0, 0, Core::Instant()};
@@ -254,7 +257,7 @@
         return update;
     }
 
-    void sendSnapshot(const Replica &replica, std::size_t follower)
+    void sendSnapshot(Replica &replica, std::size_t follower)
     {
         Transfer::HaveUpdate update = makeUpdate(replica);
         update.m_isSnapshot = true;
@@ -262,8 +265,10 @@
         sendUpdate(replica, follower, update);
     }
 
-    void sendUpdate(const Replica &replica, std::size_t follower, const Transfer::HaveUpdate &update)
+    void sendUpdate(Replica &replica, std::size_t follower, const Transfer::HaveUpdate &update)
     {
+        replica.m_messageBytesSent += MessageBytes;
+        m_replicas[follower].m_messageBytesReceived += MessageBytes;
         send([this, follower, update, address = replica.m_planned.m_wire] {
             if (m_replicas[follower].m_exchange) {
                 m_replicas[follower].m_exchange->onUpdate(address, update, m_now);
@@ -366,15 +371,21 @@
         return links;
     }
 
-    /// Returns the rates of all links in bytes per second, in the order of linksOf().
-    std::vector<double> linkRates() const
+    /// Returns the rates that messages leave to chunks on all links, in bytes per second and in the order of linksOf().
+    std::vector<double> linkRates()
     {
+        const auto takeMessages = [](double rate, double &bytes) {
+            const double capacity = rate * std::chrono::duration<double>(Step).count();
+            const double taken = std::min(bytes, capacity);
+            bytes -= taken;
+            return rate * (1 - taken / capacity);
+        };
         std::vector<double> rates{bytesPerSecond(m_parameters.m_originRate)};
-        for (const Replica &replica : m_replicas) {
-            rates.push_back(replica.m_linkBytesPerSecond);
+        for (Replica &replica : m_replicas) {
+            rates.push_back(takeMessages(replica.m_linkBytesPerSecond, replica.m_messageBytesSent));
         }
-        for (const Replica &replica : m_replicas) {
-            rates.push_back(replica.m_linkBytesPerSecond);
+        for (Replica &replica : m_replicas) {
+            rates.push_back(takeMessages(replica.m_linkBytesPerSecond, replica.m_messageBytesReceived));
         }
         const std::size_t regions = m_parameters.m_replicasPerRegion.size();
         rates.insert(rates.end(), regions * regions, bytesPerSecond(m_parameters.m_regionPairRate));
