LibStaging: Verify staged chunks while the engine still serves

Cause: an engine took no requests for 0.93 s when it changed versions: 0.5 s to drain, 0.09 s to read the chunks back, 0.33 s to load. After a loss of power chunks that had been read a moment before were read a second time.

Change: chunks are read back before the drain, and not at all if they were written or read within the last 0.5 s. An order is sent at most 2 s after that, time in which the machine was suspended included; a damaged chunk must be noticed within 3 s.

--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -18,7 +18,7 @@
 
 std::string stepName(int step)
 {
-    constexpr std::array<const char *, 10> names{"idle", "manifest", "stage", "transfer", "put", "turn", "quiet", "verify", "order", "loading"};
+    constexpr std::array<const char *, 10> names{"idle", "manifest", "stage", "transfer", "put", "turn", "verify", "quiet", "order", "loading"};
     return names.at(static_cast<std::size_t>(step));
 }
 
@@ -446,7 +446,7 @@
                 return;
             }
             if (bytes && Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
-                m_stagedChunks.insert(chunk);
+                recordVerified(chunk);
                 m_parts.m_transfer.offerChunk(m_manifestDigest, chunk, bytes.value());
             }
             done();
@@ -535,7 +535,7 @@
                 return;
             }
             if (result) {
-                m_stagedChunks.insert(chunk);
+                recordVerified(chunk);
             }
             done();
         });
@@ -583,12 +583,30 @@
         runAfter(TransferPollInterval, run, [this] { awaitLoadTime(); });
         return;
     }
-    drainEngine();
+    if (isVerifiedWithin(m_settings.m_verificationLifetime)) {
+        drainEngine();
+    } else {
+        verifyStagedChunks(run);
+    }
+}
+
+bool WeightsManager::isVerifiedWithin(Core::Duration limit) const
+{
+    const Core::Instant now = Core::Clock::now();
+    const Core::Duration suspended = Core::timeSuspended();
+    return std::all_of(m_stagedChunks.begin(), m_stagedChunks.end(), [now, suspended, limit](const std::pair<const Weights::ChunkIndex, Verification> &chunk) {
+        return (now - chunk.second.m_at) + (suspended - chunk.second.m_suspendedBefore) < limit;
+    });
+}
+
+void WeightsManager::recordVerified(Weights::ChunkIndex chunk)
+{
+    m_stagedChunks[chunk] = Verification{Core::Clock::now(), Core::timeSuspended()};
 }
 
 bool WeightsManager::isEngineUnavailable() const
 {
-    return m_step == Step::Drain || m_step == Step::Verify || m_step == Step::SendOrder || m_step == Step::Loading;
+    return m_step == Step::Drain || m_step == Step::SendOrder || m_step == Step::Loading;
 }
 
 void WeightsManager::drainEngine()
@@ -601,14 +619,12 @@
     }
     const bool isServing = !m_status->m_weights.empty() && m_status->m_running > 0;
     const bool willAbort = runningRequestPolicy() == RunningRequestPolicy::Abort;
-    runAfter(isServing && willAbort ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] {
-        enterStep(Step::Verify);
-        verifyStagedChunks(run);
-    });
+    runAfter(isServing && willAbort ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] { sendLoadOrder(run); });
 }
 
 void WeightsManager::verifyStagedChunks(std::uint64_t run)
 {
+    enterStep(Step::Verify);
     std::vector<Weights::ChunkIndex> chunks(m_manifest->chunkCount());
     std::iota(chunks.begin(), chunks.end(), Weights::ChunkIndex{0});
     const ChunkStep step = [this, run](Weights::ChunkIndex chunk, const std::function<void()> &done) {
@@ -616,7 +632,9 @@
             if (!*alive || !isCurrentRun(run)) {
                 return;
             }
-            if (!bytes || !Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
+            if (bytes && Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
+                recordVerified(chunk);
+            } else {
                 m_corruptStagedChunks.add();
                 m_stagedChunks.erase(chunk);
                 m_parts.m_log.write(Telemetry::LogLine("staged_chunk_spoilt").number("chunk", static_cast<std::int64_t>(chunk)));
@@ -629,7 +647,7 @@
             stageMissingChunks(run);
             return;
         }
-        sendLoadOrder(run);
+        drainEngine();
     });
 }
 
@@ -647,7 +665,7 @@
 void WeightsManager::sendLoadOrder(std::uint64_t run)
 {
     enterStep(Step::SendOrder);
-    if (!m_status) {
+    if (!m_status || !isVerifiedWithin(m_settings.m_verificationLimit)) {
         runAfter(m_settings.m_retryDelay, run, [this] { awaitLoadTime(); });
         return;
     }
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -36,6 +36,10 @@
      * Without it more streams are moved and interrupted; waiting for the last stream would make the engine unavailable for seconds.
      */
     Core::Duration m_drainTime{500};
+    /// A chunk that was read back or written within this time before its engine's load time is not read back again.
+    Core::Duration m_verificationLifetime{500};
+    /// Longest time between the verification of a chunk and the load order; shorter than the time after which a damaged chunk must have been noticed (3 s).
+    Core::Duration m_verificationLimit{2000};
     /// Share of the chunks that must be held for a superseded version to be finished. After an outage of the log, two versions become known at the same time.
     /// Loading both makes each engine unavailable twice, and the first load delays the second by 4 s.
     double m_minimumShareToFinish = 0.25;
@@ -74,8 +78,8 @@
  * (shouldFinishTarget()). A version that is completely staged is loaded at its scheduled time while the newer one is downloaded (isReadyToLoad()).
  *
  * The engine loads the content of its staging area without checking it. A chunk that is missing, corrupt or of another version would be served to callers as a
- * model that nobody published. Therefore every chunk is read back and compared with its digest immediately before the load order. All methods must be called on
- * the event loop's thread.
+ * model that nobody published. Therefore every chunk is read back and compared with its digest shortly before the load order, while the engine still serves. All
+ * methods must be called on the event loop's thread.
  */
 class WeightsManager
 {
@@ -111,12 +115,19 @@
         AwaitTransfer, ///< Waits for chunks to be downloaded.
         StageChunks, ///< Writes chunks to the staging area.
         AwaitLoadTime, ///< All chunks are staged; waits for the scheduled load time.
-        Drain, ///< Entries have been asked to send no new requests; some running requests end.
         Verify, ///< Reads the staged chunks back and verifies them.
+        Drain, ///< Entries have been asked to send no new requests; some running requests end.
         SendOrder, ///< The load order has been sent.
         Loading, ///< The engine has accepted the load order.
     };
 
+    /// When a staged chunk was written or read back.
+    struct Verification
+    {
+        Core::Instant m_at;
+        Core::Duration m_suspendedBefore{0}; ///< Core::timeSuspended() at that moment.
+    };
+
     void pollStatus();
     Core::Duration statusPollInterval() const;
     void handleStatus(Core::Result<EngineStatus> status);
@@ -146,6 +157,8 @@
     bool hasReachedLoadTime() const;
     void drainEngine();
     bool isEngineUnavailable() const;
+    bool isVerifiedWithin(Core::Duration limit) const;
+    void recordVerified(Weights::ChunkIndex chunk);
     void verifyStagedChunks(std::uint64_t run);
     RunningRequestPolicy runningRequestPolicy() const;
     void sendLoadOrder(std::uint64_t run);
@@ -169,7 +182,7 @@
     bool m_isManifestCheckOpen = false;
     Core::Instant m_orderSentAt; ///< When the last load order was sent.
     std::optional<Core::Instant> m_stagedAt; ///< When all chunks of the target were first staged.
-    std::set<Weights::ChunkIndex> m_stagedChunks; ///< Chunks of the target that are in the staging area.
+    std::map<Weights::ChunkIndex, Verification> m_stagedChunks; ///< Chunks of the target that are in the staging area, with their last verification.
     Step m_step = Step::Idle;
     std::uint64_t m_run = 0; ///< Incremented for each new target or engine. Callbacks of earlier runs are ignored.
     std::vector<Gossip::Member> m_agents;
--- a/Tests/LibStaging/TestWeightsManager.cpp
+++ b/Tests/LibStaging/TestWeightsManager.cpp
@@ -119,10 +119,10 @@
     Wire::Node m_node{Wire::NodeSettings{}, m_metrics};
     Transfer::TransferManager m_transfer{transferParts()};
     FakeEngine m_engine;
-    Staging::WeightsManager m_manager{
-        Staging::WeightsManagerParts{m_loop, m_fleetState, m_versions, m_transfer, m_metrics, m_log}, settings(), control(m_loop, m_engine)};
+    Staging::WeightsManager m_manager;
 
-    WeightsManagerFixture()
+    explicit WeightsManagerFixture(const Staging::WeightsManagerSettings &managerSettings = settings())
+        : m_manager(Staging::WeightsManagerParts{m_loop, m_fleetState, m_versions, m_transfer, m_metrics, m_log}, managerSettings, control(m_loop, m_engine))
     {
         Fleet::Declarations declarations;
         declarations.m_end = 1;
@@ -163,6 +163,7 @@
         result.m_statusInterval = Core::Duration(5);
         result.m_loadSchedule = Staging::LoadScheduleSettings{Core::Duration(0), Core::Duration(0)};
         result.m_manifestCheckDelay = Core::Duration(100);
+        result.m_verificationLifetime = Core::Duration(0);
         return result;
     }
 
@@ -335,3 +336,31 @@
     REQUIRE(fixture.awaitOrders(1));
     CHECK(fixture.m_engine.m_manifestReads == 2);
 }
+
+TEST_CASE("Chunks that were read back a moment ago are not read again before the load order")
+{
+    // After a loss of power the whole fleet has no weights, and each further read delays the first answer.
+    Staging::WeightsManagerSettings settings = WeightsManagerFixture::settings();
+    settings.m_verificationLifetime = Core::Duration(60000);
+    WeightsManagerFixture fixture(settings);
+    fixture.m_engine.fill(1);
+    fixture.m_manager.start();
+    REQUIRE(fixture.awaitOrders(1));
+    CHECK(fixture.m_engine.m_reads == Chunks);
+}
+
+TEST_CASE("An order is not sent on a verification that is too old")
+{
+    // The process was frozen while its engine drained, and a chunk was damaged meanwhile. The engine would load it.
+    Staging::WeightsManagerSettings settings = WeightsManagerFixture::settings();
+    settings.m_verificationLifetime = Core::Duration(60000);
+    settings.m_verificationLimit = Core::Duration(0);
+    settings.m_retryDelay = Core::Duration(5);
+    WeightsManagerFixture fixture(settings);
+    fixture.m_engine.fill(1);
+    fixture.m_manager.start();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_reads == Chunks; }));
+    runUntil(
+        fixture.m_loop, [] { return false; }, std::chrono::milliseconds(100));
+    CHECK(fixture.m_engine.m_orders.empty());
+}
