LibStaging: Finish an older version until its bound

Cause: a superseded version that was not staged 6 s after its acceptance was abandoned, a time of the old work's bound of 8 s.

Change: the limit is the version's bound, from the agent's settings. The margin before the bound stands in one place.

--- a/Libraries/LibPlacement/VersionDeadlines.h
+++ b/Libraries/LibPlacement/VersionDeadlines.h
@@ -10,6 +10,10 @@
 
 namespace Placement {
 
+/// Time before the bound of a version from which on no request is sent to engines with an older one, because a request waits almost this long at a full engine
+/// before it starts.
+inline constexpr Core::Duration VersionBoundMargin{2000};
+
 /// Time at which a declaration was accepted, as far as it is known. A process that learns of the declaration directly does so at most a moment after that time.
 struct DeclarationTime
 {
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -40,7 +40,7 @@
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
     , m_retryBudgets(m_settings.m_retryBudgets)
-    , m_versions(m_settings.m_versionBound - m_settings.m_versionMargin)
+    , m_versions(m_settings.m_versionBound - Placement::VersionBoundMargin)
     , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
--- a/Libraries/LibServing/EntrySettings.h
+++ b/Libraries/LibServing/EntrySettings.h
@@ -22,7 +22,6 @@
     std::size_t m_connections = 2000; ///< Maximum number of caller connections.
     Core::Duration m_leavingTime{8000}; ///< Maximum time from the termination signal to the end of the process.
     Core::Duration m_versionBound{8000}; ///< Time from the acceptance of a version until no request may start on an older one.
-    Core::Duration m_versionMargin{2000}; ///< Subtracted from m_versionBound, because a request waits almost this long at a full engine before it starts.
     Placement::RetryBudgetSettings m_retryBudgets;
     Gossip::GossipSettings m_gossip;
     DirectorySettings m_directory;
--- a/Libraries/LibStaging/AgentSettings.cpp
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -61,6 +61,7 @@
     reader.section("bounds", [&settings](Settings::Reader &section) {
         settings.m_versionBound = section.milliseconds("version_ms", 100, 600000, settings.m_versionBound.count());
         settings.m_weightsManager.m_loadSchedule.m_versionBound = settings.m_versionBound;
+        settings.m_weightsManager.m_finishAgeLimit = settings.m_versionBound;
     });
     reader.section("link", [&settings](Settings::Reader &section) { readLink(section, settings); });
     return settings;
--- a/Libraries/LibStaging/LoadSchedule.h
+++ b/Libraries/LibStaging/LoadSchedule.h
@@ -1,7 +1,7 @@
 /// @file The schedule by which the engines of a service load a new version. Every agent computes it independently; no coordination is needed.
 #pragma once
 
-#include "LibCore/Clock.h"
+#include "LibPlacement/VersionDeadlines.h"
 
 #include <cstdint>
 #include <string>
@@ -18,7 +18,7 @@
 struct LoadScheduleSettings
 {
     Core::Duration m_versionBound{8000}; ///< Delay from which on no request may begin on an older version.
-    Core::Duration m_boundMargin{2000}; ///< Entries send no requests to engines with an older version within this time before the bound.
+    Core::Duration m_boundMargin{Placement::VersionBoundMargin}; ///< Entries send no requests to engines with an older version within this time before the bound.
 
     bool operator==(const LoadScheduleSettings &) const = default;
 };
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -43,8 +43,9 @@
     /// Share of the chunks that must be held for a superseded version to be finished. After an outage of the log, two versions become known at the same time.
     /// Loading both makes each engine unavailable twice, and the first load delays the second by 4 s.
     double m_minimumShareToFinish = 0.25;
-    /// A superseded version that is not staged within this time after its declaration is abandoned, because its last load time is near.
-    Core::Duration m_finishAgeLimit{6000};
+    /// A superseded version that is not staged within this time after its declaration is abandoned: the bound of versions. While the origin is unreachable, an
+    /// older version of which a few chunks are missing is complete long before the newer one.
+    Core::Duration m_finishAgeLimit{8000};
     LoadScheduleSettings m_loadSchedule;
 
     bool operator==(const WeightsManagerSettings &) const = default;
