LibGossip, LibTransfer: Let newcomers leave the origin to others

An agent that had just started knew 11 to 37 of 105 others (read off a log line for each plan), held itself to be the first downloader of most chunks and downloaded them: 16 of 86 chunks left the origin twice or three times before it went away at 20.5 s, and 22 chunks were missing then.

Change: an agent that knows less than nine tenths of the members that others report requests chunks from peers only, for five seconds at most. When a whole fleet starts, nobody reports more than anybody knows, and nothing waits.

--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -60,6 +60,7 @@
 
 Core::Result<void> GossipService::start()
 {
+    m_startedAt = Core::Clock::now();
     try {
         const Asio::ip::udp::endpoint endpoint(Asio::ip::make_address_v4(m_self.m_peers.m_host), m_self.m_peers.m_port);
         m_socket.open(endpoint.protocol());
@@ -122,6 +123,7 @@
     if (heartbeat.m_sender.m_role == Role::Entry) {
         m_lastEntryHeartbeatAt = now;
     }
+    recordMemberCount(heartbeat.m_knownMemberCount, now);
     applyWeights(heartbeat.m_weights);
     requestMembers(m_members.mergeDigests(heartbeat.m_digests, now), heartbeat.m_sender);
     sendMembers(heartbeat.m_requestedMembers, heartbeat.m_sender);
@@ -133,6 +135,23 @@
     }
 }
 
+void GossipService::recordMemberCount(std::uint32_t count, Core::Instant now)
+{
+    constexpr Core::Duration lifetime{2000}; // Several heartbeats; the fleet may have shrunk since.
+    if (count >= m_reportedMemberCount || now - m_memberCountReportedAt > lifetime) {
+        m_reportedMemberCount = count;
+        m_memberCountReportedAt = now;
+    }
+}
+
+bool GossipService::knowsMostMembers() const
+{
+    constexpr double sufficientShare = 0.9;
+    constexpr Core::Duration longestDiscovery{5000}; // Others may count members that are gone.
+    const Core::Instant now = Core::Clock::now();
+    return static_cast<double>(m_members.countAlive(now)) >= sufficientShare * m_reportedMemberCount || now - m_startedAt > longestDiscovery;
+}
+
 /// Requests full descriptions of members that are known only by a digest. In a large fleet, random samples alone take a minute to cover all members.
 void GossipService::requestMembers(std::vector<std::uint32_t> incarnations, const Member &source)
 {
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -120,12 +120,16 @@
     }
     /// Returns the time since the last heartbeat of any entry; empty if none was ever received.
     std::optional<Core::Duration> timeSinceEntryHeartbeat() const;
+    /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large fleet
+    /// needs a second or two to learn of all its members.
+    bool knowsMostMembers() const;
 
 private:
     void receive();
     void handleDatagram(std::string_view bytes);
     void handleHeartbeat(const Heartbeat &heartbeat);
     void applyWeights(const std::vector<AgedWeights> &weights);
+    void recordMemberCount(std::uint32_t count, Core::Instant now);
     void requestMembers(std::vector<std::uint32_t> incarnations, const Member &source);
     void sendMembers(std::vector<std::uint32_t> incarnations, const Member &requester);
     void pullOrConfirmState(const Heartbeat &heartbeat);
@@ -168,6 +172,9 @@
     std::vector<EngineUpdate> m_relayQueue;
     Http::Timer m_relayTimer;
     std::optional<Core::Instant> m_lastEntryHeartbeatAt;
+    Core::Instant m_startedAt; ///< When start() was called.
+    std::uint32_t m_reportedMemberCount = 0; ///< Largest number of known members that another process has reported recently.
+    Core::Instant m_memberCountReportedAt;
     Core::Instant m_nextPull;
     std::map<std::string, Core::Instant> m_newcomerAnswerTimes; ///< When each newcomer was last sent a large sample; pruned with each heartbeat.
     bool m_isPulling = false;
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -184,6 +184,7 @@
     // All agents must rank the same list, or two of them download the same chunk. The exchange finds out by itself which of them do not respond.
     std::vector<Gossip::Member> agents = m_gossip.members().known(Gossip::Role::Agent);
     std::erase_if(agents, [this](const Gossip::Member &member) { return member.m_service != m_settings.m_weightsManager.m_service || member.m_isLeaving; });
+    m_transfer.setMayDownloadFromOrigin(m_gossip.knowsMostMembers());
     m_manifests.setAgents(m_settings.m_instance, agents);
     m_weightsManager.setAgents(std::move(agents), m_gossip.self());
 }
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -123,6 +123,11 @@
     return m_origin;
 }
 
+void Coordinator::setMayDownloadFromOrigin(bool mayDownload)
+{
+    m_mayDownloadFromOrigin = mayDownload;
+}
+
 void Coordinator::offerManifest(const std::string &digest, std::string encoded)
 {
     m_events->push(ManifestOffered{digest, std::move(encoded)});
@@ -336,10 +341,12 @@
 /// origin's link.
 TransferMode Coordinator::transferModeFor(const Version &version, const Version *first, Core::Instant now) const
 {
+    const bool mayDownload = m_mayDownloadFromOrigin.load(std::memory_order_relaxed);
     if (!version.m_isWanted || !first || version.m_priority <= first->m_priority) {
-        return TransferMode::Full;
+        return mayDownload ? TransferMode::Full : TransferMode::PeersOnly;
     }
-    return first->m_exchange && first->m_exchange->areDownloadsDue(now) ? TransferMode::OwnDownloadsOnly : TransferMode::MonitorOnly;
+    const bool isTurn = mayDownload && first->m_exchange && first->m_exchange->areDownloadsDue(now);
+    return isTurn ? TransferMode::OwnDownloadsOnly : TransferMode::MonitorOnly;
 }
 
 std::uint64_t Coordinator::memoryUsed() const
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -36,6 +36,7 @@
     void setTargets(std::vector<Control::Deployment> wanted);
     void release(const std::string &digest);
     void setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond);
+    void setMayDownloadFromOrigin(bool mayDownload);
     void offerManifest(const std::string &digest, std::string encoded);
     void offerChunk(const std::string &digest, Weights::ChunkIndex chunk, std::string bytes);
     void onManifestVerified(std::function<void(const std::string &)> callback);
@@ -111,6 +112,7 @@
     std::set<std::string> m_pendingReleases;
     Core::Address m_origin; ///< Guarded by m_pendingMutex, as are the targets. Empty until the origin is known.
     std::uint64_t m_originBytesPerSecond = 0; ///< Rate of the origin's link; 0 if unknown. Guarded by m_pendingMutex.
+    std::atomic<bool> m_mayDownloadFromOrigin = true;
     std::atomic<std::uint64_t> m_liveBytes = 0; ///< Bytes of live traffic not yet charged to m_download.
 
     mutable std::mutex m_publishedMutex;
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -54,6 +54,7 @@
 enum class TransferMode {
     MonitorOnly, ///< It only monitors its open requests.
     Full, ///< It takes all actions.
+    PeersOnly, ///< It downloads nothing from the origin.
     OwnDownloadsOnly, ///< It downloads from the origin the chunks for which it is the first downloader, and requests nothing from peers.
 };
 
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -212,10 +212,10 @@
         return actions;
     }
     decideFollows(actions, now);
-    if (!isComplete()) {
+    if (!isComplete() && mode != TransferMode::PeersOnly) {
         decideDownloads(actions, download, now);
     }
-    if (!isComplete() && mode == TransferMode::Full) {
+    if (!isComplete() && mode != TransferMode::OwnDownloadsOnly) {
         decideRequests(actions, download, now);
         decideHedges(actions, download, now);
     }
--- a/Libraries/LibTransfer/TransferManager.cpp
+++ b/Libraries/LibTransfer/TransferManager.cpp
@@ -55,6 +55,11 @@
     m_coordinator->setOrigin(origin, linkBytesPerSecond);
 }
 
+void TransferManager::setMayDownloadFromOrigin(bool mayDownload)
+{
+    m_coordinator->setMayDownloadFromOrigin(mayDownload);
+}
+
 void TransferManager::offerManifest(const std::string &manifestDigest, std::string encoded)
 {
     m_coordinator->offerManifest(manifestDigest, std::move(encoded));
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -88,6 +88,12 @@
 
     /// Replaces the origin's address and the rate of its link. @p linkBytesPerSecond: 0 if the rate is unknown.
     void setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond = 0);
+    /**
+     * Sets whether chunks may be downloaded from the origin; true at first.
+     *
+     * A replica that knows few others holds itself to be the first downloader of chunks that the others have downloaded or are about to.
+     */
+    void setMayDownloadFromOrigin(bool mayDownload);
     /// Passes in a manifest that was found on this instance. It is accepted if its digest is that of a wanted version.
     void offerManifest(const std::string &manifestDigest, std::string encoded);
     /// Passes in a chunk that was found on this instance. It is accepted if it matches its digest; it then need not be downloaded, and peers can fetch it from
--- a/Tests/LibTransfer/TestExchange.cpp
+++ b/Tests/LibTransfer/TestExchange.cpp
@@ -275,6 +275,20 @@
     }));
 }
 
+TEST_CASE("A replica that knows few others downloads nothing from the origin, but requests chunks from peers")
+{
+    // A replica joins in the middle of a burst and knows three of a hundred others. By its ranking it would download most chunks, and the origin's link would
+    // carry them a second time while the whole fleet waits for the rest.
+    ExchangeFixture fixture(4, 0);
+    fixture.m_mode = Transfer::TransferMode::PeersOnly;
+    fixture.m_holdings[fixture.m_replicas[1].m_wire] = {0, 1};
+    fixture.advance(Core::Duration(3000));
+    CHECK(fixture.downloadedChunks().empty());
+    CHECK(std::count_if(fixture.m_requests.begin(), fixture.m_requests.end(), [](const Transfer::Action &action) {
+              return action.m_kind == Transfer::ActionKind::RequestFromPeer;
+          }) >= 2);
+}
+
 TEST_CASE("A slow downloader that is alive keeps its chunks, so that a slow origin does not have to send them twice")
 {
     ExchangeFixture fixture(2, 0);
