--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -123,7 +123,7 @@
     if (heartbeat.m_sender.m_role == Role::Entry) {
         m_lastEntryHeartbeatAt = now;
     }
-    recordMemberCount(heartbeat.m_knownMemberCount, now);
+    m_reportedMemberCount = addReport(m_reportedMemberCount, heartbeat.m_knownMemberCount, now);
     applyWeights(heartbeat.m_weights);
     requestMembers(m_members.mergeDigests(heartbeat.m_digests, now), heartbeat.m_sender);
     sendMembers(heartbeat.m_requestedMembers, heartbeat.m_sender);
@@ -135,21 +135,10 @@
     }
 }
 
-void GossipService::recordMemberCount(std::uint32_t count, Core::Instant now)
-{
-    constexpr Core::Duration lifetime{2000}; // Several heartbeats; the fleet may have shrunk since.
-    if (count >= m_reportedMemberCount || now - m_memberCountReportedAt > lifetime) {
-        m_reportedMemberCount = count;
-        m_memberCountReportedAt = now;
-    }
-}
-
 bool GossipService::knowsMostMembers() const
 {
-    constexpr double sufficientShare = 0.9;
-    constexpr Core::Duration longestDiscovery{5000}; // Others may count members that are gone.
     const Core::Instant now = Core::Clock::now();
-    return static_cast<double>(m_members.countAlive(now)) >= sufficientShare * m_reportedMemberCount || now - m_startedAt > longestDiscovery;
+    return Gossip::knowsMostMembers(m_members.countAlive(now), m_reportedMemberCount, std::chrono::duration_cast<Core::Duration>(now - m_startedAt));
 }
 
 /// Requests full descriptions of members that are known only by a digest. In a large fleet, random samples alone take a minute to cover all members.
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Random.h"
 #include "LibGossip/DeclarationAge.h"
+#include "LibGossip/MemberCount.h"
 #include "LibGossip/Messages.h"
 #include "LibGossip/ReportFanOut.h"
 #include "LibHttp/EventLoop.h"
@@ -129,7 +130,6 @@
     void handleDatagram(std::string_view bytes);
     void handleHeartbeat(const Heartbeat &heartbeat);
     void applyWeights(const std::vector<AgedWeights> &weights);
-    void recordMemberCount(std::uint32_t count, Core::Instant now);
     void requestMembers(std::vector<std::uint32_t> incarnations, const Member &source);
     void sendMembers(std::vector<std::uint32_t> incarnations, const Member &requester);
     void pullOrConfirmState(const Heartbeat &heartbeat);
@@ -173,8 +173,7 @@
     Http::Timer m_relayTimer;
     std::optional<Core::Instant> m_lastEntryHeartbeatAt;
     Core::Instant m_startedAt; ///< When start() was called.
-    std::uint32_t m_reportedMemberCount = 0; ///< Largest number of known members that another process has reported recently.
-    Core::Instant m_memberCountReportedAt;
+    ReportedMemberCount m_reportedMemberCount;
     Core::Instant m_nextPull;
     std::map<std::string, Core::Instant> m_newcomerAnswerTimes; ///< When each newcomer was last sent a large sample; pruned with each heartbeat.
     bool m_isPulling = false;
