LibTransfer: Request a twelfth of the chunks ahead of their turn

Cause: with four downloads at once the last chunks are requested just before the link is done with them, and what is not on its way when the origin fails must wait for its return.

Change: a twelfth of the chunks is requested ahead; a chunk counts as late only after it should have left the origin; half of the neighbours' answers suffice to tell that a version is new.

--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -219,6 +219,8 @@
     bool haveNeighboursAnswered(Core::Instant now) const;
     void followSources(Weights::ChunkIndex index, Core::Instant now);
     bool isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const;
+    /// Returns whether the first download of the chunk should have ended, according to the known rate of the origin's link.
+    bool isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const;
     std::vector<SourcePeer> sourcePeers(Core::Instant now) const;
     void decideFollows(std::vector<Action> &actions, Core::Instant now);
     bool isStalled(const Request &request, Core::Instant now) const;
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -21,7 +21,7 @@
 /// A chunk that is due and not held by any followed peer for this long is downloaded even if the replica of the first rank appears healthy.
 constexpr Core::Duration LastResortDelay{60000};
 /**
- * A chunk that is due for this long and still held by at most one replica is also fetched by the second replica in rank, and after the same time again by each
+ * A chunk that should have left the origin this long ago and is still held by at most one replica is also fetched by the second replica in rank, and after the same time again by each
  * of the next ones. The delay is longer than a chunk of a healthy downloader takes to spread, and short compared with the deadline of a version. Without this rule,
  * instances with slow links hold back their chunks, and with them the whole fleet: for 6 s if the links of three of 27 instances have a twelfth of the usual
  * rate.
@@ -35,8 +35,12 @@
 constexpr Core::Duration LostProbeAge{3000}; ///< After this time the result of a probe counts as lost; longer than any probe takes.
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
-/// Concurrent downloads that share the origin's link, so that it is never idle between two of them. Opening a connection takes about as long as a chunk.
-constexpr std::uint32_t ConcurrentOriginDownloads = 4;
+/**
+ * Share of a version's chunks that are requested from the origin ahead of their turn. Their downloads share the origin's link, so that it is never idle, and if
+ * the origin fails, most of their bytes are already on the way.
+ */
+constexpr double RequestedAheadShare = 1.0 / 12;
+constexpr double MinimumRequestedAhead = 2;
 
 }
 
@@ -72,11 +76,14 @@
 
 bool Exchange::haveNeighboursAnswered(Core::Instant now) const
 {
-    // A replica that joins late finds all chunks at its neighbours. Downloading before they have answered would use the origin's link needlessly.
+    // A replica that joins late finds all chunks at its neighbours. Downloading before they have answered would use the origin's link needlessly. Half of them
+    // suffice to tell whether the version is new to all.
     if (now - m_startedAt >= NeighbourAnswerLimit) {
         return true;
     }
-    return std::none_of(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow && !peer.m_hasAnswered; });
+    const std::ptrdiff_t followed = std::count_if(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow; });
+    const std::ptrdiff_t answered = std::count_if(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow && peer.m_hasAnswered; });
+    return answered * 2 >= followed;
 }
 
 bool Exchange::isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const
@@ -84,8 +91,13 @@
     // If all downloads began at the same time they would share the origin's link and all end late, with nothing to pass on before. Start times by chunk
     // position serialize them without coordination between the downloaders.
     const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + m_downloadPositions[index];
-    const std::uint64_t slots = position > ConcurrentOriginDownloads ? position - ConcurrentOriginDownloads : 0;
-    return now - m_downloadScheduleStart >= m_originChunkTime * static_cast<std::int64_t>(slots);
+    const double ahead = std::max(MinimumRequestedAhead, m_manifest.chunkCount() * RequestedAheadShare);
+    return now - m_downloadScheduleStart >= m_originChunkTime * std::max(0.0, static_cast<double>(position) - ahead);
+}
+
+bool Exchange::isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const
+{
+    return now - m_downloadScheduleStart >= m_originChunkTime * static_cast<double>(m_downloadPositions[index]);
 }
 
 bool Exchange::areDownloadsDue(Core::Instant now) const
@@ -120,7 +132,7 @@
     std::size_t due = 0;
     std::size_t scarce = 0;
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
-        const bool isDue = isDownloadDue(index, 0, now - LateChunkDelay);
+        const bool isDue = isDownloadExpected(index, now - LateChunkDelay);
         due += isDue ? 1 : 0;
         scarce += isDue && isScarce(index, onlySameRegion, now) ? 1 : 0;
     }
@@ -134,7 +146,7 @@
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         const auto isLate = [this, index, now](const std::vector<PeerIndex> &ranked, bool onlySameRegion) {
             const std::optional<std::size_t> rank = ownRank(ranked);
-            return rank && *rank > 0 && *rank <= LateTakeoverRanks && isDownloadDue(index, 0, now - LateChunkDelay * static_cast<std::int64_t>(*rank))
+            return rank && *rank > 0 && *rank <= LateTakeoverRanks && isDownloadExpected(index, now - LateChunkDelay * static_cast<std::int64_t>(*rank))
                 && isScarce(index, onlySameRegion, now);
         };
         m_chunks[index].m_isLateDownload = mayBeLateDownload && isLate(m_chunks[index].m_downloaders, false);
