--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -340,7 +340,15 @@
         replica.m_queue.erase(replica.m_queue.begin() + static_cast<std::ptrdiff_t>(next));
         ++replica.m_sentCounts["digest"][request.m_upload.m_chunk];
         replica.m_isUploading = true;
-        m_flows.push_back(Flow{sender, request.m_receiver, request.m_request, request.m_upload.m_chunk, static_cast<double>(m_parameters.m_chunkBytes), 0, false, m_now + pushTime(), false});
+        m_flows.push_back(Flow{sender,
+                               request.m_receiver,
+                               request.m_request,
+                               request.m_upload.m_chunk,
+                               static_cast<double>(m_parameters.m_chunkBytes),
+                               0,
+                               false,
+                               m_now + pushTime(),
+                               false});
     }
 
     void requestFromOrigin(std::size_t receiver, const Transfer::Action &action)
@@ -471,9 +479,8 @@
                 reportProgress(flow);
             }
         }
-        std::erase_if(m_flows, [this](const Flow &flow) {
-            return flow.m_remainingBytes <= 0 || flow.m_isCancelled || (!flow.m_sender && !isOriginReachable());
-        });
+        std::erase_if(m_flows,
+                      [this](const Flow &flow) { return flow.m_remainingBytes <= 0 || flow.m_isCancelled || (!flow.m_sender && !isOriginReachable()); });
         for (const Flow &flow : ended) {
             endFlow(flow);
         }
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -121,8 +121,8 @@
     }
     /// Returns the time since the last heartbeat of any entry; empty if none was ever received.
     std::optional<Core::Duration> timeSinceEntryHeartbeat() const;
-    /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large fleet
-    /// needs a second or two to learn of all its members.
+    /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large
+    /// fleet needs a second or two to learn of all its members.
     bool knowsMostMembers() const;
 
 private:
--- a/Libraries/LibLogs/Explanation.cpp
+++ b/Libraries/LibLogs/Explanation.cpp
@@ -137,9 +137,8 @@
     if (story.m_lines.empty()) {
         return Core::makeError(Core::ErrorCode::NotFound, "explain request", "", "no line names " + id + "; of successful requests only a sample is logged");
     }
-    std::stable_sort(story.m_lines.begin(), story.m_lines.end(), [](const StoryLine &left, const StoryLine &right) {
-        return left.m_milliseconds < right.m_milliseconds;
-    });
+    std::stable_sort(
+        story.m_lines.begin(), story.m_lines.end(), [](const StoryLine &left, const StoryLine &right) { return left.m_milliseconds < right.m_milliseconds; });
     return story;
 }
 
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -331,8 +331,8 @@
     attempt.m_endpoint = choice.m_endpoint;
     attempt.m_sentAt = Core::Clock::now();
     attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
-    m_expectedFirstByte = std::chrono::duration_cast<Core::Duration>(attempt.m_sentAt - m_arrivedAt)
-        + Core::Duration(static_cast<std::int64_t>(choice.m_expectedMilliseconds));
+    m_expectedFirstByte =
+        std::chrono::duration_cast<Core::Duration>(attempt.m_sentAt - m_arrivedAt) + Core::Duration(static_cast<std::int64_t>(choice.m_expectedMilliseconds));
     attempt.m_load = choice.m_load;
     attempt.m_reportAge = choice.m_reportAge;
     attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
--- a/Libraries/LibStaging/ManifestSharing.cpp
+++ b/Libraries/LibStaging/ManifestSharing.cpp
@@ -21,8 +21,8 @@
 
 }
 
-std::optional<Core::Address> manifestSource(
-    const std::string &self, const std::vector<Gossip::Member> &others, const ModelVersion &version, std::size_t originFetchers, std::size_t attempt)
+std::optional<Core::Address>
+manifestSource(const std::string &self, const std::vector<Gossip::Member> &others, const ModelVersion &version, std::size_t originFetchers, std::size_t attempt)
 {
     const std::string key = version.m_model + "/" + std::to_string(version.m_version);
     const std::uint64_t ownWeight = Core::rendezvousWeight(key, self);
@@ -129,26 +129,26 @@
     const std::shared_ptr<std::string> encoded = std::make_shared<std::string>();
     Wire::CallEvents events;
     events.m_onFrame = [encoded](std::string frame) { *encoded = std::move(frame); };
-    events.m_onEnd = [this, alive = m_isAlive, encoded, origin, version, mayReadFromOrigin, name = peer.toString(), finish = std::move(done)](
-                         const Wire::CallEnd &end) {
-        const Core::Result<Weights::Manifest> manifest =
-            end.m_succeeded ? Weights::decodeManifest(*encoded, name) : Core::Result<Weights::Manifest>(end.m_error);
-        boost::asio::post(m_loop, [this, alive, manifest, origin, version, mayReadFromOrigin, name, finish] {
-            if (!*alive) {
-                return;
-            }
-            if (manifest && isManifestOf(manifest.value(), version)) {
-                storeManifest(version, manifest.value());
-                finish(manifest);
-                return;
-            }
-            if (mayReadFromOrigin) {
-                fetchFromOrigin(origin, version, finish);
-                return;
-            }
-            finish(manifest ? Core::makeError(Core::ErrorCode::Corrupt, "read manifest", name, "it describes another version") : manifest);
-        });
-    };
+    events.m_onEnd =
+        [this, alive = m_isAlive, encoded, origin, version, mayReadFromOrigin, name = peer.toString(), finish = std::move(done)](const Wire::CallEnd &end) {
+            const Core::Result<Weights::Manifest> manifest =
+                end.m_succeeded ? Weights::decodeManifest(*encoded, name) : Core::Result<Weights::Manifest>(end.m_error);
+            boost::asio::post(m_loop, [this, alive, manifest, origin, version, mayReadFromOrigin, name, finish] {
+                if (!*alive) {
+                    return;
+                }
+                if (manifest && isManifestOf(manifest.value(), version)) {
+                    storeManifest(version, manifest.value());
+                    finish(manifest);
+                    return;
+                }
+                if (mayReadFromOrigin) {
+                    fetchFromOrigin(origin, version, finish);
+                    return;
+                }
+                finish(manifest ? Core::makeError(Core::ErrorCode::Corrupt, "read manifest", name, "it describes another version") : manifest);
+            });
+        };
     const Core::Duration timeout = attempt == 0 ? m_settings.m_peerTimeout : m_settings.m_laterPeerTimeout;
     m_node.call(peer, ManifestMethod, Wire::pack(version), Wire::CallOptions{timeout}, std::move(events));
 }
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -79,8 +79,8 @@
  * (shouldFinishTarget()). A version that is completely staged is loaded at its scheduled time while the newer one is downloaded (isReadyToLoad()).
  *
  * The engine loads the content of its staging area without checking it. A chunk that is missing, corrupt or of another version would be served to callers as a
- * model that nobody published. Therefore every chunk is read back and compared with its digest shortly before the load order, while the engine still serves. All
- * methods must be called on the event loop's thread.
+ * model that nobody published. Therefore every chunk is read back and compared with its digest shortly before the load order, while the engine still serves.
+ * All methods must be called on the event loop's thread.
  */
 class WeightsManager
 {
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -21,13 +21,14 @@
 /// A chunk that is due and not held by any followed peer for this long is downloaded even if the replica of the first rank appears healthy.
 constexpr Core::Duration LastResortDelay{60000};
 /**
- * A chunk that should have left the origin this long ago and is still held by at most one replica is also fetched by the second replica in rank, and after the same time again by each
- * of the next ones. The delay is longer than a chunk of a healthy downloader takes to spread, and short compared with the deadline of a version. Without this rule,
- * instances with slow links hold back their chunks, and with them the whole fleet: for 6 s if the links of three of 27 instances have a twelfth of the usual
- * rate.
+ * A chunk that should have left the origin this long ago and is still held by at most one replica is also fetched by the second replica in rank, and after the
+ * same time again by each of the next ones. The delay is longer than a chunk of a healthy downloader takes to spread, and short compared with the deadline of a
+ * version. Without this rule, instances with slow links hold back their chunks, and with them the whole fleet: for 6 s if the links of three of 27 instances
+ * have a twelfth of the usual rate.
  */
 constexpr Core::Duration LateChunkDelay{800};
-constexpr std::size_t LateTakeoverRanks = 3; ///< If an eighth of the links are slow, the first two replicas in rank are slow for one or two chunks of a version.
+constexpr std::size_t LateTakeoverRanks =
+    3; ///< If an eighth of the links are slow, the first two replicas in rank are slow for one or two chunks of a version.
 constexpr std::size_t MaximumScarceHolders = 1;
 /// At least this many due chunks are required for each scarce chunk. If more chunks are scarce the origin is slow, and requesting chunks twice would slow it
 /// down further.
--- a/Libraries/LibTransfer/UploadQueue.h
+++ b/Libraries/LibTransfer/UploadQueue.h
@@ -29,7 +29,8 @@
     std::size_t m_waitingForRegion = 32; ///< First copies for other regions are few and must not be refused because many other requests are queued.
 };
 
-/// Returns how many requests for chunks of this size may be queued, so that none waits longer than the queue's time limit. @p uploadBytesPerSecond: 0 for no limit.
+/// Returns how many requests for chunks of this size may be queued, so that none waits longer than the queue's time limit. @p uploadBytesPerSecond: 0 for no
+/// limit.
 std::size_t queuedUploadLimit(std::size_t chunkBytes, std::uint64_t uploadBytesPerSecond, Core::Duration queueTime, std::size_t fallback);
 
 /// Returns whether another request may be queued.
--- a/Libraries/LibTransfer/UploadWorker.cpp
+++ b/Libraries/LibTransfer/UploadWorker.cpp
@@ -63,8 +63,7 @@
             waiting.push_back(other.m_upload);
         }
         UploadLimits limits;
-        limits.m_waiting =
-            queuedUploadLimit(job.m_bytes->size(), m_settings.m_uploadBytesPerSecond, m_settings.m_uploadQueueTime, m_settings.m_queuedUploads);
+        limits.m_waiting = queuedUploadLimit(job.m_bytes->size(), m_settings.m_uploadBytesPerSecond, m_settings.m_uploadQueueTime, m_settings.m_queuedUploads);
         if (!m_running || !canQueueUpload(waiting, job.m_upload.m_forRegion, limits)) {
             m_refused.add();
             job.m_responder.fail(busyError());
--- a/Tests/LibTransfer/TestExchange.cpp
+++ b/Tests/LibTransfer/TestExchange.cpp
@@ -284,9 +284,10 @@
     fixture.m_holdings[fixture.m_replicas[1].m_wire] = {0, 1};
     fixture.advance(Core::Duration(3000));
     CHECK(fixture.downloadedChunks().empty());
-    CHECK(std::count_if(fixture.m_requests.begin(), fixture.m_requests.end(), [](const Transfer::Action &action) {
-              return action.m_kind == Transfer::ActionKind::RequestFromPeer;
-          }) >= 2);
+    CHECK(std::count_if(fixture.m_requests.begin(),
+                        fixture.m_requests.end(),
+                        [](const Transfer::Action &action) { return action.m_kind == Transfer::ActionKind::RequestFromPeer; })
+          >= 2);
 }
 
 TEST_CASE("A slow downloader that is alive keeps its chunks, so that a slow origin does not have to send them twice")
@@ -312,7 +313,8 @@
     const std::set<Weights::ChunkIndex> downloadedChunks = fixture.downloadedChunks();
     std::size_t takeoverCount = 0;
     for (const Weights::ChunkIndex chunk : fixture.rankedChunks(slowReplica, 0)) {
-        const bool isNext = fixture.rankedChunks(0, 1).contains(chunk) || fixture.rankedChunks(0, 2).contains(chunk) || fixture.rankedChunks(0, 3).contains(chunk);
+        const bool isNext =
+            fixture.rankedChunks(0, 1).contains(chunk) || fixture.rankedChunks(0, 2).contains(chunk) || fixture.rankedChunks(0, 3).contains(chunk);
         CHECK(downloadedChunks.contains(chunk) == isNext);
         takeoverCount += isNext ? 1 : 0;
     }
--- a/Tests/LibTransfer/TestOriginWorker.cpp
+++ b/Tests/LibTransfer/TestOriginWorker.cpp
@@ -33,9 +33,10 @@
     Transfer::OriginWorker worker(Network::NetworkSettings{}, Transfer::OriginTimeouts{Core::Duration(2000), Core::Duration(2000)}, 1, dialect);
     worker.start();
     std::promise<bool> isDownloaded;
-    Transfer::OriginJob job{Transfer::OriginJobKind::ReadChunk, origin, Transfer::OriginChunk{"drafts", "1", 0, 0, 4}, [&isDownloaded](const Core::Result<std::string> &bytes) {
-                                isDownloaded.set_value(bytes && bytes.value() == "abcd");
-                            }};
+    Transfer::OriginJob job{Transfer::OriginJobKind::ReadChunk,
+                            origin,
+                            Transfer::OriginChunk{"drafts", "1", 0, 0, 4},
+                            [&isDownloaded](const Core::Result<std::string> &bytes) { isDownloaded.set_value(bytes && bytes.value() == "abcd"); }};
     const bool isQueued = worker.offer(std::move(job));
     REQUIRE(isQueued);
     Poco::Net::StreamSocket connection = listener.acceptConnection();
--- a/Utilities/oriolerail/Show.cpp
+++ b/Utilities/oriolerail/Show.cpp
@@ -270,7 +270,7 @@
     }
     const bool isComplete = arguments.m_operands.size() == 2 && arguments.m_log;
     if (!isComplete || (arguments.m_operands[0] != "record" && arguments.m_operands[0] != "account")) {
-        return reportUsage("explain needs \"record ID\" or \"account NAME\", and --log, or \"request ID FILE...\" or \"interval FROM TO FILE...\"");
+        return reportUsage("explain needs \"record ID\" or \"account NAME\", and --log");
     }
     Platform::HttpLog log(arguments.m_network, *arguments.m_log);
     Control::Publisher publisher(log);
