--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -27,8 +27,8 @@
  * have a twelfth of the usual rate.
  */
 constexpr Core::Duration LateChunkDelay{800};
-constexpr std::size_t LateTakeoverRanks =
-    3; ///< If an eighth of the links are slow, the first two replicas in rank are slow for one or two chunks of a version.
+/// If an eighth of the links are slow, the first two replicas in rank are slow for one or two chunks of a version.
+constexpr std::size_t LateTakeoverRanks = 3;
 constexpr std::size_t MaximumScarceHolders = 1;
 /// At least this many due chunks are required for each scarce chunk. If more chunks are scarce the origin is slow, and requesting chunks twice would slow it
 /// down further.
@@ -36,12 +36,8 @@
 constexpr Core::Duration LostProbeAge{3000}; ///< After this time the result of a probe counts as lost; longer than any probe takes.
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
-/**
- * Share of a version's chunks that are requested from the origin ahead of their turn. Their downloads share the origin's link, so that it is never idle, and if
- * the origin fails, most of their bytes are already on the way.
- */
-constexpr double RequestedAheadShare = 1.0 / 12;
-constexpr double MinimumRequestedAhead = 2;
+/// Chunks that are requested from the origin ahead of their turn, so that its link is not idle while a connection is opened.
+constexpr double RequestedAhead = 4;
 
 }
 
@@ -92,8 +88,7 @@
     // If all downloads began at the same time they would share the origin's link and all end late, with nothing to pass on before. Start times by chunk
     // position serialize them without coordination between the downloaders.
     const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + m_downloadPositions[index];
-    const double ahead = std::max(MinimumRequestedAhead, m_manifest.chunkCount() * RequestedAheadShare);
-    return now - m_downloadScheduleStart >= m_originChunkTime * std::max(0.0, static_cast<double>(position) - ahead);
+    return now - m_downloadScheduleStart >= m_originChunkTime * std::max(0.0, static_cast<double>(position) - RequestedAhead);
 }
 
 bool Exchange::isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const
