--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Random.h"
 #include "LibGossip/DeclarationAge.h"
+#include "LibGossip/MemberCount.h"
 #include "LibGossip/Messages.h"
 #include "LibGossip/ReportFanOut.h"
 #include "LibHttp/EventLoop.h"
@@ -120,6 +121,9 @@
     }
     /// Returns the time since the last heartbeat of any entry; empty if none was ever received.
     std::optional<Core::Duration> timeSinceEntryHeartbeat() const;
+    /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large
+    /// fleet needs a second or two to learn of all its members.
+    bool knowsMostMembers() const;
 
 private:
     void receive();
@@ -168,6 +172,8 @@
     std::vector<EngineUpdate> m_relayQueue;
     Http::Timer m_relayTimer;
     std::optional<Core::Instant> m_lastEntryHeartbeatAt;
+    Core::Instant m_startedAt; ///< When start() was called.
+    ReportedMemberCount m_reportedMemberCount;
     Core::Instant m_nextPull;
     std::map<std::string, Core::Instant> m_newcomerAnswerTimes; ///< When each newcomer was last sent a large sample; pruned with each heartbeat.
     bool m_isPulling = false;
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -12,7 +12,6 @@
 
 constexpr Core::Duration TickInterval{250}; ///< Interval at which buffered log lines are flushed.
 constexpr std::size_t MaximumAdminConnections = 16;
-constexpr Core::Duration UnusedVersionBound{8000}; ///< Never applied: agents route no requests and only pass on the age of declarations.
 
 Follow::FollowerSettings followerSettings()
 {
@@ -45,7 +44,7 @@
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
-    , m_versions(UnusedVersionBound)
+    , m_versions(m_settings.m_versionBound)
     , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
@@ -182,8 +181,10 @@
 
 void AgentProcess::onMembersChanged()
 {
-    std::vector<Gossip::Member> agents = m_gossip.members().alive(Gossip::Role::Agent, Core::Clock::now());
+    // All agents must rank the same list, or two of them download the same chunk. The exchange finds out by itself which of them do not respond.
+    std::vector<Gossip::Member> agents = m_gossip.members().known(Gossip::Role::Agent);
     std::erase_if(agents, [this](const Gossip::Member &member) { return member.m_service != m_settings.m_weightsManager.m_service || member.m_isLeaving; });
+    m_transfer.setMayDownloadFromOrigin(m_gossip.knowsMostMembers());
     m_manifests.setAgents(m_settings.m_instance, agents);
     m_weightsManager.setAgents(std::move(agents), m_gossip.self());
 }
--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -13,11 +13,12 @@
 
 constexpr Core::Duration TransferPollInterval{25}; ///< Poll interval of a transfer: a fraction of the time that a chunk takes on the slowest link.
 constexpr Core::Duration OrderSettleTime{600}; ///< Several polls. A status requested before the order was sent does not reflect the order.
+constexpr double BytesPerMegabit = 1e6 / 8;
 constexpr std::uint64_t FirstVersion = 1; ///< Version of a model for which no version has been declared.
 
 std::string stepName(int step)
 {
-    constexpr std::array<const char *, 10> names{"idle", "manifest", "stage", "transfer", "put", "turn", "quiet", "verify", "order", "loading"};
+    constexpr std::array<const char *, 10> names{"idle", "manifest", "stage", "transfer", "put", "turn", "verify", "quiet", "order", "loading"};
     return names.at(static_cast<std::size_t>(step));
 }
 
@@ -66,7 +67,7 @@
 {
     const Fleet::Service *origin = m_parts.m_fleetState.configuration() ? m_parts.m_fleetState.configuration()->origin() : nullptr;
     if (origin) {
-        m_parts.m_transfer.setOrigin(*origin->m_origin);
+        m_parts.m_transfer.setOrigin(*origin->m_origin, static_cast<std::uint64_t>(origin->m_originLinkMegabits * BytesPerMegabit));
     }
     advance();
 }
@@ -248,6 +249,7 @@
     m_manifest.reset();
     m_manifestDigest.clear();
     m_stagedChunks.clear();
+    m_stagedAt.reset();
     Telemetry::LogLine line("weights_wanted");
     line.text("model", target.m_model).number("version", static_cast<std::int64_t>(target.m_version));
     m_parts.m_log.write(line);
@@ -279,19 +281,22 @@
  */
 bool WeightsManager::shouldFinishTarget() const
 {
-    if (!m_target || m_step == Step::Idle || m_step == Step::Loading || heldChunkShare() < m_settings.m_minimumShareToFinish) {
+    if (!m_target || !m_manifest || m_step == Step::Idle || m_step == Step::Loading) {
+        return false;
+    }
+    if (heldChunkCount() < m_settings.m_minimumShareToFinish * m_manifest->chunkCount()) {
         return false;
     }
     const std::optional<Core::Duration> age = m_parts.m_versions.knownAge(m_target->m_model, m_target->m_version, Core::Clock::now());
     return age && *age < m_settings.m_finishAgeLimit;
 }
 
-/// Returns the share of the target's chunks that are held, from 0 to 1.
-double WeightsManager::heldChunkShare() const
+/// Returns the number of the target's chunks that are held.
+std::uint32_t WeightsManager::heldChunkCount() const
 {
     for (const Protocol::TransferProgress &progress : m_parts.m_transfer.progress()) {
-        if (progress.m_digest == m_manifestDigest && progress.m_chunksTotal > 0) {
-            return static_cast<double>(progress.m_chunksHeld) / progress.m_chunksTotal;
+        if (progress.m_digest == m_manifestDigest) {
+            return progress.m_chunksHeld;
         }
     }
     return 0;
@@ -368,7 +373,8 @@
     m_manifest = manifest.value();
     const std::string encoded = Weights::encodeManifest(*m_manifest);
     m_manifestDigest = Weights::manifestDigest(encoded);
-    m_manifestReceivedAt = Core::Clock::now();
+    m_manifestCheckedAt = Core::Clock::now();
+    m_isManifestCheckOpen = false;
     updateTransferTargets();
     m_parts.m_transfer.offerManifest(m_manifestDigest, encoded);
     listStagedChunks();
@@ -440,7 +446,7 @@
                 return;
             }
             if (bytes && Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
-                m_stagedChunks.insert(chunk);
+                recordVerified(chunk);
                 m_parts.m_transfer.offerChunk(m_manifestDigest, chunk, bytes.value());
             }
             done();
@@ -463,13 +469,48 @@
         stageMissingChunks(run);
         return;
     }
-    if (Core::Clock::now() - m_manifestReceivedAt > m_settings.m_manifestLifetime) {
-        fetchManifest();
-        return;
+    if (isManifestCheckDue()) {
+        checkManifest();
     }
     runAfter(TransferPollInterval, run, [this] { awaitTransfer(); });
 }
 
+bool WeightsManager::isManifestCheckDue()
+{
+    const Core::Instant now = Core::Clock::now();
+    const std::uint32_t held = heldChunkCount();
+    if (held != m_heldAtManifestCheck) {
+        m_heldAtManifestCheck = held;
+        m_manifestCheckedAt = now;
+    }
+    return !m_isManifestCheckOpen && now - m_manifestCheckedAt > m_settings.m_manifestCheckDelay;
+}
+
+/// Fetches the manifest again and starts over if it differs. The download goes on meanwhile: usually its chunks are only delayed.
+void WeightsManager::checkManifest()
+{
+    const Fleet::Service *origin = m_parts.m_fleetState.configuration()->origin();
+    if (!origin) {
+        return;
+    }
+    m_isManifestCheckOpen = true;
+    const auto onFetched = [this, alive = m_isAlive, run = m_run](const Core::Result<Weights::Manifest> &manifest) {
+        if (!*alive || !isCurrentRun(run)) {
+            return;
+        }
+        m_isManifestCheckOpen = false;
+        m_manifestCheckedAt = Core::Clock::now();
+        if (!manifest) {
+            m_parts.m_log.write(Telemetry::LogLine("manifest_failed").text("error", manifest.error().message()));
+        } else if (m_step == Step::AwaitTransfer && manifest.value() != *m_manifest) {
+            ++m_run;
+            m_stagedChunks.clear();
+            handleManifest(m_run, manifest);
+        }
+    };
+    m_engine.m_fetchManifest(*origin->m_origin, m_target->m_model, m_target->m_version, onFetched);
+}
+
 void WeightsManager::stageMissingChunks(std::uint64_t run)
 {
     enterStep(Step::StageChunks);
@@ -494,7 +535,7 @@
                 return;
             }
             if (result) {
-                m_stagedChunks.insert(chunk);
+                recordVerified(chunk);
             }
             done();
         });
@@ -529,23 +570,43 @@
         loaded = std::max(loaded, weights.m_model == m_target->m_model ? weights.m_version : 0);
     }
     const Core::Duration oldest = m_parts.m_versions.oldestAgeAfter(m_target->m_model, loaded, now).value_or(*age);
-    return *age >= loadDelay(rank, others.size() + 1, std::max(Core::Duration(0), oldest - *age), m_settings.m_loadSchedule);
+    const Core::Duration staged = *age - std::chrono::duration_cast<Core::Duration>(now - m_stagedAt.value_or(now));
+    return *age >= loadDelay(rank, others.size() + 1, staged, std::max(Core::Duration(0), oldest - *age), m_settings.m_loadSchedule);
 }
 
 void WeightsManager::awaitLoadTime()
 {
     enterStep(Step::AwaitLoadTime);
+    m_stagedAt = m_stagedAt.value_or(Core::Clock::now());
     const std::uint64_t run = m_run;
     if (!m_status || m_status->m_isBusy || !hasReachedLoadTime()) {
         runAfter(TransferPollInterval, run, [this] { awaitLoadTime(); });
         return;
     }
-    drainEngine();
+    if (isVerifiedWithin(m_settings.m_verificationLifetime)) {
+        drainEngine();
+    } else {
+        verifyStagedChunks(run);
+    }
+}
+
+bool WeightsManager::isVerifiedWithin(Core::Duration limit) const
+{
+    const Core::Instant now = Core::Clock::now();
+    const Core::Duration suspended = Core::timeSuspended();
+    return std::all_of(m_stagedChunks.begin(), m_stagedChunks.end(), [now, suspended, limit](const std::pair<const Weights::ChunkIndex, Verification> &chunk) {
+        return (now - chunk.second.m_at) + (suspended - chunk.second.m_suspendedBefore) < limit;
+    });
+}
+
+void WeightsManager::recordVerified(Weights::ChunkIndex chunk)
+{
+    m_stagedChunks[chunk] = Verification{Core::Clock::now(), Core::timeSuspended()};
 }
 
 bool WeightsManager::isEngineUnavailable() const
 {
-    return m_step == Step::Drain || m_step == Step::Verify || m_step == Step::SendOrder || m_step == Step::Loading;
+    return m_step == Step::Drain || m_step == Step::SendOrder || m_step == Step::Loading;
 }
 
 void WeightsManager::drainEngine()
@@ -558,14 +619,12 @@
     }
     const bool isServing = !m_status->m_weights.empty() && m_status->m_running > 0;
     const bool willAbort = runningRequestPolicy() == RunningRequestPolicy::Abort;
-    runAfter(isServing && willAbort ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] {
-        enterStep(Step::Verify);
-        verifyStagedChunks(run);
-    });
+    runAfter(isServing && willAbort ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] { sendLoadOrder(run); });
 }
 
 void WeightsManager::verifyStagedChunks(std::uint64_t run)
 {
+    enterStep(Step::Verify);
     std::vector<Weights::ChunkIndex> chunks(m_manifest->chunkCount());
     std::iota(chunks.begin(), chunks.end(), Weights::ChunkIndex{0});
     const ChunkStep step = [this, run](Weights::ChunkIndex chunk, const std::function<void()> &done) {
@@ -573,7 +632,9 @@
             if (!*alive || !isCurrentRun(run)) {
                 return;
             }
-            if (!bytes || !Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
+            if (bytes && Weights::isValidChunk(*m_manifest, chunk, bytes.value())) {
+                recordVerified(chunk);
+            } else {
                 m_corruptStagedChunks.add();
                 m_stagedChunks.erase(chunk);
                 m_parts.m_log.write(Telemetry::LogLine("staged_chunk_spoilt").number("chunk", static_cast<std::int64_t>(chunk)));
@@ -586,7 +647,7 @@
             stageMissingChunks(run);
             return;
         }
-        sendLoadOrder(run);
+        drainEngine();
     });
 }
 
@@ -604,7 +665,7 @@
 void WeightsManager::sendLoadOrder(std::uint64_t run)
 {
     enterStep(Step::SendOrder);
-    if (!m_status) {
+    if (!m_status || !isVerifiedWithin(m_settings.m_verificationLimit)) {
         runAfter(m_settings.m_retryDelay, run, [this] { awaitLoadTime(); });
         return;
     }
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -42,7 +42,7 @@
 Coordinator::Coordinator(TransferParts parts)
     : m_parts(std::move(parts))
     , m_events(std::make_shared<EventQueue>(EventCapacity, m_parts.m_metrics->counter("transfer_events_lost_total")))
-    , m_originWorker(m_parts.m_network, m_parts.m_settings.m_originTimeout, m_parts.m_settings.m_originConnections, m_parts.m_originDialect)
+    , m_originWorker(m_parts.m_network, m_parts.m_settings.m_originTimeouts, m_parts.m_settings.m_originConnections, m_parts.m_originDialect)
     , m_uploadWorker(m_parts.m_settings, *m_parts.m_metrics)
     , m_origin(m_parts.m_origin)
     , m_download(m_parts.m_settings.m_downloadBytesPerSecond, downloadBurst(m_parts.m_settings), Core::Clock::now())
@@ -100,10 +100,21 @@
     m_events->push(WakeUp{});
 }
 
-void Coordinator::setOrigin(const Core::Address &origin)
+void Coordinator::setOrigin(const Core::Address &origin, std::uint64_t linkBytesPerSecond)
 {
     const std::lock_guard<std::mutex> lock(m_pendingMutex);
     m_origin = origin;
+    m_originBytesPerSecond = linkBytesPerSecond;
+}
+
+TransferSettings Coordinator::exchangeSettings()
+{
+    TransferSettings settings = m_parts.m_settings;
+    const std::lock_guard<std::mutex> lock(m_pendingMutex);
+    if (m_originBytesPerSecond > 0) {
+        settings.m_originBytesPerSecond = m_originBytesPerSecond;
+    }
+    return settings;
 }
 
 Core::Address Coordinator::origin()
@@ -112,6 +123,11 @@
     return m_origin;
 }
 
+void Coordinator::setMayDownloadFromOrigin(bool mayDownload)
+{
+    m_mayDownloadFromOrigin = mayDownload;
+}
+
 void Coordinator::offerManifest(const std::string &digest, std::string encoded)
 {
     m_events->push(ManifestOffered{digest, std::move(encoded)});
@@ -325,10 +341,12 @@
 /// origin's link.
 TransferMode Coordinator::transferModeFor(const Version &version, const Version *first, Core::Instant now) const
 {
+    const bool mayDownload = m_mayDownloadFromOrigin.load(std::memory_order_relaxed);
     if (!version.m_isWanted || !first || version.m_priority <= first->m_priority) {
-        return TransferMode::Full;
+        return mayDownload ? TransferMode::Full : TransferMode::PeersOnly;
     }
-    return first->m_exchange && first->m_exchange->areDownloadsDue(now) ? TransferMode::OwnDownloadsOnly : TransferMode::MonitorOnly;
+    const bool isTurn = mayDownload && first->m_exchange && first->m_exchange->areDownloadsDue(now);
+    return isTurn ? TransferMode::OwnDownloadsOnly : TransferMode::MonitorOnly;
 }
 
 std::uint64_t Coordinator::memoryUsed() const
@@ -366,7 +384,7 @@
         return false;
     }
     Exchange::Identity identity{version.m_deployment.m_digest, m_parts.m_self.m_id, m_parts.m_self.m_region, m_random.next()};
-    version.m_exchange = std::make_unique<Exchange>(m_parts.m_settings, std::move(identity), *version.m_manifest, now);
+    version.m_exchange = std::make_unique<Exchange>(exchangeSettings(), std::move(identity), *version.m_manifest, now);
     version.m_exchange->setReplicas(version.m_deployment.m_replicas, originCopies(version.m_deployment));
     version.m_chunks.assign(version.m_manifest->chunkCount(), nullptr);
     reuseChunks(version, now);
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t RequestsPerPeer = 2;
 constexpr Core::Duration PeerSilenceLimit{2500}; ///< Peers send a heartbeat every half second.
+constexpr Core::Duration FirstAnswerLimit{1000}; ///< Longest wait for the first answer of a peer, which is sent at once. Instances that are gone never send it.
 /// Longest wait for the first answers of neighbours: several round trips. If the version is new, the origin's link is needlessly idle during this time.
 constexpr Core::Duration NeighbourAnswerLimit{150};
 constexpr Core::Duration SourceCheckInterval{100};
@@ -20,20 +21,23 @@
 /// A chunk that is due and not held by any followed peer for this long is downloaded even if the replica of the first rank appears healthy.
 constexpr Core::Duration LastResortDelay{60000};
 /**
- * A chunk that is due for this long and still held by at most one replica is also fetched by the second replica in rank, and after the same time again by the
- * third. The delay is longer than a chunk of a healthy downloader takes to spread, and short compared with the deadline of a version. Without this rule,
- * instances with slow links hold back their chunks, and with them the whole fleet: for 6 s if the links of three of 27 instances have a twelfth of the usual
- * rate.
+ * A chunk that should have left the origin this long ago and is still held by at most one replica is also fetched by the second replica in rank, and after the
+ * same time again by each of the next ones. The delay is longer than a chunk of a healthy downloader takes to spread, and short compared with the deadline of a
+ * version. Without this rule, instances with slow links hold back their chunks, and with them the whole fleet: for 6 s if the links of three of 27 instances
+ * have a twelfth of the usual rate.
  */
-constexpr Core::Duration LateChunkDelay{900};
-constexpr std::size_t LateTakeoverRanks = 2;
+constexpr Core::Duration LateChunkDelay{800};
+/// If an eighth of the links are slow, the first two replicas in rank are slow for one or two chunks of a version.
+constexpr std::size_t LateTakeoverRanks = 3;
 constexpr std::size_t MaximumScarceHolders = 1;
 /// At least this many due chunks are required for each scarce chunk. If more chunks are scarce the origin is slow, and requesting chunks twice would slow it
 /// down further.
 constexpr std::size_t DueChunksPerScarceChunk = 4;
+constexpr Core::Duration LostProbeAge{3000}; ///< After this time the result of a probe counts as lost; longer than any probe takes.
 constexpr Core::Duration MinimumHedgeAge{500};
 constexpr double HedgeFactor = 4;
-constexpr std::uint32_t ConcurrentOriginDownloads = 2; ///< Concurrent downloads that share the origin's link, so that it is never idle between two of them.
+/// Chunks that are requested from the origin ahead of their turn, so that its link is not idle while a connection is opened.
+constexpr double RequestedAhead = 4;
 
 }
 
@@ -69,20 +73,27 @@
 
 bool Exchange::haveNeighboursAnswered(Core::Instant now) const
 {
-    // A replica that joins late finds all chunks at its neighbours. Downloading before they have answered would use the origin's link needlessly.
+    // A replica that joins late finds all chunks at its neighbours. Downloading before they have answered would use the origin's link needlessly. Half of them
+    // suffice to tell whether the version is new to all.
     if (now - m_startedAt >= NeighbourAnswerLimit) {
         return true;
     }
-    return std::none_of(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow && !peer.m_hasAnswered; });
+    const std::ptrdiff_t followed = std::count_if(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow; });
+    const std::ptrdiff_t answered = std::count_if(m_peers.begin(), m_peers.end(), [](const Peer &peer) { return peer.m_shouldFollow && peer.m_hasAnswered; });
+    return answered * 2 >= followed;
 }
 
 bool Exchange::isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const
 {
     // If all downloads began at the same time they would share the origin's link and all end late, with nothing to pass on before. Start times by chunk
     // position serialize them without coordination between the downloaders.
-    const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + index;
-    const std::uint64_t slots = position > ConcurrentOriginDownloads ? position - ConcurrentOriginDownloads : 0;
-    return now - m_startedAt >= m_originChunkTime * static_cast<std::int64_t>(slots);
+    const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + m_downloadPositions[index];
+    return now - m_downloadScheduleStart >= m_originChunkTime * std::max(0.0, static_cast<double>(position) - RequestedAhead);
+}
+
+bool Exchange::isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const
+{
+    return now - m_downloadScheduleStart >= m_originChunkTime * static_cast<double>(m_downloadPositions[index]);
 }
 
 bool Exchange::areDownloadsDue(Core::Instant now) const
@@ -117,7 +128,7 @@
     std::size_t due = 0;
     std::size_t scarce = 0;
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
-        const bool isDue = isDownloadDue(index, 0, now - LateChunkDelay);
+        const bool isDue = isDownloadExpected(index, now - LateChunkDelay);
         due += isDue ? 1 : 0;
         scarce += isDue && isScarce(index, onlySameRegion, now) ? 1 : 0;
     }
@@ -131,7 +142,7 @@
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         const auto isLate = [this, index, now](const std::vector<PeerIndex> &ranked, bool onlySameRegion) {
             const std::optional<std::size_t> rank = ownRank(ranked);
-            return rank && *rank > 0 && *rank <= LateTakeoverRanks && isDownloadDue(index, 0, now - LateChunkDelay * static_cast<std::int64_t>(*rank))
+            return rank && *rank > 0 && *rank <= LateTakeoverRanks && isDownloadExpected(index, now - LateChunkDelay * static_cast<std::int64_t>(*rank))
                 && isScarce(index, onlySameRegion, now);
         };
         m_chunks[index].m_isLateDownload = mayBeLateDownload && isLate(m_chunks[index].m_downloaders, false);
@@ -209,10 +220,10 @@
         return actions;
     }
     decideFollows(actions, now);
-    if (!isComplete()) {
+    if (!isComplete() && mode != TransferMode::PeersOnly) {
         decideDownloads(actions, download, now);
     }
-    if (!isComplete() && mode == TransferMode::Full) {
+    if (!isComplete() && mode != TransferMode::OwnDownloadsOnly) {
         decideRequests(actions, download, now);
         decideHedges(actions, download, now);
     }
@@ -241,7 +252,8 @@
             peer.m_followState = FollowState::NotFollowing;
             actions.push_back(Action{ActionKind::Unfollow, peer.m_replica.m_wire, 0, 0, false});
         }
-        if (peer.m_followState == FollowState::Following && now - peer.m_lastHeardAt > PeerSilenceLimit) {
+        const Core::Duration silenceLimit = peer.m_hasAnswered ? PeerSilenceLimit : FirstAnswerLimit;
+        if (peer.m_followState == FollowState::Following && now - peer.m_lastHeardAt > silenceLimit) {
             // The socket may stay open long after the peer froze, so only heartbeats count.
             markAbsent(peer, now);
         }
@@ -302,17 +314,46 @@
     }
 }
 
+bool Exchange::wantsDownload(Weights::ChunkIndex index, Core::Instant now) const
+{
+    const Chunk &chunk = m_chunks[index];
+    const bool isOpen = chunk.m_isLateDownload ? isRequestedFromOrigin(index) : chunk.m_openRequests > 0;
+    return !m_held[index] && !isOpen && mayDownload(index, now);
+}
+
+/**
+ * If every replica requested its chunks again until one request succeeds, all of them would share the origin's link when it recovers, and none would end early
+ * enough to be passed on meanwhile. Probes show the recovery to all replicas at about the same time, so that they can restart their schedules together.
+ */
+void Exchange::probeOrigin(std::vector<Action> &actions, Core::Instant now)
+{
+    const bool isOpen = m_originProbeSentAt && now - *m_originProbeSentAt < LostProbeAge;
+    if (isOpen || now < m_nextOriginRequestAt) {
+        return;
+    }
+    for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
+        if (wantsDownload(index, now)) {
+            m_originProbeSentAt = now;
+            actions.push_back(Action{ActionKind::ProbeOrigin, {}, 0, 0, false});
+            return;
+        }
+    }
+}
+
 void Exchange::decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now)
 {
+    if (m_originUnreachableSince) {
+        probeOrigin(actions, now);
+        return;
+    }
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         if (m_originRequests >= m_settings.m_originConnections || now < m_nextOriginRequestAt) {
             return;
         }
-        Chunk &chunk = m_chunks[index];
-        const bool isOpen = chunk.m_isLateDownload ? isRequestedFromOrigin(index) : chunk.m_openRequests > 0;
-        if (m_held[index] || isOpen || !mayDownload(index, now)) {
+        if (!wantsDownload(index, now)) {
             continue;
         }
+        Chunk &chunk = m_chunks[index];
         if (!download.tryTake(m_manifest.chunkLength(index), now)) {
             return;
         }
--- a/Libraries/LibTransfer/TransferSettings.h
+++ b/Libraries/LibTransfer/TransferSettings.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibSettings/Reader.h"
+#include "LibTransfer/OriginTimeouts.h"
 
 #include <cstdint>
 #include <string>
@@ -27,11 +28,13 @@
     std::uint32_t m_memoryMebibytes = 4096; ///< Limit on the memory for chunks of all versions held or in transfer.
     std::uint32_t m_uploadSlots = 2; ///< Chunks uploaded concurrently.
     std::uint32_t m_queuedUploads = 12; ///< Requests that wait for an upload slot. Further requests are refused as busy.
+    /// Longest time that a request waits for an upload slot. It takes the place of m_queuedUploads if the upload rate is limited; 0 if not used.
+    Core::Duration m_uploadQueueTime{0};
     std::uint32_t m_concurrentPeerRequests = 10; ///< Chunks requested from peers concurrently.
     std::uint32_t m_neighbours = 10; ///< Peers whose holdings are followed.
     std::uint32_t m_originConnections = 2; ///< Concurrent requests to the origin.
     Core::Duration m_stallLimit{1500}; ///< A requested chunk that makes no progress for this long is requested elsewhere.
-    Core::Duration m_originTimeout{5000}; ///< Longest wait for a byte from the origin.
+    OriginTimeouts m_originTimeouts;
 
     bool operator==(const TransferSettings &) const = default;
 };
