--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -16,8 +16,7 @@
 namespace {
 
 constexpr Core::Duration Step{2};
-constexpr Core::Duration DecisionInterval{6};
-constexpr Core::Duration AnnouncementInterval{6};
+constexpr Core::Duration DecisionInterval{6}; ///< Between decisions of a replica, after which it announces the chunks that it has received.
 constexpr Core::Duration HeartbeatInterval{500};
 constexpr double BytesPerMegabit = 1e6 / 8;
 /// Shares of an instance's link that the agent's pacing leaves to transfers.
