Tests: Wait for the count of a lost append answer

The reading thread found the batch and answered the claim before the appending thread, preempted after its append, had counted the lost answer; the test looked at the count at once.

Change: the test waits for the count, and still requires that it is 1.

--- a/Tests/LibClaims/TestClaimWriter.cpp
+++ b/Tests/LibClaims/TestClaimWriter.cpp
@@ -91,7 +91,13 @@
     faults.m_loseAnswers = true;
     fixture.m_log.setFaults(faults);
     REQUIRE(fixture.verdict("first", {0, 0}) == Claims::Verdict::Won);
-    REQUIRE(fixture.m_metrics.counter("claims_append_answers_lost_total").value() == 1);
+    // The reader may find the batch before the appending thread has counted the lost answer.
+    const Telemetry::Counter &lostAnswers = fixture.m_metrics.counter("claims_append_answers_lost_total");
+    const Core::Instant end = Core::Clock::now() + std::chrono::seconds(60);
+    while (lostAnswers.value() == 0 && Core::Clock::now() < end) {
+        std::this_thread::yield();
+    }
+    REQUIRE(lostAnswers.value() == 1);
 }
 
 TEST_CASE("while the log is down, claims are refused and no key is held")
