--- a/Libraries/LibStaging/LoadSchedule.h
+++ b/Libraries/LibStaging/LoadSchedule.h
@@ -18,8 +18,8 @@
 struct LoadScheduleSettings
 {
     Core::Duration m_versionBound{8000}; ///< Delay from which on no request may begin on an older version.
-    Core::Duration m_boundMargin{
-        Placement::VersionBoundMargin}; ///< Entries send no requests to engines with an older version within this time before the bound.
+    /// Entries send no requests to engines with an older version within this time before the bound.
+    Core::Duration m_boundMargin{Placement::VersionBoundMargin};
 
     bool operator==(const LoadScheduleSettings &) const = default;
 };
