LibTransfer: Log every request to the origin with its reason

Nobody can tell from an agent's log who asked the origin for which chunk, when and why: 'transfer_chunks_twice_total' counts only what one agent gets twice, and what the fleet draws twice is seen at the origin alone.

origin_request and origin_response lines name the chunk, the rule that allowed the request, the agent's rank, how many replicas it knows, follows and has heard, and the age of its transfer; transfer_replicas says when the list that ranks go by changes. transfer_origin_requests_total counts the requests. mayDownload() returns the rule that applies in place of true; no decision changes.

Not measured: a line a request, one or two chunks a version at 98 agents.

--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -20,7 +20,8 @@
     return settings;
 }
 
-Transfer::TransferParts transferParts(const AgentSettings &settings, const AgentAdapter &adapter, Wire::Node &node, Telemetry::Metrics &metrics)
+Transfer::TransferParts
+transferParts(const AgentSettings &settings, const AgentAdapter &adapter, Wire::Node &node, Telemetry::Metrics &metrics, Telemetry::EventLog &log)
 {
     Transfer::TransferParts parts;
     parts.m_settings = settings.m_transfer;
@@ -34,6 +35,7 @@
     parts.m_network.m_bindHost = settings.m_peers.m_host;
     parts.m_originDialect = adapter.m_originDialect;
     parts.m_metrics = &metrics;
+    parts.m_log = &log;
     return parts;
 }
 
@@ -50,7 +52,7 @@
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
                  followerSettings(),
                  m_adapter.m_makeRecordSource(m_loop, m_settings.m_log, m_metrics))
-    , m_transfer(transferParts(m_settings, m_adapter, m_node, m_metrics))
+    , m_transfer(transferParts(m_settings, m_adapter, m_node, m_metrics, m_log))
     , m_engine(m_adapter.m_makeEngineControl(m_loop, m_settings.m_engine))
     , m_manifests(m_loop, m_node, m_engine.m_fetchManifest)
     , m_weightsManager(WeightsManagerParts{m_loop, m_fleetState, m_versions, m_transfer, m_metrics, m_log}, m_settings.m_weightsManager, engineControl())
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -48,6 +48,7 @@
     , m_download(m_parts.m_settings.m_downloadBytesPerSecond, downloadBurst(m_parts.m_settings), Core::Clock::now())
     , m_random(Core::stableHash(m_parts.m_self.m_id + m_parts.m_self.m_incarnation))
     , m_bytesFromOrigin(m_parts.m_metrics->counter("transfer_bytes_from_origin_total"))
+    , m_originRequests(m_parts.m_metrics->counter("transfer_origin_requests_total"))
     , m_bytesFromPeers(m_parts.m_metrics->counter("transfer_bytes_from_peers_total"))
     , m_bytesAcrossRegions(m_parts.m_metrics->counter("transfer_bytes_across_regions_total"))
     , m_bytesReused(m_parts.m_metrics->counter("transfer_bytes_reused_total"))
@@ -253,6 +254,10 @@
     if (version.m_deployment.m_digest.empty()) {
         LOG(INFO) << "transfer of " << deployment.m_model << " " << deployment.m_version << " wanted, digest " << deployment.m_digest;
     }
+    if (version.m_exchange && version.m_deployment.m_replicas != deployment.m_replicas) {
+        const Core::Duration age = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - version.m_exchangeStartedAt);
+        writeLine(replicasLine(deployment.m_digest, version.m_deployment.m_replicas.size(), deployment.m_replicas.size(), age));
+    }
     version.m_deployment = deployment;
     if (version.m_exchange) {
         version.m_exchange->setReplicas(deployment.m_replicas, originCopies(deployment));
@@ -386,6 +391,8 @@
     Exchange::Identity identity{version.m_deployment.m_digest, m_parts.m_self.m_id, m_parts.m_self.m_region, m_random.next()};
     version.m_exchange = std::make_unique<Exchange>(exchangeSettings(), std::move(identity), *version.m_manifest, now);
     version.m_exchange->setReplicas(version.m_deployment.m_replicas, originCopies(version.m_deployment));
+    version.m_exchangeStartedAt = now;
+    writeLine(replicasLine(version.m_deployment.m_digest, 0, version.m_deployment.m_replicas.size(), Core::Duration(0)));
     version.m_chunks.assign(version.m_manifest->chunkCount(), nullptr);
     reuseChunks(version, now);
     for (const Wire::Responder &follower : version.m_followers) {
@@ -467,6 +474,15 @@
     }
 }
 
+void Coordinator::writeLine(const Telemetry::LogLine &line) const
+{
+    if (m_parts.m_log) {
+        m_parts.m_log->write(line);
+    } else {
+        LOG(INFO) << "{" << line.fields() << "}";
+    }
+}
+
 void Coordinator::publish()
 {
     PublishedState next;
--- a/Libraries/LibTransfer/Coordinator.h
+++ b/Libraries/LibTransfer/Coordinator.h
@@ -86,6 +86,7 @@
     void followPeer(Version &version, const Core::Address &peer);
     void requestFromPeer(Version &version, const Action &action);
     void requestFromOrigin(Version &version, const Action &action);
+    void writeLine(const Telemetry::LogLine &line) const;
     void probeOrigin(Version &version);
     void acceptChunk(Version &version, Weights::ChunkIndex chunk, std::string bytes, Core::Instant now);
     void storeChunk(Version &version, Weights::ChunkIndex chunk, Weights::ChunkBytes bytes, Core::Instant now);
@@ -132,6 +133,7 @@
     bool m_hasUnpublishedChanges = true; ///< The published state is out of date.
 
     Telemetry::Counter &m_bytesFromOrigin;
+    Telemetry::Counter &m_originRequests;
     Telemetry::Counter &m_bytesFromPeers;
     Telemetry::Counter &m_bytesAcrossRegions;
     Telemetry::Counter &m_bytesReused;
--- a/Libraries/LibTransfer/CoordinatorEvents.cpp
+++ b/Libraries/LibTransfer/CoordinatorEvents.cpp
@@ -142,17 +142,23 @@
     const OpenRequest request = version->m_requests.at(event.m_request);
     version->m_requests.erase(event.m_request);
     const Core::Instant now = Core::Clock::now();
+    const auto writeResponse = [this, &event, &request, now](std::string_view outcome) {
+        writeLine(originResponseLine(event.m_digest, request.m_chunk, outcome, std::chrono::duration_cast<Core::Duration>(now - request.m_sentAt)));
+    };
     if (!event.m_bytes) {
         LOG_EVERY_N(WARNING, 16) << event.m_bytes.error(); // Each chunk may fail many times while the origin is unreachable.
+        writeResponse("failed");
         version->m_exchange->onRequestFailed(event.m_request, Failure::Unavailable, now);
         return;
     }
     if (!Weights::isValidChunk(*version->m_manifest, request.m_chunk, event.m_bytes.value())) {
         m_chunksBad.add();
         LOG(WARNING) << "chunk " << request.m_chunk << " of " << event.m_digest << " from the origin does not match its digest";
+        writeResponse("corrupt");
         version->m_exchange->onRequestFailed(event.m_request, Failure::Corrupt, now);
         return;
     }
+    writeResponse("ok");
     version->m_exchange->onRequestSucceeded(event.m_request, now);
     acceptChunk(*version, request.m_chunk, event.m_bytes.value(), now);
 }
--- a/Libraries/LibTransfer/CoordinatorRequests.cpp
+++ b/Libraries/LibTransfer/CoordinatorRequests.cpp
@@ -196,6 +196,9 @@
     const RequestId id = action.m_request;
     OpenRequest &open = version.m_requests[id];
     open.m_chunk = action.m_chunk;
+    open.m_sentAt = Core::Clock::now();
+    m_originRequests.add();
+    writeLine(originRequestLine(digest, action.m_chunk, action.m_download.value_or(DownloadDecision{})));
     const OriginChunk chunk{version.m_deployment.m_model,
                             version.m_deployment.m_version,
                             action.m_chunk,
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -6,6 +6,7 @@
 #include "LibCore/Clock.h"
 #include "LibCore/Random.h"
 #include "LibTransfer/ChunkSelection.h"
+#include "LibTransfer/DownloadDecision.h"
 #include "LibTransfer/Messages.h"
 #include "LibTransfer/Pacer.h"
 #include "LibTransfer/RendezvousRanking.h"
@@ -39,6 +40,7 @@
     RequestId m_request = 0; ///< For RequestFromPeer, RequestFromOrigin and Cancel.
     Weights::ChunkIndex m_chunk = 0;
     bool m_forRegion = false; ///< For RequestFromPeer: the first copy for this region.
+    std::optional<DownloadDecision> m_download = std::nullopt; ///< For RequestFromOrigin.
 
     bool operator==(const Action &) const = default;
 };
@@ -210,7 +212,10 @@
     bool areFewChunksScarce(bool onlySameRegion, Core::Instant now) const;
     std::optional<std::size_t> ownRank(const std::vector<PeerIndex> &ranked) const;
     bool isRequestedFromOrigin(Weights::ChunkIndex index) const;
-    bool mayDownload(Weights::ChunkIndex index, Core::Instant now) const;
+    /// Returns the rule by which this replica may download the chunk, if any.
+    std::optional<DownloadReason> downloadReason(Weights::ChunkIndex index, Core::Instant now) const;
+    std::optional<DownloadReason> downloadReasonInSwarm(Weights::ChunkIndex index, Core::Instant now) const;
+    DownloadDecision describeDownload(Weights::ChunkIndex index, DownloadReason reason, Core::Instant now) const;
     bool isHeldByPeer(Weights::ChunkIndex index, Core::Instant now) const;
     void recordFailure(Peer &peer, Core::Instant now);
     void recordOriginFailure(Failure failure, Core::Instant now);
@@ -218,6 +223,8 @@
     static bool isExcluded(const Peer &peer, Core::Instant now);
     bool haveNeighboursAnswered(Core::Instant now) const;
     void followSources(Weights::ChunkIndex index, Core::Instant now);
+    /// Returns the time at which the download of the chunk is due in the given round of downloads.
+    Core::Instant downloadDueAt(Weights::ChunkIndex index, std::uint32_t round) const;
     bool isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const;
     /// Returns whether the first download of the chunk should have ended, according to the known rate of the origin's link.
     bool isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const;
@@ -226,7 +233,8 @@
     bool isStalled(const Request &request, Core::Instant now) const;
     void decideStalls(std::vector<Action> &actions, Core::Instant now);
     void decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now);
-    bool wantsDownload(Weights::ChunkIndex index, Core::Instant now) const;
+    /// Returns the rule by which the chunk should be requested from the origin now, if any.
+    std::optional<DownloadReason> wantedDownload(Weights::ChunkIndex index, Core::Instant now) const;
     void probeOrigin(std::vector<Action> &actions, Core::Instant now);
     /// Restarts the schedule of downloads with the chunks that no known replica holds.
     void restartDownloadSchedule(Core::Instant now);
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -83,12 +83,18 @@
     return answered * 2 >= followed;
 }
 
-bool Exchange::isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const
+Core::Instant Exchange::downloadDueAt(Weights::ChunkIndex index, std::uint32_t round) const
 {
     // If all downloads began at the same time they would share the origin's link and all end late, with nothing to pass on before. Start times by chunk
     // position serialize them without coordination between the downloaders.
     const std::uint64_t position = std::uint64_t{round} * m_manifest.chunkCount() + m_downloadPositions[index];
-    return now - m_downloadScheduleStart >= m_originChunkTime * std::max(0.0, static_cast<double>(position) - RequestedAhead);
+    const std::chrono::duration<double, std::milli> delay = m_originChunkTime * std::max(0.0, static_cast<double>(position) - RequestedAhead);
+    return m_downloadScheduleStart + std::chrono::ceil<Core::Clock::duration>(delay);
+}
+
+bool Exchange::isDownloadDue(Weights::ChunkIndex index, std::uint32_t round, Core::Instant now) const
+{
+    return now >= downloadDueAt(index, round);
 }
 
 bool Exchange::isDownloadExpected(Weights::ChunkIndex index, Core::Instant now) const
@@ -157,26 +163,47 @@
     });
 }
 
-bool Exchange::mayDownload(Weights::ChunkIndex index, Core::Instant now) const
+std::optional<DownloadReason> Exchange::downloadReason(Weights::ChunkIndex index, Core::Instant now) const
 {
-    const Chunk &chunk = m_chunks[index];
-    if (m_settings.m_strategy == Strategy::Origin) {
-        return true;
-    }
-    if (m_settings.m_strategy == Strategy::Tree) {
-        return !m_treeParent;
+    if (m_settings.m_strategy == Strategy::Swarm) {
+        return downloadReasonInSwarm(index, now);
     }
+    const bool mayDownload = m_settings.m_strategy == Strategy::Origin || !m_treeParent;
+    return mayDownload ? std::optional<DownloadReason>(DownloadReason::NoExchange) : std::nullopt;
+}
+
+std::optional<DownloadReason> Exchange::downloadReasonInSwarm(Weights::ChunkIndex index, Core::Instant now) const
+{
+    const Chunk &chunk = m_chunks[index];
     if (chunk.m_isDownloader && isFirstAvailable(chunk.m_downloaders, true, now)) {
-        return isDownloadDue(index, 0, now) && haveNeighboursAnswered(now) && !isHeldByPeer(index, now);
+        const bool mayDownload = isDownloadDue(index, 0, now) && haveNeighboursAnswered(now) && !isHeldByPeer(index, now);
+        const DownloadReason reason = chunk.m_downloadRank == 0 ? DownloadReason::FirstRanked : DownloadReason::Successor;
+        return mayDownload ? std::optional<DownloadReason>(reason) : std::nullopt;
     }
     if (chunk.m_isLateDownload) {
-        return true;
+        return DownloadReason::Late;
     }
     if (isDownloadDue(index, 0, now - LastResortDelay * (chunk.m_downloadRank + 1)) && !isHeldByPeer(index, now)) {
-        return true;
+        return DownloadReason::Overdue;
     }
     // Within the origin budget, replicas of further ranks download a second or later copy if no nearer source has delivered the chunk by their start time.
-    return chunk.m_downloadRank < m_originCopies && isDownloadDue(index, chunk.m_downloadRank, now);
+    const bool isWithinBudget = chunk.m_downloadRank < m_originCopies && isDownloadDue(index, chunk.m_downloadRank, now);
+    return isWithinBudget ? std::optional<DownloadReason>(DownloadReason::OriginBudget) : std::nullopt;
+}
+
+DownloadDecision Exchange::describeDownload(Weights::ChunkIndex index, DownloadReason reason, Core::Instant now) const
+{
+    DownloadDecision decision;
+    decision.m_reason = reason;
+    decision.m_rank = m_chunks[index].m_downloadRank;
+    for (const Peer &peer : m_peers) {
+        decision.m_replicas += peer.m_isListed ? 1 : 0;
+        decision.m_followed += peer.m_shouldFollow ? 1 : 0;
+        decision.m_answered += peer.m_shouldFollow && peer.m_hasAnswered ? 1 : 0;
+    }
+    decision.m_age = std::chrono::duration_cast<Core::Duration>(now - m_startedAt);
+    decision.m_overdue = std::chrono::duration_cast<Core::Duration>(now - downloadDueAt(index, 0));
+    return decision;
 }
 
 std::vector<SourcePeer> Exchange::sourcePeers(Core::Instant now) const
@@ -314,11 +341,11 @@
     }
 }
 
-bool Exchange::wantsDownload(Weights::ChunkIndex index, Core::Instant now) const
+std::optional<DownloadReason> Exchange::wantedDownload(Weights::ChunkIndex index, Core::Instant now) const
 {
     const Chunk &chunk = m_chunks[index];
     const bool isOpen = chunk.m_isLateDownload ? isRequestedFromOrigin(index) : chunk.m_openRequests > 0;
-    return !m_held[index] && !isOpen && mayDownload(index, now);
+    return m_held[index] || isOpen ? std::nullopt : downloadReason(index, now);
 }
 
 /**
@@ -332,7 +359,7 @@
         return;
     }
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
-        if (wantsDownload(index, now)) {
+        if (wantedDownload(index, now)) {
             m_originProbeSentAt = now;
             actions.push_back(Action{ActionKind::ProbeOrigin, {}, 0, 0, false});
             return;
@@ -350,7 +377,8 @@
         if (m_originRequests >= m_settings.m_originConnections || now < m_nextOriginRequestAt) {
             return;
         }
-        if (!wantsDownload(index, now)) {
+        const std::optional<DownloadReason> reason = wantedDownload(index, now);
+        if (!reason) {
             continue;
         }
         Chunk &chunk = m_chunks[index];
@@ -364,7 +392,7 @@
         m_requests[id] = Request{index, std::nullopt, now, now, 0, false};
         ++chunk.m_openRequests;
         ++m_originRequests;
-        actions.push_back(Action{ActionKind::RequestFromOrigin, {}, id, index, false});
+        actions.push_back(Action{ActionKind::RequestFromOrigin, {}, id, index, false, describeDownload(index, *reason, now)});
     }
 }
 
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -4,6 +4,7 @@
 #include "LibControl/Model.h"
 #include "LibNetwork/NetworkSettings.h"
 #include "LibProtocol/Report.h"
+#include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
 #include "LibTransfer/OriginDialect.h"
 #include "LibTransfer/TransferSettings.h"
@@ -20,7 +21,7 @@
 
 class Coordinator;
 
-/// Settings and dependencies of a transfer manager. The node and the metrics must outlive it.
+/// Settings and dependencies of a transfer manager. The node, the metrics and the log must outlive it.
 struct TransferParts
 {
     TransferSettings m_settings;
@@ -31,6 +32,7 @@
     std::string m_originRegion; ///< Region of the origin; empty if unknown.
     OriginDialect m_originDialect = defaultOriginDialect();
     Telemetry::Metrics *m_metrics = nullptr;
+    Telemetry::EventLog *m_log = nullptr; ///< Receives the lines about decisions. If null, they are written with the other messages of the process.
 };
 
 /// A version whose manifest was verified here. Its chunks may be missing.
--- a/Libraries/LibTransfer/Version.h
+++ b/Libraries/LibTransfer/Version.h
@@ -22,6 +22,7 @@
     Wire::CallId m_call = 0; ///< 0 for a download from the origin.
     std::shared_ptr<ChunkBuffer> m_buffer; ///< Null for a download from the origin.
     Core::Address m_peer;
+    Core::Instant m_sentAt;
 };
 
 /// An open stream of a peer's holdings.
@@ -46,6 +47,7 @@
     std::size_t m_priority = 0; ///< Position among the wanted versions. Lower values are completed first.
     bool m_isWaitingForMemory = false; ///< The version would exceed the memory limit.
     ManifestFetch m_manifestFetch;
+    Core::Instant m_exchangeStartedAt; ///< Meaningful if m_exchange is not null.
     std::optional<Weights::Manifest> m_manifest;
     std::string m_encodedManifest; ///< Empty until the manifest is known.
     std::unique_ptr<Exchange> m_exchange; ///< Null until the manifest is known.
