LibTransfer: Leave a chunk that is on its way to the replica that fetches it

What callers saw: when the origin goes away soon after it has sent one copy, the new version reaches nobody: every agent holds the same 13 to 15 of 16 chunks, and the rest never comes. With a sound origin the version comes later than it could.

Cause: ranks follow from the list of replicas, and the list changes while a version is transferred. A new list names another replica first for a chunk whose download has begun, and that replica could only learn who holds a chunk, not who is downloading it. It did not even wait for that: half of the followed replicas were taken as proof that the version is new to all, and of replicas that join together those answer each other first. So the chunks of the first half of the schedule left the origin twice, those whose turn is last not at all.

No request of another reason (late, successor) left before the origin had gone: the successors of late chunks, suspected before, play no part.

Change: HaveUpdate tells which chunks a replica is downloading from the origin or requesting from another region. The first in rank leaves these to the announcer. It ends with the announcement, with the announcer's absence (stream ended, 2.5 s of silence), after 3 s in any case, and after 0.8 s if few chunks are late, as for a second in rank. Before its first download or import it waits for the answers of the followed replicas that are ranked for the chunk, 150 ms each at most, and the first downloader follows the two ranked after it, as one of them was first before.

Ruled out: following successors for imports too (0.1 s of 4, nothing gained); 3 and 5 successors (no fewer copies, slower).

--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -59,10 +59,13 @@
     double m_messageBytesSent = 0; ///< Not yet subtracted from the link's capacity.
     double m_messageBytesReceived = 0; ///< The same for the other direction.
     Core::Instant m_startsAt;
+    bool m_isJoining = false; ///< It joins during the distribution.
+    std::optional<Core::Instant> m_learnsOfJoinsAt; ///< Empty if it knows all replicas.
     std::unique_ptr<Transfer::Exchange> m_exchange; ///< Null until the replica knows the version.
     Transfer::Pacer m_download{0, 0, Core::Instant()};
     std::vector<std::size_t> m_followers;
     std::vector<std::uint32_t> m_unannounced;
+    std::vector<std::uint32_t> m_announcedFetches; ///< As of the latest update.
     std::vector<QueuedRequest> m_queue;
     std::map<std::string, Transfer::SentCounts> m_sentCounts;
     std::uint64_t m_nextSequence = 0;
@@ -134,19 +137,49 @@
         const std::string regionName = "region-" + std::to_string(region);
         replica.m_planned = Control::PlannedReplica{"instance-" + std::to_string(number), regionName, regionName, Core::Address{host, port}};
         replica.m_region = region;
-        const bool isSlow = isSlowReplica(number);
+        const bool isSlow = isInShare(number, m_parameters.m_slowShare);
         replica.m_linkBytesPerSecond = bytesPerSecond(m_parameters.m_instanceRate) * (isSlow ? m_parameters.m_slowFactor : 1);
-        replica.m_startsAt = m_start + Core::Duration(static_cast<std::int64_t>(m_random.unit() * static_cast<double>(m_parameters.m_startSpread.count())));
+        replica.m_startsAt = m_start + randomStartDelay();
+        planJoins(replica, number);
         m_indices[replica.m_planned.m_wire] = m_replicas.size();
-        m_planned.push_back(replica.m_planned);
         m_replicas.push_back(std::move(replica));
     }
 
-    /// Spreads the slow replicas evenly over the fleet.
-    bool isSlowReplica(std::size_t number) const
+    Core::Duration randomStartDelay()
     {
-        const auto slowBefore = [this](std::size_t count) { return static_cast<std::size_t>(static_cast<double>(count) * m_parameters.m_slowShare); };
-        return slowBefore(number) > slowBefore(number - 1);
+        return Core::Duration(static_cast<std::int64_t>(m_random.unit() * static_cast<double>(m_parameters.m_startSpread.count())));
+    }
+
+    void planJoins(Replica &replica, std::size_t number)
+    {
+        if (m_parameters.m_joiningShare == 0) {
+            return;
+        }
+        replica.m_isJoining = isInShare(number, m_parameters.m_joiningShare);
+        if (replica.m_isJoining) {
+            replica.m_startsAt += m_parameters.m_joinDelay;
+        } else {
+            replica.m_learnsOfJoinsAt = m_start + m_parameters.m_joinDelay + randomStartDelay();
+        }
+    }
+
+    /// Returns whether the replica belongs to a share that is spread evenly over the fleet.
+    static bool isInShare(std::size_t number, double share)
+    {
+        const auto countBefore = [share](std::size_t count) { return static_cast<std::size_t>(static_cast<double>(count) * share); };
+        return countBefore(number) > countBefore(number - 1);
+    }
+
+    /// Returns the replicas that a replica knows.
+    std::vector<Control::PlannedReplica> knownReplicas(const Replica &replica) const
+    {
+        std::vector<Control::PlannedReplica> known;
+        for (const Replica &other : m_replicas) {
+            if (!replica.m_learnsOfJoinsAt || !other.m_isJoining) {
+                known.push_back(other.m_planned);
+            }
+        }
+        return known;
     }
 
     void send(std::function<void()> deliver)
@@ -189,7 +222,7 @@
         const Transfer::TransferSettings transferSettings = settings();
         const Transfer::Exchange::Identity identity{"digest", replica.m_planned.m_instance, replica.m_planned.m_region, m_random.next()};
         replica.m_exchange = std::make_unique<Transfer::Exchange>(transferSettings, identity, m_manifest, m_now);
-        replica.m_exchange->setReplicas(m_planned, 1);
+        replica.m_exchange->setReplicas(knownReplicas(replica), 1);
         replica.m_download = Transfer::Pacer(transferSettings.m_downloadBytesPerSecond, transferSettings.m_downloadBytesPerSecond / 2, m_now);
         for (const std::size_t follower : replica.m_followers) {
             sendSnapshot(replica, follower);
@@ -205,6 +238,10 @@
         if (!replica.m_exchange) {
             startReplica(replica);
         }
+        if (replica.m_learnsOfJoinsAt && m_now >= *replica.m_learnsOfJoinsAt) {
+            replica.m_learnsOfJoinsAt.reset();
+            replica.m_exchange->setReplicas(knownReplicas(replica), 1);
+        }
         if (m_now < replica.m_nextDecision) {
             return;
         }
@@ -260,6 +297,7 @@
         update.m_participates = true;
         update.m_canDownloadFromOrigin = replica.m_exchange->canDownloadFromOrigin();
         update.m_queuedUploads = static_cast<std::uint32_t>(replica.m_queue.size()) + (replica.m_isUploading ? 1 : 0);
+        update.m_fetching = replica.m_exchange->fetchedChunks();
         return update;
     }
 
@@ -285,11 +323,12 @@
     void announce(Replica &replica)
     {
         const bool isHeartbeat = m_now >= replica.m_nextHeartbeat;
-        if (replica.m_unannounced.empty() && !isHeartbeat) {
+        Transfer::HaveUpdate update = makeUpdate(replica);
+        if (replica.m_unannounced.empty() && update.m_fetching == replica.m_announcedFetches && !isHeartbeat) {
             return;
         }
         replica.m_nextHeartbeat = isHeartbeat ? m_now + HeartbeatInterval : replica.m_nextHeartbeat;
-        Transfer::HaveUpdate update = makeUpdate(replica);
+        replica.m_announcedFetches = update.m_fetching;
         update.m_added.swap(replica.m_unannounced);
         for (const std::size_t follower : replica.m_followers) {
             sendUpdate(replica, follower, update);
@@ -542,7 +581,6 @@
     const Core::Instant m_start = Core::Instant() + std::chrono::hours(1); ///< Not the clock's epoch, which unset times have.
     Core::Instant m_now = m_start;
     std::vector<Replica> m_replicas;
-    std::vector<Control::PlannedReplica> m_planned;
     std::map<Core::Address, std::size_t> m_indices; ///< Indices of the replicas by address.
     std::vector<Flow> m_flows;
     std::priority_queue<Message> m_messages;
--- a/Libraries/LibEmulator/SwarmEmulator.h
+++ b/Libraries/LibEmulator/SwarmEmulator.h
@@ -32,6 +32,8 @@
     Core::Duration m_uploadQueueTime{190}; ///< As in Transfer::TransferSettings.
     Core::Duration m_delay{1}; ///< One way, between any two processes.
     Core::Duration m_startSpread{100}; ///< The replicas learn of the version at random times within this delay.
+    double m_joiningShare = 0; ///< Share of the replicas that join during the distribution. The others do not know them before.
+    Core::Duration m_joinDelay{300}; ///< They join, and the others learn of them, at random times within m_startSpread after this delay.
     double m_slowShare = 0; ///< Share of the replicas whose links are slow.
     double m_slowFactor = 0.09; ///< Rate of a slow link, relative to m_instanceRate.
     std::optional<Span> m_originOutage;
--- a/Libraries/LibTransfer/Coordinator.cpp
+++ b/Libraries/LibTransfer/Coordinator.cpp
@@ -439,6 +439,7 @@
     if (version.m_exchange) {
         update.m_isSnapshot = true;
         update.m_bitmap = encodeBitmap(version.m_exchange->heldChunks());
+        update.m_fetching = version.m_exchange->fetchedChunks();
         update.m_canDownloadFromOrigin = version.m_exchange->canDownloadFromOrigin();
     }
     return update;
@@ -461,10 +462,13 @@
     }
     for (std::pair<const std::string, Version> &entry : m_versions) {
         Version &version = entry.second;
-        if (version.m_unannouncedChunks.empty() && !isHeartbeat) {
+        std::vector<std::uint32_t> fetching = version.m_exchange ? version.m_exchange->fetchedChunks() : std::vector<std::uint32_t>();
+        if (version.m_unannouncedChunks.empty() && fetching == version.m_announcedFetches && !isHeartbeat) {
             continue;
         }
+        version.m_announcedFetches = fetching;
         HaveUpdate update;
+        update.m_fetching = std::move(fetching);
         update.m_participates = true;
         update.m_canDownloadFromOrigin = !version.m_exchange || version.m_exchange->canDownloadFromOrigin();
         update.m_queuedUploads = m_uploadWorker.uploadCount();
@@ -518,6 +522,7 @@
             object->set("busy", counts.m_busy);
             object->set("bad_chunks", counts.m_badChunks);
             object->set("takeovers", counts.m_takeovers);
+            object->set("deferred_downloads", counts.m_deferredDownloads);
         }
         dump->set(entry.first, object);
     }
--- a/Libraries/LibTransfer/Exchange.cpp
+++ b/Libraries/LibTransfer/Exchange.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t RankedPeers = 6;
+/// Replicas that the first downloader in rank follows. One of them may have been the first before this replica joined.
+constexpr std::size_t FollowedSuccessors = 2;
 constexpr std::size_t FollowedPredecessors = 2; ///< Replicas ranked after this position follow none of their predecessors until the probe delay has passed.
 constexpr std::uint32_t TreeFanOut = 2;
 constexpr Core::Duration TakeoverGrace{400}; ///< Time until a chunk that its first downloader passed on just before dying is known here.
@@ -146,6 +148,18 @@
     peer.m_shouldFollow = peer.m_isListed && !peer.m_isSelf && !peer.m_sentCorruptChunk;
 }
 
+void Exchange::followRanked(const std::vector<PeerIndex> &ranked, std::size_t successors)
+{
+    const std::optional<std::size_t> own = ownRank(ranked);
+    if (!own || *own > FollowedPredecessors) {
+        return;
+    }
+    const std::size_t end = *own == 0 ? std::min(ranked.size(), successors + 1) : *own;
+    for (std::size_t rank = 0; rank < end; ++rank) {
+        markForFollowing(ranked[rank]);
+    }
+}
+
 void Exchange::selectFollowedPeers()
 {
     for (Peer &peer : m_peers) {
@@ -170,14 +184,8 @@
         markForFollowing(neighbour);
     }
     for (const Chunk &chunk : m_chunks) {
-        const auto followPredecessors = [this](const std::vector<PeerIndex> &ranked) {
-            const std::size_t own = static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), *m_self) - ranked.begin());
-            for (std::size_t rank = 0; own <= FollowedPredecessors && rank < own && own < ranked.size(); ++rank) {
-                markForFollowing(ranked[rank]);
-            }
-        };
-        followPredecessors(chunk.m_downloaders);
-        followPredecessors(chunk.m_importers);
+        followRanked(chunk.m_downloaders, FollowedSuccessors);
+        followRanked(chunk.m_importers, 0);
         if (!chunk.m_importers.empty() && chunk.m_importers.front() == *m_self && chunk.m_downloaders.front() != *m_self) {
             markForFollowing(chunk.m_downloaders.front());
         }
@@ -366,6 +374,7 @@
     peer.m_hasAnswered = true;
     peer.m_canDownloadFromOrigin = update.m_canDownloadFromOrigin;
     peer.m_queuedUploads = update.m_queuedUploads;
+    updateFetches(peer.m_fetches, update.m_fetching, m_manifest.chunkCount(), now);
     if (update.m_participates || now - m_startedAt < JoinGrace) {
         peer.m_absentSince.reset();
     } else {
--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -5,6 +5,7 @@
 #include "LibControl/Model.h"
 #include "LibCore/Clock.h"
 #include "LibCore/Random.h"
+#include "LibTransfer/AnnouncedFetches.h"
 #include "LibTransfer/ChunkSelection.h"
 #include "LibTransfer/DownloadDecision.h"
 #include "LibTransfer/Messages.h"
@@ -68,6 +69,7 @@
     std::uint64_t m_busy = 0;
     std::uint64_t m_badChunks = 0;
     std::uint64_t m_takeovers = 0; ///< Chunks that a successor downloaded or imported instead of the replica of the first rank.
+    std::uint64_t m_deferredDownloads = 0; ///< Chunks that this replica would have downloaded if no other had announced that it was fetching them.
 
     bool operator==(const ExchangeCounts &) const = default;
 };
@@ -79,6 +81,9 @@
  * replica of the first rank acts. A successor acts once all replicas ranked before it are known not to: the stream of their holdings has ended or is silent,
  * they do not participate, or they cannot reach the origin. Thus each chunk is downloaded from the origin about once and crosses each pair of regions once
  * without coordination, and the load is spread over all links.
+ *
+ * Ranks follow from the list of replicas, which may change during a transfer and differ between replicas. So every replica announces which chunks it is
+ * fetching from the origin or from another region, and a replica that becomes the first leaves these chunks to it while it makes progress.
  */
 class Exchange
 {
@@ -129,6 +134,8 @@
     {
         return m_held;
     }
+    /// Returns the chunks that are being downloaded from the origin or requested from another region, to be announced to followers. In increasing order.
+    std::vector<std::uint32_t> fetchedChunks() const;
     /// Returns false if several downloads from the origin failed in a row, so that other replicas should try.
     bool canDownloadFromOrigin() const;
     const ExchangeCounts &counts() const
@@ -161,6 +168,7 @@
         std::uint32_t m_followFailures = 0;
         std::optional<Core::Instant> m_absentSince; ///< Since when the peer is known not to act; empty if it acts.
         Core::Instant m_lastHeardAt;
+        std::optional<Core::Instant> m_firstFollowedAt; ///< Empty until the peer is followed for the first time.
         bool m_hasAnswered = false; ///< An update was received since the peer was first followed.
         bool m_canDownloadFromOrigin = true;
         bool m_sentCorruptChunk = false; ///< The peer is permanently excluded.
@@ -171,6 +179,7 @@
         std::uint32_t m_queuedUploads = 0;
         std::uint32_t m_heldCount = 0;
         std::vector<bool> m_holds; ///< One element for each chunk.
+        AnnouncedFetches m_fetches;
     };
 
     struct Chunk
@@ -183,6 +192,7 @@
         bool m_isImporter = false; ///< This replica is in m_importers.
         bool m_isLateDownload = false; ///< See markLateChunks().
         bool m_isLateImport = false;
+        bool m_isDeferred = false; ///< Its download was due here and left to a replica that had announced it.
     };
 
     struct Request
@@ -197,6 +207,8 @@
 
     void rankChunks();
     void selectFollowedPeers();
+    /// Follows the replicas ranked before this one, if they are few, or @p successors replicas ranked after it if it is the first.
+    void followRanked(const std::vector<PeerIndex> &ranked, std::size_t successors);
     void markForFollowing(PeerIndex peer);
     std::optional<PeerIndex> findPeer(const Core::Address &address) const;
     void markAbsent(Peer &peer, Core::Instant now);
@@ -204,7 +216,7 @@
     bool isFirstAvailable(const std::vector<PeerIndex> &ranked, bool needsOrigin, Core::Instant now) const;
     /// Returns whether this replica may download in place of replicas ranked before it that report that they cannot.
     bool mayReplaceDownloaders(Core::Instant now) const;
-    bool mayImport(const Chunk &chunk, Core::Instant now) const;
+    bool mayImport(Weights::ChunkIndex index, Core::Instant now) const;
     /// Marks the chunks that their first downloader or importer delivers later than all others, so that this replica should act in its place.
     void markLateChunks(Core::Instant now);
     bool isScarce(Weights::ChunkIndex index, bool onlySameRegion, Core::Instant now) const;
@@ -217,11 +229,18 @@
     std::optional<DownloadReason> downloadReasonInSwarm(Weights::ChunkIndex index, Core::Instant now) const;
     DownloadDecision describeDownload(Weights::ChunkIndex index, DownloadReason reason, Core::Instant now) const;
     bool isHeldByPeer(Weights::ChunkIndex index, Core::Instant now) const;
+    /// Returns whether a peer that acts has announced that it is fetching the chunk.
+    bool isFetchedByPeer(Weights::ChunkIndex index, bool onlySameRegion, Core::Instant now) const;
+    /// Returns whether the schedule has reached the chunk, the replicas that could have it have answered, and none of them holds it.
+    bool isDownloadTurn(Weights::ChunkIndex index, Core::Instant now) const;
     void recordFailure(Peer &peer, Core::Instant now);
     void recordOriginFailure(Failure failure, Core::Instant now);
     void recordOriginReachable(Core::Instant now);
     static bool isExcluded(const Peer &peer, Core::Instant now);
     bool haveNeighboursAnswered(Core::Instant now) const;
+    /// Returns whether the followed replicas among the ranked ones have told what they hold and fetch, or will not.
+    bool haveRankedAnswered(const std::vector<PeerIndex> &ranked, Core::Instant now) const;
+    bool isAnswerAwaited(const Peer &peer, Core::Instant now) const;
     void followSources(Weights::ChunkIndex index, Core::Instant now);
     /// Returns the time at which the download of the chunk is due in the given round of downloads.
     Core::Instant downloadDueAt(Weights::ChunkIndex index, std::uint32_t round) const;
@@ -233,6 +252,7 @@
     bool isStalled(const Request &request, Core::Instant now) const;
     void decideStalls(std::vector<Action> &actions, Core::Instant now);
     void decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now);
+    void recordDeferral(Weights::ChunkIndex index, Core::Instant now);
     /// Returns the rule by which the chunk should be requested from the origin now, if any.
     std::optional<DownloadReason> wantedDownload(Weights::ChunkIndex index, Core::Instant now) const;
     void probeOrigin(std::vector<Action> &actions, Core::Instant now);
--- a/Libraries/LibTransfer/ExchangeDecisions.cpp
+++ b/Libraries/LibTransfer/ExchangeDecisions.cpp
@@ -71,6 +71,36 @@
     return std::any_of(m_peers.begin(), m_peers.end(), [index, now](const Peer &peer) { return peer.m_holds[index] && !isExcluded(peer, now); });
 }
 
+bool Exchange::isFetchedByPeer(Weights::ChunkIndex index, bool onlySameRegion, Core::Instant now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [this, index, onlySameRegion, now](const Peer &peer) {
+        return (peer.m_isSameRegion || !onlySameRegion) && isFetchExpected(peer.m_fetches, index, now) && !isAbsent(peer, now);
+    });
+}
+
+std::vector<std::uint32_t> Exchange::fetchedChunks() const
+{
+    std::set<std::uint32_t> chunks;
+    for (const std::pair<const RequestId, Request> &entry : m_requests) {
+        const std::optional<PeerIndex> &peer = entry.second.m_peer;
+        if (!peer || !m_peers[*peer].m_isSameRegion) {
+            chunks.insert(entry.second.m_chunk);
+        }
+    }
+    return {chunks.begin(), chunks.end()};
+}
+
+bool Exchange::isAnswerAwaited(const Peer &peer, Core::Instant now) const
+{
+    const bool isOverdue = peer.m_firstFollowedAt && now - *peer.m_firstFollowedAt >= NeighbourAnswerLimit;
+    return peer.m_shouldFollow && !peer.m_hasAnswered && !peer.m_absentSince && !isOverdue;
+}
+
+bool Exchange::haveRankedAnswered(const std::vector<PeerIndex> &ranked, Core::Instant now) const
+{
+    return std::none_of(ranked.begin(), ranked.end(), [this, now](PeerIndex index) { return isAnswerAwaited(m_peers[index], now); });
+}
+
 bool Exchange::haveNeighboursAnswered(Core::Instant now) const
 {
     // A replica that joins late finds all chunks at its neighbours. Downloading before they have answered would use the origin's link needlessly. Half of them
@@ -107,9 +137,14 @@
     return m_manifest.chunkCount() == 0 || isDownloadDue(m_manifest.chunkCount() - 1, 0, now);
 }
 
-bool Exchange::mayImport(const Chunk &chunk, Core::Instant now) const
+bool Exchange::mayImport(Weights::ChunkIndex index, Core::Instant now) const
 {
-    return chunk.m_isLateImport || (chunk.m_isImporter && isFirstAvailable(chunk.m_importers, false, now));
+    const Chunk &chunk = m_chunks[index];
+    if (chunk.m_isLateImport) {
+        return true;
+    }
+    return chunk.m_isImporter && isFirstAvailable(chunk.m_importers, false, now) && haveRankedAnswered(chunk.m_importers, now)
+        && !isFetchedByPeer(index, true, now);
 }
 
 std::optional<std::size_t> Exchange::ownRank(const std::vector<PeerIndex> &ranked) const
@@ -147,7 +182,10 @@
     const bool mayBeLateImport = areFewChunksScarce(true, now);
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         const auto isLate = [this, index, now](const std::vector<PeerIndex> &ranked, bool onlySameRegion) {
-            const std::optional<std::size_t> rank = ownRank(ranked);
+            std::optional<std::size_t> rank = ownRank(ranked);
+            if (rank == 0U && isFetchedByPeer(index, onlySameRegion, now)) {
+                rank = 1; // The replica that fetches the chunk acts as the first.
+            }
             return rank && *rank > 0 && *rank <= LateTakeoverRanks && isDownloadExpected(index, now - LateChunkDelay * static_cast<std::int64_t>(*rank))
                 && isScarce(index, onlySameRegion, now);
         };
@@ -176,9 +214,13 @@
 {
     const Chunk &chunk = m_chunks[index];
     if (chunk.m_isDownloader && isFirstAvailable(chunk.m_downloaders, true, now)) {
-        const bool mayDownload = isDownloadDue(index, 0, now) && haveNeighboursAnswered(now) && !isHeldByPeer(index, now);
-        const DownloadReason reason = chunk.m_downloadRank == 0 ? DownloadReason::FirstRanked : DownloadReason::Successor;
-        return mayDownload ? std::optional<DownloadReason>(reason) : std::nullopt;
+        if (!isDownloadTurn(index, now)) {
+            return std::nullopt;
+        }
+        if (isFetchedByPeer(index, false, now)) {
+            return chunk.m_isLateDownload ? std::optional<DownloadReason>(DownloadReason::Late) : std::nullopt;
+        }
+        return chunk.m_downloadRank == 0 ? DownloadReason::FirstRanked : DownloadReason::Successor;
     }
     if (chunk.m_isLateDownload) {
         return DownloadReason::Late;
@@ -191,6 +233,11 @@
     return isWithinBudget ? std::optional<DownloadReason>(DownloadReason::OriginBudget) : std::nullopt;
 }
 
+bool Exchange::isDownloadTurn(Weights::ChunkIndex index, Core::Instant now) const
+{
+    return isDownloadDue(index, 0, now) && haveNeighboursAnswered(now) && haveRankedAnswered(m_chunks[index].m_downloaders, now) && !isHeldByPeer(index, now);
+}
+
 DownloadDecision Exchange::describeDownload(Weights::ChunkIndex index, DownloadReason reason, Core::Instant now) const
 {
     DownloadDecision decision;
@@ -274,6 +321,7 @@
         if (wanted && peer.m_followState == FollowState::NotFollowing && now >= peer.m_nextFollowAt) {
             peer.m_followState = FollowState::Following;
             peer.m_lastHeardAt = now;
+            peer.m_firstFollowedAt = peer.m_firstFollowedAt.value_or(now);
             actions.push_back(Action{ActionKind::Follow, peer.m_replica.m_wire, 0, 0, false});
         } else if (!wanted && peer.m_followState == FollowState::Following && peer.m_openRequests == 0) {
             peer.m_followState = FollowState::NotFollowing;
@@ -291,7 +339,7 @@
 void Exchange::followSources(Weights::ChunkIndex index, Core::Instant now)
 {
     const Chunk &chunk = m_chunks[index];
-    if (mayImport(chunk, now)) {
+    if (mayImport(index, now)) {
         for (const PeerIndex downloader : chunk.m_downloaders) {
             markForFollowing(downloader);
             if (!isAbsent(m_peers[downloader], now)) {
@@ -367,6 +415,16 @@
     }
 }
 
+void Exchange::recordDeferral(Weights::ChunkIndex index, Core::Instant now)
+{
+    Chunk &chunk = m_chunks[index];
+    const bool isCandidate = !m_held[index] && !chunk.m_isDeferred && chunk.m_openRequests == 0 && chunk.m_isDownloader;
+    if (isCandidate && isFirstAvailable(chunk.m_downloaders, true, now) && isDownloadTurn(index, now)) {
+        chunk.m_isDeferred = true;
+        ++m_counts.m_deferredDownloads;
+    }
+}
+
 void Exchange::decideDownloads(std::vector<Action> &actions, Pacer &download, Core::Instant now)
 {
     if (m_originUnreachableSince) {
@@ -379,6 +437,7 @@
         }
         const std::optional<DownloadReason> reason = wantedDownload(index, now);
         if (!reason) {
+            recordDeferral(index, now);
             continue;
         }
         Chunk &chunk = m_chunks[index];
@@ -414,7 +473,7 @@
     std::vector<WantedChunk> wanted;
     for (Weights::ChunkIndex index = 0; index < m_manifest.chunkCount(); ++index) {
         if (!m_held[index] && m_chunks[index].m_openRequests == 0) {
-            wanted.push_back(WantedChunk{index, mayImport(m_chunks[index], now)});
+            wanted.push_back(WantedChunk{index, mayImport(index, now)});
         }
     }
     while (m_peerRequests < m_settings.m_concurrentPeerRequests) {
@@ -445,7 +504,7 @@
         Request &request = m_requests.at(id);
         std::vector<SourcePeer> peers = sourcePeers(now);
         std::erase_if(peers, [&request](const SourcePeer &peer) { return peer.m_peer == *request.m_peer; });
-        const std::optional<PeerIndex> peer = selectPeer(WantedChunk{request.m_chunk, mayImport(m_chunks[request.m_chunk], now)}, peers, m_random);
+        const std::optional<PeerIndex> peer = selectPeer(WantedChunk{request.m_chunk, mayImport(request.m_chunk, now)}, peers, m_random);
         if (!peer || !download.tryTake(m_manifest.chunkLength(request.m_chunk), now)) {
             continue;
         }
--- a/Libraries/LibTransfer/Messages.h
+++ b/Libraries/LibTransfer/Messages.h
@@ -34,6 +34,7 @@
     std::string m_bitmap; ///< One bit for each chunk, lowest bit first.
     std::vector<std::uint32_t> m_added; ///< Chunks that are held since the previous update.
     std::uint32_t m_queuedUploads = 0; ///< Uploads queued at the peer.
+    std::vector<std::uint32_t> m_fetching; ///< All chunks that the peer is downloading from the origin or requesting from another region.
 
     bool operator==(const HaveUpdate &) const = default;
 
@@ -42,7 +43,8 @@
                        MSGPACK_NVP("snapshot", m_isSnapshot),
                        MSGPACK_NVP("bitmap", m_bitmap),
                        MSGPACK_NVP("added", m_added),
-                       MSGPACK_NVP("queued", m_queuedUploads));
+                       MSGPACK_NVP("queued", m_queuedUploads),
+                       MSGPACK_NVP("fetching", m_fetching));
 };
 
 /// Requests one chunk (method transfer.chunk). The response is the chunk's bytes in several frames; the error Overloaded means that the peer is busy.
--- a/Libraries/LibTransfer/Version.h
+++ b/Libraries/LibTransfer/Version.h
@@ -57,6 +57,7 @@
     std::map<Core::Address, OpenFollow> m_follows;
     std::vector<Wire::Responder> m_followers;
     std::vector<std::uint32_t> m_unannouncedChunks; ///< Chunks that have not been announced to the followers.
+    std::vector<std::uint32_t> m_announcedFetches; ///< As of the latest update to the followers.
 };
 
 }
--- a/Tests/LibEmulator/TestSwarm.cpp
+++ b/Tests/LibEmulator/TestSwarm.cpp
@@ -102,3 +102,33 @@
     parameters.m_replicasPerRegion = {5, 4};
     CHECK(Emulator::emulateSwarm(parameters) == Emulator::emulateSwarm(parameters));
 }
+
+TEST_CASE("Replicas that join during a version do not download again what others are downloading")
+{
+    // Guards against a second plan that names other replicas first for chunks that are on their way. An origin that goes down after 1.3 copies has then not
+    // sent every chunk.
+    SwarmParameters parameters;
+    parameters.m_replicasPerRegion = {8};
+    parameters.m_chunkCount = 16;
+    parameters.m_isOriginRateKnown = false;
+    parameters.m_joiningShare = 0.5;
+    parameters.m_joinDelay = Core::Duration(120);
+    parameters.m_startSpread = Core::Duration(10);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        parameters.m_seed = seed;
+        const SwarmResult result = Emulator::emulateSwarm(parameters);
+        REQUIRE(result.m_completedAfter.size() == parameters.m_replicasPerRegion.front());
+        CHECK(result.m_originCopies < 1.1);
+    }
+}
+
+TEST_CASE("Replicas that join a large fleet during a version do not download again what others are downloading")
+{
+    SwarmParameters parameters = fleet();
+    parameters.m_joiningShare = 0.5;
+    parameters.m_joinDelay = Core::Duration(1000);
+    const SwarmResult result = Emulator::emulateSwarm(parameters);
+    REQUIRE(result.m_completedAfter.size() == Replicas);
+    CHECK(result.m_originCopies < 1.1);
+}
--- a/Tests/LibTransfer/TestExchange.cpp
+++ b/Tests/LibTransfer/TestExchange.cpp
@@ -3,6 +3,7 @@
 #include "LibTransfer/Exchange.h"
 
 #include <catch2/catch.hpp>
+#include <numeric>
 #include <random>
 
 namespace {
@@ -35,6 +36,7 @@
     std::set<Core::Address> m_dead; ///< Peers whose streams end immediately.
     std::set<Core::Address> m_originUnreachable;
     std::map<Core::Address, std::vector<std::uint32_t>> m_holdings;
+    std::map<Core::Address, std::vector<std::uint32_t>> m_fetching; ///< Chunks that peers announce to be on their way to them.
     std::set<Core::Address> m_followed;
     std::vector<Transfer::Action> m_requests; ///< Every RequestFromPeer and RequestFromOrigin action so far.
     bool m_isOriginDown = false; ///< Requests to the origin and probes fail immediately.
@@ -105,6 +107,7 @@
         update.m_participates = true;
         update.m_canDownloadFromOrigin = !m_originUnreachable.contains(peer);
         update.m_added = m_holdings[peer];
+        update.m_fetching = m_fetching[peer];
         m_exchange->onUpdate(peer, update, m_now);
     }
 
@@ -394,3 +397,152 @@
     REQUIRE(cancelled[0].m_kind == Transfer::ActionKind::Cancel);
     REQUIRE(cancelled[0].m_request == requests[0].m_request);
 }
+
+namespace {
+
+/// A replica that joined a transfer is ranked first for some chunks, and another one has announced that it is downloading all chunks.
+struct JoinedFixture : ExchangeFixture
+{
+    JoinedFixture()
+        : ExchangeFixture(4, 0)
+        , m_downloader(m_replicas[1].m_wire)
+    {
+        m_fetching[m_downloader] = allChunks();
+    }
+
+    static std::vector<std::uint32_t> allChunks()
+    {
+        std::vector<std::uint32_t> chunks(Chunks);
+        std::iota(chunks.begin(), chunks.end(), 0U);
+        return chunks;
+    }
+
+    Core::Address m_downloader;
+};
+
+constexpr Core::Duration SilenceAndTakeover{3200}; ///< Until a silent peer counts as absent.
+
+}
+
+TEST_CASE("A replica does not download the chunks that another replica has announced to be downloading")
+{
+    // Replicas join during a version and become the first for chunks whose download has begun. The origin's link carries these chunks twice.
+    JoinedFixture fixture;
+    fixture.advance(Core::Duration(2500));
+    CHECK(fixture.downloadedChunks().empty());
+    CHECK(fixture.m_exchange->counts().m_deferredDownloads == fixture.rankedChunks(0, 0).size());
+    fixture.m_holdings[fixture.m_downloader] = JoinedFixture::allChunks();
+    fixture.m_fetching.clear();
+    fixture.advance(Core::Duration(500));
+    CHECK(fixture.downloadedChunks().empty());
+    CHECK(std::any_of(fixture.m_requests.begin(), fixture.m_requests.end(), [](const Transfer::Action &action) {
+        return action.m_kind == Transfer::ActionKind::RequestFromPeer;
+    }));
+}
+
+TEST_CASE("A replica downloads its chunks when an announced download fails")
+{
+    JoinedFixture fixture;
+    fixture.advance(Core::Duration(500));
+    fixture.m_fetching.clear();
+    fixture.advance(Core::Duration(100));
+    CHECK(fixture.downloadedChunks() == fixture.rankedChunks(0, 0));
+}
+
+TEST_CASE("A replica downloads its chunks when the replica that announced them dies")
+{
+    JoinedFixture fixture;
+    fixture.advance(Core::Duration(500));
+    fixture.m_dead.insert(fixture.m_downloader);
+    fixture.advance(Core::Duration(1000));
+    CHECK(fixture.rankedChunks(0, 0).size() <= fixture.downloadedChunks().size());
+}
+
+TEST_CASE("A replica downloads its chunks when the replica that announced them freezes")
+{
+    JoinedFixture fixture;
+    fixture.advance(Core::Duration(100));
+    fixture.m_silent.insert(fixture.m_downloader);
+    fixture.advance(SilenceAndTakeover);
+    CHECK(fixture.rankedChunks(0, 0).size() <= fixture.downloadedChunks().size());
+}
+
+TEST_CASE("Downloads that are announced again and again delay those of other replicas only once")
+{
+    JoinedFixture fixture;
+    for (int round = 0; round < 4; ++round) {
+        fixture.m_fetching[fixture.m_downloader] = JoinedFixture::allChunks();
+        fixture.advance(Core::Duration(980));
+        fixture.m_fetching.clear();
+        fixture.advance(Step);
+    }
+    CHECK(fixture.downloadedChunks() == fixture.rankedChunks(0, 0));
+}
+
+TEST_CASE("A replica downloads a chunk that a slow replica has announced and holds back")
+{
+    // The first downloader's link has a few percent of its rate. The whole fleet waits for its chunks.
+    ExchangeFixture fixture(6, 0);
+    const std::set<Weights::ChunkIndex> own = fixture.rankedChunks(0, 0);
+    for (Weights::ChunkIndex chunk = 0; chunk < Chunks; ++chunk) {
+        if (own.contains(chunk)) {
+            fixture.m_fetching[fixture.m_replicas[1].m_wire].push_back(chunk);
+        } else {
+            fixture.m_holdings[fixture.m_replicas[2].m_wire].push_back(chunk);
+            fixture.m_holdings[fixture.m_replicas[3].m_wire].push_back(chunk);
+        }
+    }
+    fixture.advance(Core::Duration(600));
+    CHECK(fixture.downloadedChunks().empty());
+    fixture.advance(Core::Duration(600));
+    CHECK(fixture.downloadedChunks() == own);
+}
+
+TEST_CASE("A replica waits for the answers of the replicas ranked after it before it downloads")
+{
+    // Of replicas that join together, those answer each other first that know nothing of downloads in progress.
+    ExchangeFixture fixture(4, 0);
+    fixture.m_silent.insert(fixture.m_replicas[3].m_wire);
+    fixture.advance(Core::Duration(100));
+    CHECK(fixture.downloadedChunks().empty());
+    fixture.advance(Core::Duration(100));
+    CHECK(fixture.downloadedChunks() == fixture.rankedChunks(0, 0));
+}
+
+TEST_CASE("A replica does not import the chunks that another replica of its region is importing")
+{
+    // The link between two regions carries a chunk twice if the list of replicas changes while the first copy crosses it.
+    ExchangeFixture fixture(4, 0);
+    fixture.m_replicas[2] = makeReplica(2, "han");
+    fixture.m_replicas[3] = makeReplica(3, "han");
+    fixture.restartExchange();
+    fixture.m_mode = Transfer::TransferMode::PeersOnly;
+    fixture.m_holdings[fixture.m_replicas[2].m_wire] = JoinedFixture::allChunks();
+    fixture.m_holdings[fixture.m_replicas[3].m_wire] = JoinedFixture::allChunks();
+    fixture.m_fetching[fixture.m_replicas[1].m_wire] = JoinedFixture::allChunks();
+    fixture.advance(Core::Duration(600));
+    CHECK(fixture.m_requests.empty());
+    fixture.m_fetching.clear();
+    fixture.advance(Core::Duration(600));
+    CHECK_FALSE(fixture.m_requests.empty());
+}
+
+TEST_CASE("A replica announces its downloads from the origin and its requests to other regions")
+{
+    ExchangeFixture fixture(4, 0);
+    fixture.m_replicas[2] = makeReplica(2, "han");
+    fixture.m_replicas[3] = makeReplica(3, "han");
+    fixture.restartExchange();
+    fixture.m_holdings[fixture.m_replicas[1].m_wire] = {0, 1, 2, 3};
+    fixture.m_holdings[fixture.m_replicas[2].m_wire] = {4, 5, 6, 7, 8, 9, 10, 11};
+    fixture.advance(Core::Duration(400));
+    std::set<std::uint32_t> expected;
+    for (const Transfer::Action &action : fixture.m_requests) {
+        if (action.m_kind == Transfer::ActionKind::RequestFromOrigin || action.m_forRegion) {
+            expected.insert(action.m_chunk);
+        }
+    }
+    const std::vector<std::uint32_t> fetched = fixture.m_exchange->fetchedChunks();
+    CHECK(std::set<std::uint32_t>(fetched.begin(), fetched.end()) == expected);
+    CHECK_FALSE(fetched.empty());
+}
