LibHttp: Do not charge a stall of the own process to the peer

What callers saw: an entry that gets no processor time for longer than the limit for pauses (about 0.3 s) gives up every stream that it relays, although the engines went on, and repeats them at other engines: pauses, engine time spent twice, streams cut when no time or attempt is left. A request that arrives on an idle connection meanwhile is lost with it, and one whose head or body ends meanwhile gets two answers, its own and a 408 that the next request on the connection would take for its answer.

Cause: after a stall the limit and the peer's bytes are due in the same turn of the event loop. The bytes are handled first and set a new limit, but the handler of the old one is queued already, and setting a new expiry does not take it back: it ran and ended the call. dispatchRequest() knew of such a handler and let it run.

Change: ProgressTimer holds the limits of both sides of a connection. A handler of an earlier generation does nothing, and a limit that expires while bytes wait to be read is looked at again 10 ms later. A peer that sent nothing during the stall still times out (tested).

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -2,6 +2,7 @@
 
 #include "LibHttp/ClientCall.h"
 
+#include "LibHttp/ProgressTimer.h"
 #include "LibHttp/SocketOptions.h"
 
 #include <boost/asio/write.hpp>
@@ -41,14 +42,14 @@
 {
     explicit State(EventLoop &loop)
         : m_socket(loop)
-        , m_timer(loop)
+        , m_timer(m_socket)
     {
         m_parser.body_limit(UnlimitedBodyBytes);
         m_parser.header_limit(MaximumAnswerHeadBytes);
     }
 
     Socket m_socket;
-    Timer m_timer;
+    ProgressTimer m_timer;
     Beast::flat_buffer m_buffer;
     Beast::http::response_parser<Beast::http::buffer_body> m_parser;
     std::array<char, ReadBytes> m_chunk;
@@ -88,8 +89,8 @@
     }
     m_hasEnded = true;
     m_events = {};
+    m_state->m_timer.stop();
     boost::system::error_code ignored; // The connection is closed in any case.
-    m_state->m_timer.cancel(ignored);
     m_state->m_socket.close(ignored);
 }
 
@@ -109,13 +110,7 @@
 
 void ClientCall::startTimer(Core::Duration limit, const char *step)
 {
-    m_state->m_timer.expires_after(limit);
-    m_state->m_timer.async_wait([weak = weak_from_this(), step](const boost::system::error_code &error) {
-        const std::shared_ptr<ClientCall> self = weak.lock();
-        if (!error && self) {
-            self->end(false, Core::ErrorCode::Timeout, step, "no progress within the limit");
-        }
-    });
+    m_state->m_timer.start(limit, weak_from_this(), [this, step] { end(false, Core::ErrorCode::Timeout, step, "no progress within the limit"); });
 }
 
 void ClientCall::onConnected(const boost::system::error_code &error)
@@ -189,8 +184,7 @@
     }
     if (m_isPaused) {
         m_awaitsResume = true;
-        boost::system::error_code ignored; // Stops the idle timer: while reading is paused, a lack of data does not mean that the peer has stalled.
-        m_state->m_timer.cancel(ignored);
+        m_state->m_timer.stop(); // While reading is paused, a lack of data does not mean that the peer has stalled.
         return;
     }
     startTimer(m_limits.m_idleTimeout, "read answer");
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "LibHttp/ServerConnection.h"
 
+#include "LibHttp/ProgressTimer.h"
 #include "LibHttp/SocketOptions.h"
 
 #include <boost/asio/write.hpp>
@@ -77,12 +78,14 @@
 {
     explicit State(Socket socket)
         : m_socket(std::move(socket))
-        , m_timer(m_socket.get_executor())
+        , m_timer(m_socket)
+        , m_lingerTimer(m_socket.get_executor())
     {
     }
 
     Socket m_socket;
-    Timer m_timer;
+    ProgressTimer m_timer;
+    Timer m_lingerTimer; ///< Until a connection is closed whose last answer was sent.
     Beast::flat_buffer m_buffer;
     std::optional<RequestParser> m_parser; ///< One for each request.
     HeaderFields m_fields; ///< Of the current request.
@@ -110,10 +113,8 @@
 
 void ServerConnection::startTimer(Core::Duration limit, std::function<void()> onExpiry)
 {
-    m_state->m_timer.expires_after(limit);
-    m_state->m_timer.async_wait([weak = weak_from_this(), expire = std::move(onExpiry)](const boost::system::error_code &error) {
-        const std::shared_ptr<ServerConnection> self = weak.lock();
-        if (!error && self && !self->m_isClosed) {
+    m_state->m_timer.start(limit, weak_from_this(), [this, expire = std::move(onExpiry)] {
+        if (!m_isClosed) {
             expire();
         }
     });
@@ -242,8 +243,7 @@
 
 void ServerConnection::dispatchRequest()
 {
-    boost::system::error_code ignored; // The handler of a timer that has already expired may still run.
-    m_state->m_timer.cancel(ignored);
+    m_state->m_timer.stop();
     m_isAnswering = true;
     m_isReading = false;
     const RequestParser::value_type &message = m_state->m_parser->get();
@@ -437,8 +437,9 @@
     boost::system::error_code ignored;
     m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
     constexpr Core::Duration linger{200}; // Longer than a round trip to any caller.
-    m_state->m_timer.expires_after(linger);
-    m_state->m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
+    m_state->m_timer.stop();
+    m_state->m_lingerTimer.expires_after(linger);
+    m_state->m_lingerTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
 }
 
 void ServerConnection::closeIfIdle()
@@ -454,8 +455,9 @@
         return;
     }
     m_isClosed = true;
+    m_state->m_timer.stop();
     boost::system::error_code ignored; // The connection is closed in any case.
-    m_state->m_timer.cancel(ignored);
+    m_state->m_lingerTimer.cancel(ignored);
     m_state->m_socket.close(ignored);
 }
 
--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -20,4 +20,10 @@
     setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMilliseconds, sizeof(UserTimeoutMilliseconds));
 }
 
+bool hasUnreadInput(Socket &socket)
+{
+    char byte = 0;
+    return socket.is_open() && recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 }
--- a/Libraries/LibHttp/SocketOptions.h
+++ b/Libraries/LibHttp/SocketOptions.h
@@ -1,4 +1,4 @@
-/// @file Options of every TCP connection that a process opens or accepts.
+/// @file Options and state of the TCP connections that a process opens or accepts.
 #pragma once
 
 #include "LibHttp/EventLoop.h"
@@ -13,4 +13,7 @@
  */
 void setStreamOptions(Socket &socket);
 
+/// Returns whether bytes or the end of the peer's stream wait to be read. False if the connection is not established.
+bool hasUnreadInput(Socket &socket);
+
 }
--- a/Tests/LibHttp/TestClientCall.cpp
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -4,6 +4,7 @@
 #include "LibHttp/ClientCall.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
@@ -104,3 +105,51 @@
     REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
     CHECK(result->error().m_code == Core::ErrorCode::Unavailable);
 }
+
+namespace {
+
+constexpr Core::Duration IdleLimit{40};
+constexpr Core::Duration StallTime = 2 * IdleLimit; ///< For which the process does not run.
+
+/// Runs a call whose process stalls for longer than the idle limit. Meanwhile the peer sends @p duringStall, and some time later @p afterStall.
+Http::ClientCallEnd callWithStall(const std::string &duringStall, const std::string &afterStall)
+{
+    Http::EventLoop loop;
+    Http::Timer stall(loop);
+    Http::Timer rest(loop);
+    ScriptedServer server(loop, [&](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhead\r\n");
+        stall.expires_after(IdleLimit / 4);
+        stall.async_wait([&, connection](const boost::system::error_code &) {
+            connection->send(duringStall);
+            std::this_thread::sleep_for(StallTime);
+            rest.expires_after(IdleLimit / 4);
+            rest.async_wait([&, connection](const boost::system::error_code &) { connection->send(afterStall); });
+        });
+    });
+    std::optional<Http::ClientCallEnd> result;
+    Http::ClientCallEvents events;
+    events.m_onEnd = [&result](const Http::ClientCallEnd &end) { result = end; };
+    Http::ClientCallLimits limits;
+    limits.m_idleTimeout = IdleLimit;
+    const std::shared_ptr<Http::ClientCall> call =
+        std::make_shared<Http::ClientCall>(loop, Core::Address{"127.0.0.1", server.port()}, limits, std::move(events));
+    call->start(Http::ClientRequest{"GET", "/", {{"Host", "a"}}, ""});
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    return *result;
+}
+
+}
+
+TEST_CASE("A peer that sent data while this process was stalled has not timed out")
+{
+    // Guards against an entry that got no processor time and then gives up all of its streams, although the engines did not pause.
+    CHECK(callWithStall("4\r\nbody\r\n", "0\r\n\r\n").m_isComplete);
+}
+
+TEST_CASE("A peer that sent nothing while this process was stalled has timed out")
+{
+    const Http::ClientCallEnd end = callWithStall("", "0\r\n\r\n");
+    CHECK_FALSE(end.m_isComplete);
+    CHECK(end.m_error.m_code == Core::ErrorCode::Timeout);
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -4,6 +4,7 @@
 #include "LibHttp/Listener.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using TestSupport::RawCaller;
 using TestSupport::runUntil;
@@ -135,3 +136,67 @@
     caller.close();
     CHECK(runUntil(loop, [&isGone] { return isGone; }));
 }
+
+namespace {
+
+constexpr Core::Duration ShortLimit{40};
+constexpr Core::Duration StallTime = 2 * ShortLimit; ///< For which the process does not run.
+const std::string SmallRequest = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Sends bytes while the process is stalled for longer than the short limit, and runs the server for some time afterwards.
+void sendDuringStall(EchoServer &server, RawCaller &caller, const std::string &bytes)
+{
+    runUntil(
+        server.m_loop, [] { return false; }, ShortLimit / 2);
+    caller.send(bytes);
+    std::this_thread::sleep_for(StallTime);
+    runUntil(
+        server.m_loop, [] { return false; }, StallTime);
+}
+
+std::size_t countAnswers(const RawCaller &caller)
+{
+    std::size_t count = 0;
+    for (std::size_t at = caller.received().find("HTTP/1.1 "); at != std::string::npos; at = caller.received().find("HTTP/1.1 ", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+}
+
+TEST_CASE("A request that arrives on an idle connection while the process is stalled is answered")
+{
+    // Guards against a process that closes a connection as idle and loses the request that has arrived on it.
+    EchoServer server;
+    server.m_context->m_limits.m_idleTimeout = ShortLimit;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    sendDuringStall(server, caller, SmallRequest);
+    CHECK(server.m_requests.size() == 1);
+    CHECK(countAnswers(caller) == 1);
+}
+
+TEST_CASE("A request whose head ends while the process is stalled is answered once")
+{
+    // Guards against a second answer, a 408, to a request that was dispatched.
+    EchoServer server;
+    server.m_context->m_limits.m_headTimeout = ShortLimit;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send(SmallRequest.substr(0, SmallRequest.size() / 2));
+    sendDuringStall(server, caller, SmallRequest.substr(SmallRequest.size() / 2));
+    CHECK(server.m_requests.size() == 1);
+    CHECK(countAnswers(caller) == 1);
+    CHECK(caller.received().substr(0, 12) == "HTTP/1.1 200");
+}
+
+TEST_CASE("A request whose body ends while the process is stalled is answered once")
+{
+    EchoServer server;
+    server.m_context->m_limits.m_bodyTimeout = ShortLimit;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\none");
+    sendDuringStall(server, caller, "two");
+    REQUIRE(server.m_requests.size() == 1);
+    CHECK(server.m_requests[0].m_body == "onetwo");
+    CHECK(countAnswers(caller) == 1);
+}
