LibHttp: Notice a caller that leaves after it sent its next request

Cause: the close of a connection is watched for by waiting until the socket is readable. Once the next request has arrived on it the socket is always readable, and the watch ended. The close was noticed at the next failed write only, so not while the request waits for an engine.

Evidence: LibHttp/TestServer, 'A caller that closes its connection after it sent another request is noticed while the first one runs', failed before (nothing within 2 s).

Change: while unread input waits, the connection is polled for the peer's close every 50 ms.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -23,6 +23,8 @@
 
 using RequestParser = Beast::http::request_parser<Beast::http::string_body>;
 
+/// Interval between checks whether a caller has left that has sent its next request already. Short compared to the time that an answer takes of an engine.
+constexpr Core::Duration CloseCheckInterval{50};
 constexpr unsigned HttpVersion11 = 11; ///< HTTP/1.1 as the parser encodes it.
 
 std::string encodeAnswerHead(int status, const std::string &reason, const HeaderFields &fields)
@@ -79,12 +81,14 @@
     explicit State(Socket socket)
         : m_socket(std::move(socket))
         , m_timer(m_socket)
+        , m_closeCheckTimer(m_socket.get_executor())
         , m_lingerTimer(m_socket.get_executor())
     {
     }
 
     Socket m_socket;
     ProgressTimer m_timer;
+    Timer m_closeCheckTimer; ///< For a peer that has sent the next request before the answer.
     Timer m_lingerTimer; ///< Until a connection is closed whose last answer was sent.
     Beast::flat_buffer m_buffer;
     std::optional<RequestParser> m_parser; ///< One for each request.
@@ -262,6 +266,8 @@
 
 void ServerConnection::watchForPeerClose()
 {
+    boost::system::error_code ignored; // A check that is left of the answer before does no harm.
+    m_state->m_closeCheckTimer.cancel(ignored);
     m_state->m_socket.async_wait(Socket::wait_read, [weak = weak_from_this()](const boost::system::error_code &error) {
         const std::shared_ptr<ServerConnection> self = weak.lock();
         if (self && !error && !self->m_isClosed && self->m_isAnswering) {
@@ -275,7 +281,8 @@
     char byte = 0;
     const ssize_t peeked = recv(m_state->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (peeked > 0) {
-        return; // The next request has arrived; it is read after this answer.
+        awaitCloseAfterInput();
+        return;
     }
     if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
         watchForPeerClose();
@@ -284,6 +291,23 @@
     handlePeerClosed();
 }
 
+/// The next request has arrived and is read after this answer. Until then the socket always counts as readable, so that only a regular check shows the close.
+void ServerConnection::awaitCloseAfterInput()
+{
+    m_state->m_closeCheckTimer.expires_after(CloseCheckInterval);
+    m_state->m_closeCheckTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<ServerConnection> self = weak.lock();
+        if (error || !self || self->m_isClosed || !self->m_isAnswering) {
+            return;
+        }
+        if (hasPeerClosed(self->m_state->m_socket)) {
+            self->handlePeerClosed();
+        } else {
+            self->awaitCloseAfterInput();
+        }
+    });
+}
+
 void ServerConnection::handlePeerClosed()
 {
     const std::function<void()> callback = std::move(m_onPeerClosed);
@@ -458,6 +482,7 @@
     m_state->m_timer.stop();
     boost::system::error_code ignored; // The connection is closed in any case.
     m_state->m_lingerTimer.cancel(ignored);
+    m_state->m_closeCheckTimer.cancel(ignored);
     m_state->m_socket.close(ignored);
 }
 
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -100,6 +100,7 @@
     void dispatchRequest();
     void watchForPeerClose();
     void checkForPeerClose();
+    void awaitCloseAfterInput();
     void write(std::string bytes);
     void writeNext();
     void onWritten(const boost::system::error_code &error);
--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -3,6 +3,7 @@
 #include "LibHttp/SocketOptions.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace Http {
@@ -26,4 +27,10 @@
     return socket.is_open() && recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
+bool hasPeerClosed(Socket &socket)
+{
+    pollfd descriptor{socket.native_handle(), POLLRDHUP, 0};
+    return socket.is_open() && ::poll(&descriptor, 1, 0) > 0;
+}
+
 }
--- a/Libraries/LibHttp/SocketOptions.h
+++ b/Libraries/LibHttp/SocketOptions.h
@@ -16,4 +16,7 @@
 /// Returns whether bytes or the end of the peer's stream wait to be read. False if the connection is not established.
 bool hasUnreadInput(Socket &socket);
 
+/// Returns whether the peer has closed its side of the connection, also while bytes that it sent before wait to be read.
+bool hasPeerClosed(Socket &socket);
+
 }
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -200,3 +200,25 @@
     CHECK(server.m_requests[0].m_body == "onetwo");
     CHECK(countAnswers(caller) == 1);
 }
+
+TEST_CASE("A caller that closes its connection after it sent another request is noticed while the first one runs")
+{
+    // Guards against engines that work for a caller who has left.
+    EchoServer server;
+    std::shared_ptr<Http::ServerConnection> open;
+    bool hasLeft = false;
+    server.m_context->m_onRequest = [&](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &) {
+        open = connection;
+        connection->onPeerClosed([&hasLeft] { hasLeft = true; });
+    };
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send(SmallRequest);
+    REQUIRE(runUntil(server.m_loop, [&open] { return open != nullptr; }));
+    caller.send(SmallRequest);
+    runUntil(
+        server.m_loop, [] { return false; }, ShortLimit);
+    CHECK_FALSE(hasLeft);
+    caller.close();
+    CHECK(runUntil(
+        server.m_loop, [&hasLeft] { return hasLeft; }, std::chrono::seconds(2)));
+}
