LibTelemetry: Log when a process got no processor time

A stream that is given up after a pause, or a caller whose leaving is noticed late, looks the same in the log whether the link, the engine or the own process stood still. Entries and agents write a 'stalled' line when their periodic timer is 100 ms late or more.

--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -409,6 +409,10 @@
 
 void EntryProcess::tick()
 {
+    const std::optional<Core::Duration> stall = Telemetry::recordTick(m_stallDetector, TickInterval, Core::Clock::now());
+    if (stall) {
+        m_log.write(Telemetry::LogLine("stalled").number("late_ms", std::int64_t{stall->count()}));
+    }
     updateRequestRate();
     m_relay.logAccount();
     m_log.flush();
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -8,6 +8,7 @@
 #include "LibRelay/Relay.h"
 #include "LibServing/EntrySettings.h"
 #include "LibTelemetry/AdminServer.h"
+#include "LibTelemetry/StallDetector.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -100,6 +101,7 @@
     std::vector<std::unique_ptr<Http::Listener>> m_listeners; ///< The first one is for callers.
     boost::asio::signal_set m_signals;
     Http::Timer m_tickTimer;
+    Telemetry::StallDetector m_stallDetector;
     Http::Timer m_leavingTimer;
     std::function<std::optional<EntrySettings>()> m_reload;
     std::optional<Core::Instant> m_leavingSince; ///< Set once a termination signal was received.
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -193,6 +193,10 @@
 
 void AgentProcess::tick()
 {
+    const std::optional<Core::Duration> stall = Telemetry::recordTick(m_stallDetector, TickInterval, Core::Clock::now());
+    if (stall) {
+        m_log.write(Telemetry::LogLine("stalled").number("late_ms", std::int64_t{stall->count()}));
+    }
     const std::optional<Core::Duration> silence = m_gossip.timeSinceEntryHeartbeat();
     const Core::Duration entrySilence = silence ? *silence : std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_startedAt);
     if (entrySilence > m_settings.m_entrySilenceLimit && !m_follower.isStarted()) {
--- a/Libraries/LibStaging/AgentProcess.h
+++ b/Libraries/LibStaging/AgentProcess.h
@@ -7,6 +7,7 @@
 #include "LibStaging/AgentSettings.h"
 #include "LibStaging/ManifestSharing.h"
 #include "LibTelemetry/AdminServer.h"
+#include "LibTelemetry/StallDetector.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -63,6 +64,7 @@
     Http::Listener m_adminListener;
     boost::asio::signal_set m_signals;
     Http::Timer m_tickTimer;
+    Telemetry::StallDetector m_stallDetector;
     std::function<std::optional<AgentSettings>()> m_reload;
     Core::Instant m_startedAt;
 };
--- /dev/null
+++ b/Libraries/LibTelemetry/StallDetector.h
@@ -0,0 +1,23 @@
+/// @file Detects that the process got no processor time, by the lateness of a periodic timer.
+#pragma once
+
+#include "LibCore/Clock.h"
+
+#include <optional>
+
+namespace Telemetry {
+
+/// Lateness from which a stall is reported. Timers of a process that runs are a few milliseconds late.
+inline constexpr Core::Duration ReportedStall{100};
+
+struct StallDetector
+{
+    std::optional<Core::Instant> m_nextTickAt; ///< Empty before the first tick.
+
+    bool operator==(const StallDetector &) const = default;
+};
+
+/// Records a tick that is repeated after @p interval. Returns how late it is if that is ReportedStall or more.
+std::optional<Core::Duration> recordTick(StallDetector &detector, Core::Duration interval, Core::Instant now);
+
+}
