LibEmulator: Restart replicas without chunks during a version

Agents that crash and start again rank themselves first for chunks that their successors have taken over meanwhile: the same fault as with replicas that join. The emulator can now kill a share of the replicas and start them again.

--- a/Libraries/LibEmulator/SwarmEmulator.cpp
+++ b/Libraries/LibEmulator/SwarmEmulator.cpp
@@ -61,6 +61,8 @@
     Core::Instant m_startsAt;
     bool m_isJoining = false; ///< It joins during the distribution.
     std::optional<Core::Instant> m_learnsOfJoinsAt; ///< Empty if it knows all replicas.
+    std::optional<Core::Instant> m_killedAt; ///< Empty if it is not going to be killed.
+    bool m_isDown = false; ///< Killed and not restarted.
     std::unique_ptr<Transfer::Exchange> m_exchange; ///< Null until the replica knows the version.
     Transfer::Pacer m_download{0, 0, Core::Instant()};
     std::vector<std::size_t> m_followers;
@@ -141,6 +143,9 @@
         replica.m_linkBytesPerSecond = bytesPerSecond(m_parameters.m_instanceRate) * (isSlow ? m_parameters.m_slowFactor : 1);
         replica.m_startsAt = m_start + randomStartDelay();
         planJoins(replica, number);
+        if (isInShare(number, m_parameters.m_restartingShare)) {
+            replica.m_killedAt = m_start + m_parameters.m_killDelay + randomStartDelay();
+        }
         m_indices[replica.m_planned.m_wire] = m_replicas.size();
         m_replicas.push_back(std::move(replica));
     }
@@ -223,6 +228,7 @@
         const Transfer::Exchange::Identity identity{"digest", replica.m_planned.m_instance, replica.m_planned.m_region, m_random.next()};
         replica.m_exchange = std::make_unique<Transfer::Exchange>(transferSettings, identity, m_manifest, m_now);
         replica.m_exchange->setReplicas(knownReplicas(replica), 1);
+        replica.m_isDown = false;
         replica.m_download = Transfer::Pacer(transferSettings.m_downloadBytesPerSecond, transferSettings.m_downloadBytesPerSecond / 2, m_now);
         for (const std::size_t follower : replica.m_followers) {
             sendSnapshot(replica, follower);
@@ -232,6 +238,9 @@
     void step(std::size_t index)
     {
         Replica &replica = m_replicas[index];
+        if (replica.m_killedAt && m_now >= *replica.m_killedAt) {
+            kill(index);
+        }
         if (m_now < replica.m_startsAt) {
             return;
         }
@@ -256,6 +265,58 @@
         }
     }
 
+    /// Ends a replica's process: its connections break, and it loses all chunks.
+    void kill(std::size_t index)
+    {
+        Replica &replica = m_replicas[index];
+        for (const std::size_t follower : replica.m_followers) {
+            endFollow(follower, replica.m_planned.m_wire);
+        }
+        for (const QueuedRequest &queued : replica.m_queue) {
+            failRequest(queued.m_receiver, queued.m_request, Transfer::Failure::Unavailable);
+        }
+        for (Flow &flow : m_flows) {
+            if (flow.m_sender == index) {
+                failRequest(flow.m_receiver, flow.m_request, Transfer::Failure::Unavailable);
+            }
+            flow.m_isCancelled = flow.m_isCancelled || flow.m_sender == index || flow.m_receiver == index;
+        }
+        for (Replica &other : m_replicas) {
+            std::erase(other.m_followers, index);
+        }
+        m_completed -= replica.m_completedAt ? 1 : 0;
+        replica.m_completedAt.reset();
+        replica.m_exchange.reset();
+        replica.m_followers.clear();
+        replica.m_queue.clear();
+        replica.m_unannounced.clear();
+        replica.m_announcedFetches.clear();
+        replica.m_sentCounts.clear();
+        replica.m_killedAt.reset();
+        replica.m_isDown = true;
+        replica.m_startsAt = m_now + m_parameters.m_restartDelay;
+    }
+
+    /// Delivers a message to a replica's exchange, unless the replica is down by then.
+    void sendToExchange(std::size_t index, std::function<void(Transfer::Exchange &)> deliver)
+    {
+        send([this, index, deliver = std::move(deliver)] {
+            if (m_replicas[index].m_exchange) {
+                deliver(*m_replicas[index].m_exchange);
+            }
+        });
+    }
+
+    void endFollow(std::size_t follower, const Core::Address &peer)
+    {
+        sendToExchange(follower, [this, peer](Transfer::Exchange &exchange) { exchange.onFollowEnded(peer, m_now); });
+    }
+
+    void failRequest(std::size_t receiver, Transfer::RequestId request, Transfer::Failure failure)
+    {
+        sendToExchange(receiver, [this, request, failure](Transfer::Exchange &exchange) { exchange.onRequestFailed(request, failure, m_now); });
+    }
+
     void perform(std::size_t index, const Transfer::Action &action)
     {
         switch (action.m_kind) {
@@ -273,7 +334,7 @@
             break;
         case Transfer::ActionKind::ProbeOrigin:
             ++m_probes;
-            send([this, index] { m_replicas[index].m_exchange->onOriginProbed(isOriginReachable(), m_now); });
+            sendToExchange(index, [this](Transfer::Exchange &exchange) { exchange.onOriginProbed(isOriginReachable(), m_now); });
             break;
         case Transfer::ActionKind::Cancel:
             cancel(index, action.m_request);
@@ -283,12 +344,16 @@
 
     void acceptFollower(std::size_t follower, std::size_t peer)
     {
+        if (m_replicas[peer].m_isDown) {
+            endFollow(follower, m_replicas[peer].m_planned.m_wire);
+            return;
+        }
         m_replicas[peer].m_followers.push_back(follower);
         if (m_replicas[peer].m_exchange) {
             sendSnapshot(m_replicas[peer], follower);
             return;
         }
-        send([this, follower, address = m_replicas[peer].m_planned.m_wire] { m_replicas[follower].m_exchange->onUpdate(address, {}, m_now); });
+        sendToExchange(follower, [this, address = m_replicas[peer].m_planned.m_wire](Transfer::Exchange &exchange) { exchange.onUpdate(address, {}, m_now); });
     }
 
     Transfer::HaveUpdate makeUpdate(const Replica &replica) const
@@ -313,11 +378,8 @@
     {
         replica.m_messageBytesSent += MessageBytes;
         m_replicas[follower].m_messageBytesReceived += MessageBytes;
-        send([this, follower, update, address = replica.m_planned.m_wire] {
-            if (m_replicas[follower].m_exchange) {
-                m_replicas[follower].m_exchange->onUpdate(address, update, m_now);
-            }
-        });
+        sendToExchange(follower,
+                       [this, update, address = replica.m_planned.m_wire](Transfer::Exchange &exchange) { exchange.onUpdate(address, update, m_now); });
     }
 
     void announce(Replica &replica)
@@ -338,6 +400,10 @@
     void acceptRequest(std::size_t receiver, std::size_t sender, const Transfer::Action &action)
     {
         Replica &replica = m_replicas[sender];
+        if (!replica.m_exchange) {
+            failRequest(receiver, action.m_request, Transfer::Failure::Unavailable);
+            return;
+        }
         std::vector<Transfer::QueuedUpload> waiting;
         for (const QueuedRequest &queued : replica.m_queue) {
             waiting.push_back(queued.m_upload);
@@ -347,7 +413,7 @@
         limits.m_waiting = Transfer::queuedUploadLimit(
             m_parameters.m_chunkBytes, transferSettings.m_uploadBytesPerSecond, transferSettings.m_uploadQueueTime, transferSettings.m_queuedUploads);
         if (!Transfer::canQueueUpload(waiting, action.m_forRegion, limits)) {
-            send([this, receiver, id = action.m_request] { m_replicas[receiver].m_exchange->onRequestFailed(id, Transfer::Failure::Busy, m_now); });
+            failRequest(receiver, action.m_request, Transfer::Failure::Busy);
             return;
         }
         const Transfer::QueuedUpload upload{replica.m_nextSequence++, "digest", action.m_chunk, action.m_forRegion};
@@ -365,7 +431,10 @@
     void startNextUpload(std::size_t sender)
     {
         Replica &replica = m_replicas[sender];
-        std::erase_if(replica.m_queue, [this](const QueuedRequest &queued) { return !m_replicas[queued.m_receiver].m_exchange->hasRequest(queued.m_request); });
+        std::erase_if(replica.m_queue, [this](const QueuedRequest &queued) {
+            const std::unique_ptr<Transfer::Exchange> &receiver = m_replicas[queued.m_receiver].m_exchange;
+            return !receiver || !receiver->hasRequest(queued.m_request);
+        });
         if (replica.m_isUploading || replica.m_queue.empty()) {
             return;
         }
@@ -392,7 +461,7 @@
     void requestFromOrigin(std::size_t receiver, const Transfer::Action &action)
     {
         if (!isOriginReachable()) {
-            send([this, receiver, id = action.m_request] { m_replicas[receiver].m_exchange->onRequestFailed(id, Transfer::Failure::Unavailable, m_now); });
+            failRequest(receiver, action.m_request, Transfer::Failure::Unavailable);
             return;
         }
         const double bytes = m_parameters.m_chunkBytes + RequestOverheadBytes;
@@ -527,7 +596,7 @@
     void reportProgress(const Flow &flow)
     {
         const double received = m_parameters.m_chunkBytes - flow.m_remainingBytes;
-        if (flow.m_sender && received > 0) {
+        if (flow.m_sender && received > 0 && !flow.m_isCancelled) {
             m_replicas[flow.m_receiver].m_exchange->onRequestProgress(flow.m_request, static_cast<std::uint64_t>(received), m_now);
         }
     }
--- a/Libraries/LibEmulator/SwarmEmulator.h
+++ b/Libraries/LibEmulator/SwarmEmulator.h
@@ -34,6 +34,9 @@
     Core::Duration m_startSpread{100}; ///< The replicas learn of the version at random times within this delay.
     double m_joiningShare = 0; ///< Share of the replicas that join during the distribution. The others do not know them before.
     Core::Duration m_joinDelay{300}; ///< They join, and the others learn of them, at random times within m_startSpread after this delay.
+    double m_restartingShare = 0; ///< Share of the replicas whose processes are killed and start again without chunks.
+    Core::Duration m_killDelay{1000}; ///< They are killed at random times within m_startSpread after this delay.
+    Core::Duration m_restartDelay{200}; ///< From the kill to the restart.
     double m_slowShare = 0; ///< Share of the replicas whose links are slow.
     double m_slowFactor = 0.09; ///< Rate of a slow link, relative to m_instanceRate.
     std::optional<Span> m_originOutage;
--- a/Tests/LibEmulator/TestSwarm.cpp
+++ b/Tests/LibEmulator/TestSwarm.cpp
@@ -132,3 +132,12 @@
     REQUIRE(result.m_completedAfter.size() == Replicas);
     CHECK(result.m_originCopies < 1.1);
 }
+
+TEST_CASE("Replicas that restart without chunks during a version do not download what others have taken over from them")
+{
+    SwarmParameters parameters = fleet();
+    parameters.m_restartingShare = 0.3;
+    const SwarmResult result = Emulator::emulateSwarm(parameters);
+    REQUIRE(result.m_completedAfter.size() == Replicas);
+    CHECK(result.m_originCopies < 1.1);
+}
