LibHttp: Tell a connection that timed out from one that was refused

What callers could see: answers of weights that no version has.

Cause: fetch() replaced the code of every call that sent nothing by Unavailable.

Evidence: LibHttp/TestClientCall, 'A connection that is not established within its time limit is reported as Timeout', failed before (Unavailable). LibStaging/TestWeightsManager has the agent's side, which holds as soon as the code arrives.

Change: a connect that times out is Timeout. wasRejected() counts it as a call without effect, as before. No other place compares these codes.

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -255,8 +255,10 @@
         return;
     }
     Core::Error error = end.m_error;
-    if (error.m_code != Core::ErrorCode::Corrupt) {
-        error.m_code = end.m_wasSent ? Core::ErrorCode::Ambiguous : Core::ErrorCode::Unavailable;
+    if (end.m_wasSent && error.m_code != Core::ErrorCode::Corrupt) {
+        error.m_code = Core::ErrorCode::Ambiguous;
+    } else if (!end.m_wasSent && error.m_code != Core::ErrorCode::Timeout) {
+        error.m_code = Core::ErrorCode::Unavailable;
     }
     state.m_done(std::move(error));
 }
--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -106,7 +106,8 @@
 
 /**
  * Makes a call and reads the complete answer, with at most @p maximumBytes of body. Fails with Ambiguous if the request may have reached the
- * peer, with Unavailable if it has not, and with Corrupt if the answer is malformed or too long.
+ * peer, with Corrupt if the answer is malformed or too long, and otherwise with Timeout if no connection was established within the limit, for example because
+ * the peer is frozen, or with Unavailable if the peer refused it.
  */
 std::shared_ptr<ClientCall> fetch(EventLoop &loop,
                                   const Core::Address &peer,
--- a/Libraries/LibStaging/EngineControl.h
+++ b/Libraries/LibStaging/EngineControl.h
@@ -6,6 +6,8 @@
 #include "LibFleet/Endpoint.h"
 #include "LibWeights/Manifest.h"
 
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <optional>
 
@@ -54,7 +56,8 @@
 /// Returns whether a call to an engine has failed without any effect, now or later.
 inline bool wasRejected(const Core::Result<void> &result)
 {
-    return !result && (result.error().m_code == Core::ErrorCode::Conflict || result.error().m_code == Core::ErrorCode::Unavailable);
+    constexpr std::array<Core::ErrorCode, 3> codes{Core::ErrorCode::Conflict, Core::ErrorCode::Unavailable, Core::ErrorCode::Timeout};
+    return !result && std::find(codes.begin(), codes.end(), result.error().m_code) != codes.end();
 }
 
 /**
--- a/Tests/LibHttp/TestClientCall.cpp
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -106,6 +106,34 @@
     CHECK(result->error().m_code == Core::ErrorCode::Unavailable);
 }
 
+TEST_CASE("A connection that is not established within its time limit is reported as Timeout")
+{
+    // Guards against taking a peer that is frozen or cut off for one that is not running, which refuses connections at once.
+    Http::EventLoop loop;
+    boost::asio::ip::tcp::acceptor acceptor(loop);
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind(TestSupport::loopback(0));
+    acceptor.listen(0);
+    constexpr std::size_t backlogConnections = 4; // More than an unaccepted backlog of this length takes. The system drops further attempts.
+    std::vector<Http::Socket> backlog;
+    for (std::size_t index = 0; index < backlogConnections; ++index) {
+        backlog.emplace_back(loop).async_connect(acceptor.local_endpoint(), [](const boost::system::error_code &) {});
+    }
+    runUntil(
+        loop, [] { return false; }, std::chrono::milliseconds(20));
+    Http::ClientCallLimits limits;
+    limits.m_connectTimeout = Core::Duration(50);
+    std::optional<Core::Result<Http::CompleteAnswer>> result;
+    Http::fetch(loop,
+                Core::Address{"127.0.0.1", acceptor.local_endpoint().port()},
+                Http::ClientRequest{},
+                limits,
+                100,
+                [&result](Core::Result<Http::CompleteAnswer> answer) { result = std::move(answer); });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    CHECK(result->error().m_code == Core::ErrorCode::Timeout);
+}
+
 namespace {
 
 constexpr Core::Duration IdleLimit{40};
--- a/Tests/LibStaging/TestWeightsManager.cpp
+++ b/Tests/LibStaging/TestWeightsManager.cpp
@@ -39,6 +39,7 @@
     std::vector<std::uint64_t> m_loadedVersions; ///< Versions of the accepted orders.
     std::size_t m_reads = 0;
     bool m_isUnreachable = false; ///< The engine does not respond.
+    Core::ErrorCode m_statusError = Core::ErrorCode::Unavailable; ///< With which reading its status fails while it is unreachable.
     bool m_isOriginUnreachable = false; ///< Reading a manifest fails.
     bool m_isOriginSilent = false; ///< Reading a manifest never ends.
     std::size_t m_manifestReads = 0;
@@ -111,7 +112,7 @@
     result.m_readStatus = [&loop, &engine](Staging::Done<Staging::EngineStatus> done) {
         boost::asio::post(loop, [&engine, done] {
             if (engine.m_isUnreachable) {
-                done(Core::makeError(Core::ErrorCode::Unavailable, "read report", "engine", "refused"));
+                done(Core::makeError(engine.m_statusError, "read report", "engine", "not connected"));
             } else {
                 done(engine.m_status);
             }
@@ -564,6 +565,29 @@
     CHECK(fixture.m_engine.hasOnlyLoadedOrderedChunks());
 }
 
+TEST_CASE("An engine that an agent cannot connect to within the time limit is not taken for one that was down")
+{
+    // Guards against an agent that restarts beside a frozen engine and stages a newer version under an order of its predecessor.
+    WeightsManagerFixture fixture;
+    fixture.m_engine.fill(2);
+    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 1, {}}};
+    fixture.m_engine.m_heldOrders = {Staging::LoadOrder{Model, 2, Staging::RunningRequestPolicy::Finish, 12, 0}};
+    fixture.m_engine.m_ordersToHold = 1;
+    fixture.m_engine.m_isUnreachable = true;
+    fixture.m_engine.m_statusError = Core::ErrorCode::Timeout;
+    fixture.declare(3);
+    fixture.m_manager.start();
+    runUntil(
+        fixture.m_loop, [] { return false; }, std::chrono::milliseconds(50));
+    fixture.m_engine.m_isUnreachable = false;
+    REQUIRE(fixture.supplyChunks(3));
+    runUntil(
+        fixture.m_loop, [&fixture] { return !fixture.m_engine.m_orders.empty(); }, std::chrono::milliseconds(100));
+    fixture.m_engine.processHeldOrders();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_loadedVersions == std::vector<std::uint64_t>{2, 3}; }));
+    CHECK(fixture.m_engine.hasOnlyLoadedOrderedChunks());
+}
+
 TEST_CASE("A staged chunk that cannot be read does not free the staging area of an order of a predecessor")
 {
     WeightsManagerFixture fixture;
