--- a/Tests/LibRelay/TestRelay.cpp
+++ b/Tests/LibRelay/TestRelay.cpp
@@ -368,6 +368,27 @@
     CHECK(fixture.statusOf("/book/x", "Key: k\r\nPatience: 80\r\n") == "504");
 }
 
+TEST_CASE("a repeated request is cancelled at its second endpoint when the caller's time is over")
+{
+    // Guards against an engine that works on a repeat whose caller has left.
+    RelayFixture fixture;
+    fixture.configure();
+    std::vector<std::shared_ptr<ScriptedConnection>> attempts;
+    const ScriptedServer::Script silent = [&attempts](const std::shared_ptr<ScriptedConnection> &connection) { attempts.push_back(connection); };
+    fixture.addEndpoint(silent);
+    fixture.addEndpoint(silent);
+    const bool leavesBefore = GENERATE(false, true);
+    RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+    caller.send("GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nPatience: 500\r\n\r\n"); // The first attempt is given up after 400 ms.
+    REQUIRE(runUntil(fixture.m_loop, [&attempts] { return attempts.size() == 2; }));
+    CHECK(runUntil(fixture.m_loop, [&attempts] { return attempts[0]->isDisconnected(); }));
+    if (leavesBefore) {
+        caller.close();
+    }
+    CHECK(runUntil(
+        fixture.m_loop, [&attempts] { return attempts[1]->isDisconnected(); }, std::chrono::seconds(2)));
+}
+
 TEST_CASE("a stream that moves to another endpoint gets the highest priority")
 {
     // An engine interrupts a running stream to load other weights. If the stream queued behind new requests at the next engine, its caller, which is already
