--- a/Libraries/LibTransfer/Exchange.h
+++ b/Libraries/LibTransfer/Exchange.h
@@ -83,7 +83,7 @@
  * without coordination, and the load is spread over all links.
  *
  * Ranks follow from the list of replicas, which may change during a transfer and differ between replicas. So every replica announces which chunks it is
- * fetching from the origin or from another region, and a replica that becomes the first leaves these chunks to it while it makes progress.
+ * fetching from the origin or from another region, and a replica that becomes the first leaves these chunks to it until it fails, is absent or takes too long.
  */
 class Exchange
 {
--- a/Tests/LibEmulator/TestSwarm.cpp
+++ b/Tests/LibEmulator/TestSwarm.cpp
@@ -105,8 +105,7 @@
 
 TEST_CASE("Replicas that join during a version do not download again what others are downloading")
 {
-    // Guards against a second plan that names other replicas first for chunks that are on their way. An origin that goes down after 1.3 copies has then not
-    // sent every chunk.
+    // Guards against a second plan by which other replicas download chunks that are on their way.
     SwarmParameters parameters;
     parameters.m_replicasPerRegion = {8};
     parameters.m_chunkCount = 16;
