LibRelay: Log how the end of an endpoint's answer is known

The logs of an answer did not tell whether it was delimited by a length, by chunks or by the close of its connection, nor whether a stream ended inside an event, so the hypotheses about interrupted answers could not be told apart. The lines of requests have both now, answers that end with their connection always get a line, and relay_answers_total counts answers by how their end is known. Nothing is decided by it yet.

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -36,6 +36,19 @@
     return head + "\r\n";
 }
 
+using AnswerParser = Beast::http::response_parser<Beast::http::buffer_body>;
+
+BodyEnd bodyEndOf(const AnswerParser &parser)
+{
+    if (parser.chunked() && !parser.is_done()) {
+        return BodyEnd::LastChunk;
+    }
+    if (parser.need_eof()) {
+        return BodyEnd::Close;
+    }
+    return parser.is_done() && parser.content_length().value_or(1) != 0 ? BodyEnd::NoBody : BodyEnd::Length;
+}
+
 }
 
 struct ClientCall::State
@@ -51,7 +64,7 @@
     Socket m_socket;
     ProgressTimer m_timer;
     Beast::flat_buffer m_buffer;
-    Beast::http::response_parser<Beast::http::buffer_body> m_parser;
+    AnswerParser m_parser;
     std::array<char, ReadBytes> m_chunk;
     std::string m_outgoing; ///< Must stay valid until the write has ended.
 };
@@ -157,7 +170,7 @@
     for (const Beast::http::fields::value_type &field : message) {
         head.m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
     }
-    head.m_isChunked = m_state->m_parser.chunked();
+    head.m_bodyEnd = bodyEndOf(m_state->m_parser);
     if (m_state->m_parser.content_length()) {
         head.m_contentLength = *m_state->m_parser.content_length();
     }
--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Clock.h"
+#include "LibHttp/BodyEnd.h"
 #include "LibHttp/EventLoop.h"
 #include "LibHttp/HeaderFields.h"
 
@@ -25,8 +26,8 @@
     int m_status = 0;
     std::string m_reason;
     HeaderFields m_fields;
-    bool m_isChunked = false;
-    std::optional<std::uint64_t> m_contentLength;
+    BodyEnd m_bodyEnd = BodyEnd::NoBody;
+    std::optional<std::uint64_t> m_contentLength; ///< As stated in the head, also if there is no body.
 };
 
 /// How a call ended.
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -17,6 +17,10 @@
     , m_retries(metrics.counter("relay_repeats_total"))
     , m_resumed(metrics.counter("relay_streams_resumed_total"))
     , m_limitReached(metrics.counter("relay_limit_reached_total"))
+    , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
+                &metrics.counter("relay_answers_total{body_end=\"length\"}"),
+                &metrics.counter("relay_answers_total{body_end=\"last_chunk\"}"),
+                &metrics.counter("relay_answers_total{body_end=\"close\"}")}
     , m_firstByte(metrics.latency("relay_first_byte_seconds"))
     , m_completeAnswer(metrics.latency("relay_whole_answer_seconds"))
 {
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -15,6 +15,7 @@
 #include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
 
+#include <array>
 #include <memory>
 #include <set>
 
@@ -67,6 +68,7 @@
     Telemetry::Counter &m_retries;
     Telemetry::Counter &m_resumed;
     Telemetry::Counter &m_limitReached;
+    std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
     Telemetry::Latency &m_completeAnswer;
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -380,6 +380,8 @@
 
 void RelayedRequest::onHead(const Http::AnswerHead &head)
 {
+    m_bodyEnd = head.m_bodyEnd;
+    m_relay.m_counters.m_answers[static_cast<std::size_t>(head.m_bodyEnd)]->add();
     const AnswerFacts facts = m_relay.m_dialect.m_readAnswer(head.m_fields);
     const Core::Instant now = Core::Clock::now();
     // Agents report the load of engines, including whether they are loading weights. Plain services have no agents.
@@ -606,8 +608,8 @@
 void RelayedRequest::logEnd(RequestOutcome outcome, int status, const std::string &reason)
 {
     const bool isSuccess = outcome == RequestOutcome::Answered;
-    const bool isFirstAttemptSuccess = isSuccess && m_attempts == 1;
-    if (isFirstAttemptSuccess && ++m_relay.m_successes % m_relay.m_settings.m_successSampleInterval != 0) {
+    const bool isOrdinarySuccess = isSuccess && m_attempts == 1 && m_bodyEnd != Http::BodyEnd::Close;
+    if (isOrdinarySuccess && ++m_relay.m_successes % m_relay.m_settings.m_successSampleInterval != 0) {
         return;
     }
     Telemetry::LogLine line("request");
@@ -625,6 +627,9 @@
         line.number("sent_since", static_cast<std::int64_t>(m_attempt->m_load.m_sentSinceReport));
         line.number("report_age_ms", static_cast<std::int64_t>(m_attempt->m_reportAge.count()));
     }
+    if (m_bodyEnd) {
+        line.text("body_end", Http::bodyEndName(*m_bodyEnd)).number("partial_event_bytes", static_cast<std::int64_t>(m_framer.partialEvent().size()));
+    }
     if (!reason.empty()) {
         line.text("reason", reason);
     }
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -140,6 +140,7 @@
     bool m_mayHaveRun = false; ///< Some attempt may have run. From then on no answer may state that the request did not run.
     bool m_hasMetRestartedEngine = false; ///< An engine had restarted since it was listed. It holds no weights yet, and other engines probably hold none.
     bool m_isHeadForwarded = false;
+    std::optional<Http::BodyEnd> m_bodyEnd; ///< Of the last answer whose head has arrived.
     bool m_isEventStream = false;
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
