--- a/Tests/Support/LoopbackPeer.h
+++ b/Tests/Support/LoopbackPeer.h
@@ -63,6 +63,12 @@
         return m_isClosed;
     }
 
+    /// Returns whether the peer closed the connection with a TCP reset.
+    bool isReset() const
+    {
+        return m_isReset;
+    }
+
 private:
     void read()
     {
@@ -72,6 +78,7 @@
             }
             if (error) {
                 m_isClosed = true;
+                m_isReset = error != boost::asio::error::eof;
                 return;
             }
             m_received.append(m_buffer.data(), size);
@@ -83,6 +90,7 @@
     std::array<char, 4096> m_buffer{};
     std::string m_received;
     bool m_isClosed = false;
+    bool m_isReset = false;
 };
 
 /// One accepted connection of a ScriptedServer.
