LibHttp, LibRelay: Never state more about the end of an answer than its endpoint did

What callers saw: answers without a length, cut short by a crash of their engine, came in chunks with a last chunk, as if complete.

Cause: the relay chose the framing by what it lacked. An answer with neither a length nor chunks was sent in chunks, and the end of the engine's connection, the only sign of its end, became a last chunk, which says that the body is complete. The same choice added a last chunk behind answers that have no body (204, 304, HEAD), where the caller reads it as the next answer, and gave HTTP/1.0 callers an orderly close after a break.

LibHttp/TestServer: two new cases.

Change: how the end of a body is known (Http::BodyEnd) is a property of the answer, from the client call to the caller's connection. What ends with the engine's connection ends with the caller's. Until such an answer is finished its connection can only end with a reset (SO_LINGER with no time), also if the process is killed or the connection object goes. A stream whose first part had chunks and whose last part has no length is never ended with a last chunk. A stream without a length and without an event counts as broken off. An answer whose end is not known is no evidence that its endpoint is healthy.

Not knowable: whether an answer without a length that ends in order, between two events, is complete. It reaches the caller as the endpoint sent it.

--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -33,7 +33,8 @@
 /// How a call ended.
 struct ClientCallEnd
 {
-    bool m_isComplete = false; ///< The answer is complete according to its framing.
+    /// The answer has ended as its BodyEnd demands. This does not show that a body which ends with its connection is complete.
+    bool m_isComplete = false;
     bool m_wasSent = false; ///< Some of the request may have reached the peer. False guarantees that the request has not run.
     Core::Error m_error; ///< Why the answer is incomplete.
 };
@@ -106,7 +107,8 @@
 };
 
 /**
- * Makes a call and reads the complete answer, with at most @p maximumBytes of body. Fails with Ambiguous if the request may have reached the
+ * Makes a call and reads the complete answer, with at most @p maximumBytes of body. If the body ends with its connection, it may be truncated, and its reader
+ * must be able to tell from the content. Fails with Ambiguous if the request may have reached the
  * peer, with Corrupt if the answer is malformed or too long, and otherwise with Timeout if no connection was established within the limit, for example because
  * the peer is frozen, or with Unavailable if the peer refused it.
  */
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -26,6 +26,8 @@
 /// Interval between checks whether a caller has left that has sent its next request already. Short compared to the time that an answer takes of an engine.
 constexpr Core::Duration CloseCheckInterval{50};
 constexpr unsigned HttpVersion11 = 11; ///< HTTP/1.1 as the parser encodes it.
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 
 std::string encodeAnswerHead(int status, const std::string &reason, const HeaderFields &fields)
 {
@@ -107,7 +109,10 @@
     m_state->m_peer = error ? std::string("unknown") : peer.address().to_string() + ":" + std::to_string(peer.port());
 }
 
-ServerConnection::~ServerConnection() = default;
+ServerConnection::~ServerConnection()
+{
+    close(); // The destructor of the socket would turn a reset into an orderly end.
+}
 
 void ServerConnection::start()
 {
@@ -252,7 +257,7 @@
     m_isReading = false;
     const RequestParser::value_type &message = m_state->m_parser->get();
     m_closeAfterAnswer = !message.keep_alive();
-    m_isChunked = false;
+    m_bodyEnd = BodyEnd::NoBody;
     ServerRequest request;
     request.m_method = std::string(message.method_string());
     request.m_target = std::string(message.target());
@@ -340,7 +345,7 @@
 
 void ServerConnection::answer(int status, HeaderFields fields, std::string body)
 {
-    beginAnswer(status, reasonPhrase(status), std::move(fields), AnswerFraming{body.size()});
+    beginAnswer(status, reasonPhrase(status), std::move(fields), AnswerFraming{BodyEnd::Length, body.size()});
     sendBody(body);
     finish();
 }
@@ -350,28 +355,41 @@
     if (m_isClosed) {
         return;
     }
-    const bool isHttp10Caller = m_state->m_parser && m_state->m_parser->is_header_done() && m_state->m_parser->get().version() < HttpVersion11;
-    m_isChunked = !framing.m_length && !isHttp10Caller;
-    m_closeAfterAnswer = m_closeAfterAnswer || m_context->m_isClosing || (!framing.m_length && isHttp10Caller);
-    const bool hasNoBody = status == 204 || status == 304;
-    if (framing.m_length && !hasNoBody) {
+    m_bodyEnd = supportedBodyEnd(status, framing.m_end);
+    m_closeAfterAnswer = m_closeAfterAnswer || m_context->m_isClosing || m_bodyEnd == BodyEnd::Close;
+    const bool mayStateLength = status != NoContent && status != NotModified;
+    if (framing.m_length && mayStateLength) {
         fields.push_back(HeaderField{"Content-Length", std::to_string(*framing.m_length)});
     }
-    if (m_isChunked) {
+    if (m_bodyEnd == BodyEnd::LastChunk) {
         fields.push_back(HeaderField{"Transfer-Encoding", "chunked"});
     }
     if (m_closeAfterAnswer) {
         fields.push_back(HeaderField{"Connection", "close"});
     }
+    if (m_bodyEnd == BodyEnd::Close) {
+        setEndsWithReset(true);
+    }
     write(encodeAnswerHead(status, reason, fields) + "\r\n");
 }
 
+BodyEnd ServerConnection::supportedBodyEnd(int status, BodyEnd wanted) const
+{
+    const bool isRequestKnown = m_state->m_parser && m_state->m_parser->is_header_done();
+    const bool isHeadRequest = isRequestKnown && m_state->m_parser->get().method() == Beast::http::verb::head;
+    if (isHeadRequest || status == NoContent || status == NotModified) {
+        return BodyEnd::NoBody;
+    }
+    const bool isHttp10Caller = isRequestKnown && m_state->m_parser->get().version() < HttpVersion11;
+    return wanted == BodyEnd::LastChunk && isHttp10Caller ? BodyEnd::Close : wanted;
+}
+
 void ServerConnection::sendBody(std::string_view bytes)
 {
-    if (m_isClosed || bytes.empty()) {
+    if (m_isClosed || bytes.empty() || m_bodyEnd == BodyEnd::NoBody) {
         return;
     }
-    write(m_isChunked ? encodeChunk(bytes) : std::string(bytes));
+    write(m_bodyEnd == BodyEnd::LastChunk ? encodeChunk(bytes) : std::string(bytes));
 }
 
 void ServerConnection::finish()
@@ -379,7 +397,7 @@
     if (m_isClosed || !m_isAnswering) {
         return;
     }
-    if (m_isChunked) {
+    if (m_bodyEnd == BodyEnd::LastChunk) {
         write("0\r\n\r\n");
     }
     m_onPeerClosed = nullptr;
@@ -457,6 +475,7 @@
         awaitRequest();
         return;
     }
+    setEndsWithReset(false);
     // Closing at once with unread bytes could reset the connection, and the caller would lose the answer.
     boost::system::error_code ignored;
     m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
@@ -466,6 +485,12 @@
     m_state->m_lingerTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
 }
 
+void ServerConnection::setEndsWithReset(bool endsWithReset)
+{
+    boost::system::error_code ignored; // The peer may have reset the connection, which then ends so in any case.
+    m_state->m_socket.set_option(Asio::socket_base::linger(endsWithReset, 0), ignored);
+}
+
 void ServerConnection::closeIfIdle()
 {
     if (!m_isAnswering && !m_isReading && m_state->m_outgoing.empty()) {
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Clock.h"
+#include "LibHttp/BodyEnd.h"
 #include "LibHttp/EventLoop.h"
 #include "LibHttp/HeaderFields.h"
 
@@ -47,14 +48,16 @@
 /// How the body of an answer is delimited.
 struct AnswerFraming
 {
-    std::optional<std::uint64_t> m_length; ///< If empty, the body is sent in chunks, or for HTTP/1.0 callers until the connection closes.
+    BodyEnd m_end = BodyEnd::LastChunk; ///< HTTP/1.0 callers know no chunks; for them such a body ends with the connection.
+    std::optional<std::uint64_t> m_length; ///< Set for BodyEnd::Length. May be set without a body, for an answer to HEAD.
 };
 
 /**
  * One accepted connection. The handler of a request keeps the connection alive by holding the pointer that it receives.
  *
  * Exactly one answer is sent for each request. If the source of an answer fails, abort() closes the connection, so that the caller cannot mistake
- * the part that it has received for a complete answer.
+ * the part that it has received for a complete answer. A body that ends with the connection is complete for the caller if the connection ends in order, so
+ * until finish() such a connection can only end with a reset, also if the process is killed.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
@@ -101,10 +104,14 @@
     void watchForPeerClose();
     void checkForPeerClose();
     void awaitCloseAfterInput();
+    /// Returns how the body of an answer to the current request ends if the handler wants it to end like @p wanted.
+    BodyEnd supportedBodyEnd(int status, BodyEnd wanted) const;
     void write(std::string bytes);
     void writeNext();
     void onWritten(const boost::system::error_code &error);
     void onAnswerEnded();
+    /// Sets whether the connection ends with a reset instead of in order, whatever closes it.
+    void setEndsWithReset(bool endsWithReset);
     void handlePeerClosed();
     void startTimer(Core::Duration limit, std::function<void()> onExpiry);
     void close();
@@ -114,7 +121,7 @@
     std::function<void()> m_onPeerClosed;
     std::function<void()> m_onDrained;
     bool m_isAnswering = false; ///< A request was passed to the handler or rejected, and its answer has not ended.
-    bool m_isChunked = false; ///< Framing of the current answer.
+    BodyEnd m_bodyEnd = BodyEnd::NoBody; ///< Of the current answer.
     bool m_isReading = false; ///< A request is being read.
     bool m_isRejected = false; ///< An error was sent before the request was complete; the rest of the request is ignored.
     bool m_closeAfterAnswer = false;
--- a/Libraries/LibPlacement/EndpointTracker.cpp
+++ b/Libraries/LibPlacement/EndpointTracker.cpp
@@ -72,10 +72,14 @@
     entry.m_engineReportedAt = now;
 }
 
-void EndpointTracker::recordSuccess(const Fleet::Endpoint &endpoint, double milliseconds)
+void EndpointTracker::recordSuccess(const Fleet::Endpoint &endpoint)
+{
+    getOrCreate(endpoint).m_consecutiveFailures = 0;
+}
+
+void EndpointTracker::recordAnswerTime(const Fleet::Endpoint &endpoint, double milliseconds)
 {
     EndpointRecord &entry = getOrCreate(endpoint);
-    entry.m_consecutiveFailures = 0;
     entry.m_averageMilliseconds =
         entry.m_averageMilliseconds == 0 ? milliseconds : entry.m_averageMilliseconds + AverageWeight * (milliseconds - entry.m_averageMilliseconds);
 }
--- a/Libraries/LibPlacement/EndpointTracker.h
+++ b/Libraries/LibPlacement/EndpointTracker.h
@@ -76,8 +76,10 @@
     void recordLoad(const Fleet::Endpoint &endpoint, std::uint32_t running, std::uint32_t waiting, Core::Instant now);
     /// Records an agent's report.
     void recordEngineReport(const Fleet::Endpoint &endpoint, const EngineReport &report, Core::Instant now);
-    /// Records a complete answer. @p milliseconds: from sending the request to the end of the answer.
-    void recordSuccess(const Fleet::Endpoint &endpoint, double milliseconds);
+    /// Records the time from sending a request to the end of its answer.
+    void recordAnswerTime(const Fleet::Endpoint &endpoint, double milliseconds);
+    /// Records an answer that is known to be complete.
+    void recordSuccess(const Fleet::Endpoint &endpoint);
     /// Records a failed request, after which the endpoint is avoided for a time.
     void recordFailure(const Fleet::Endpoint &endpoint, EndpointFailure failure, Core::Instant now);
     /// Removes the records of endpoints that are not in @p known.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -342,6 +342,7 @@
     attempt.m_reportAge = choice.m_reportAge;
     attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
     m_attempt = std::move(attempt);
+    m_hasAttemptForwardedEvents = false;
     ++m_attempts;
     m_relay.m_parts.m_endpointTracker.recordSent(choice.m_endpoint);
     m_relay.m_parts.m_slotTracker.recordSent(choice.m_endpoint.m_id);
@@ -426,11 +427,16 @@
             self->m_attempt->m_call->resume();
         }
     });
-    Http::AnswerFraming framing;
-    if (!m_isEventStream) {
-        framing.m_length = head.m_contentLength;
-    }
-    m_connection->beginAnswer(head.m_status, head.m_reason, Http::endToEndFields(head.m_fields), framing);
+    m_framing = framing(head);
+    m_connection->beginAnswer(head.m_status, head.m_reason, Http::endToEndFields(head.m_fields), m_framing);
+}
+
+Http::AnswerFraming RelayedRequest::framing(const Http::AnswerHead &head) const
+{
+    // The relay must not state more about the end of an answer than its endpoint did. Chunks state as much as a length, and suit a stream that another endpoint
+    // may continue.
+    const bool isStreamWithEnd = m_isEventStream && (head.m_bodyEnd == Http::BodyEnd::Length || head.m_bodyEnd == Http::BodyEnd::LastChunk);
+    return isStreamWithEnd ? Http::AnswerFraming{Http::BodyEnd::LastChunk, std::nullopt} : Http::AnswerFraming{head.m_bodyEnd, head.m_contentLength};
 }
 
 void RelayedRequest::onData(std::string_view bytes)
@@ -438,6 +444,7 @@
     if (m_isEventStream) {
         const std::string events = m_framer.feed(bytes);
         if (!events.empty()) {
+            m_hasAttemptForwardedEvents = true;
             recordPause();
         }
         m_connection->sendBody(events);
@@ -477,7 +484,17 @@
 void RelayedRequest::onAnswerComplete()
 {
     const Core::Instant now = Core::Clock::now();
-    m_relay.m_parts.m_endpointTracker.recordSuccess(m_attempt->m_endpoint, Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond);
+    const bool isEndKnown = m_bodyEnd != Http::BodyEnd::Close;
+    const bool isEmptyStream = m_isEventStream && !m_hasAttemptForwardedEvents;
+    if (!isEndKnown && (isEmptyStream || m_framing.m_end != Http::BodyEnd::Close)) {
+        onAttemptFailed(Placement::EndpointFailure::ConnectionLost, true, "the connection was closed, and nothing shows that the stream is complete");
+        return;
+    }
+    const double milliseconds = Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond;
+    m_relay.m_parts.m_endpointTracker.recordAnswerTime(m_attempt->m_endpoint, milliseconds);
+    if (isEndKnown) {
+        m_relay.m_parts.m_endpointTracker.recordSuccess(m_attempt->m_endpoint);
+    }
     m_relay.m_counters.m_completeAnswer.record(Core::secondsBetween(m_arrivedAt, now));
     if (m_isEventStream) {
         m_connection->sendBody(m_framer.partialEvent());
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -90,6 +90,8 @@
     /// Records and logs a limit on requests that the endpoint states in its answer.
     void recordLimit(const AnswerFacts &facts);
     void forwardHead(const Http::AnswerHead &head);
+    /// Returns how the answer is delimited for the caller.
+    Http::AnswerFraming framing(const Http::AnswerHead &head) const;
     void onData(std::string_view bytes);
     void onAttemptEnded(const Http::ClientCallEnd &end);
     void recordPause();
@@ -141,7 +143,9 @@
     bool m_hasMetRestartedEngine = false; ///< An engine had restarted since it was listed. It holds no weights yet, and other engines probably hold none.
     bool m_isHeadForwarded = false;
     std::optional<Http::BodyEnd> m_bodyEnd; ///< Of the last answer whose head has arrived.
+    Http::AnswerFraming m_framing; ///< Of the answer to the caller, once its head is forwarded.
     bool m_isEventStream = false;
+    bool m_hasAttemptForwardedEvents = false; ///< The current attempt has contributed events to the stream.
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
     EventFramer m_framer;
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -118,6 +118,43 @@
     CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("An answer that ends with its connection ends in order only if it is finished")
+{
+    enum class Source { Finishes, Aborts, Vanishes };
+    const Source source = GENERATE(Source::Finishes, Source::Aborts, Source::Vanishes);
+    const bool isHttp10 = GENERATE(false, true);
+    CAPTURE(static_cast<int>(source), isHttp10);
+    EchoServer server;
+    std::shared_ptr<Http::ServerConnection> answered;
+    server.m_context->m_onRequest = [&answered, isHttp10](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &) {
+        connection->beginAnswer(200, "OK", {}, Http::AnswerFraming{isHttp10 ? Http::BodyEnd::LastChunk : Http::BodyEnd::Close, std::nullopt});
+        connection->sendBody("part");
+        answered = connection;
+    };
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send(isHttp10 ? "GET / HTTP/1.0\r\nHost: a\r\n\r\n" : "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.received().ends_with("part"); }));
+    if (source == Source::Finishes) {
+        answered->finish();
+    } else if (source == Source::Aborts) {
+        answered->abort();
+    }
+    answered.reset();
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    CHECK(caller.isReset() == (source != Source::Finishes));
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    CHECK(caller.received().ends_with("\r\n\r\npart"));
+}
+
+TEST_CASE("An answer to HEAD has no body")
+{
+    EchoServer server;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("HEAD /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\ntwo");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.received().ends_with("two"); }));
+    CHECK(caller.received().find("\r\n\r\none") == std::string::npos);
+}
+
 TEST_CASE("The server detects a caller that closes its connection before the answer")
 {
     Http::EventLoop loop;
