LibHttp: Send what is queued before an aborted answer's connection closes

What callers saw: if the engine's answer and its break arrived together, the caller got nothing at all, not even the head, although complete events had arrived; a caller that resumes would begin anew.

Cause: abort() closed the connection at once and dropped the bytes that were queued for the next write.

Change: an aborted connection closes once its queue is written, after 200 ms at the latest; nothing is added to it any more.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -26,6 +26,7 @@
 /// Interval between checks whether a caller has left that has sent its next request already. Short compared to the time that an answer takes of an engine.
 constexpr Core::Duration CloseCheckInterval{50};
 constexpr unsigned HttpVersion11 = 11; ///< HTTP/1.1 as the parser encodes it.
+constexpr Core::Duration AbortedWriteLimit{200}; ///< For what is queued of an aborted answer. Longer than a round trip to any caller.
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -340,7 +341,7 @@
 
 bool ServerConnection::isOpen() const
 {
-    return !m_isClosed;
+    return !m_isClosed && !m_isAborted;
 }
 
 void ServerConnection::answer(int status, HeaderFields fields, std::string body)
@@ -386,7 +387,7 @@
 
 void ServerConnection::sendBody(std::string_view bytes)
 {
-    if (m_isClosed || bytes.empty() || m_bodyEnd == BodyEnd::NoBody) {
+    if (m_isClosed || m_isAborted || bytes.empty() || m_bodyEnd == BodyEnd::NoBody) {
         return;
     }
     write(m_bodyEnd == BodyEnd::LastChunk ? encodeChunk(bytes) : std::string(bytes));
@@ -394,7 +395,7 @@
 
 void ServerConnection::finish()
 {
-    if (m_isClosed || !m_isAnswering) {
+    if (m_isClosed || m_isAborted || !m_isAnswering) {
         return;
     }
     if (m_bodyEnd == BodyEnd::LastChunk) {
@@ -410,7 +411,13 @@
 void ServerConnection::abort()
 {
     m_onPeerClosed = nullptr;
-    close();
+    m_onDrained = nullptr;
+    if (m_isClosed || m_state->m_outgoing.empty()) {
+        close();
+        return;
+    }
+    m_isAborted = true;
+    startTimer(AbortedWriteLimit, [this] { close(); });
 }
 
 void ServerConnection::write(std::string bytes)
@@ -457,6 +464,10 @@
         writeNext();
         return;
     }
+    if (m_isAborted) {
+        close();
+        return;
+    }
     if (m_isAnswering) {
         if (m_onDrained) {
             m_onDrained();
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -76,7 +76,7 @@
     void beginAnswer(int status, const std::string &reason, HeaderFields fields, AnswerFraming framing);
     void sendBody(std::string_view bytes);
     void finish();
-    /// Closes the connection without finishing the answer.
+    /// Closes the connection without finishing the answer, once the bytes that are queued have been written, or after a short time.
     void abort();
 
     /// Sets a callback that is called once if the other end closes the connection before the answer has ended.
@@ -124,6 +124,7 @@
     BodyEnd m_bodyEnd = BodyEnd::NoBody; ///< Of the current answer.
     bool m_isReading = false; ///< A request is being read.
     bool m_isRejected = false; ///< An error was sent before the request was complete; the rest of the request is ignored.
+    bool m_isAborted = false; ///< Nothing is added to the answer any more, and the connection closes.
     bool m_closeAfterAnswer = false;
     bool m_isClosed = false; ///< Once true, nothing is read or written any more.
 };
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -118,6 +118,20 @@
     CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
 }
 
+TEST_CASE("The part of an answer that was sent before it is aborted reaches the caller")
+{
+    EchoServer server;
+    server.m_context->m_onRequest = [](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &) {
+        connection->beginAnswer(200, "OK", {}, Http::AnswerFraming{});
+        connection->sendBody("half");
+        connection->abort();
+    };
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    CHECK(caller.received().ends_with("4\r\nhalf\r\n"));
+}
+
 TEST_CASE("An answer that ends with its connection ends in order only if it is finished")
 {
     enum class Source { Finishes, Aborts, Vanishes };
