LibRelay: Treat a stream that ends inside an event as broken off

What callers saw: a stream that its engine broke off inside an event ended as complete, with a part of an event at its end.

Cause: the relay holds an incomplete event back until the rest arrives, and at the end of the engine's answer sent what was left and ended the stream, also if the engine's framing was whole.

Change: an incomplete event is never sent. Such an end counts as a lost connection: the stream is resumed at another endpoint where its route allows it, else the caller's connection is cut.

--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -474,31 +474,39 @@
 void RelayedRequest::onAttemptEnded(const Http::ClientCallEnd &end)
 {
     if (end.m_isComplete) {
-        onAnswerComplete();
+        onBodyEnded();
         return;
     }
     const bool isUnreachable = !end.m_wasSent;
     onAttemptFailed(isUnreachable ? Placement::EndpointFailure::Unreachable : Placement::EndpointFailure::ConnectionLost, end.m_wasSent, end.m_error.message());
 }
 
-void RelayedRequest::onAnswerComplete()
+std::string RelayedRequest::interruption() const
 {
-    const Core::Instant now = Core::Clock::now();
-    const bool isEndKnown = m_bodyEnd != Http::BodyEnd::Close;
+    if (m_isEventStream && !m_framer.partialEvent().empty()) {
+        return "the stream ended inside an event";
+    }
     const bool isEmptyStream = m_isEventStream && !m_hasAttemptForwardedEvents;
-    if (!isEndKnown && (isEmptyStream || m_framing.m_end != Http::BodyEnd::Close)) {
-        onAttemptFailed(Placement::EndpointFailure::ConnectionLost, true, "the connection was closed, and nothing shows that the stream is complete");
+    if (m_bodyEnd == Http::BodyEnd::Close && (isEmptyStream || m_framing.m_end != Http::BodyEnd::Close)) {
+        return "the connection was closed, and nothing shows that the stream is complete";
+    }
+    return {};
+}
+
+void RelayedRequest::onBodyEnded()
+{
+    const std::string reason = interruption();
+    if (!reason.empty()) {
+        onAttemptFailed(Placement::EndpointFailure::ConnectionLost, true, reason);
         return;
     }
+    const Core::Instant now = Core::Clock::now();
     const double milliseconds = Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond;
     m_relay.m_parts.m_endpointTracker.recordAnswerTime(m_attempt->m_endpoint, milliseconds);
-    if (isEndKnown) {
+    if (m_bodyEnd != Http::BodyEnd::Close) {
         m_relay.m_parts.m_endpointTracker.recordSuccess(m_attempt->m_endpoint);
     }
     m_relay.m_counters.m_completeAnswer.record(Core::secondsBetween(m_arrivedAt, now));
-    if (m_isEventStream) {
-        m_connection->sendBody(m_framer.partialEvent());
-    }
     m_connection->finish();
     logEnd(RequestOutcome::Answered, Ok, "");
     endAttempt();
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -95,7 +95,9 @@
     void onData(std::string_view bytes);
     void onAttemptEnded(const Http::ClientCallEnd &end);
     void recordPause();
-    void onAnswerComplete();
+    /// Returns what shows that the answer was broken off although its body has ended as its framing demands; empty if nothing does.
+    std::string interruption() const;
+    void onBodyEnded();
     /// Ends the current attempt after a failure, and retries the request, resumes its stream or ends it.
     void onAttemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
     bool mayRetry(bool mayHaveRun);
