LibRelay: Log the Retry-After of an endpoint's refusal

The log of a refused attempt did not tell whether the endpoint had asked for a time without requests, so a request to a resting engine could not be told from one to a full engine.

--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -61,6 +61,12 @@
     return nullptr;
 }
 
+std::string fieldText(const HeaderFields &fields, std::string_view name)
+{
+    const std::string *value = findField(fields, name);
+    return value ? *value : std::string();
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
--- a/Libraries/LibHttp/HeaderFields.h
+++ b/Libraries/LibHttp/HeaderFields.h
@@ -26,6 +26,9 @@
 /// Returns the value of the first field with that name, or null if there is none.
 const std::string *findField(const HeaderFields &fields, std::string_view name);
 
+/// Returns the value of the first field with that name, or an empty text if there is none.
+std::string fieldText(const HeaderFields &fields, std::string_view name);
+
 /// Parses the text as a decimal number. Returns nothing if the text contains anything else or the number does not fit.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -27,6 +27,7 @@
 
 /// Bytes that may be buffered for a slow caller before reading from its endpoint pauses: a few dozen events.
 constexpr std::size_t MaximumPendingBytes = 64 << 10;
+constexpr std::size_t MaximumLoggedFieldBytes = 64; ///< Of a header field's value.
 constexpr Core::Duration MinimumHeadTimeout{400};
 constexpr Core::Duration MaximumHeadTimeout{2000};
 
@@ -342,6 +343,7 @@
     attempt.m_reportAge = choice.m_reportAge;
     attempt.m_call = std::make_shared<Http::ClientCall>(m_relay.m_parts.m_loop, choice.m_endpoint.m_address, callLimits(), std::move(events));
     m_attempt = std::move(attempt);
+    m_statedRetryAfter.clear();
     m_hasAttemptForwardedEvents = false;
     ++m_attempts;
     m_relay.m_parts.m_endpointTracker.recordSent(choice.m_endpoint);
@@ -389,6 +391,7 @@
     if (facts.m_load && m_service->m_engine.m_slots == 0) {
         m_relay.m_parts.m_endpointTracker.recordLoad(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
     }
+    m_statedRetryAfter = Http::fieldText(head.m_fields, "Retry-After").substr(0, MaximumLoggedFieldBytes);
     recordLimit(facts);
     if (!acceptHead(head, facts)) {
         return;
@@ -533,6 +536,9 @@
     Telemetry::LogLine line("attempt_failed");
     line.text("id", m_facts.m_attemptId).text("route", m_route->m_name).text("endpoint", m_attempt->m_endpoint.m_id);
     line.text("peer", m_attempt->m_endpoint.m_address.toString()).flag("may_have_run", mayHaveRun).text("detail", detail);
+    if (!m_statedRetryAfter.empty()) {
+        line.text("retry_after", m_statedRetryAfter);
+    }
     m_relay.m_parts.m_log.write(line);
     endAttempt();
     // Without a connection nothing of the request was sent, so the failure uses up neither an attempt nor the retry budget. When many endpoints fail at once,
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -144,6 +144,7 @@
     bool m_mayHaveRun = false; ///< Some attempt may have run. From then on no answer may state that the request did not run.
     bool m_hasMetRestartedEngine = false; ///< An engine had restarted since it was listed. It holds no weights yet, and other engines probably hold none.
     bool m_isHeadForwarded = false;
+    std::string m_statedRetryAfter; ///< Retry-After of the last answer whose head has arrived, as received; empty if it had none.
     std::optional<Http::BodyEnd> m_bodyEnd; ///< Of the last answer whose head has arrived.
     Http::AnswerFraming m_framing; ///< Of the answer to the caller, once its head is forwarded.
     bool m_isEventStream = false;
