LibHttp: Accept connections again after the maximum was reached

What callers saw: nothing known; an entry that once had as many connections as it may would refuse every later one.

Cause: closed connections are removed from the listener's list when its length is a multiple of 64. At the maximum nothing is added, the length stays as it is, and if it is no multiple of 64, nothing is removed any more.

Evidence: LibHttp/TestServer, 'A listener that had as many connections as it may accepts others once some have closed', failed before. Found by a test of the relay that opened more connections than its listener takes.

Change: closed connections are removed at the maximum, too.

--- a/Libraries/LibHttp/Listener.cpp
+++ b/Libraries/LibHttp/Listener.cpp
@@ -65,7 +65,7 @@
             });
             return;
         }
-        if (m_connections.size() % RemovalInterval == 0) {
+        if (m_connections.size() % RemovalInterval == 0 || m_connections.size() >= m_maximumConnections) {
             removeClosed();
         }
         if (m_connections.size() < m_maximumConnections) {
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -100,6 +100,17 @@
     CHECK(server.statusOf("GET / HTTP/1.1\r\nHost:") == "408");
 }
 
+TEST_CASE("A listener that had as many connections as it may accepts others once some have closed")
+{
+    EchoServer server;
+    constexpr std::size_t more = 40; // Than the listener accepts at a time.
+    for (std::size_t count = 0; count < more; ++count) {
+        CHECK(server.statusOf("GET / HTTP/1.1\r\nHost: a\r\n\r\n") == "200");
+        runUntil(
+            server.m_loop, [] { return false; }, std::chrono::milliseconds(2));
+    }
+}
+
 TEST_CASE("An aborted answer does not end like a complete one")
 {
     Http::EventLoop loop;
