LibPlacement, LibRelay: Send an endpoint nothing for the time that it asks for

What callers saw: refusals by engines that had asked for rest, second tries used up, and engines in need that were kept busy refusing. An engine that refuses everything looks idle in its reports, so it got more requests than before.

Cause: nothing read Retry-After of an endpoint's refusal. After 60 ms the endpoint was chosen again, and if no other was left, at once. The class: a statement of a peer about what it wants is treated as a preference of our own, which load, success or the lack of others may override.

Change: a backoff belongs to the incarnation of an endpoint. Until its end the endpoint is no candidate and has no slots in forecasts, whatever succeeds, is reported or is left. If all are backed off, a request waits for the first end if it can be sent in time after it; else it is refused at once, with a Retry-After that ends after that.

Not needed: cancelling attempts whose connection is not made yet. They are given up after 350 ms, within the half second that is allowed.

--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace Http {
 
@@ -67,6 +68,25 @@
     return value ? *value : std::string();
 }
 
+std::optional<double> parseDecimal(const std::string &text)
+{
+    double number = 0;
+    const std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
+    const bool isDecimal = result.ec == std::errc() && result.ptr == text.data() + text.size() && std::isfinite(number) && number >= 0;
+    return isDecimal ? std::optional<double>(number) : std::nullopt;
+}
+
+std::optional<Core::Duration> parseRetryAfter(const std::string &value)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    constexpr double maximumSeconds = 1e9; // Decades; larger values would exceed the range of time points.
+    const std::optional<double> seconds = parseDecimal(value);
+    if (!seconds) {
+        return std::nullopt;
+    }
+    return Core::Duration(static_cast<std::int64_t>(std::ceil(std::min(*seconds, maximumSeconds) * millisecondsPerSecond)));
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t number = 0;
--- a/Libraries/LibHttp/HeaderFields.h
+++ b/Libraries/LibHttp/HeaderFields.h
@@ -1,6 +1,8 @@
 /// @file Header fields of HTTP messages, in the order of their arrival, and request targets.
 #pragma once
 
+#include "LibCore/Clock.h"
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -32,6 +34,12 @@
 /// Parses the text as a decimal number. Returns nothing if the text contains anything else or the number does not fit.
 std::optional<std::uint64_t> parseNumber(std::string_view text);
 
+/// Parses the text as a decimal number that is not negative, without an exponent.
+std::optional<double> parseDecimal(const std::string &text);
+
+/// Parses the value of Retry-After as seconds, which may have a fraction. Returns nothing for a date, whose meaning depends on clocks that may differ.
+std::optional<Core::Duration> parseRetryAfter(const std::string &value);
+
 /// Returns whether a field concerns one connection only and must not be passed on. @p connectionValue is the value of the Connection field.
 bool isConnectionField(std::string_view name, std::string_view connectionValue);
 
--- a/Libraries/LibPlacement/Choice.cpp
+++ b/Libraries/LibPlacement/Choice.cpp
@@ -99,6 +99,16 @@
     }
 }
 
+/// Removes the endpoints that have asked this process to send nothing now.
+void removeBackedOff(std::vector<Candidate> &candidates, const ChoiceView &view, ChoiceResult &result)
+{
+    const bool isAnyUsable = !candidates.empty();
+    std::erase_if(candidates, [&view](const Candidate &candidate) { return earliestSend(candidate.m_record->m_backoff) > view.m_now; });
+    if (isAnyUsable && candidates.empty()) {
+        result.m_reason = NoChoiceReason::BackedOff;
+    }
+}
+
 bool isNear(const Candidate &candidate, const ChoiceView &view)
 {
     return candidate.m_endpoint->m_failureDomain == view.m_ownFailureDomain;
@@ -176,6 +186,8 @@
         return "overloaded";
     case NoChoiceReason::LimitReached:
         return "limit_reached";
+    case NoChoiceReason::BackedOff:
+        return "backed_off";
     }
     return "unknown";
 }
@@ -215,6 +227,7 @@
         }
     }
     removeLimited(candidates, view, result);
+    removeBackedOff(candidates, view, result);
     preferListed(candidates);
     preferNewest(candidates, request, view);
     const bool isAnyAvailable =
--- a/Libraries/LibPlacement/Choice.h
+++ b/Libraries/LibPlacement/Choice.h
@@ -57,6 +57,7 @@
     AllTried, ///< The request has already failed at every usable endpoint.
     Overloaded, ///< The engines have no free slot for it.
     LimitReached, ///< Every usable endpoint has stated a limit of which this process may use nothing now.
+    BackedOff, ///< Every usable endpoint has asked this process to send nothing now.
 };
 
 /// Returns the name of the reason in answers and logs.
--- a/Libraries/LibPlacement/EndpointTracker.cpp
+++ b/Libraries/LibPlacement/EndpointTracker.cpp
@@ -21,8 +21,9 @@
 
 }
 
-EndpointTracker::EndpointTracker(AvoidanceSettings settings)
+EndpointTracker::EndpointTracker(AvoidanceSettings settings, BackoffSettings backoffSettings)
     : m_settings(settings)
+    , m_backoffSettings(backoffSettings)
 {
 }
 
@@ -44,9 +45,10 @@
     return isCurrent ? found->second : unknown;
 }
 
-void EndpointTracker::recordSent(const Fleet::Endpoint &endpoint)
+void EndpointTracker::recordSent(const Fleet::Endpoint &endpoint, Core::Instant now)
 {
     EndpointRecord &entry = getOrCreate(endpoint);
+    entry.m_backoff = backoffAfterSend(entry.m_backoff, now, m_backoffSettings);
     ++entry.m_load.m_sentSinceReport;
     ++entry.m_load.m_inFlight;
 }
@@ -97,9 +99,24 @@
     entry.m_avoidUntil = std::max(entry.m_avoidUntil, now + pause);
 }
 
-void EndpointTracker::retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known)
+Backoff EndpointTracker::recordBackoff(const Fleet::Endpoint &endpoint, Core::Duration asked, Core::Duration spread, Core::Instant now)
 {
-    std::erase_if(m_records, [&known](const std::pair<const std::string, EndpointRecord> &entry) { return !known.contains(entry.first); });
+    EndpointRecord &entry = getOrCreate(endpoint);
+    entry.m_backoff = extendedBackoff(entry.m_backoff, asked, spread, now, m_backoffSettings);
+    return entry.m_backoff;
+}
+
+std::size_t EndpointTracker::backedOffCount(Core::Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [now](const std::pair<const std::string, EndpointRecord> &entry) { return entry.second.m_backoff.m_end > now; }));
+}
+
+void EndpointTracker::retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known, Core::Instant now)
+{
+    std::erase_if(m_records, [&known, now](const std::pair<const std::string, EndpointRecord> &entry) {
+        return !known.contains(entry.first) && entry.second.m_backoff.m_end <= now;
+    });
 }
 
 }
--- a/Libraries/LibPlacement/EndpointTracker.h
+++ b/Libraries/LibPlacement/EndpointTracker.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Clock.h"
 #include "LibFleet/FleetState.h"
+#include "LibPlacement/Backoff.h"
 #include "LibPlacement/EngineForecast.h"
 
 #include <map>
@@ -43,6 +44,7 @@
     std::optional<EngineReport> m_engineReport; ///< Last report of the agent beside the engine.
     Core::Instant m_engineReportedAt;
     Core::Instant m_avoidUntil; ///< Until this time requests go to other endpoints, if there are any.
+    Backoff m_backoff; ///< What the endpoint has asked for.
     std::uint32_t m_consecutiveFailures = 0;
     double m_averageMilliseconds = 0; ///< Moving average of a plain service's answer times; 0 until one was measured.
 };
@@ -61,7 +63,7 @@
 class EndpointTracker
 {
 public:
-    explicit EndpointTracker(AvoidanceSettings settings = {});
+    explicit EndpointTracker(AvoidanceSettings settings = {}, BackoffSettings backoffSettings = {});
 
     /// Returns the record of the endpoint's incarnation. Creates it if there is none, and replaces one of another incarnation.
     EndpointRecord &getOrCreate(const Fleet::Endpoint &endpoint);
@@ -69,7 +71,7 @@
     const EndpointRecord &get(const Fleet::Endpoint &endpoint) const;
 
     /// Records that this process has sent a request to the endpoint.
-    void recordSent(const Fleet::Endpoint &endpoint);
+    void recordSent(const Fleet::Endpoint &endpoint, Core::Instant now);
     /// Records that a request of this process has ended, with or without an answer.
     void recordEnded(const Fleet::Endpoint &endpoint);
     /// Records the load that an endpoint without an agent has reported.
@@ -82,11 +84,20 @@
     void recordSuccess(const Fleet::Endpoint &endpoint);
     /// Records a failed request, after which the endpoint is avoided for a time.
     void recordFailure(const Fleet::Endpoint &endpoint, EndpointFailure failure, Core::Instant now);
-    /// Removes the records of endpoints that are not in @p known.
-    void retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known);
+    /// Records that the endpoint has asked this process to send it nothing for a time. @p spread: added to it. Returns the backoff from now on.
+    Backoff recordBackoff(const Fleet::Endpoint &endpoint, Core::Duration asked, Core::Duration spread, Core::Instant now);
+    /// Returns the number of endpoints that want no requests of this process now.
+    std::size_t backedOffCount(Core::Instant now) const;
+    const BackoffSettings &backoffSettings() const
+    {
+        return m_backoffSettings;
+    }
+    /// Removes the records of endpoints that are not in @p known. Keeps those with a backoff, since the entry of a live endpoint can be missing for a time.
+    void retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known, Core::Instant now);
 
 private:
     const AvoidanceSettings m_settings;
+    const BackoffSettings m_backoffSettings;
     std::map<std::string, EndpointRecord> m_records; ///< By id.
 };
 
--- a/Libraries/LibPlacement/RequestQueue.cpp
+++ b/Libraries/LibPlacement/RequestQueue.cpp
@@ -49,7 +49,7 @@
     });
     std::sort(firstLate, queued.end(), [](const QueuedRequest &left, const QueuedRequest &right) { return left.m_sendDeadline < right.m_sendDeadline; });
 
-    const double untilWeights = Core::secondsBetween(now, now + forecast.m_untilWeights);
+    const double untilSlots = Core::secondsBetween(now, now + std::max(forecast.m_untilWeights, forecast.m_untilBackoffEnd));
     const double sparePerSecond = spareSlotsPerSecond(forecast);
     const double laterFreeSlots = forecast.m_freeSlots + forecast.m_expectedSlots;
     std::size_t timelyCount = 0;
@@ -62,7 +62,7 @@
             decision.m_order.push_back(request.m_ticket);
             continue;
         }
-        const double untilSpareSlot = untilWeights + secondsUntilSlots(timelyCount + lateCount + 1, laterFreeSlots, sparePerSecond);
+        const double untilSpareSlot = untilSlots + secondsUntilSlots(timelyCount + lateCount + 1, laterFreeSlots, sparePerSecond);
         if (isEarlyEnough(untilSpareSlot, request.m_sendDeadline, now)) {
             ++lateCount;
             decision.m_order.push_back(request.m_ticket);
--- a/Libraries/LibPlacement/RequestQueue.h
+++ b/Libraries/LibPlacement/RequestQueue.h
@@ -25,8 +25,9 @@
     double m_freeSlots = 0; ///< This process's share of the free slots at engines with weights.
     double m_finishedPerSecond = 0; ///< This process's share of the requests that these engines finish per second.
     double m_timelyArrivalsPerSecond = 0; ///< Requests per second that arrive at this process and can still be answered within their objective.
-    double m_expectedSlots = 0; ///< This process's share of the slots at listed engines that have no weights yet.
+    double m_expectedSlots = 0; ///< This process's share of the slots at listed engines that have no weights yet or accept no requests.
     double m_expectedFinishedPerSecond = 0; ///< This process's share of the requests that those engines will finish per second.
+    Core::Duration m_untilBackoffEnd{0}; ///< Time until the first engine accepts requests of this process again; zero if some engine does now.
 
     bool operator==(const QueueForecast &) const = default;
 };
--- a/Libraries/LibPlacement/SlotTracker.cpp
+++ b/Libraries/LibPlacement/SlotTracker.cpp
@@ -20,7 +20,13 @@
 
 void SlotTracker::recordReport(const std::string &engine, const ReportedSlots &slots, Core::Instant now)
 {
-    m_entries[engine] = Entry{slots, now, 0};
+    const Core::Instant blockedUntil = m_entries[engine].m_blockedUntil;
+    m_entries[engine] = Entry{slots, now, blockedUntil, 0};
+}
+
+void SlotTracker::block(const std::string &engine, Core::Instant end)
+{
+    m_entries[engine].m_blockedUntil = end;
 }
 
 void SlotTracker::recordSent(const std::string &engine)
@@ -31,8 +37,16 @@
     }
 }
 
+bool SlotTracker::isActive(const Entry &entry, Core::Instant now)
+{
+    return now - entry.m_reportedAt < ReportLifetime && now >= entry.m_blockedUntil;
+}
+
 double SlotTracker::freeSlotsOf(const Entry &entry, Core::Instant now) const
 {
+    if (now < entry.m_blockedUntil) {
+        return 0;
+    }
     // Requests that end between two reports free slots too.
     const double finished = Core::secondsBetween(entry.m_reportedAt, now) * entry.m_report.m_finishedPerSecond;
     return m_share * std::min(entry.m_report.m_maximum, entry.m_report.m_free + finished) - entry.m_sentSinceReport;
@@ -48,7 +62,7 @@
 {
     std::optional<double> sum;
     for (const std::pair<const std::string, Entry> &entry : m_entries) {
-        if (now - entry.second.m_reportedAt < ReportLifetime) {
+        if (isActive(entry.second, now)) {
             sum = sum.value_or(0) + freeSlotsOf(entry.second, now);
         }
     }
@@ -59,7 +73,7 @@
 {
     double sum = 0;
     for (const std::pair<const std::string, Entry> &entry : m_entries) {
-        if (now - entry.second.m_reportedAt < ReportLifetime) {
+        if (isActive(entry.second, now)) {
             sum += entry.second.m_report.m_finishedPerSecond;
         }
     }
@@ -69,15 +83,14 @@
 std::size_t SlotTracker::enginesWithSlots(Core::Instant now) const
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [now](const std::pair<const std::string, Entry> &entry) {
-        return now - entry.second.m_reportedAt < ReportLifetime && entry.second.m_report.m_maximum > 0;
+        return isActive(entry.second, now) && entry.second.m_report.m_maximum > 0;
     }));
 }
 
 std::size_t SlotTracker::reportingEngines(Core::Instant now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [now](const std::pair<const std::string, Entry> &entry) {
-        return now - entry.second.m_reportedAt < ReportLifetime;
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [now](const std::pair<const std::string, Entry> &entry) { return isActive(entry.second, now); }));
 }
 
 void SlotTracker::retainKnown(const std::function<bool(const std::string &engine)> &isKnown)
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -17,6 +17,7 @@
     , m_retries(metrics.counter("relay_repeats_total"))
     , m_resumed(metrics.counter("relay_streams_resumed_total"))
     , m_limitReached(metrics.counter("relay_limit_reached_total"))
+    , m_backedOff(metrics.counter("relay_backed_off_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"last_chunk\"}"),
@@ -69,6 +70,19 @@
         }));
 }
 
+std::optional<Core::Instant> Relay::earliestBackoffEnd(const std::string &service, Core::Instant now) const
+{
+    std::optional<Core::Instant> earliest;
+    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_parts.m_fleetState.endpoints()) {
+        const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
+        const Core::Instant end = Placement::earliestSend(m_parts.m_endpointTracker.get(endpoint).m_backoff);
+        if (endpoint.m_service == service && !endpoint.m_isLeaving && end > now) {
+            earliest = std::min(end, earliest.value_or(end));
+        }
+    }
+    return earliest;
+}
+
 Placement::QueueForecast Relay::forecast(const std::string &service) const
 {
     Placement::QueueForecast forecast;
@@ -88,6 +102,10 @@
     const double ownExpectedEngines = slotTracker.share() * static_cast<double>(expectedEngines);
     forecast.m_expectedSlots = ownExpectedEngines * known->m_engine.m_slots;
     forecast.m_expectedFinishedPerSecond = ownExpectedEngines * Placement::finishedPerSecond(known->m_engine);
+    const std::optional<Core::Instant> backoffEnd = active == 0 ? earliestBackoffEnd(service, now) : std::nullopt;
+    if (backoffEnd) {
+        forecast.m_untilBackoffEnd = std::chrono::ceil<Core::Duration>(*backoffEnd - now);
+    }
     return forecast;
 }
 
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -68,6 +68,7 @@
     Telemetry::Counter &m_retries;
     Telemetry::Counter &m_resumed;
     Telemetry::Counter &m_limitReached;
+    Telemetry::Counter &m_backedOff;
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
     Telemetry::Latency &m_completeAnswer;
@@ -112,6 +113,8 @@
 
     /// Returns the number of engines of the service that accept work according to the list of endpoints.
     std::size_t listedEngines(const std::string &service) const;
+    /// Returns when the first of the service's endpoints that have asked for a time without requests may get one; empty if none has.
+    std::optional<Core::Instant> earliestBackoffEnd(const std::string &service, Core::Instant now) const;
     Placement::QueueForecast forecast(const std::string &service) const;
 
     const RelayParts m_parts;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -227,6 +227,9 @@
     if (result.m_reason == Placement::NoChoiceReason::LimitReached) {
         m_relay.m_counters.m_limitReached.add();
     }
+    if (result.m_reason == Placement::NoChoiceReason::BackedOff) {
+        m_relay.m_counters.m_backedOff.add();
+    }
     recordWeightAvailability(result.m_reason);
     if (!enqueue()) {
         endWithoutEndpoint(result.m_reason);
@@ -346,7 +349,7 @@
     m_statedRetryAfter.clear();
     m_hasAttemptForwardedEvents = false;
     ++m_attempts;
-    m_relay.m_parts.m_endpointTracker.recordSent(choice.m_endpoint);
+    m_relay.m_parts.m_endpointTracker.recordSent(choice.m_endpoint, m_attempt->m_sentAt);
     m_relay.m_parts.m_slotTracker.recordSent(choice.m_endpoint.m_id);
     m_relay.m_parts.m_requestLimits.recordSent(choice.m_endpoint, m_attempt->m_sentAt);
     m_attempt->m_call->start(outgoing);
@@ -393,6 +396,7 @@
     }
     m_statedRetryAfter = Http::fieldText(head.m_fields, "Retry-After").substr(0, MaximumLoggedFieldBytes);
     recordLimit(facts);
+    recordBackoff(head, facts);
     if (!acceptHead(head, facts)) {
         return;
     }
@@ -417,6 +421,28 @@
     m_relay.m_parts.m_log.write(limitLine(endpoint, limits, "answer").text("id", m_facts.m_attemptId));
 }
 
+void RelayedRequest::recordBackoff(const Http::AnswerHead &head, const AnswerFacts &facts)
+{
+    const bool isRefusal = head.m_status == ServiceUnavailable || head.m_status == TooManyRequests;
+    const bool isOtherAnswer = !facts.m_attemptId.empty() && facts.m_attemptId != m_facts.m_attemptId;
+    const std::string *value = Http::findField(head.m_fields, "Retry-After");
+    if (!isRefusal || isOtherAnswer || !value) {
+        return;
+    }
+    const Core::Instant now = Core::Clock::now();
+    const Fleet::Endpoint &endpoint = m_attempt->m_endpoint;
+    Placement::EndpointTracker &tracker = m_relay.m_parts.m_endpointTracker;
+    const std::optional<Core::Duration> asked = Http::parseRetryAfter(*value);
+    const std::uint64_t maximumSpread = static_cast<std::uint64_t>(tracker.backoffSettings().m_maximumSpread.count());
+    const Core::Duration spread(static_cast<std::int64_t>(m_relay.m_parts.m_random.below(maximumSpread)));
+    const Placement::Backoff backoff = tracker.recordBackoff(endpoint, asked.value_or(Core::Duration(0)), spread, now);
+    m_relay.m_parts.m_slotTracker.block(endpoint.m_id, backoff.m_end);
+    Telemetry::LogLine line("endpoint_backoff");
+    line.text("endpoint", endpoint.m_id).text("id", m_facts.m_attemptId).text("retry_after", m_statedRetryAfter).flag("readable", asked.has_value());
+    line.number("sends_nothing_ms", std::max(0.0, Core::secondsBetween(now, backoff.m_end) * MillisecondsPerSecond));
+    m_relay.m_parts.m_log.write(line);
+}
+
 void RelayedRequest::forwardHead(const Http::AnswerHead &head)
 {
     m_isHeadForwarded = true;
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -81,6 +81,8 @@
     Placement::AdmissionView admissionView() const;
     /// Returns the time after which a refused caller should retry.
     Core::Duration retryAfter(Placement::NoChoiceReason reason) const;
+    /// Returns the time after which a caller should retry if it was refused because all endpoints have asked for a time without requests.
+    Core::Duration retryAfterBackoff() const;
     void send(const Placement::Choice &choice);
     Http::ClientCallLimits callLimits() const;
     AttemptFacts attemptFacts(const Placement::Choice &choice) const;
@@ -89,6 +91,8 @@
     bool acceptHead(const Http::AnswerHead &head, const AnswerFacts &facts);
     /// Records and logs a limit on requests that the endpoint states in its answer.
     void recordLimit(const AnswerFacts &facts);
+    /// Records and logs a time for which the endpoint wants no requests of this process, as stated in a refusal.
+    void recordBackoff(const Http::AnswerHead &head, const AnswerFacts &facts);
     void forwardHead(const Http::AnswerHead &head);
     /// Returns how the answer is delimited for the caller.
     Http::AnswerFraming framing(const Http::AnswerHead &head) const;
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -7,6 +7,17 @@
 
 namespace Relay {
 
+namespace {
+
+/// Returns whether endpoints could serve the request, but accept nothing now.
+bool hasOnlyBusyEndpoints(Placement::NoChoiceReason reason)
+{
+    return reason == Placement::NoChoiceReason::Overloaded || reason == Placement::NoChoiceReason::LimitReached
+        || reason == Placement::NoChoiceReason::BackedOff;
+}
+
+}
+
 void RelayedRequest::awaitConfiguration()
 {
     constexpr int timeoutDivisor = 3; // At most this fraction of the caller's time; the rest is left for a retry at another process and for the answer.
@@ -63,8 +74,7 @@
 void RelayedRequest::recordWeightAvailability(Placement::NoChoiceReason reason)
 {
     if (m_service->m_engine.m_slots > 0) {
-        const bool hasWeights = reason == Placement::NoChoiceReason::Overloaded || reason == Placement::NoChoiceReason::LimitReached;
-        m_relay.m_waitingRequests.recordWeightAvailability(m_service->m_name, hasWeights, Core::Clock::now());
+        m_relay.m_waitingRequests.recordWeightAvailability(m_service->m_name, hasOnlyBusyEndpoints(reason), Core::Clock::now());
     }
 }
 
@@ -110,14 +120,17 @@
         return QueueSendResult::Dequeued;
     }
     recordWeightAvailability(result.m_reason);
-    const bool isFull = result.m_reason == Placement::NoChoiceReason::Overloaded || result.m_reason == Placement::NoChoiceReason::LimitReached;
-    return isFull ? QueueSendResult::NoSlot : QueueSendResult::NoEndpoint;
+    return hasOnlyBusyEndpoints(result.m_reason) ? QueueSendResult::NoSlot : QueueSendResult::NoEndpoint;
 }
 
 void RelayedRequest::rejectFromQueue(const Placement::QueueForecast &forecast, std::size_t ahead)
 {
     logNoSlotExpected(forecast, ahead);
     stopWaiting();
+    if (forecast.m_untilBackoffEnd.count() > 0) {
+        endWithoutEndpoint(Placement::NoChoiceReason::BackedOff);
+        return;
+    }
     const bool hasWeights = forecast.m_untilWeights.count() == 0;
     endWithoutEndpoint(hasWeights ? Placement::NoChoiceReason::Overloaded : Placement::NoChoiceReason::NoWeights);
 }
@@ -127,6 +140,9 @@
     if (reason == Placement::NoChoiceReason::NoWeights || m_hasMetRestartedEngine) {
         return Placement::retryAfterWithoutWeights(timeLeft(), m_relay.m_parts.m_random);
     }
+    if (reason == Placement::NoChoiceReason::BackedOff) {
+        return retryAfterBackoff();
+    }
     if (reason != Placement::NoChoiceReason::Overloaded) {
         return m_relay.m_settings.m_retryAfter;
     }
@@ -136,6 +152,16 @@
     return minimum + Core::Duration(m_relay.m_parts.m_random.below(static_cast<std::uint64_t>(minimum.count())));
 }
 
+Core::Duration RelayedRequest::retryAfterBackoff() const
+{
+    const Core::Instant now = Core::Clock::now();
+    const std::optional<Core::Instant> end = m_relay.earliestBackoffEnd(m_service->m_name, now);
+    const Core::Duration untilEnd = end ? std::chrono::duration_cast<Core::Duration>(*end - now) : Core::Duration(0);
+    // Spreads the retries of callers that were refused together.
+    const std::uint64_t spread = static_cast<std::uint64_t>(m_relay.m_settings.m_retryAfter.count());
+    return untilEnd + Core::Duration(static_cast<std::int64_t>(m_relay.m_parts.m_random.below(spread)));
+}
+
 void RelayedRequest::logNoSlotExpected(const Placement::QueueForecast &forecast, std::size_t ahead)
 {
     const Core::Instant now = Core::Clock::now();
@@ -146,7 +172,7 @@
     line.number("sent_within_ms", Core::secondsBetween(now, deadlines.m_sendDeadline) * MillisecondsPerSecond);
     line.number("weights_in_ms", static_cast<std::int64_t>(forecast.m_untilWeights.count())).number("free_places", forecast.m_freeSlots);
     line.number("places_per_s", forecast.m_finishedPerSecond).number("fresh_per_s", forecast.m_timelyArrivalsPerSecond);
-    line.number("coming_places", forecast.m_expectedSlots);
+    line.number("coming_places", forecast.m_expectedSlots).number("backed_off_ms", static_cast<std::int64_t>(forecast.m_untilBackoffEnd.count()));
     m_relay.m_parts.m_log.write(line);
 }
 
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -163,6 +163,7 @@
         object->set("members", m_gossip.members().alive(Core::Clock::now()).size());
         object->set("open_requests", m_relay.openRequests());
         object->set("limited_endpoints", m_requestLimits.limitedCount());
+        object->set("backed_off_endpoints", m_endpointTracker.backedOffCount(Core::Clock::now()));
         return object;
     });
 }
@@ -271,7 +272,7 @@
     }
     if (update.m_endpoints) {
         m_endpointsByAddress.rebuild(m_fleetState.endpoints());
-        m_endpointTracker.retainKnown(m_fleetState.endpoints());
+        m_endpointTracker.retainKnown(m_fleetState.endpoints(), Core::Clock::now());
         m_requestLimits.retainKnown(m_fleetState.endpoints(), Core::Clock::now());
         m_slotTracker.retainKnown([this](const std::string &engine) { return m_fleetState.endpoints().contains(engine); });
         std::int64_t leaving = 0;
@@ -328,6 +329,7 @@
         slots = Placement::limitedSlots(slots, *limit, m_settings.m_gossip.m_interval);
     }
     m_slotTracker.recordReport(endpoint.m_id, slots, now);
+    m_slotTracker.block(endpoint.m_id, m_endpointTracker.get(endpoint).m_backoff.m_end);
 }
 
 std::vector<Placement::LimitObservation> EntryProcess::sampleLimits(std::size_t count)
--- a/Tests/LibHttp/TestHeaderFields.cpp
+++ b/Tests/LibHttp/TestHeaderFields.cpp
@@ -40,3 +40,14 @@
     CHECK_FALSE(Http::parseNumber("1x"));
     CHECK_FALSE(Http::parseNumber("99999999999999999999999"));
 }
+
+TEST_CASE("Only decimal seconds are read as Retry-After")
+{
+    CHECK(Http::parseRetryAfter("3") == Core::Duration(3000));
+    CHECK(Http::parseRetryAfter("0.25") == Core::Duration(250));
+    CHECK(Http::parseRetryAfter("0") == Core::Duration(0));
+    CHECK(Http::parseRetryAfter("99999999999999999999999999").has_value());
+    const std::string wrong = GENERATE("", "Wed, 21 Oct 2015 07:28:00 GMT", "-1", "soon", "nan", "inf", "1e3", "0x10", "3 s");
+    CAPTURE(wrong);
+    CHECK_FALSE(Http::parseRetryAfter(wrong));
+}
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -143,7 +143,7 @@
     std::map<std::string, int> sent;
     for (int index = 0; index < 20; ++index) {
         const Placement::ChoiceResult result = fleet.choose(request());
-        fleet.m_endpointTracker.recordSent(result.m_choice->m_endpoint);
+        fleet.m_endpointTracker.recordSent(result.m_choice->m_endpoint, Core::Clock::now());
         ++sent[result.m_choice->m_endpoint.m_id];
     }
     CHECK(sent["first"] >= 9);
--- a/Tests/LibPlacement/TestNearEngines.cpp
+++ b/Tests/LibPlacement/TestNearEngines.cpp
@@ -137,7 +137,7 @@
         if (!choice) {
             return;
         }
-        entry.m_endpointTracker.recordSent(choice->m_endpoint);
+        entry.m_endpointTracker.recordSent(choice->m_endpoint, now);
         entry.m_slotTracker.recordSent(choice->m_endpoint.m_id);
         const std::vector<SimulatedEngine>::iterator engine =
             std::find_if(m_engines.begin(), m_engines.end(), [&choice](const SimulatedEngine &candidate) { return candidate.m_id == choice->m_endpoint.m_id; });
