LibFleet, LibRelay: Send nothing more to an endpoint that says that it is leaving

Cause: only the list of endpoints told an entry that an endpoint is leaving. An entry that is cut off from the store, or reads it late, went on sending.

Change: an answer that says so makes that incarnation leaving in the state of the fleet, as if its entry did, from the head on. It stays so if the entry expires and comes back; a new start is another incarnation. An answer to another request, or of another engine at the address (421), changes nothing. Entries do not tell each other: the rule binds the one that got the answer, and the others read the list.

--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -36,6 +36,8 @@
 
 namespace {
 
+constexpr std::size_t MaximumSaidLeaving = 4096; ///< Several times the endpoints of a large fleet. Beyond it, those that are not listed are forgotten.
+
 /**
  * Returns whether @p later is a restart of @p earlier: an endpoint of the same service that has started later at the same address under another id.
  *
@@ -50,6 +52,27 @@
 
 }
 
+bool FleetState::hasSaidLeaving(const Endpoint &endpoint) const
+{
+    const std::map<std::string, std::uint64_t>::const_iterator said = m_saidLeaving.find(endpoint.m_id);
+    return said != m_saidLeaving.end() && said->second == endpoint.m_startedMilliseconds;
+}
+
+bool FleetState::recordLeaving(const std::string &id, std::uint64_t startedMilliseconds)
+{
+    const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(id);
+    const bool isCurrent = known != m_endpoints.end() && known->second.m_endpoint.m_startedMilliseconds == startedMilliseconds;
+    if (!isCurrent || known->second.m_endpoint.m_isLeaving) {
+        return false;
+    }
+    known->second.m_endpoint.m_isLeaving = true;
+    if (m_saidLeaving.size() >= MaximumSaidLeaving) {
+        std::erase_if(m_saidLeaving, [this](const std::pair<const std::string, std::uint64_t> &said) { return !m_endpoints.contains(said.first); });
+    }
+    m_saidLeaving[id] = startedMilliseconds;
+    return true;
+}
+
 bool FleetState::isReplaced(const Endpoint &endpoint) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&endpoint](const std::pair<const std::string, KnownEndpoint> &entry) {
@@ -86,7 +109,9 @@
             return false;
         }
         removeReplacedBy(*change.m_endpoint);
-        m_endpoints[change.m_id] = KnownEndpoint{*change.m_endpoint, change.m_offset, std::nullopt};
+        Endpoint added = *change.m_endpoint;
+        added.m_isLeaving = added.m_isLeaving || hasSaidLeaving(added);
+        m_endpoints[change.m_id] = KnownEndpoint{std::move(added), change.m_offset, std::nullopt};
         return true;
     }
     Endpoint next = *change.m_endpoint;
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -119,6 +119,12 @@
      */
     FleetStateUpdate apply(const EndpointChanges &changes, std::optional<Core::Instant> recoveredAt, Core::Instant now);
 
+    /**
+     * Records that an incarnation of an endpoint has said itself that it is leaving, which its entry may say later or never. It stays so even if its entry is
+     * gone for a time. Returns whether this was not known.
+     */
+    bool recordLeaving(const std::string &id, std::uint64_t startedMilliseconds);
+
     /// Removes endpoints whose entries have been missing for longer than @p grace.
     FleetStateUpdate removeMissing(Core::Duration grace, Core::Instant now);
 
@@ -154,6 +160,8 @@
     const DeclaredWeights *declaredWeights(const std::string &model) const;
 
 private:
+    /// Returns whether this incarnation has said itself that it is leaving.
+    bool hasSaidLeaving(const Endpoint &endpoint) const;
     bool applyChange(const EndpointChange &change, std::optional<Core::Instant> recoveredAt);
     /// Returns whether another endpoint of the service has started later at the same address, so that this one has ended although its entry still exists.
     bool isReplaced(const Endpoint &endpoint) const;
@@ -167,6 +175,7 @@
     Offset m_endpointsEnd = 0;
     Offset m_endpointsRevisionOffset = 0; ///< At most m_endpointsEnd.
     std::map<std::string, KnownEndpoint> m_endpoints; ///< By id.
+    std::map<std::string, std::uint64_t> m_saidLeaving; ///< Start times of incarnations that have said that they are leaving, by endpoint id.
 };
 
 }
--- a/Libraries/LibRelay/Dialect.h
+++ b/Libraries/LibRelay/Dialect.h
@@ -46,6 +46,7 @@
     std::string m_attemptId; ///< Attempt id of the answered request; empty if it is missing.
     bool m_isSealed = false; ///< The answer has the header field that marks an endpoint's own answers. A success without it does not come from the endpoint.
     bool m_didNotRun = false; ///< The endpoint guarantees that the request did not run and will not run.
+    bool m_isLeaving = false; ///< The endpoint ends soon and must get no more requests.
     std::optional<Load> m_load;
     std::optional<double> m_requestLimit; ///< Requests per second that the endpoint takes from all processes together; empty if it states none.
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -397,6 +397,7 @@
     m_statedRetryAfter = Http::fieldText(head.m_fields, "Retry-After").substr(0, MaximumLoggedFieldBytes);
     recordLimit(facts);
     recordBackoff(head, facts);
+    recordLeaving(head, facts);
     if (!acceptHead(head, facts)) {
         return;
     }
@@ -421,12 +422,30 @@
     m_relay.m_parts.m_log.write(limitLine(endpoint, limits, "answer").text("id", m_facts.m_attemptId));
 }
 
+bool RelayedRequest::isEndpointsOwn(const Http::AnswerHead &head, const AnswerFacts &facts) const
+{
+    const bool isOfOtherRequest = !facts.m_attemptId.empty() && facts.m_attemptId != m_facts.m_attemptId;
+    return !isOfOtherRequest && head.m_status != Misdirected;
+}
+
+void RelayedRequest::recordLeaving(const Http::AnswerHead &head, const AnswerFacts &facts)
+{
+    const Fleet::Endpoint &endpoint = m_attempt->m_endpoint;
+    const bool saysLeaving = facts.m_isLeaving && isEndpointsOwn(head, facts);
+    if (!saysLeaving || !m_relay.m_parts.m_fleetState.recordLeaving(endpoint.m_id, endpoint.m_startedMilliseconds)) {
+        return;
+    }
+    m_relay.m_parts.m_slotTracker.recordReport(endpoint.m_id, Placement::ReportedSlots{}, Core::Clock::now());
+    Telemetry::LogLine line("endpoint_leaving");
+    line.text("endpoint", endpoint.m_id).text("id", m_facts.m_attemptId).number("status", static_cast<std::int64_t>(head.m_status));
+    m_relay.m_parts.m_log.write(line);
+}
+
 void RelayedRequest::recordBackoff(const Http::AnswerHead &head, const AnswerFacts &facts)
 {
     const bool isRefusal = head.m_status == ServiceUnavailable || head.m_status == TooManyRequests;
-    const bool isOtherAnswer = !facts.m_attemptId.empty() && facts.m_attemptId != m_facts.m_attemptId;
     const std::string *value = Http::findField(head.m_fields, "Retry-After");
-    if (!isRefusal || isOtherAnswer || !value) {
+    if (!isRefusal || !isEndpointsOwn(head, facts) || !value) {
         return;
     }
     const Core::Instant now = Core::Clock::now();
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -91,6 +91,10 @@
     bool acceptHead(const Http::AnswerHead &head, const AnswerFacts &facts);
     /// Records and logs a limit on requests that the endpoint states in its answer.
     void recordLimit(const AnswerFacts &facts);
+    /// Returns whether the answer may come from the endpoint that the request was sent to, and not from another one at its address or to another request.
+    bool isEndpointsOwn(const Http::AnswerHead &head, const AnswerFacts &facts) const;
+    /// Records and logs that the endpoint is leaving.
+    void recordLeaving(const Http::AnswerHead &head, const AnswerFacts &facts);
     /// Records and logs a time for which the endpoint wants no requests of this process, as stated in a refusal.
     void recordBackoff(const Http::AnswerHead &head, const AnswerFacts &facts);
     void forwardHead(const Http::AnswerHead &head);
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -46,6 +46,7 @@
         facts.m_attemptId = attempt ? *attempt : "";
         facts.m_isSealed = Http::findField(fields, "Seal") != nullptr;
         facts.m_didNotRun = Http::findField(fields, "Not-Run") != nullptr;
+        facts.m_isLeaving = Http::findField(fields, "Leaving") != nullptr;
         const std::string *limit = Http::findField(fields, "Limit");
         facts.m_requestLimit = limit ? std::optional<double>(std::stod(*limit)) : std::nullopt;
         return facts;
