LibNetwork, LibEndpoint, LibPlatform: Tell a chunked answer that was cut from a complete one

What callers saw: nothing known; on the own interface, the part of a plain service's answer that arrived before a crash would have reached its caller as the whole, with a matching length and digest made by the agent. The log's client took cut answers of the log for complete in the same way.

Cause: POCO's stream of a chunked body ends alike at the last chunk and at the end of the connection. Endpoint::Exchange compared lengths and refused answers that announce none, but believed chunks; Platform::exchangeHttp also believed answers without any length.

Evidence: LibEndpoint/TestExchange; of six cut answers three with chunks were taken for complete before. Found by looking for the cause of the interrupted answers at every reader of HTTP.

Change: both read answers with Network::HttpAnswerReader, on Boost.Beast's parser, which ends a body only where its framing does. Requests are written as before. A body that ends with its connection is refused by both.

--- a/Libraries/LibEndpoint/Exchange.h
+++ b/Libraries/LibEndpoint/Exchange.h
@@ -3,13 +3,13 @@
 
 #include "LibCore/Clock.h"
 #include "LibNetwork/Dialer.h"
+#include "LibNetwork/HttpAnswerReader.h"
 
-#include <Poco/Net/HTTPResponse.h>
 #include <functional>
-#include <istream>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -70,20 +70,22 @@
 
     int status() const;
     std::string header(const std::string &name) const;
-    /// Reads the next line without its line break. Returns no value at the end of the answer. Fails with Ambiguous.
+    /// Reads the next line without its line break. Returns no value at the end of the answer. Fails with Ambiguous, also if the answer is truncated.
     Core::Result<std::optional<std::string>> readLine(std::size_t maximumBytes);
     /// Reads the rest of the answer. Fails with Ambiguous if it is truncated, and with Corrupt if it is longer than @p maximumBytes.
     Core::Result<std::string> readAll(std::size_t maximumBytes);
 
 private:
-    Exchange(std::unique_ptr<Poco::Net::HTTPClientSession> session, Core::Address peer);
+    Exchange(const Poco::Net::StreamSocket &socket, const Core::Address &peer);
 
+    /// Returns whether the request was sent completely.
+    bool send(const ExchangeRequest &request);
     Core::Error interruptedError(const std::string &detail) const;
 
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
+    Poco::Net::StreamSocket m_socket;
+    Network::HttpAnswerReader m_answer;
     const Core::Address m_peer;
-    Poco::Net::HTTPResponse m_response;
-    std::istream *m_stream = nullptr; ///< Owned by the session.
+    std::string m_unread; ///< Part of the body that was received and not yet returned.
 };
 
 }
--- /dev/null
+++ b/Libraries/LibNetwork/HttpAnswerReader.h
@@ -0,0 +1,48 @@
+/// @file Reads one HTTP answer from a blocking connection and tells a complete body from one that was cut.
+#pragma once
+
+#include "LibCore/Error.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Network {
+
+/**
+ * Reads one answer. POCO's own HTTP streams report a chunked body that ends with its connection like a complete one, so answers whose completeness matters are
+ * read with this class. All errors are Ambiguous: the request may have taken effect.
+ */
+class HttpAnswerReader
+{
+public:
+    /// @p step and @p peer are named in errors.
+    HttpAnswerReader(Poco::Net::StreamSocket socket, std::string step, std::string peer);
+    ~HttpAnswerReader();
+
+    HttpAnswerReader(const HttpAnswerReader &) = delete;
+    HttpAnswerReader &operator=(const HttpAnswerReader &) = delete;
+
+    /// Reads the head; interim answers are skipped. Must be called first, and once.
+    Core::Result<void> readHead();
+    int status() const;
+    /// Returns the value of a field of the head; empty if there is none.
+    std::string field(const std::string &name) const;
+    /// Appends the next part of the body. Returns false at the end of the body; fails if it is cut, or ends with its connection and so may have been cut.
+    Core::Result<bool> readPart(std::string &body);
+    /// Appends the rest of the body. Fails like readPart(), and with Corrupt if the body is longer than @p maximumBytes.
+    Core::Result<void> readRest(std::string &body, std::size_t maximumBytes);
+
+private:
+    struct State;
+
+    Core::Error error(const std::string &detail) const;
+
+    const std::string m_step;
+    const std::string m_peer;
+    std::unique_ptr<State> m_state;
+};
+
+}
--- a/Libraries/LibPlatform/HttpExchange.cpp
+++ b/Libraries/LibPlatform/HttpExchange.cpp
@@ -1,50 +1,27 @@
-/// @file Implementation of HTTP requests with POCO's HTTP client.
+/// @file Implementation of HTTP requests: written with POCO, answers read by HttpAnswerReader.
 
 #include "LibPlatform/HttpExchange.h"
 #include "LibNetwork/Dialer.h"
+#include "LibNetwork/HttpAnswerReader.h"
 
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <istream>
-#include <ostream>
+#include <Poco/Net/SocketStream.h>
 
 namespace Platform {
 
 namespace {
 
-/// Stops after the first piece that exceeds the limit, so that the caller can detect an oversized answer.
-std::string readBounded(std::istream &stream, std::size_t maximum)
+/// Returns whether the request was sent completely.
+bool sendRequest(const Poco::Net::StreamSocket &socket, const HttpRequest &request, const std::string &peer)
 {
-    constexpr std::size_t pieceBytes = 64 << 10;
-    std::string body;
-    std::string piece(pieceBytes, '\0');
-    while (body.size() <= maximum && stream.good()) {
-        stream.read(piece.data(), static_cast<std::streamsize>(piece.size()));
-        body.append(piece.data(), static_cast<std::size_t>(stream.gcount()));
-    }
-    return body;
-}
-
-Core::Result<HttpAnswer> performExchange(Poco::Net::HTTPClientSession &session, const HttpRequest &request, const std::string &peer)
-{
-    Poco::Net::HTTPRequest message(request.m_method, request.m_target, Poco::Net::HTTPMessage::HTTP_1_1);
-    message.setHost(peer);
-    message.setContentLength64(static_cast<Poco::Int64>(request.m_body.size()));
-    std::ostream &output = session.sendRequest(message);
+    Poco::Net::HTTPRequest head(request.m_method, request.m_target, Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setHost(peer);
+    head.setContentLength64(static_cast<Poco::Int64>(request.m_body.size()));
+    Poco::Net::SocketOutputStream output(socket);
+    head.write(output);
     output.write(request.m_body.data(), static_cast<std::streamsize>(request.m_body.size()));
     output.flush();
-
-    Poco::Net::HTTPResponse response;
-    std::istream &input = session.receiveResponse(response);
-    HttpAnswer answer{response.getStatus(), readBounded(input, request.m_maximumAnswerBytes)};
-    if (answer.m_body.size() > request.m_maximumAnswerBytes) {
-        return Core::makeError(Core::ErrorCode::Corrupt, request.m_step, peer, "the answer is longer than " + std::to_string(request.m_maximumAnswerBytes));
-    }
-    const bool isCut = response.hasContentLength() && static_cast<std::size_t>(response.getContentLength64()) != answer.m_body.size();
-    if (isCut) {
-        return Core::makeError(Core::ErrorCode::Ambiguous, request.m_step, peer, "the answer was cut");
-    }
-    return answer;
+    return output.good();
 }
 
 }
@@ -52,18 +29,19 @@
 Core::Result<HttpAnswer> exchangeHttp(const Network::NetworkSettings &network, const Core::Address &server, const HttpRequest &request)
 {
     const std::string peer = server.toString();
-    Core::Result<std::unique_ptr<Poco::Net::HTTPClientSession>> session = Network::dialHttp(network, server, request.m_timeout);
-    if (!session) {
-        return Core::makeError(Core::ErrorCode::Unavailable, request.m_step, peer, session.error().m_detail);
+    const Core::Result<Poco::Net::StreamSocket> socket = Network::dial(network, server, request.m_timeout);
+    if (!socket) {
+        return Core::makeError(Core::ErrorCode::Unavailable, request.m_step, peer, socket.error().m_detail);
     }
-    try {
-        return performExchange(*session.value(), request, peer);
-    } catch (const std::exception &exception) {
-        // Once any byte has been sent, the server may have acted before the connection was lost.
-        const Poco::Exception *detailed = dynamic_cast<const Poco::Exception *>(&exception);
-        const std::string detail = detailed ? detailed->displayText() : exception.what();
-        return Core::makeError(Core::ErrorCode::Ambiguous, request.m_step, peer, "no whole answer: " + detail);
+    if (!sendRequest(socket.value(), request, peer)) {
+        return Core::makeError(Core::ErrorCode::Ambiguous, request.m_step, peer, "the request was broken off");
     }
+    Network::HttpAnswerReader reader(socket.value(), request.m_step, peer);
+    BOOST_OUTCOME_TRYV(reader.readHead());
+    HttpAnswer answer;
+    answer.m_status = reader.status();
+    BOOST_OUTCOME_TRYV(reader.readRest(answer.m_body, request.m_maximumAnswerBytes));
+    return answer;
 }
 
 }
