LibHttp: Refuse an answer in a transfer coding other than chunks

What callers saw: nothing known; the coded bytes would have reached them as the body, without the field that names the coding.

Cause: Beast's parser takes an answer with another transfer coding for one that ends with its connection, and the relay drops Transfer-Encoding.

Evidence: LibHttp/TestClientCall, 'An answer in a transfer coding other than chunks is reported as Corrupt'.

Change: the check of requests (one copy, now hasKnownTransferCoding) also holds for answers.

--- a/Libraries/LibEndpoint/Exchange.cpp
+++ b/Libraries/LibEndpoint/Exchange.cpp
@@ -74,10 +74,15 @@
 {
     const Poco::Net::StreamSocket socket = BOOST_OUTCOME_TRYX(Network::dial(network, peer, timeout));
     std::unique_ptr<Exchange> exchange(new Exchange(socket, peer));
-    abortHandle->attach(socket);
-    if (!exchange->send(request)) {
-        abortHandle->abort();
-        return exchange->interruptedError("the request was broken off");
+    try {
+        abortHandle->attach(socket);
+        if (!exchange->send(request)) {
+            abortHandle->abort();
+            return exchange->interruptedError("the request was broken off");
+        }
+    } catch (const std::exception &exception) {
+        const Poco::Exception *pocoException = dynamic_cast<const Poco::Exception *>(&exception);
+        return exchange->interruptedError(pocoException ? pocoException->displayText() : exception.what());
     }
     BOOST_OUTCOME_TRYV(exchange->m_answer.readHead());
     return exchange;
--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -178,6 +178,10 @@
         end(false, Core::ErrorCode::Corrupt, "await answer", "an interim answer that was not asked for");
         return;
     }
+    if (!hasKnownTransferCoding(head.m_fields)) {
+        end(false, Core::ErrorCode::Corrupt, "await answer", "the body has an unknown transfer coding");
+        return;
+    }
     const std::shared_ptr<ClientCall> self = shared_from_this();
     // Called through a copy because the callback may cancel this call, which clears its callbacks.
     const std::function<void(const AnswerHead &)> onHead = m_events.m_onHead;
--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -121,6 +121,21 @@
     return kept;
 }
 
+bool hasKnownTransferCoding(const HeaderFields &fields)
+{
+    std::size_t codings = 0;
+    for (const HeaderField &field : fields) {
+        if (!isSameName(field.m_name, "Transfer-Encoding")) {
+            continue;
+        }
+        ++codings;
+        if (!isSameName(field.m_value, "chunked")) {
+            return false;
+        }
+    }
+    return codings < 2;
+}
+
 std::string hostName(std::string_view hostField)
 {
     std::string host(trimmed(hostField.substr(0, hostField.rfind(':'))));
--- a/Libraries/LibHttp/HeaderFields.h
+++ b/Libraries/LibHttp/HeaderFields.h
@@ -46,6 +46,13 @@
 /// Returns the fields that may be passed on: all except those of the connection and those that state the body's framing.
 HeaderFields endToEndFields(const HeaderFields &fields);
 
+/**
+ * Returns whether the fields state no transfer coding other than chunks. The parser itself rejects differing lengths and a length together with chunks. But it
+ * takes a request with another coding for one without a body, so that the bytes of the body would be read as the next request, and decodes no other coding in
+ * an answer.
+ */
+bool hasKnownTransferCoding(const HeaderFields &fields);
+
 /// Returns the host in lower case without the port.
 std::string hostName(std::string_view hostField);
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -53,25 +53,6 @@
     return chunk + "\r\n";
 }
 
-/**
- * Returns whether the framing of a head is unambiguous. The parser itself rejects differing lengths and a length together with chunks. But it
- * treats a request with a coding other than chunks as one without a body, and the bytes of the body would then be read as the next request.
- */
-bool hasUnambiguousFraming(const HeaderFields &fields)
-{
-    std::size_t codings = 0;
-    for (const HeaderField &field : fields) {
-        if (!isSameName(field.m_name, "Transfer-Encoding")) {
-            continue;
-        }
-        ++codings;
-        if (!isSameName(field.m_value, "chunked")) {
-            return false;
-        }
-    }
-    return codings < 2;
-}
-
 std::size_t countHostFields(const HeaderFields &fields)
 {
     return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [](const HeaderField &field) { return isSameName(field.m_name, "Host"); }));
@@ -199,7 +180,7 @@
     for (const Beast::http::fields::value_type &field : m_state->m_parser->get()) {
         m_state->m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
     }
-    if (!hasUnambiguousFraming(m_state->m_fields)) {
+    if (!hasKnownTransferCoding(m_state->m_fields)) {
         reject(400, "the body's framing is not supported");
         return;
     }
--- a/Tests/LibHttp/TestClientCall.cpp
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -81,6 +81,18 @@
     CHECK(broken.m_end->m_wasSent);
 }
 
+TEST_CASE("An answer in a transfer coding other than chunks is reported as Corrupt")
+{
+    // Guards against passing the coded bytes on as the body.
+    const std::string coding = GENERATE("gzip", "gzip, chunked", "identity");
+    const Outcome outcome([&coding](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\nfull\r\n0\r\n\r\n");
+        connection->close();
+    });
+    CHECK(outcome.m_end->m_error.m_code == Core::ErrorCode::Corrupt);
+    CHECK(outcome.m_body.empty());
+}
+
 TEST_CASE("A call to a peer that accepts the connection and sends nothing times out")
 {
     Http::ClientCallLimits limits;
