--- a/Libraries/LibNetwork/HttpAnswerReader.cpp
+++ b/Libraries/LibNetwork/HttpAnswerReader.cpp
@@ -23,7 +23,8 @@
 constexpr std::uint64_t UnlimitedBodyBytes = std::numeric_limits<std::int64_t>::max(); ///< Beast 1.74 rejects answers with a length if no limit is set.
 constexpr unsigned FirstFinalStatus = 200;
 
-/// A POCO socket as Beast's functions read it.
+/// A POCO socket as Beast's functions read it; they need its method to have this name.
+// NOLINTBEGIN(readability-identifier-naming)
 class BlockingStream
 {
 public:
@@ -63,6 +64,7 @@
 private:
     Poco::Net::StreamSocket m_socket;
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Parser = Beast::http::response_parser<Beast::http::buffer_body>;
 
