LibStaging: Release a version that is complete but not yet published as held

What callers saw: nothing; an agent could keep the chunks of a version that it no longer wants in memory until the next change of its targets.

Cause: after setting the targets of the transfer, the manager released those versions that the transfer's last published state listed as held. A version that the transfer's thread completed within the last moments was not listed yet, was kept because it is complete, and nothing released it later.

Evidence: LibStaging/TestWeightsManager, known to fail now and then: 1 of 400 runs with 40 at a time, in 'Of two versions that become known together only the newer one is loaded'. Its log shows version 1 complete at .507032 and version 3 wanted at .508008 without 'transfer of draft 1 dropped', so two transfers were left where one is expected.

Change: the manager remembers what it told the transfer to get and releases what is no longer among it, whatever the published state lists.

--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -429,11 +429,13 @@
         digests.insert(deployment.m_digest);
     }
     m_parts.m_transfer.setTargets(std::move(wanted));
-    for (const std::string &held : m_parts.m_transfer.heldDigests()) {
-        if (!digests.contains(held)) {
-            m_parts.m_transfer.release(held);
+    // Also releases versions that are not known to be held: the transfer may have completed one that its last published state does not list yet.
+    for (const std::string &earlier : m_transferTargets) {
+        if (!digests.contains(earlier)) {
+            m_parts.m_transfer.release(earlier);
         }
     }
+    m_transferTargets = std::move(digests);
 }
 
 /// Reads the staged chunks of the target again, and downloads those that are missing or damaged.
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -197,6 +197,7 @@
     std::optional<TargetVersion> m_target;
     std::optional<Weights::Manifest> m_manifest; ///< Manifest of the target.
     std::string m_manifestDigest;
+    std::set<std::string> m_transferTargets; ///< Digests of the manifests that the transfer was last told to get.
     std::optional<TargetVersion> m_nextTarget; ///< Newer than the target. Its chunks are downloaded while the target is staged and loaded.
     std::optional<Weights::Manifest> m_nextManifest; ///< Manifest of the next target, once known.
     Core::Instant m_manifestCheckedAt; ///< When the manifest was last received, or a chunk arrived.
--- a/Libraries/LibTransfer/TransferManager.cpp
+++ b/Libraries/LibTransfer/TransferManager.cpp
@@ -35,16 +35,6 @@
     return found == published.m_held.end() ? nullptr : found->second;
 }
 
-std::vector<std::string> TransferManager::heldDigests() const
-{
-    std::vector<std::string> digests;
-    const PublishedState published = m_coordinator->published();
-    for (const std::pair<const std::string, std::shared_ptr<const Weights::HeldVersion>> &entry : published.m_held) {
-        digests.push_back(entry.first);
-    }
-    return digests;
-}
-
 void TransferManager::release(const std::string &manifestDigest)
 {
     m_coordinator->release(manifestDigest);
--- a/Libraries/LibTransfer/TransferManager.h
+++ b/Libraries/LibTransfer/TransferManager.h
@@ -80,8 +80,6 @@
     std::shared_ptr<const Weights::HeldVersion> heldVersion(const std::string &manifestDigest) const;
     /// Returns every version whose manifest was verified here.
     std::vector<KnownVersion> knownVersions() const;
-    /// Returns the manifest digests of all complete versions.
-    std::vector<std::string> heldDigests() const;
     /// Drops a complete version unless it is wanted.
     void release(const std::string &manifestDigest);
 
