LibNetwork, LibEndpoint: Keep the texts of errors about cut answers

Reading answers with HttpAnswerReader had reworded four texts of errors that leave a process (docs/OUTER-NAMES.txt): 'no whole answer: ', 'the answer is shorter than announced', and the step and the text of an answer that is too long. They read as before; LibEndpoint/TestExchange and LibPlatform/TestHttpLog pass.

--- a/Libraries/LibEndpoint/Exchange.cpp
+++ b/Libraries/LibEndpoint/Exchange.cpp
@@ -142,7 +142,14 @@
 Core::Result<std::string> Exchange::readAll(std::size_t maximumBytes)
 {
     std::string body = std::exchange(m_unread, {});
-    BOOST_OUTCOME_TRYV(m_answer.readRest(body, maximumBytes));
+    bool isMoreExpected = true;
+    while (isMoreExpected) {
+        isMoreExpected = BOOST_OUTCOME_TRYX(m_answer.readPart(body));
+        if (body.size() > maximumBytes) {
+            return Core::makeError(
+                Core::ErrorCode::Corrupt, "read endpoint's answer", m_peer.toString(), "it is longer than " + std::to_string(maximumBytes) + " bytes");
+        }
+    }
     return body;
 }
 
--- a/Libraries/LibNetwork/HttpAnswerReader.cpp
+++ b/Libraries/LibNetwork/HttpAnswerReader.cpp
@@ -101,7 +101,7 @@
         boost::system::error_code failure;
         Beast::http::read_header(m_state->m_stream, m_state->m_buffer, *m_state->m_parser, failure);
         if (failure) {
-            return error("no answer: " + failure.message());
+            return error("no whole answer: " + failure.message());
         }
     } while (m_state->m_parser->get().result_int() < FirstFinalStatus);
     return Core::success();
@@ -132,7 +132,7 @@
     Beast::http::read_some(m_state->m_stream, m_state->m_buffer, parser, failure);
     body.append(m_state->m_part.data(), m_state->m_part.size() - parser.get().body().size);
     if (failure && failure != Beast::http::error::need_buffer) {
-        return error("the answer is shorter than announced: " + failure.message());
+        return error(failure == Beast::http::error::partial_message ? "the answer is shorter than announced" : failure.message());
     }
     return true;
 }
