LibRelay, platform: Log what an engine that ended was working on

When engines ended under requests with one part in their prompts, the logs could not tell whether these requests were the cause: a failed attempt said neither which parts its prompt had nor whether its engine had begun to answer. The parts of X-Prefix-Hash are now read (without the last one, in any number, length and form), and attempt_failed names up to eight of them and for how long the engine had been writing.

--- a/Libraries/LibRelay/Dialect.h
+++ b/Libraries/LibRelay/Dialect.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Relay {
 
@@ -21,6 +22,8 @@
     std::uint32_t m_promptTokens = 0;
     std::uint32_t m_answerTokens = 0; ///< Upper bound.
     std::optional<std::uint64_t> m_resumeAfter; ///< Id of the last event that the caller has received.
+    /// Ids of the parts of the prompt, as received, without the last part, which belongs to the request itself. Empty if the request states no parts.
+    std::vector<std::string> m_promptParts;
 };
 
 /// Header fields that the relay adds to a request for an endpoint.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRelay/RelayedRequest.h"
 
+#include "LibQuarantine/PromptPart.h"
 #include "LibRelay/RequestTimeouts.h"
 #include "LibRelay/StatusCodes.h"
 
@@ -16,6 +17,7 @@
 /// Bytes that may be buffered for a slow caller before reading from its endpoint pauses: a few dozen events.
 constexpr std::size_t MaximumPendingBytes = 64 << 10;
 constexpr std::size_t MaximumLoggedFieldBytes = 64; ///< Of a header field's value.
+constexpr std::size_t MaximumLoggedParts = 8; ///< Of a prompt.
 constexpr Core::Duration MinimumHeadTimeout{400};
 constexpr Core::Duration MaximumHeadTimeout{2000};
 
@@ -101,6 +103,9 @@
         refuse("the route names no known service", m_relay.m_settings.m_retryAfter);
         return;
     }
+    if (m_service->m_engine.m_slots > 0) {
+        m_promptParts = Quarantine::normalizedPartIds(m_facts.m_promptParts);
+    }
     m_relay.m_parts.m_retryBudgets.onRequest(m_service->m_name);
     if (canMeetObjective()) {
         m_relay.m_waitingRequests.recordTimelyArrival(m_service->m_name, m_arrivedAt);
@@ -389,6 +394,9 @@
     if (!acceptHead(head, facts)) {
         return;
     }
+    if (head.m_status >= Ok && head.m_status < MultipleChoices) {
+        m_attempt->m_answerBeganAt = now;
+    }
     if (m_isHeadForwarded) {
         if (head.m_status != Ok) {
             onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "the stream was not resumed, status " + std::to_string(head.m_status));
@@ -521,6 +529,7 @@
     if (!m_statedRetryAfter.empty()) {
         line.text("retry_after", m_statedRetryAfter);
     }
+    describeWork(line);
     m_relay.m_parts.m_log.write(line);
     endAttempt();
     // Without a connection nothing of the request was sent, so the failure uses up neither an attempt nor the retry budget. When many endpoints fail at once,
@@ -546,6 +555,20 @@
     refuse(detail, retryAfter(Placement::NoChoiceReason::NoEndpoint));
 }
 
+void RelayedRequest::describeWork(Telemetry::LogLine &line) const
+{
+    if (m_attempt->m_answerBeganAt) {
+        line.number("writing_ms", Core::secondsBetween(*m_attempt->m_answerBeganAt, Core::Clock::now()) * MillisecondsPerSecond);
+    }
+    std::string parts;
+    for (std::size_t index = 0; index < std::min(m_promptParts.size(), MaximumLoggedParts); ++index) {
+        parts += (index > 0 ? "," : "") + m_promptParts[index];
+    }
+    if (!parts.empty()) {
+        line.text("parts", parts);
+    }
+}
+
 bool RelayedRequest::mayRetry(bool mayHaveRun)
 {
     if (mayHaveRun && !m_route->isRepeatable()) {
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -43,6 +43,7 @@
         double m_expectedMilliseconds = 0;
         Placement::EndpointLoad m_load; ///< Load of the endpoint when it was chosen.
         Core::Duration m_reportAge{0};
+        std::optional<Core::Instant> m_answerBeganAt; ///< When the head of the endpoint's own success arrived.
     };
 
     /// Lets the request wait for the first configuration, or refuses it if too many requests already wait for it.
@@ -126,6 +127,8 @@
     RequestEnd describeEnd(RequestOutcome outcome) const;
     /// Logs why no slot is expected for the request.
     void logNoSlotExpected(const Placement::QueueForecast &forecast, std::size_t ahead);
+    /// Adds what an engine that ended may have been working on: when its answer began, and the parts of the prompt.
+    void describeWork(Telemetry::LogLine &line) const;
     Core::Duration timeLeft() const;
 
     Relay &m_relay;
@@ -160,6 +163,7 @@
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
     EventFramer m_framer;
+    std::vector<std::string> m_promptParts; ///< Normalized ids; empty unless the request is for a model engine.
     std::set<std::string> m_excluded; ///< Ids of the endpoints at which this request has failed.
     std::string m_lastFailure;
 };
