--- /dev/null
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -0,0 +1,394 @@
+/// @file Implementation of the emulated fleet.
+
+#include "LibEmulator/QuarantineEmulator.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <sstream>
+
+namespace Emulator {
+
+namespace {
+
+using Quarantine::PromptPart;
+
+constexpr Core::Duration Step{10};
+constexpr Core::Duration GossipInterval{500};
+constexpr Core::Duration NewsDelay{80};
+constexpr Core::Duration MessageDelay{10};
+constexpr Core::Duration PullInterval{1000};
+constexpr Core::Duration RestartTime{1800}; ///< Of an engine.
+constexpr Core::Duration ContactTime{3000};
+constexpr std::size_t NoticedCrashes = 5;
+constexpr std::size_t GossipTargets = 3;
+constexpr std::size_t NewsTargets = 8;
+constexpr std::size_t PopularParts = 50;
+constexpr std::uint64_t RequestsPerSession = 4;
+constexpr std::uint32_t MaximumAttempts = 2;
+constexpr Core::Duration RequestTimeout{6000};
+constexpr Quarantine::SampleSize NewsSize{3, 12, 6};
+constexpr std::size_t HistoryEntryBytes = 160; ///< Estimates of a map entry with its strings.
+constexpr std::size_t SuspectEntryBytes = 480;
+constexpr std::size_t VerdictEntryBytes = 320;
+
+struct Request
+{
+    std::size_t m_entry = 0;
+    std::vector<PromptPart> m_parts;
+    Quarantine::Account m_account = 0;
+    std::string m_crashingPart; ///< Empty for sound requests.
+    std::uint32_t m_attempts = 0;
+    Core::Instant m_arrivedAt;
+    bool m_wasHeld = false;
+};
+
+struct Run
+{
+    std::shared_ptr<Request> m_request;
+    Core::Instant m_beginsAt;
+    Core::Instant m_endsAt; ///< Of the answer, or of the engine.
+};
+
+struct Engine
+{
+    Quarantine::Incarnation m_incarnation = 0;
+    Core::Instant m_upAt;
+    std::vector<Run> m_runs;
+};
+
+struct Message
+{
+    Core::Instant m_arrivesAt;
+    std::size_t m_from = 0;
+    std::size_t m_to = 0;
+    Quarantine::Observations m_observations;
+    std::uint64_t m_digest = 0;
+};
+
+struct Entry
+{
+    std::unique_ptr<Quarantine::PartQuarantine> m_quarantine;
+    Core::Instant m_nextGossip;
+    std::optional<Core::Instant> m_newsAt;
+    Core::Instant m_nextPull;
+    std::size_t m_bytes = 0;
+};
+
+std::size_t encodedBytes(const Quarantine::Observations &observations)
+{
+    std::stringstream buffer;
+    msgpack::pack(buffer, observations);
+    return buffer.str().size();
+}
+
+class Fleet
+{
+public:
+    explicit Fleet(const QuarantineExperiment &experiment)
+        : m_experiment(experiment)
+        , m_random(experiment.m_seed)
+        , m_engines(experiment.m_engines)
+        , m_entries(experiment.m_entries)
+    {
+        for (Engine &engine : m_engines) {
+            engine.m_incarnation = ++m_lastIncarnation;
+        }
+        for (Entry &entry : m_entries) {
+            forget(entry);
+            entry.m_nextGossip = m_start + Core::Duration(static_cast<std::int64_t>(m_random.below(GossipInterval.count())));
+        }
+    }
+
+    QuarantineOutcome play()
+    {
+        for (m_now = m_start; m_now < m_start + m_experiment.m_duration; m_now += Step) {
+            playFaults();
+            advanceEngines();
+            deliverMessages();
+            gossip();
+            admitRequests();
+        }
+        return finish();
+    }
+
+private:
+    bool isNow(Core::Instant at) const
+    {
+        return at >= m_now && at < m_now + Step;
+    }
+
+    void forget(Entry &entry)
+    {
+        entry.m_quarantine = std::make_unique<Quarantine::PartQuarantine>(m_random.next(), m_experiment.m_settings, m_experiment.m_decide);
+    }
+
+    /// Returns how many events of this rate happen in one step.
+    std::size_t eventsInStep(double perSecond)
+    {
+        const double expected = perSecond * Core::secondsBetween(m_now, m_now + Step);
+        const double whole = std::floor(expected);
+        return static_cast<std::size_t>(whole) + (m_random.unit() < expected - whole ? 1 : 0);
+    }
+
+    void playFaults()
+    {
+        for (std::size_t count = eventsInStep(m_experiment.m_otherCrashesPerSecond); count > 0; --count) {
+            end(m_engines[m_random.below(m_engines.size())]);
+        }
+        if (m_experiment.m_powerLoss && isNow(m_start + *m_experiment.m_powerLoss)) {
+            for (Engine &engine : m_engines) {
+                end(engine);
+            }
+        }
+        for (std::size_t index = 0; m_experiment.m_entriesRestart && isNow(m_start + *m_experiment.m_entriesRestart) && index < m_entries.size(); index += 3) {
+            forget(m_entries[index]);
+        }
+    }
+
+    std::shared_ptr<Request> makeRequest()
+    {
+        const std::shared_ptr<Request> request = std::make_shared<Request>();
+        request->m_entry = m_random.below(m_entries.size());
+        request->m_account = 1 + m_random.below(10);
+        request->m_arrivedAt = m_now;
+        const std::size_t popular = std::min(m_random.below(PopularParts), m_random.below(PopularParts));
+        request->m_parts = {PromptPart{"drafts", "all"}, PromptPart{"drafts", "popular-" + std::to_string(popular)}};
+        if (m_random.unit() < m_experiment.m_sessionShare) {
+            request->m_parts.push_back(PromptPart{"drafts", "session-" + std::to_string(m_sessions++ / RequestsPerSession)});
+        }
+        return request;
+    }
+
+    void admitRequests()
+    {
+        std::vector<std::shared_ptr<Request>> waiting;
+        waiting.swap(m_held);
+        for (std::size_t count = eventsInStep(m_experiment.m_requestsPerSecond); count > 0; --count) {
+            waiting.push_back(makeRequest());
+            ++m_outcome.m_soundRequests;
+        }
+        const bool hasBegun = m_now >= m_start + m_experiment.m_begin;
+        for (std::size_t count = hasBegun ? eventsInStep(m_experiment.m_crashingPerSecond) : 0; count > 0; --count) {
+            const std::shared_ptr<Request> request = makeRequest();
+            request->m_crashingPart = "crashing-" + std::to_string(m_random.below(m_experiment.m_crashingParts));
+            const std::size_t place = m_random.below(request->m_parts.size() + 1);
+            request->m_parts.insert(request->m_parts.begin() + static_cast<std::ptrdiff_t>(place), PromptPart{"drafts", request->m_crashingPart});
+            waiting.push_back(request);
+        }
+        for (const std::shared_ptr<Request> &request : waiting) {
+            admit(request);
+        }
+    }
+
+    void admit(const std::shared_ptr<Request> &request)
+    {
+        const bool isSound = request->m_crashingPart.empty();
+        Quarantine::PartQuarantine &quarantine = *m_entries[request->m_entry].m_quarantine;
+        const Quarantine::Treatment treatment = quarantine.treat(request->m_parts, request->m_account, m_now);
+        if (treatment.m_kind == Quarantine::TreatmentKind::Refuse || m_now - request->m_arrivedAt > RequestTimeout) {
+            m_outcome.m_soundRefused += isSound ? 1 : 0;
+            return;
+        }
+        Engine &engine = m_engines[m_random.below(m_engines.size())];
+        const bool isFree = engine.m_upAt <= m_now && engine.m_runs.size() < m_experiment.m_slots;
+        if (treatment.m_kind == Quarantine::TreatmentKind::Hold || !isFree) {
+            m_outcome.m_soundHeld += isSound && !request->m_wasHeld && treatment.m_kind == Quarantine::TreatmentKind::Hold ? 1 : 0;
+            request->m_wasHeld = request->m_wasHeld || treatment.m_kind == Quarantine::TreatmentKind::Hold;
+            m_held.push_back(request);
+            return;
+        }
+        quarantine.recordSent(request->m_parts, m_now);
+        ++request->m_attempts;
+        const Core::Instant begins = m_now + Core::Duration(static_cast<std::int64_t>(100 + m_random.below(300)));
+        const std::uint64_t length = isSound ? 600 + m_random.below(700) : 40 + m_random.below(70);
+        engine.m_runs.push_back(Run{request, begins, begins + Core::Duration(static_cast<std::int64_t>(length))});
+        countArrival(*request);
+    }
+
+    void countArrival(const Request &request)
+    {
+        const std::map<std::string, std::vector<Core::Instant>>::const_iterator crashes = m_crashes.find(request.m_crashingPart);
+        const bool isNoticed = crashes != m_crashes.end() && crashes->second.size() >= NoticedCrashes;
+        m_outcome.m_lateArrivals += isNoticed && m_now - crashes->second[NoticedCrashes - 1] > ContactTime ? 1 : 0;
+    }
+
+    void advanceEngines()
+    {
+        for (Engine &engine : m_engines) {
+            std::vector<Run> ended;
+            std::erase_if(engine.m_runs, [this, &ended](const Run &run) {
+                if (run.m_endsAt > m_now) {
+                    return false;
+                }
+                ended.push_back(run);
+                return true;
+            });
+            for (const Run &run : ended) {
+                if (run.m_request->m_crashingPart.empty()) {
+                    complete(engine, run);
+                    continue;
+                }
+                m_crashes[run.m_request->m_crashingPart].push_back(m_now);
+                ++m_outcome.m_crashes;
+                engine.m_runs.push_back(run);
+                end(engine);
+                break;
+            }
+        }
+    }
+
+    void complete(const Engine &engine, const Run &run)
+    {
+        if (m_experiment.m_acquits) {
+            const Core::Duration writing = std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt);
+            m_entries[run.m_request->m_entry].m_quarantine->recordCompletion(run.m_request->m_parts, engine.m_incarnation, writing, true, m_now);
+        }
+    }
+
+    void end(Engine &engine)
+    {
+        std::vector<Run> lost;
+        lost.swap(engine.m_runs);
+        for (const Run &run : lost) {
+            const bool hasBegun = run.m_beginsAt <= m_now;
+            const std::optional<Core::Duration> writing =
+                hasBegun ? std::optional<Core::Duration>(std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt)) : std::nullopt;
+            Request &request = *run.m_request;
+            m_entries[request.m_entry].m_quarantine->recordCrash(request.m_parts, engine.m_incarnation, request.m_account, writing, m_now);
+            if (request.m_attempts < MaximumAttempts) {
+                m_held.push_back(run.m_request);
+            }
+        }
+        engine.m_upAt = m_now + RestartTime;
+        engine.m_incarnation = ++m_lastIncarnation;
+    }
+
+    void gossip()
+    {
+        for (std::size_t index = 0; index < m_entries.size(); ++index) {
+            Entry &entry = m_entries[index];
+            entry.m_quarantine->update(m_now);
+            collectVerdicts(*entry.m_quarantine);
+            if (entry.m_quarantine->hasNews() && !entry.m_newsAt) {
+                entry.m_newsAt = m_now + NewsDelay;
+            }
+            if (!m_experiment.m_exchanges) {
+                continue;
+            }
+            if (entry.m_newsAt && m_now >= *entry.m_newsAt) {
+                entry.m_newsAt.reset();
+                send(index, NewsTargets, entry.m_quarantine->takeNews(NewsSize, m_now));
+            }
+            if (m_now >= entry.m_nextGossip) {
+                entry.m_nextGossip += GossipInterval;
+                send(index, GossipTargets, entry.m_quarantine->sample({}, m_now, m_random));
+            }
+        }
+    }
+
+    void send(std::size_t from, std::size_t targets, const Quarantine::Observations &observations)
+    {
+        const std::size_t bytes = observations.isEmpty() ? 0 : encodedBytes(observations);
+        for (std::size_t count = 0; count < std::min(targets, m_entries.size() - 1); ++count) {
+            const std::size_t to = (from + 1 + m_random.below(m_entries.size() - 1)) % m_entries.size();
+            m_entries[from].m_bytes += bytes;
+            if (m_random.unit() >= m_experiment.m_lossShare) {
+                m_messages.push_back(Message{m_now + MessageDelay, from, to, observations, m_entries[from].m_quarantine->verdictDigest()});
+            }
+        }
+    }
+
+    void deliverMessages()
+    {
+        while (!m_messages.empty() && m_messages.front().m_arrivesAt <= m_now) {
+            const Message message = std::move(m_messages.front());
+            m_messages.pop_front();
+            Entry &entry = m_entries[message.m_to];
+            entry.m_quarantine->merge(message.m_observations, m_now);
+            if (message.m_digest != entry.m_quarantine->verdictDigest() && m_now >= entry.m_nextPull) {
+                entry.m_nextPull = m_now + PullInterval;
+                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts()};
+                m_entries[message.m_from].m_bytes += encodedBytes(all);
+                entry.m_quarantine->merge(all, m_now);
+            }
+        }
+    }
+
+    void collectVerdicts(Quarantine::PartQuarantine &quarantine)
+    {
+        for (const Quarantine::VerdictChange &change : quarantine.takeChanges()) {
+            const bool isSound = !change.m_verdict.m_part.m_id.starts_with("crashing-");
+            if (isSound && !change.m_verdict.m_isLifted) {
+                m_wronglyBlamed.insert(change.m_verdict.m_part);
+            }
+        }
+        m_outcome.m_memoryBytes = std::max(m_outcome.m_memoryBytes,
+                                           quarantine.historyCount() * HistoryEntryBytes + quarantine.suspectCount() * SuspectEntryBytes
+                                               + quarantine.blamedCount() * VerdictEntryBytes);
+    }
+
+    QuarantineOutcome finish()
+    {
+        std::size_t bytes = 0;
+        for (const Entry &entry : m_entries) {
+            bytes = std::max(bytes, entry.m_bytes);
+        }
+        m_outcome.m_bytesPerSecond = static_cast<double>(bytes) / Core::secondsBetween(m_start + m_experiment.m_begin, m_now);
+        m_outcome.m_wronglyBlamed = m_wronglyBlamed.size();
+        return m_outcome;
+    }
+
+    const QuarantineExperiment m_experiment;
+    const Core::Instant m_start = Core::Instant() + Core::Duration(1'000'000);
+    Core::Instant m_now;
+    Core::Random m_random;
+    std::vector<Engine> m_engines;
+    std::vector<Entry> m_entries;
+    std::vector<std::shared_ptr<Request>> m_held; ///< Requests that wait at their entries.
+    std::deque<Message> m_messages; ///< In the order of their arrival.
+    std::map<std::string, std::vector<Core::Instant>> m_crashes; ///< By part.
+    std::set<PromptPart> m_wronglyBlamed;
+    Quarantine::Incarnation m_lastIncarnation = 0;
+    std::uint64_t m_sessions = 0;
+    QuarantineOutcome m_outcome;
+};
+
+bool hasEnough(const Quarantine::Suspect &suspect, Core::Instant now, const Quarantine::DecisionSettings &settings)
+{
+    const std::function<bool(const Quarantine::Crash &)> isOld = [now, &settings](const Quarantine::Crash &crash) {
+        return now - crash.m_at >= settings.m_settleTime;
+    };
+    return std::any_of(suspect.m_crashes.begin(), suspect.m_crashes.end(), isOld) && crashPoints(suspect.m_crashes, settings) >= settings.m_threshold;
+}
+
+}
+
+QuarantineOutcome play(const QuarantineExperiment &experiment)
+{
+    return Fleet(experiment).play();
+}
+
+Quarantine::Decision blameByCount(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
+{
+    Quarantine::Decision found;
+    for (const Quarantine::Suspect &suspect : suspects) {
+        if (!suspect.m_isBlamed && hasEnough(suspect, now, settings)) {
+            found.m_atFault.push_back(suspect.m_part);
+        }
+    }
+    return found;
+}
+
+Quarantine::Decision blameByShare(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
+{
+    Quarantine::Decision found;
+    for (const Quarantine::Suspect &suspect : suspects) {
+        if (!suspect.m_isBlamed && hasEnough(suspect, now, settings) && suspect.m_crashes.size() * 2 >= suspect.m_runs) {
+            found.m_atFault.push_back(suspect.m_part);
+        }
+    }
+    return found;
+}
+
+}
--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -45,6 +45,7 @@
     , m_socket(parts.m_loop)
     , m_timer(parts.m_loop)
     , m_relayTimer(parts.m_loop)
+    , m_quarantineTimer(parts.m_loop)
     , m_datagramsSent(parts.m_metrics.counter("gossip_datagrams_sent_total"))
     , m_datagramsBad(parts.m_metrics.counter("gossip_datagrams_bad_total"))
     , m_pulls(parts.m_metrics.counter("gossip_state_requests_total"))
@@ -141,6 +142,7 @@
     if (m_onLimits && !heartbeat.m_limits.empty()) {
         m_onLimits(heartbeat.m_limits);
     }
+    mergeQuarantine(heartbeat);
     pullOrConfirmState(heartbeat);
     answerNewcomer(heartbeat);
     if (isChanged && m_onMembersChanged) {
@@ -288,6 +290,8 @@
         const std::optional<std::uint64_t> milliseconds = knownAge ? std::optional<std::uint64_t>(knownAge->count()) : std::nullopt;
         heartbeat.m_weights.push_back(AgedWeights{declared, milliseconds});
     }
+    heartbeat.m_verdictDigest = m_quarantine.m_verdictDigest ? m_quarantine.m_verdictDigest() : 0;
+    heartbeat.m_hasStoredVerdicts = m_hasStoredVerdicts;
     heartbeat.m_members = m_members.sample(sampledMembers, now, m_parts.m_random);
     return heartbeat;
 }
@@ -347,11 +351,13 @@
     if (m_limitSource) {
         heartbeat.m_limits = m_limitSource(m_settings.m_sampledLimits);
     }
-    const std::size_t digests = m_settings.m_sampledDigests - std::min(m_settings.m_sampledDigests, heartbeat.m_limits.size() * m_settings.m_digestsPerLimit);
+    const std::size_t replaced = heartbeat.m_limits.size() * m_settings.m_digestsPerLimit + addQuarantine(heartbeat);
+    const std::size_t digests = m_settings.m_sampledDigests - std::min(m_settings.m_sampledDigests, replaced);
     // Entries already learn of live agents from their engine updates.
     heartbeat.m_digests = m_members.sampleDigests(digests, Role::Entry, now, m_parts.m_random);
     sendHeartbeatTo(heartbeat, sampleTargets(Role::Entry));
     heartbeat.m_limits.clear(); // Agents send no requests.
+    heartbeat.m_quarantine = {};
     heartbeat.m_digests = m_members.sampleDigests(m_settings.m_sampledDigests, std::nullopt, now, m_parts.m_random);
     sendHeartbeatTo(heartbeat, sampleTargets(Role::Agent));
     sendHeartbeatTo(std::move(heartbeat), seedTargets());
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -8,6 +8,7 @@
 #include "LibGossip/ReportFanOut.h"
 #include "LibHttp/EventLoop.h"
 #include "LibPlacement/VersionDeadlines.h"
+#include "LibQuarantine/PartQuarantine.h"
 #include "LibSettings/Reader.h"
 #include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
@@ -33,6 +34,13 @@
     std::size_t m_sampledMembers = 6; ///< Members that a heartbeat describes in full; with the other fields they fill half a datagram.
     std::size_t m_sampledLimits = 6; ///< Limits of endpoints in a heartbeat between entries.
     std::size_t m_digestsPerLimit = 3; ///< Digests that a limit takes the place of, so that the datagram does not grow.
+    Quarantine::SampleSize m_sampledQuarantine; ///< In a heartbeat between entries.
+    Quarantine::SampleSize m_newsOfQuarantine{3, 12, 6}; ///< In a message that is sent at once; as many as fit into a datagram of 1,400 bytes.
+    std::size_t m_digestsPerVerdict = 7; ///< Digests that a verdict takes the place of.
+    std::size_t m_digestsPerCrash = 3;
+    std::size_t m_digestsPerCompletion = 2;
+    Core::Duration m_quarantineDelay{80}; ///< Time for which news of the quarantine is collected before it is sent.
+    Core::Duration m_verdictPullInterval{1000}; ///< Minimum time between two state requests because of verdicts that differ.
     std::size_t m_sampledDigests = 40; ///< Members that a heartbeat lists as digests; as many as fit beside the full descriptions.
     std::size_t m_sampledForNewcomers = 11; ///< Members described in full to a process that knows few; as many as fit into a datagram of 1,400 bytes.
     Core::Duration m_pullInterval{300}; ///< Minimum time between two state requests.
@@ -50,6 +58,17 @@
 /// Returns the settings of a node that listens on @p peers and makes its calls from the same host.
 Wire::NodeSettings nodeSettings(const Core::Address &peers);
 
+/// Access to the quarantine of an entry.
+struct QuarantineAccess
+{
+    std::function<Quarantine::Observations(Quarantine::SampleSize size)> m_sample;
+    std::function<Quarantine::Observations(Quarantine::SampleSize size)> m_takeNews;
+    std::function<bool()> m_hasNews;
+    std::function<std::vector<Quarantine::Verdict>()> m_verdicts;
+    std::function<std::uint64_t()> m_verdictDigest;
+    std::function<void(const Quarantine::Observations &observations)> m_merge;
+};
+
 /// Objects that the service uses. All of them must outlive it.
 struct GossipParts
 {
@@ -90,6 +109,19 @@
     void setLimitSource(std::function<std::vector<Placement::LimitObservation>(std::size_t count)> source);
     /// Sets the callback that receives the limits that another entry tells.
     void onLimits(std::function<void(const std::vector<Placement::LimitObservation> &observations)> callback);
+    /// Sets the quarantine whose observations are exchanged with other entries.
+    void setQuarantine(QuarantineAccess access);
+    /// Returns whether the quarantine's verdicts include those that were stored when this process started, from the store or from a peer.
+    bool hasStoredVerdicts() const
+    {
+        return m_hasStoredVerdicts;
+    }
+    void setHasStoredVerdicts()
+    {
+        m_hasStoredVerdicts = true;
+    }
+    /// Sends news of the quarantine to many entries, which pass on what is news to them.
+    void announceQuarantine();
     /// Sets the callback that is called when the set of live members may have changed.
     void onMembersChanged(std::function<void()> callback);
 
@@ -146,6 +178,10 @@
     bool recordIfNewer(const EngineUpdate &update);
     void queueForRelay(const EngineUpdate &update);
     void relayQueued();
+    void mergeQuarantine(const Heartbeat &heartbeat);
+    void sendQuarantineNews();
+    /// Adds observations to a heartbeat for entries. Returns the number of digests that they take the place of.
+    std::size_t addQuarantine(Heartbeat &heartbeat) const;
     void tick();
     void sendHeartbeats(ReportUrgency urgency);
     /// Builds a heartbeat with @p sampledMembers members described in full and without digests.
@@ -190,6 +226,11 @@
     std::function<void()> m_onMembersChanged;
     std::function<std::vector<Placement::LimitObservation>(std::size_t)> m_limitSource;
     std::function<void(const std::vector<Placement::LimitObservation> &)> m_onLimits;
+    QuarantineAccess m_quarantine; ///< Empty functions unless this is an entry.
+    Http::Timer m_quarantineTimer;
+    bool m_isQuarantineNewsDue = false; ///< The timer is running.
+    Core::Instant m_nextVerdictPull;
+    bool m_hasStoredVerdicts = false;
     Telemetry::Counter &m_datagramsSent;
     Telemetry::Counter &m_datagramsBad;
     Telemetry::Counter &m_pulls;
--- a/Libraries/LibGossip/GossipState.cpp
+++ b/Libraries/LibGossip/GossipState.cpp
@@ -138,6 +138,10 @@
             answer.m_declarations.m_configuration->m_accounts.clear();
         }
     }
+    if (!request.m_forAgent && m_quarantine.m_verdicts) {
+        answer.m_verdicts = m_quarantine.m_verdicts();
+        answer.m_hasStoredVerdicts = m_hasStoredVerdicts;
+    }
     if (!request.m_forAgent && m_parts.m_fleetState.endpointsRevisionOffset() > request.m_endpointsRevisionOffset) {
         answer.m_endpoints = m_parts.m_fleetState.endpointSnapshot();
         const std::optional<Core::Instant> since = m_listUncertainSince ? m_listUncertainSince() : std::nullopt;
@@ -184,6 +188,10 @@
         m_parts.m_log.write(Telemetry::LogLine("state_pull_failed").text("error", answer.error().message()));
         return;
     }
+    m_hasStoredVerdicts = m_hasStoredVerdicts || answer.value().m_hasStoredVerdicts;
+    if (m_quarantine.m_merge && !answer.value().m_verdicts.empty()) {
+        m_quarantine.m_merge(Quarantine::Observations{{}, {}, answer.value().m_verdicts});
+    }
     Fleet::FleetStateUpdate update = m_parts.m_fleetState.apply(answer.value().m_declarations);
     if (answer.value().m_endpoints.m_isSnapshot) {
         const Fleet::EndpointChanges &endpoints = answer.value().m_endpoints;
--- a/Libraries/LibGossip/Messages.h
+++ b/Libraries/LibGossip/Messages.h
@@ -5,6 +5,7 @@
 #include "LibGossip/Membership.h"
 #include "LibPlacement/EndpointTracker.h"
 #include "LibPlacement/RequestLimits.h"
+#include "LibQuarantine/Observations.h"
 
 #include <msgpack.hpp>
 
@@ -49,6 +50,9 @@
     std::vector<std::uint32_t> m_requestedMembers; ///< Incarnations of which the sender requests full descriptions.
     std::vector<EngineUpdate> m_engineUpdates; ///< From an agent, the update of its own engine; from an entry, the updates that it relays.
     std::vector<Placement::LimitObservation> m_limits; ///< From an entry, some of the limits that endpoints have stated or ended.
+    Quarantine::Observations m_quarantine; ///< From an entry, some of what it knows of parts under which endpoints end.
+    std::uint64_t m_verdictDigest = 0; ///< Of all verdicts that an entry knows; see PartQuarantine::verdictDigest().
+    bool m_hasStoredVerdicts = false; ///< The sender's verdicts include those that were stored when it started.
 
     bool operator==(const Heartbeat &) const = default;
 
@@ -62,7 +66,10 @@
                          m_digests,
                          m_requestedMembers,
                          m_engineUpdates,
-                         m_limits);
+                         m_limits,
+                         m_quarantine,
+                         m_verdictDigest,
+                         m_hasStoredVerdicts);
 };
 
 /// Requests state that the sender lacks (method fleet.state).
@@ -82,10 +89,12 @@
 {
     Fleet::Declarations m_declarations;
     Fleet::EndpointChanges m_endpoints;
+    std::vector<Quarantine::Verdict> m_verdicts;
+    bool m_hasStoredVerdicts = false; ///< See Heartbeat.
 
     bool operator==(const StateAnswer &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_declarations, m_endpoints);
+    MSGPACK_DEFINE_ARRAY(m_declarations, m_endpoints, m_verdicts, m_hasStoredVerdicts);
 };
 
 }
--- /dev/null
+++ b/Libraries/LibQuarantine/Decision.cpp
@@ -0,0 +1,125 @@
+/// @file Implementation of the decision.
+
+#include "LibQuarantine/Decision.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace Quarantine {
+
+namespace {
+
+bool isEarlier(const Crash &left, const Crash &right)
+{
+    return left.m_at < right.m_at;
+}
+
+bool hasSettled(const Suspect &suspect, Core::Instant now, const DecisionSettings &settings)
+{
+    const std::vector<Crash>::const_iterator first = std::min_element(suspect.m_crashes.begin(), suspect.m_crashes.end(), isEarlier);
+    return first != suspect.m_crashes.end() && now - first->m_at >= settings.m_settleTime;
+}
+
+std::set<Incarnation> incarnationsOf(const Suspect &suspect)
+{
+    std::set<Incarnation> incarnations;
+    for (const Crash &crash : suspect.m_crashes) {
+        incarnations.insert(crash.m_incarnation);
+    }
+    return incarnations;
+}
+
+std::uint32_t unexplainedPoints(const Suspect &suspect, const std::set<Incarnation> &explained, const DecisionSettings &settings)
+{
+    std::vector<Crash> crashes = suspect.m_crashes;
+    std::erase_if(crashes, [&explained](const Crash &crash) { return explained.contains(crash.m_incarnation); });
+    return crashPoints(std::move(crashes), settings);
+}
+
+bool isAtFault(const Suspect &suspect, const std::set<Incarnation> &explained, Core::Instant now, const DecisionSettings &settings)
+{
+    const std::uint32_t threshold = suspect.m_wasCompleted ? settings.m_completedThreshold : settings.m_threshold;
+    const std::uint32_t total = crashPoints(suspect.m_crashes, settings);
+    const bool hasEnough = total >= threshold && unexplainedPoints(suspect, explained, settings) + settings.m_sharedPoints >= threshold;
+    return hasEnough && (suspect.m_isBlamed || hasSettled(suspect, now, settings));
+}
+
+std::size_t accountCount(const Suspect &suspect)
+{
+    std::set<Account> accounts;
+    for (const Crash &crash : suspect.m_crashes) {
+        accounts.insert(crash.m_account);
+    }
+    return accounts.size();
+}
+
+/// Orders the most suspect part first.
+void sortBySuspicion(std::vector<Suspect> &suspects, const DecisionSettings &settings)
+{
+    using Rank = std::tuple<bool, bool, std::int64_t, std::int64_t, std::uint64_t>;
+    const std::function<Rank(const Suspect &)> rank = [&settings](const Suspect &suspect) {
+        const std::uint64_t unharmed = suspect.m_runs - std::min(suspect.m_runs, suspect.m_lostRuns);
+        const bool isMostlyUnharmed = unharmed > settings.m_unharmedRuns && unharmed > suspect.m_lostRuns;
+        // Accounts share a part at fault less often than the parts of a conversation, which was only under way when endpoints ended.
+        return Rank(suspect.m_wasCompleted,
+                    isMostlyUnharmed,
+                    -std::int64_t{crashPoints(suspect.m_crashes, settings)},
+                    -static_cast<std::int64_t>(accountCount(suspect)),
+                    suspect.m_runs);
+    };
+    std::stable_sort(suspects.begin(), suspects.end(), [&rank](const Suspect &left, const Suspect &right) { return rank(left) < rank(right); });
+}
+
+/// Removes crashes of which other entries may not have told everything yet.
+void removeRecentCrashes(std::vector<Suspect> &suspects, Core::Instant now, const DecisionSettings &settings)
+{
+    for (Suspect &suspect : suspects) {
+        std::erase_if(suspect.m_crashes, [now, &settings](const Crash &crash) { return now - crash.m_at < settings.m_propagationTime; });
+    }
+}
+
+}
+
+std::uint32_t crashPoints(std::vector<Crash> crashes, const DecisionSettings &settings)
+{
+    std::sort(crashes.begin(), crashes.end(), isEarlier);
+    std::uint32_t total = 0;
+    std::uint32_t largestInWindow = 0;
+    std::optional<Core::Instant> windowStart;
+    for (const Crash &crash : crashes) {
+        if (!windowStart || crash.m_at - *windowStart > settings.m_commonCauseWindow) {
+            windowStart = crash.m_at;
+            total += largestInWindow;
+            largestInWindow = 0;
+        }
+        largestInWindow = std::max(largestInWindow, crash.m_hadBegun ? settings.m_pointsBegun : settings.m_pointsOther);
+    }
+    return total + largestInWindow;
+}
+
+Decision decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)
+{
+    removeRecentCrashes(suspects, now, settings);
+    sortBySuspicion(suspects, settings);
+    Decision decision;
+    std::set<Incarnation> explained;
+    std::optional<Suspect> previous; // The last part that was found to be at fault.
+    for (const Suspect &suspect : suspects) {
+        const bool isIndistinguishable = previous && !suspect.m_wasCompleted && !previous->m_wasCompleted && suspect.m_runs == previous->m_runs
+            && incarnationsOf(suspect) == incarnationsOf(*previous);
+        const bool isFaulty = isIndistinguishable || isAtFault(suspect, explained, now, settings);
+        if (isFaulty) {
+            previous = suspect;
+            explained.merge(incarnationsOf(suspect));
+        }
+        if (isFaulty && !suspect.m_isBlamed) {
+            decision.m_atFault.push_back(suspect.m_part);
+        } else if (!isFaulty && suspect.m_isBlamed && unexplainedPoints(suspect, explained, settings) < crashPoints(suspect.m_crashes, settings)) {
+            decision.m_cleared.push_back(suspect.m_part);
+        }
+    }
+    return decision;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibQuarantine/Decision.h
@@ -0,0 +1,76 @@
+/// @file Decides under which parts of prompts endpoints end. The functions depend only on their arguments.
+#pragma once
+
+#include "LibCore/Clock.h"
+#include "LibQuarantine/Observations.h"
+
+#include <functional>
+
+namespace Quarantine {
+
+struct DecisionSettings
+{
+    std::uint32_t m_pointsBegun = 5; ///< For a crash just after the endpoint had begun to answer a request with the part.
+    std::uint32_t m_pointsOther = 3; ///< For a crash while such a request was queued there, or had been running for long.
+    std::uint32_t m_threshold = 15; ///< Points of a part at fault: three crashes of the first kind, or five of any.
+    std::uint32_t m_completedThreshold = 25; ///< The same for a part with which answers were completed before the first of these crashes.
+    /// Points that may come from crashes for which another part at fault accounts, too.
+    std::uint32_t m_sharedPoints = 5;
+    /// Crashes within this time of each other count once: a loss of power ends many endpoints in one moment, under all parts.
+    Core::Duration m_commonCauseWindow{100};
+    /// Time from the first crash to a decision. Popular parts are part of answers that are completed in this time, and other entries tell of them.
+    Core::Duration m_settleTime{1500};
+    Core::Duration m_propagationTime{300}; ///< More recent crashes are not counted yet: other entries may still tell of further parts that were lost in them.
+    std::uint64_t m_unharmedRuns = 2; ///< A part of which more requests than this, and more than were lost, are or were at endpoints unharmed is less suspect.
+
+    bool operator==(const DecisionSettings &) const = default;
+};
+
+/// The end of one incarnation of an endpoint while a request with a part was under way there.
+struct Crash
+{
+    Incarnation m_incarnation = 0;
+    Account m_account = 0;
+    bool m_hadBegun = false;
+    Core::Instant m_at;
+    std::uint32_t m_candidates = 1; ///< Parts of the request with which no answer was known to have been completed; at least 1.
+
+    bool operator==(const Crash &) const = default;
+};
+
+/// What is known of a part under which endpoints have ended.
+struct Suspect
+{
+    PromptPart m_part;
+    std::vector<Crash> m_crashes; ///< Since the last completed answer, in any order, one for each incarnation.
+    bool m_wasCompleted = false; ///< Answers to requests with the part were completed before these crashes.
+    bool m_isBlamed = false; ///< The part was decided to be at fault before.
+    std::uint64_t m_runs = 0; ///< Requests with the part that this process has sent.
+    std::uint64_t m_lostRuns = 0; ///< Those of them that were lost with their endpoints.
+
+    bool operator==(const Suspect &) const = default;
+};
+
+struct Decision
+{
+    std::vector<PromptPart> m_atFault; ///< Parts that are at fault and were not blamed before.
+    std::vector<PromptPart> m_cleared; ///< Parts that were blamed before, but for whose crashes other parts account.
+
+    bool operator==(const Decision &) const = default;
+};
+
+/// Returns the points of these crashes.
+std::uint32_t crashPoints(std::vector<Crash> crashes, const DecisionSettings &settings);
+
+/**
+ * Decides which parts are at fault.
+ *
+ * All requests of an endpoint are lost with it, so every part of theirs is a suspect. The part at fault is in all of the crashes that it has caused and in no
+ * completed answer. Parts are judged from the most to the least suspect, and crashes for which one accounts hardly count for the next. Parts that share all
+ * their crashes cannot be told apart, and are at fault together.
+ */
+Decision decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings);
+
+using DecideFunction = std::function<Decision(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)>;
+
+}
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -18,6 +18,8 @@
     , m_resumed(metrics.counter("relay_streams_resumed_total"))
     , m_limitReached(metrics.counter("relay_limit_reached_total"))
     , m_backedOff(metrics.counter("relay_backed_off_total"))
+    , m_quarantined(metrics.counter("relay_quarantined_total"))
+    , m_held(metrics.counter("relay_held_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"last_chunk\"}"),
@@ -51,6 +53,11 @@
     }
 }
 
+void Relay::onQuarantineChanged(std::function<void()> callback)
+{
+    m_onQuarantineChanged = std::move(callback);
+}
+
 void Relay::onSlotsChanged()
 {
     m_waitingRequests.onSlotsChanged();
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -9,6 +9,7 @@
 #include "LibPlacement/RequestLimits.h"
 #include "LibPlacement/RetryBudgets.h"
 #include "LibPlacement/VersionDeadlines.h"
+#include "LibQuarantine/PartQuarantine.h"
 #include "LibRelay/Dialect.h"
 #include "LibRelay/RequestAccount.h"
 #include "LibRelay/WaitingRequests.h"
@@ -34,6 +35,11 @@
     Placement::QueueSettings m_queue;
     /// Longest time that a request waits for the first configuration of a process that has just started.
     Core::Duration m_configurationWait{1000};
+    std::size_t m_maximumHeldRequests = 256; ///< Requests that wait until it is known whether endpoints end under a part of their prompts.
+    Core::Duration m_holdCheckInterval{100}; ///< Between checks whether such a request may be sent; short compared to a latency objective.
+    /// Retry-After of a request that is refused because endpoints end under a part of its prompt. Longer than callers wait: a retry would be refused, too.
+    Core::Duration m_quarantineRetryAfter{60000};
+    std::uint32_t m_maximumLostEndpoints = 2; ///< A request under which this many endpoints have ended is not sent again, unless its parts are acquitted.
     std::size_t m_successSampleInterval = 20; ///< One in this many successful requests is logged.
 
     bool operator==(const RelaySettings &) const = default;
@@ -50,6 +56,7 @@
     Placement::ElapsedTimeEstimator &m_elapsedTimeEstimator;
     Placement::SlotTracker &m_slotTracker;
     Placement::RequestLimits &m_requestLimits;
+    Quarantine::PartQuarantine &m_quarantine;
     Telemetry::Metrics &m_metrics;
     Telemetry::EventLog &m_log;
     Core::Random &m_random;
@@ -69,6 +76,8 @@
     Telemetry::Counter &m_resumed;
     Telemetry::Counter &m_limitReached;
     Telemetry::Counter &m_backedOff;
+    Telemetry::Counter &m_quarantined;
+    Telemetry::Counter &m_held;
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
     Telemetry::Latency &m_completeAnswer;
@@ -90,6 +99,8 @@
     void onConfigurationChanged();
     /// Must be called when engines have reported, because slots may have become free.
     void onSlotsChanged();
+    /// Sets the callback that is called after something was recorded under which part of a prompt endpoints end.
+    void onQuarantineChanged(std::function<void()> callback);
     /// Logs the counts of ended requests if they are due, or in any case if the process is about to end.
     void logAccount(bool isFinal = false);
     /// Returns the number of requests handled since the start.
@@ -125,6 +136,8 @@
     RelayCounters m_counters;
     RequestAccount m_account;
     std::size_t m_successes = 0;
+    std::size_t m_heldRequests = 0;
+    std::function<void()> m_onQuarantineChanged;
     std::set<std::shared_ptr<RelayedRequest>> m_openRequests;
 };
 
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -2,7 +2,6 @@
 
 #include "LibRelay/RelayedRequest.h"
 
-#include "LibQuarantine/PromptPart.h"
 #include "LibRelay/RequestTimeouts.h"
 #include "LibRelay/StatusCodes.h"
 
@@ -70,6 +69,7 @@
     , m_configuration(relay.m_parts.m_fleetState.configuration())
     , m_arrivedAt(Core::Clock::now())
     , m_framer(m_facts.m_resumeAfter)
+    , m_holdTimer(relay.m_parts.m_loop)
 {
 }
 
@@ -104,7 +104,9 @@
         return;
     }
     if (m_service->m_engine.m_slots > 0) {
-        m_promptParts = Quarantine::normalizedPartIds(m_facts.m_promptParts);
+        for (std::string &id : Quarantine::normalizedPartIds(m_facts.m_promptParts)) {
+            m_promptParts.push_back(Quarantine::PromptPart{m_service->m_name, std::move(id)});
+        }
     }
     m_relay.m_parts.m_retryBudgets.onRequest(m_service->m_name);
     if (canMeetObjective()) {
@@ -212,6 +214,9 @@
         fail(GatewayTimeout, "too little time is left for another attempt");
         return;
     }
+    if (!passesQuarantine()) {
+        return;
+    }
     const Placement::ChoiceResult result = chooseEndpoint();
     if (result.m_choice) {
         admitAndSend(*result.m_choice);
@@ -345,6 +350,7 @@
     m_relay.m_parts.m_endpointTracker.recordSent(choice.m_endpoint, m_attempt->m_sentAt);
     m_relay.m_parts.m_slotTracker.recordSent(choice.m_endpoint.m_id);
     m_relay.m_parts.m_requestLimits.recordSent(choice.m_endpoint, m_attempt->m_sentAt);
+    m_relay.m_parts.m_quarantine.recordSent(m_promptParts, m_attempt->m_sentAt);
     m_attempt->m_call->start(outgoing);
 }
 
@@ -388,6 +394,9 @@
         m_relay.m_parts.m_endpointTracker.recordLoad(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
     }
     m_statedRetryAfter = Http::fieldText(head.m_fields, "Retry-After").substr(0, MaximumLoggedFieldBytes);
+    if (m_service->m_engine.m_slots > 0 && isEndpointsOwn(head, facts)) {
+        m_relay.m_parts.m_quarantine.recordAlive(incarnation(), m_attempt->m_sentAt);
+    }
     recordLimit(facts);
     recordBackoff(head, facts);
     recordLeaving(head, facts);
@@ -471,6 +480,10 @@
         return;
     }
     const bool isUnreachable = !end.m_wasSent;
+    // A time limit of this process shows nothing about the endpoint, which may only be slow or out of reach.
+    if (!isUnreachable && end.m_error.m_code == Core::ErrorCode::Ambiguous) {
+        recordEndpointLost();
+    }
     onAttemptFailed(isUnreachable ? Placement::EndpointFailure::Unreachable : Placement::EndpointFailure::ConnectionLost, end.m_wasSent, end.m_error.message());
 }
 
@@ -490,9 +503,11 @@
 {
     const std::string reason = interruption();
     if (!reason.empty()) {
+        recordEndpointLost();
         onAttemptFailed(Placement::EndpointFailure::ConnectionLost, true, reason);
         return;
     }
+    recordAnswerCompleted();
     const Core::Instant now = Core::Clock::now();
     const double milliseconds = Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond;
     m_relay.m_parts.m_endpointTracker.recordAnswerTime(m_attempt->m_endpoint, milliseconds);
@@ -562,7 +577,7 @@
     }
     std::string parts;
     for (std::size_t index = 0; index < std::min(m_promptParts.size(), MaximumLoggedParts); ++index) {
-        parts += (index > 0 ? "," : "") + m_promptParts[index];
+        parts += (index > 0 ? "," : "") + m_promptParts[index].m_id;
     }
     if (!parts.empty()) {
         line.text("parts", parts);
@@ -574,6 +589,9 @@
     if (mayHaveRun && !m_route->isRepeatable()) {
         return false;
     }
+    if (m_lostEndpoints >= m_relay.m_settings.m_maximumLostEndpoints && !m_relay.m_parts.m_quarantine.areAcquitted(m_promptParts)) {
+        return false;
+    }
     return m_attempts < m_route->m_maximumAttempts && m_relay.m_parts.m_retryBudgets.tryRetry(m_service->m_name);
 }
 
@@ -584,6 +602,14 @@
     }
     m_framer.discardPartialEvent();
     m_relay.m_counters.m_resumed.add();
+    return continueStream();
+}
+
+bool RelayedRequest::continueStream()
+{
+    if (!passesQuarantine()) {
+        return true;
+    }
     const Placement::ChoiceResult result = chooseEndpoint();
     if (result.m_choice) {
         admitAndSend(*result.m_choice);
@@ -601,6 +627,7 @@
     m_mayHaveRun = m_mayHaveRun || m_attempt.has_value();
     stopWaiting();
     endAttempt();
+    endHold();
     if (m_isHeadForwarded) {
         m_connection->abort();
         finish(RequestOutcome::Failed, 0, "the time limit was reached within the answer");
@@ -720,6 +747,7 @@
         logEnd(outcome, status, reason);
     }
     m_timer.cancel();
+    endHold();
     m_relay.m_openRequests.erase(shared_from_this());
 }
 
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -58,6 +58,19 @@
     std::optional<double> neededSlots() const;
     /// Returns whether the engines have slots, but not enough free ones for the request. This check is cheaper than chooseEndpoint().
     bool lacksSlots() const;
+    /// Returns whether the request may be sent now. Otherwise it has been refused, or waits until it is known whether endpoints end under it.
+    bool passesQuarantine();
+    /// Ends a request under a part of whose prompt endpoints end.
+    void endQuarantined(const Quarantine::PromptPart &part);
+    /// Lets the request wait until it is known whether endpoints end under it; refuses it if there is no time or room for that.
+    void hold(const Quarantine::Treatment &treatment);
+    void continueAfterHold();
+    void endHold();
+    /// Records that the connection to the current attempt's endpoint was lost while the request was there.
+    void recordEndpointLost();
+    void recordAnswerCompleted();
+    Quarantine::Incarnation incarnation() const;
+    Quarantine::Account quarantineAccount() const;
     /// Marks the request as admitted and sends it to the chosen endpoint.
     void admitAndSend(const Placement::Choice &choice);
     /// Adds the request to the requests that already wait and dispatches them; returns false if it may not wait.
@@ -111,6 +124,8 @@
     void onAttemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
     bool mayRetry(bool mayHaveRun);
     bool resumeStream();
+    /// Sends the rest of a stream to another endpoint, now or once there is a slot; returns false if that is not possible.
+    bool continueStream();
 
     void onDeadline();
     void onCallerDisconnected();
@@ -163,7 +178,10 @@
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
     EventFramer m_framer;
-    std::vector<std::string> m_promptParts; ///< Normalized ids; empty unless the request is for a model engine.
+    std::vector<Quarantine::PromptPart> m_promptParts; ///< Empty unless the request is for a model engine.
+    std::uint32_t m_lostEndpoints = 0; ///< Endpoints that were lost while the request was there.
+    Http::Timer m_holdTimer;
+    bool m_isHeld = false; ///< Counted among the relay's held requests.
     std::set<std::string> m_excluded; ///< Ids of the endpoints at which this request has failed.
     std::string m_lastFailure;
 };
--- /dev/null
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -0,0 +1,132 @@
+/// @file The part of a relayed request's implementation that keeps it from endpoints which end under a part of its prompt, and records what endpoints end
+/// under.
+
+#include "LibRelay/RelayedRequest.h"
+#include "LibRelay/StatusCodes.h"
+
+namespace Relay {
+
+Quarantine::Incarnation RelayedRequest::incarnation() const
+{
+    return Quarantine::incarnationOf(m_attempt->m_endpoint.m_id, m_attempt->m_endpoint.m_startedMilliseconds);
+}
+
+Quarantine::Account RelayedRequest::quarantineAccount() const
+{
+    return Quarantine::accountOf(m_account ? m_account->m_name : "");
+}
+
+bool RelayedRequest::passesQuarantine()
+{
+    const Quarantine::Treatment treatment = m_relay.m_parts.m_quarantine.treat(m_promptParts, quarantineAccount(), Core::Clock::now());
+    switch (treatment.m_kind) {
+    case Quarantine::TreatmentKind::Send:
+        return true;
+    case Quarantine::TreatmentKind::Hold:
+        hold(treatment);
+        return false;
+    case Quarantine::TreatmentKind::Refuse:
+        break;
+    }
+    endQuarantined(treatment.m_part);
+    return false;
+}
+
+void RelayedRequest::endQuarantined(const Quarantine::PromptPart &part)
+{
+    m_relay.m_counters.m_quarantined.add();
+    const std::string reason = "engines end under part " + part.m_id + " of the prompt";
+    if (m_isHeadForwarded) {
+        m_connection->abort();
+        finish(RequestOutcome::Failed, 0, reason);
+        return;
+    }
+    if (m_mayHaveRun) {
+        fail(BadGateway, reason);
+        return;
+    }
+    refuse(reason, m_relay.m_settings.m_quarantineRetryAfter);
+}
+
+void RelayedRequest::hold(const Quarantine::Treatment &treatment)
+{
+    const RelaySettings &settings = m_relay.m_settings;
+    const bool hasRoom = m_isHeld || m_relay.m_heldRequests < settings.m_maximumHeldRequests;
+    if (!hasRoom || timeLeft() < treatment.m_holdTime + settings.m_minimumTimeLeft) {
+        const std::string reason = "it is being found out whether engines end under part " + treatment.m_part.m_id + " of the prompt";
+        if (m_isHeadForwarded) {
+            m_connection->abort();
+            finish(RequestOutcome::Failed, 0, reason);
+        } else if (m_mayHaveRun) {
+            fail(BadGateway, reason);
+        } else {
+            refuse(reason, treatment.m_holdTime);
+        }
+        return;
+    }
+    if (!m_isHeld) {
+        m_isHeld = true;
+        ++m_relay.m_heldRequests;
+        m_relay.m_counters.m_held.add();
+    }
+    m_holdTimer.expires_after(std::min(treatment.m_holdTime, settings.m_holdCheckInterval));
+    m_holdTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<RelayedRequest> self = weak.lock();
+        if (!error && self && !self->m_isFinished) {
+            self->continueAfterHold();
+        }
+    });
+}
+
+void RelayedRequest::continueAfterHold()
+{
+    if (!m_isHeadForwarded) {
+        tryEndpoint();
+    } else if (!continueStream()) {
+        m_connection->abort();
+        finish(RequestOutcome::Failed, 0, "the answer broke off: " + m_lastFailure);
+    }
+    const bool isStillHeld = !m_attempt && !isWaiting() && !m_isFinished;
+    if (!isStillHeld) {
+        endHold();
+    }
+}
+
+void RelayedRequest::endHold()
+{
+    m_holdTimer.cancel();
+    if (m_isHeld) {
+        m_isHeld = false;
+        --m_relay.m_heldRequests;
+    }
+}
+
+void RelayedRequest::recordEndpointLost()
+{
+    ++m_lostEndpoints;
+    const Core::Instant now = Core::Clock::now();
+    std::optional<Core::Duration> writing;
+    if (m_attempt->m_answerBeganAt) {
+        writing = std::chrono::duration_cast<Core::Duration>(now - *m_attempt->m_answerBeganAt);
+    }
+    m_relay.m_parts.m_quarantine.recordCrash(m_promptParts, incarnation(), quarantineAccount(), writing, now);
+    if (m_relay.m_onQuarantineChanged) {
+        m_relay.m_onQuarantineChanged();
+    }
+}
+
+void RelayedRequest::recordAnswerCompleted()
+{
+    const bool isEmpty = m_isEventStream && !m_hasAttemptForwardedEvents;
+    if (m_promptParts.empty() || isEmpty || !m_attempt->m_answerBeganAt) {
+        return;
+    }
+    const Core::Instant now = Core::Clock::now();
+    const Core::Duration writing = std::chrono::duration_cast<Core::Duration>(now - *m_attempt->m_answerBeganAt);
+    m_relay.m_parts.m_quarantine.recordCompletion(m_promptParts, incarnation(), writing, m_bodyEnd != Http::BodyEnd::Close, now);
+    if (m_relay.m_onQuarantineChanged) {
+        m_relay.m_onQuarantineChanged();
+    }
+}
+
+}
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -43,11 +43,16 @@
     , m_retryBudgets(m_settings.m_retryBudgets)
     , m_versions(m_settings.m_versionBound - Placement::VersionBoundMargin)
     , m_requestLimits(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain})
+    , m_quarantine(Core::stableHash(m_settings.m_instance))
     , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
                  Follow::FollowerSettings{},
                  m_adapter.m_makeSource(m_loop, m_settings.m_log, m_metrics))
+    , m_verdictKeeper(VerdictKeeperParts{m_quarantine, m_gossip, m_log},
+                      VerdictKeeperSettings{},
+                      m_settings.m_readerSelection,
+                      m_adapter.m_makeVerdictSource(m_loop, m_settings.m_log, m_metrics))
     , m_relay(Relay::RelayParts{m_loop,
                                 m_fleetState,
                                 m_endpointTracker,
@@ -56,6 +61,7 @@
                                 m_elapsedTimeEstimator,
                                 m_slotTracker,
                                 m_requestLimits,
+                                m_quarantine,
                                 m_metrics,
                                 m_log,
                                 m_random},
@@ -137,6 +143,7 @@
     m_timeSuspended = Core::timeSuspended();
     m_gossip.setLimitSource([this](std::size_t count) { return sampleLimits(count); });
     m_gossip.onLimits([this](const std::vector<Placement::LimitObservation> &observations) { handleLimits(observations); });
+    startQuarantine();
     m_follower.onUpdate([this](const Fleet::FleetStateUpdate &update) { onFleetStateChanged(update, true); });
     m_gossip.setListUncertaintyQuery([this] { return m_follower.uncertainSince(); });
     m_follower.onEndpointsRead([this](Core::Instant sentAt) { m_gossip.announceListRead(sentAt); });
@@ -163,6 +170,9 @@
         object->set("members", m_gossip.members().alive(Core::Clock::now()).size());
         object->set("open_requests", m_relay.openRequests());
         object->set("limited_endpoints", m_requestLimits.limitedCount());
+        object->set("suspect_parts", m_quarantine.suspectCount());
+        object->set("blamed_parts", m_quarantine.blamedCount());
+        object->set("known_parts", m_quarantine.historyCount());
         object->set("backed_off_endpoints", m_endpointTracker.backedOffCount(Core::Clock::now()));
         return object;
     });
@@ -197,6 +207,7 @@
     line.flag("accepted", settings.has_value());
     if (settings) {
         m_gossip.setSeedHosts(settings->m_gossip.m_seedHosts);
+        liftVerdicts(settings->m_liftedParts);
     }
     m_log.write(line);
 }
@@ -309,6 +320,7 @@
         // An engine that does not state its start time in reports is identified by its address alone.
         if (update.m_startedMilliseconds == 0 || endpoint.m_startedMilliseconds == update.m_startedMilliseconds) {
             m_endpointTracker.recordEngineReport(endpoint, update.m_report, now);
+            recordLiveness(endpoint, update, now);
             recordSlots(endpoint, update.m_report, now);
         }
     }
@@ -416,6 +428,9 @@
         m_log.write(Telemetry::LogLine("stalled").number("late_ms", std::int64_t{stall->count()}));
     }
     updateRequestRate();
+    m_quarantine.update(Core::Clock::now());
+    m_verdictKeeper.check(Core::Clock::now());
+    onQuarantineChanged();
     m_relay.logAccount();
     m_log.flush();
     m_tickTimer.expires_after(TickInterval);
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -7,6 +7,7 @@
 #include "LibHttp/Listener.h"
 #include "LibRelay/Relay.h"
 #include "LibServing/EntrySettings.h"
+#include "LibServing/VerdictKeeper.h"
 #include "LibTelemetry/AdminServer.h"
 #include "LibTelemetry/StallDetector.h"
 
@@ -34,6 +35,7 @@
 struct EntryAdapter
 {
     std::function<Follow::RecordSource(Http::EventLoop &loop, const Core::Address &log, Telemetry::Metrics &metrics)> m_makeSource;
+    std::function<Quarantine::VerdictSource(Http::EventLoop &loop, const Core::Address &log, Telemetry::Metrics &metrics)> m_makeVerdictSource;
     Relay::Dialect m_dialect;
     std::function<PageAnswer(const Http::ServerRequest &request, const PageView &view)> m_answerPage;
 };
@@ -64,8 +66,15 @@
     void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
     /// Records the free slots of an engine from a report of its load.
     void recordSlots(const Fleet::Endpoint &endpoint, const Placement::EngineReport &report, Core::Instant now);
+    /// Tells the quarantine that the engine lives on, if the report shows it.
+    void recordLiveness(const Fleet::Endpoint &endpoint, const Gossip::EngineUpdate &update, Core::Instant now);
     std::vector<Placement::LimitObservation> sampleLimits(std::size_t count);
     void handleLimits(const std::vector<Placement::LimitObservation> &observations);
+    void startQuarantine();
+    /// Logs changes of verdicts and tells other entries what is news.
+    void onQuarantineChanged();
+    /// Lifts the verdicts that operators have named in the settings.
+    void liftVerdicts(const std::vector<std::string> &parts);
     /// Updates this entry's shares of the retry budgets, slots and limits that all entries share.
     void updateShares();
     void updateLimitShares();
@@ -89,10 +98,12 @@
     Placement::ElapsedTimeEstimator m_elapsedTimeEstimator;
     Placement::SlotTracker m_slotTracker;
     Placement::RequestLimits m_requestLimits;
+    Quarantine::PartQuarantine m_quarantine;
     Core::Duration m_timeSuspended{0}; ///< Suspensions of the machine that are included in the ages of m_requestLimits.
     Wire::Node m_node;
     Gossip::GossipService m_gossip;
     Follow::Follower m_follower;
+    VerdictKeeper m_verdictKeeper;
     Relay::Relay m_relay;
     Telemetry::AdminServer m_admin;
     std::shared_ptr<Http::ServerContext> m_callerContext;
--- a/Libraries/LibServing/EntrySettings.cpp
+++ b/Libraries/LibServing/EntrySettings.cpp
@@ -42,6 +42,7 @@
     settings.m_admin = reader.address("admin");
     settings.m_log = reader.address("log");
     reader.section("bounds", [&settings](Settings::Reader &section) { readBounds(section, settings); });
+    reader.section("quarantine", [&settings](Settings::Reader &section) { settings.m_liftedParts = section.texts("lifted"); });
     return settings;
 }
 
--- a/Libraries/LibServing/EntrySettings.h
+++ b/Libraries/LibServing/EntrySettings.h
@@ -24,6 +24,7 @@
     Core::Duration m_versionBound{8000}; ///< Time from the acceptance of a version until no request may start on an older one.
     Placement::RetryBudgetSettings m_retryBudgets;
     Gossip::GossipSettings m_gossip;
+    std::vector<std::string> m_liftedParts; ///< Parts of prompts, as SERVICE/PART, whose verdicts are lifted when the settings are read again.
     DirectorySettings m_directory;
     ReaderSelectionSettings m_readerSelection;
 
--- /dev/null
+++ b/Tests/LibEmulator/TestQuarantine.cpp
@@ -0,0 +1,70 @@
+/// @file Tests that emulated fleets of entries keep requests from engines which end under them, and serve the others.
+
+#include "LibEmulator/QuarantineEmulator.h"
+
+#include <catch2/catch.hpp>
+
+using Emulator::play;
+using Emulator::QuarantineExperiment;
+using Emulator::QuarantineOutcome;
+
+namespace {
+
+constexpr std::size_t AllowedLateArrivals = 3; ///< For each part.
+constexpr double AllowedRefusals = 0.01; ///< Share of the sound requests.
+
+void check(const QuarantineExperiment &experiment)
+{
+    const QuarantineOutcome outcome = play(experiment);
+    CAPTURE(experiment.m_seed, outcome.m_crashes, outcome.m_soundHeld, outcome.m_wronglyBlamed);
+    CHECK(outcome.m_lateArrivals <= AllowedLateArrivals * experiment.m_crashingParts);
+    CHECK(static_cast<double>(outcome.m_soundRefused) <= AllowedRefusals * static_cast<double>(outcome.m_soundRequests));
+}
+
+}
+
+TEST_CASE("Crashes that different entries see keep later requests with the part from all engines")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(1, 2, 3);
+    experiment.m_crashingParts = GENERATE(1, 3);
+    check(experiment);
+}
+
+TEST_CASE("A part that ends engines from the first second on is told from the parts that all prompts have")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(4, 5, 6);
+    experiment.m_begin = Core::Duration(0);
+    check(experiment);
+}
+
+TEST_CASE("A loss of power and engines that end for other reasons have no sound part blamed for long")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(7, 8, 9);
+    experiment.m_powerLoss = Core::Duration(7000);
+    experiment.m_otherCrashesPerSecond = 2;
+    experiment.m_crashingPerSecond = GENERATE(0.0, 4.0);
+    check(experiment);
+}
+
+TEST_CASE("Entries that have forgotten everything learn from the others")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(10, 11, 12);
+    experiment.m_entriesRestart = Core::Duration(12000);
+    check(experiment);
+}
+
+TEST_CASE("A fleet of 150 entries that loses a fifth of its messages learns in time")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = 13;
+    experiment.m_entries = 150;
+    experiment.m_engines = 156;
+    experiment.m_requestsPerSecond = 1165;
+    experiment.m_lossShare = 0.2;
+    experiment.m_duration = Core::Duration(15000);
+    check(experiment);
+}
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -23,6 +23,11 @@
         facts.m_attemptId = attempt ? *attempt : "";
         facts.m_key = key ? *key : "";
         facts.m_model = model ? *model : "";
+        std::string parts = Http::fieldText(fields, "Parts");
+        for (std::size_t comma = parts.find(','); comma != std::string::npos; comma = parts.find(',')) {
+            facts.m_promptParts.push_back(parts.substr(0, comma));
+            parts.erase(0, comma + 1);
+        }
         if (timeout) {
             facts.m_timeout = Core::Duration(static_cast<std::int64_t>(*Http::parseNumber(*timeout)));
         }
@@ -85,6 +90,7 @@
     Placement::ElapsedTimeEstimator m_elapsedTimeEstimator;
     Placement::SlotTracker m_slotTracker;
     Placement::RequestLimits m_requestLimits{Placement::LimitHolder{"self", ""}};
+    Quarantine::PartQuarantine m_quarantine;
     std::vector<std::unique_ptr<ScriptedServer>> m_servers;
     std::vector<std::string> m_requests; ///< Requests as the endpoints received them.
     std::shared_ptr<Http::ServerContext> m_context = std::make_shared<Http::ServerContext>();
@@ -101,6 +107,7 @@
                                 m_elapsedTimeEstimator,
                                 m_slotTracker,
                                 m_requestLimits,
+                                m_quarantine,
                                 m_metrics,
                                 m_log,
                                 m_random};
