LibQuarantine: End verdicts that processes tell each other

Cause: a verdict ends an hour after the last request with its part, by each process's own clock. A process where it had not ended yet told it to one where it had, and it began anew there, so that a wrong verdict would never have ended in a fleet.

Change: a verdict carries the time since its last use, which is merged; one whose time is over is not taken again. Suspects are ranked once for each decision, and crashes that are still to be told are bounded.

Measured: LibQuarantine/TestPartQuarantine has a case for it that two processes pass now; not run on the code before.

--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -308,7 +308,7 @@
             entry.m_quarantine->merge(message.m_observations, m_now);
             if (message.m_digest != entry.m_quarantine->verdictDigest() && m_now >= entry.m_nextPull) {
                 entry.m_nextPull = m_now + PullInterval;
-                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts()};
+                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts(m_now)};
                 m_entries[message.m_from].m_bytes += encodedBytes(all);
                 entry.m_quarantine->merge(all, m_now);
             }
--- a/Libraries/LibQuarantine/Decision.cpp
+++ b/Libraries/LibQuarantine/Decision.cpp
@@ -55,20 +55,32 @@
 }
 
 /// Orders the most suspect part first.
-void sortBySuspicion(std::vector<Suspect> &suspects, const DecisionSettings &settings)
+using Rank = std::tuple<bool, bool, std::int64_t, std::int64_t, std::uint64_t>;
+
+Rank rankOf(const Suspect &suspect, const DecisionSettings &settings)
+{
+    const std::uint64_t unharmed = suspect.m_runs - std::min(suspect.m_runs, suspect.m_lostRuns);
+    const bool isMostlyUnharmed = unharmed > settings.m_unharmedRuns && unharmed > suspect.m_lostRuns;
+    // Accounts share a part at fault more often than the parts of a conversation, which was only under way when endpoints ended.
+    return Rank(suspect.m_wasCompleted,
+                isMostlyUnharmed,
+                -std::int64_t{crashPoints(suspect.m_crashes, settings)},
+                -static_cast<std::int64_t>(accountCount(suspect)),
+                suspect.m_runs);
+}
+
+std::vector<Suspect> sortedBySuspicion(std::vector<Suspect> suspects, const DecisionSettings &settings)
 {
-    using Rank = std::tuple<bool, bool, std::int64_t, std::int64_t, std::uint64_t>;
-    const std::function<Rank(const Suspect &)> rank = [&settings](const Suspect &suspect) {
-        const std::uint64_t unharmed = suspect.m_runs - std::min(suspect.m_runs, suspect.m_lostRuns);
-        const bool isMostlyUnharmed = unharmed > settings.m_unharmedRuns && unharmed > suspect.m_lostRuns;
-        // Accounts share a part at fault less often than the parts of a conversation, which was only under way when endpoints ended.
-        return Rank(suspect.m_wasCompleted,
-                    isMostlyUnharmed,
-                    -std::int64_t{crashPoints(suspect.m_crashes, settings)},
-                    -static_cast<std::int64_t>(accountCount(suspect)),
-                    suspect.m_runs);
-    };
-    std::stable_sort(suspects.begin(), suspects.end(), [&rank](const Suspect &left, const Suspect &right) { return rank(left) < rank(right); });
+    std::vector<std::pair<Rank, std::size_t>> ranks;
+    for (const Suspect &suspect : suspects) {
+        ranks.emplace_back(rankOf(suspect, settings), ranks.size());
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<Suspect> sorted;
+    for (const std::pair<Rank, std::size_t> &rank : ranks) {
+        sorted.push_back(std::move(suspects[rank.second]));
+    }
+    return sorted;
 }
 
 /// Removes crashes of which other entries may not have told everything yet.
@@ -101,7 +113,7 @@
 Decision decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)
 {
     removeRecentCrashes(suspects, now, settings);
-    sortBySuspicion(suspects, settings);
+    suspects = sortedBySuspicion(std::move(suspects), settings);
     Decision decision;
     std::set<Incarnation> explained;
     std::optional<Suspect> previous; // The last part that was found to be at fault.
--- a/Libraries/LibQuarantine/Observations.h
+++ b/Libraries/LibQuarantine/Observations.h
@@ -51,10 +51,11 @@
     std::optional<Account> m_account; ///< The only account whose requests are refused; empty if those of all accounts are.
     std::vector<Incarnation> m_incarnations; ///< That ended under the part; the first ones if there are many.
     bool m_isStored = false; ///< This revision outlasts the loss of all processes.
+    std::uint64_t m_idleMilliseconds = 0; ///< Time since the last request with the part, or the last change.
 
     bool operator==(const Verdict &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_part, m_revision, m_isLifted, m_account, m_incarnations, m_isStored);
+    MSGPACK_DEFINE_ARRAY(m_part, m_revision, m_isLifted, m_account, m_incarnations, m_isStored, m_idleMilliseconds);
 };
 
 /// Merging observations gives the same result in any order, and again if some arrive twice.
--- a/Libraries/LibQuarantine/PartQuarantine.cpp
+++ b/Libraries/LibQuarantine/PartQuarantine.cpp
@@ -346,11 +346,14 @@
 
 void PartQuarantine::mergeVerdict(const Verdict &verdict, Core::Instant now)
 {
-    if (verdict.m_incarnations.size() > m_settings.m_maximumCrashes) {
-        return; // No process of the system sends this.
+    const Core::Duration idle(static_cast<std::int64_t>(verdict.m_idleMilliseconds));
+    // A verdict that has ended here may be told once more by a process where it has not yet.
+    if (idle >= m_settings.m_verdictLifetime || verdict.m_incarnations.size() > m_settings.m_maximumCrashes) {
+        return;
     }
     const std::map<PromptPart, VerdictRecord>::iterator known = m_verdicts.find(verdict.m_part);
     if (known != m_verdicts.end()) {
+        known->second.m_usedAt = std::max(known->second.m_usedAt, now - idle);
         const Verdict &own = known->second.m_verdict;
         const bool isNewer = verdict.m_revision > own.m_revision;
         const bool isStronger = verdict.m_revision == own.m_revision && !verdict.m_isLifted && (own.m_isLifted || (own.m_account && !verdict.m_account));
@@ -370,9 +373,9 @@
         known->second.m_verdict = merged;
     } else {
         m_verdicts[verdict.m_part].m_verdict = verdict;
+        m_verdicts[verdict.m_part].m_usedAt = now - idle;
     }
     VerdictRecord &record = m_verdicts[verdict.m_part];
-    record.m_usedAt = now;
     if (!record.m_verdict.m_isLifted) {
         const std::map<PromptPart, SuspectRecord>::const_iterator suspect = m_suspects.find(verdict.m_part);
         const std::vector<Crash> known = suspect == m_suspects.end() ? record.m_crashes : suspect->second.m_crashes;
@@ -507,7 +510,7 @@
         }
     }
     keepRandom(observations.m_completions, size.m_completions, random);
-    observations.m_verdicts = verdicts();
+    observations.m_verdicts = verdicts(now);
     keepRandom(observations.m_verdicts, size.m_verdicts, random);
     return observations;
 }
@@ -519,7 +522,7 @@
         const std::map<PromptPart, VerdictRecord>::const_iterator found = m_verdicts.find(*m_newVerdicts.begin());
         m_newVerdicts.erase(m_newVerdicts.begin());
         if (found != m_verdicts.end()) {
-            observations.m_verdicts.push_back(found->second.m_verdict);
+            observations.m_verdicts.push_back(verdictOf(found->second, now));
         }
     }
     while (!m_newCompletions.empty() && observations.m_completions.size() < size.m_completions) {
@@ -542,11 +545,18 @@
     return observations;
 }
 
-std::vector<Verdict> PartQuarantine::verdicts() const
+Verdict PartQuarantine::verdictOf(const VerdictRecord &record, Core::Instant now) const
+{
+    Verdict verdict = record.m_verdict;
+    verdict.m_idleMilliseconds = ageOf(record.m_usedAt, now);
+    return verdict;
+}
+
+std::vector<Verdict> PartQuarantine::verdicts(Core::Instant now) const
 {
     std::vector<Verdict> verdicts;
     for (const std::pair<const PromptPart, VerdictRecord> &entry : m_verdicts) {
-        verdicts.push_back(entry.second.m_verdict);
+        verdicts.push_back(verdictOf(entry.second, now));
     }
     return verdicts;
 }
@@ -603,6 +613,9 @@
 
 void PartQuarantine::limitSuspects()
 {
+    while (m_newCrashes.size() > m_settings.m_maximumSuspects) {
+        m_newCrashes.erase(m_newCrashes.begin());
+    }
     while (m_suspects.size() > m_settings.m_maximumSuspects) {
         using Entry = std::pair<const PromptPart, SuspectRecord>;
         // What is least suspect goes first: a caller who sends many parts cannot hide one of them.
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -108,7 +108,7 @@
     /// Returns observations that other entries have not been told, as many as fit. The others are returned by the next call.
     Observations takeNews(SampleSize size, Core::Instant now);
     /// Returns all verdicts, also lifted ones.
-    std::vector<Verdict> verdicts() const;
+    std::vector<Verdict> verdicts(Core::Instant now) const;
     /// Returns a number that differs between processes with different verdicts.
     std::uint64_t verdictDigest() const;
     /// Returns whether takeNews() would return anything.
@@ -189,6 +189,7 @@
     Suspect describe(const VerdictRecord &record) const;
     /// Returns until when requests with the part wait; in the past if they do not.
     Core::Instant holdEnd(const PromptPart &part, const SuspectRecord &record) const;
+    Verdict verdictOf(const VerdictRecord &record, Core::Instant now) const;
     CrashObservation observationOf(const PromptPart &part, const Crash &crash, Core::Instant now) const;
     void limitSuspects();
     void limitVerdicts();
--- a/Libraries/LibServing/EntryQuarantine.cpp
+++ b/Libraries/LibServing/EntryQuarantine.cpp
@@ -23,7 +23,7 @@
     access.m_sample = [this](Quarantine::SampleSize size) { return m_quarantine.sample(size, Core::Clock::now(), m_random); };
     access.m_takeNews = [this](Quarantine::SampleSize size) { return m_quarantine.takeNews(size, Core::Clock::now()); };
     access.m_hasNews = [this] { return m_quarantine.hasNews(); };
-    access.m_verdicts = [this] { return m_quarantine.verdicts(); };
+    access.m_verdicts = [this] { return m_quarantine.verdicts(Core::Clock::now()); };
     access.m_verdictDigest = [this] { return m_quarantine.verdictDigest(); };
     access.m_merge = [this](const Quarantine::Observations &observations) {
         m_quarantine.merge(observations, Core::Clock::now());
@@ -32,7 +32,7 @@
     m_gossip.setQuarantine(std::move(access));
     m_admin.addDumpSection("quarantine", [this] {
         Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
-        for (const Quarantine::Verdict &verdict : m_quarantine.verdicts()) {
+        for (const Quarantine::Verdict &verdict : m_quarantine.verdicts(Core::Clock::now())) {
             object->set(verdict.m_part.m_service + "/" + verdict.m_part.m_id, std::string(verdictState(verdict)));
         }
         return object;
--- a/Tests/LibQuarantine/TestPartQuarantine.cpp
+++ b/Tests/LibQuarantine/TestPartQuarantine.cpp
@@ -212,3 +212,21 @@
     CHECK(treatment(quarantine, parts({"p"}), 2 * lifetime - 1000) == TreatmentKind::Refuse);
     CHECK(treatment(quarantine, parts({"p"}), 4 * lifetime) == TreatmentKind::Send);
 }
+
+TEST_CASE("A verdict that processes tell each other again and again ends all the same")
+{
+    QuarantineSettings settings;
+    PartQuarantine quarantine(1, settings);
+    PartQuarantine peer(2, settings);
+    crash(quarantine, parts({"p"}), 1, 3);
+    quarantine.update(after(5000));
+    const std::int64_t step = settings.m_verdictLifetime.count() / 10;
+    for (std::int64_t at = 5000; at < 2 * settings.m_verdictLifetime.count(); at += step) {
+        tell(quarantine, peer, at);
+        tell(peer, quarantine, at);
+        quarantine.update(after(at));
+        peer.update(after(at + 1));
+    }
+    CHECK(quarantine.blamedCount() == 0);
+    CHECK(peer.blamedCount() == 0);
+}
