LibDaemon: Keep a reload from ending a process that has just started

Cause: the platform may say at any time that the settings file has changed. Change: the signal is ignored from the first statement on until it is handled; the settings are read after that.

--- a/Libraries/LibDaemon/Program.h
+++ b/Libraries/LibDaemon/Program.h
@@ -88,6 +88,8 @@
 template <typename Process, typename ProcessSettings, typename Adapter>
 int runLoopProgram(int argc, char **argv, const ProgramDescription &description, ProcessSettings (*readSettings)(Settings::Reader &), const Adapter &adapter)
 {
+    // A reload before the process handles the signal has nothing to do, since the settings are yet to be read.
+    std::signal(SIGHUP, SIG_IGN);
     int exitCode = ExitOk;
     const std::optional<CommandLine> commandLine = readCommandLine(argc, argv, description, exitCode);
     if (!commandLine) {
