LibQuarantine: Decide only while answers are completed, and ask more of popular parts

Cause: after the loss of all entries nobody remembers what was sound, and in seconds in which no answer is completed nothing can be acquitted; parts of many requests are in more crashes than the parts at fault then. And parts at fault that come together account for each other's crashes.

Change: a decision needs twenty answers completed in the fleet since the part's first crash (one after ten seconds); a part that a tenth of the requests have needs six crashes, which one at fault would cause in no time; a verdict is not lifted any more because another part accounts for its crashes.

--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -121,6 +121,7 @@
     void forget(Entry &entry)
     {
         entry.m_quarantine = std::make_unique<Quarantine::PartQuarantine>(m_random.next(), m_experiment.m_settings, m_experiment.m_decide);
+        entry.m_quarantine->setProcessCount(m_experiment.m_exchanges ? m_experiment.m_entries : 1);
     }
 
     /// Returns how many events of this rate happen in one step.
@@ -177,6 +178,9 @@
             waiting.push_back(request);
         }
         for (const std::shared_ptr<Request> &request : waiting) {
+            if (request->m_arrivedAt == m_now) {
+                m_entries[request->m_entry].m_quarantine->recordArrival(request->m_parts, m_now);
+            }
             admit(request);
         }
     }
@@ -369,23 +373,23 @@
     return Fleet(experiment).play();
 }
 
-Quarantine::Decision blameByCount(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
+std::vector<PromptPart> blameByCount(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
 {
-    Quarantine::Decision found;
+    std::vector<PromptPart> found;
     for (const Quarantine::Suspect &suspect : suspects) {
         if (!suspect.m_isBlamed && hasEnough(suspect, now, settings)) {
-            found.m_atFault.push_back(suspect.m_part);
+            found.push_back(suspect.m_part);
         }
     }
     return found;
 }
 
-Quarantine::Decision blameByShare(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
+std::vector<PromptPart> blameByShare(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings)
 {
-    Quarantine::Decision found;
+    std::vector<PromptPart> found;
     for (const Quarantine::Suspect &suspect : suspects) {
         if (!suspect.m_isBlamed && hasEnough(suspect, now, settings) && suspect.m_crashes.size() * 2 >= suspect.m_runs) {
-            found.m_atFault.push_back(suspect.m_part);
+            found.push_back(suspect.m_part);
         }
     }
     return found;
--- a/Libraries/LibEmulator/QuarantineEmulator.h
+++ b/Libraries/LibEmulator/QuarantineEmulator.h
@@ -46,9 +46,9 @@
 QuarantineOutcome play(const QuarantineExperiment &experiment);
 
 /// Blames every part with enough crashes, without asking which part explains them.
-Quarantine::Decision blameByCount(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings);
+std::vector<Quarantine::PromptPart> blameByCount(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings);
 
 /// Blames parts with enough crashes if at least half of the requests that this process has sent ended with one.
-Quarantine::Decision blameByShare(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings);
+std::vector<Quarantine::PromptPart> blameByShare(std::vector<Quarantine::Suspect> suspects, Core::Instant now, const Quarantine::DecisionSettings &settings);
 
 }
--- a/Libraries/LibQuarantine/Decision.cpp
+++ b/Libraries/LibQuarantine/Decision.cpp
@@ -18,7 +18,11 @@
 bool hasSettled(const Suspect &suspect, Core::Instant now, const DecisionSettings &settings)
 {
     const std::vector<Crash>::const_iterator first = std::min_element(suspect.m_crashes.begin(), suspect.m_crashes.end(), isEarlier);
-    return first != suspect.m_crashes.end() && now - first->m_at >= settings.m_settleTime;
+    if (first == suspect.m_crashes.end() || now - first->m_at < settings.m_settleTime) {
+        return false;
+    }
+    const std::uint64_t needed = now - first->m_at < settings.m_longSettleTime ? settings.m_neededCompletions : 1;
+    return suspect.m_completionsSince >= needed;
 }
 
 std::set<Incarnation> incarnationsOf(const Suspect &suspect)
@@ -37,12 +41,21 @@
     return crashPoints(std::move(crashes), settings);
 }
 
+std::uint32_t thresholdFor(const Suspect &suspect, const DecisionSettings &settings)
+{
+    const bool isPopular = suspect.m_arrivals >= settings.m_popularArrivals && suspect.m_share >= settings.m_popularShare;
+    if (isPopular) {
+        return settings.m_popularThreshold;
+    }
+    return suspect.m_wasCompleted ? settings.m_completedThreshold : settings.m_threshold;
+}
+
 bool isAtFault(const Suspect &suspect, const std::set<Incarnation> &explained, Core::Instant now, const DecisionSettings &settings)
 {
-    const std::uint32_t threshold = suspect.m_wasCompleted ? settings.m_completedThreshold : settings.m_threshold;
+    const std::uint32_t threshold = thresholdFor(suspect, settings);
     const std::uint32_t total = crashPoints(suspect.m_crashes, settings);
     const bool hasEnough = total >= threshold && unexplainedPoints(suspect, explained, settings) + settings.m_sharedPoints >= threshold;
-    return hasEnough && (suspect.m_isBlamed || hasSettled(suspect, now, settings));
+    return hasEnough && hasSettled(suspect, now, settings);
 }
 
 std::size_t accountCount(const Suspect &suspect)
@@ -55,7 +68,7 @@
 }
 
 /// Orders the most suspect part first.
-using Rank = std::tuple<bool, bool, std::int64_t, std::int64_t, std::uint64_t>;
+using Rank = std::tuple<bool, bool, std::int64_t, bool, std::int64_t, std::uint64_t>;
 
 Rank rankOf(const Suspect &suspect, const DecisionSettings &settings)
 {
@@ -65,6 +78,7 @@
     return Rank(suspect.m_wasCompleted,
                 isMostlyUnharmed,
                 -std::int64_t{crashPoints(suspect.m_crashes, settings)},
+                !suspect.m_isBlamed,
                 -static_cast<std::int64_t>(accountCount(suspect)),
                 suspect.m_runs);
 }
@@ -110,28 +124,26 @@
     return total + largestInWindow;
 }
 
-Decision decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)
+std::vector<PromptPart> decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)
 {
     removeRecentCrashes(suspects, now, settings);
     suspects = sortedBySuspicion(std::move(suspects), settings);
-    Decision decision;
+    std::vector<PromptPart> found;
     std::set<Incarnation> explained;
     std::optional<Suspect> previous; // The last part that was found to be at fault.
     for (const Suspect &suspect : suspects) {
         const bool isIndistinguishable = previous && !suspect.m_wasCompleted && !previous->m_wasCompleted && suspect.m_runs == previous->m_runs
             && incarnationsOf(suspect) == incarnationsOf(*previous);
-        const bool isFaulty = isIndistinguishable || isAtFault(suspect, explained, now, settings);
-        if (isFaulty) {
-            previous = suspect;
-            explained.merge(incarnationsOf(suspect));
+        if (!suspect.m_isBlamed && !isIndistinguishable && !isAtFault(suspect, explained, now, settings)) {
+            continue;
         }
-        if (isFaulty && !suspect.m_isBlamed) {
-            decision.m_atFault.push_back(suspect.m_part);
-        } else if (!isFaulty && suspect.m_isBlamed && unexplainedPoints(suspect, explained, settings) < crashPoints(suspect.m_crashes, settings)) {
-            decision.m_cleared.push_back(suspect.m_part);
+        if (!suspect.m_isBlamed) {
+            found.push_back(suspect.m_part);
+            previous = suspect;
         }
+        explained.merge(incarnationsOf(suspect));
     }
-    return decision;
+    return found;
 }
 
 }
--- a/Libraries/LibQuarantine/Decision.h
+++ b/Libraries/LibQuarantine/Decision.h
@@ -14,12 +14,19 @@
     std::uint32_t m_pointsOther = 3; ///< For a crash while such a request was queued there, or had been running for long.
     std::uint32_t m_threshold = 15; ///< Points of a part at fault: three crashes of the first kind, or five of any.
     std::uint32_t m_completedThreshold = 25; ///< The same for a part with which answers were completed before the first of these crashes.
+    /// The same for a part that many requests have. It would end endpoints often, so that more crashes take little time; and it is lost with endpoints often.
+    std::uint32_t m_popularThreshold = 30;
+    double m_popularShare = 0.1; ///< Share of the requests that have a popular part.
+    std::uint64_t m_popularArrivals = 5; ///< Requests that a popular part has at least.
     /// Points that may come from crashes for which another part at fault accounts, too.
     std::uint32_t m_sharedPoints = 5;
     /// Crashes within this time of each other count once: a loss of power ends many endpoints in one moment, under all parts.
     Core::Duration m_commonCauseWindow{100};
     /// Time from the first crash to a decision. Popular parts are part of answers that are completed in this time, and other entries tell of them.
     Core::Duration m_settleTime{1500};
+    /// Answers that all processes must have completed since the first crash. Without any, nothing tells the part at fault from parts that many requests share.
+    std::uint64_t m_neededCompletions = 20;
+    Core::Duration m_longSettleTime{10000}; ///< After this time one is enough, as where requests are rare.
     Core::Duration m_propagationTime{300}; ///< More recent crashes are not counted yet: other entries may still tell of further parts that were lost in them.
     std::uint64_t m_unharmedRuns = 2; ///< A part of which more requests than this, and more than were lost, are or were at endpoints unharmed is less suspect.
 
@@ -45,32 +52,27 @@
     std::vector<Crash> m_crashes; ///< Since the last completed answer, in any order, one for each incarnation.
     bool m_wasCompleted = false; ///< Answers to requests with the part were completed before these crashes.
     bool m_isBlamed = false; ///< The part was decided to be at fault before.
+    std::uint64_t m_arrivals = 0; ///< Requests with the part that this process has received.
+    double m_share = 0; ///< Of these requests among all that this process has received.
     std::uint64_t m_runs = 0; ///< Requests with the part that this process has sent.
     std::uint64_t m_lostRuns = 0; ///< Those of them that were lost with their endpoints.
+    std::uint64_t m_completionsSince = 0; ///< Estimated number of answers that all processes have completed since the first of the crashes.
 
     bool operator==(const Suspect &) const = default;
 };
 
-struct Decision
-{
-    std::vector<PromptPart> m_atFault; ///< Parts that are at fault and were not blamed before.
-    std::vector<PromptPart> m_cleared; ///< Parts that were blamed before, but for whose crashes other parts account.
-
-    bool operator==(const Decision &) const = default;
-};
-
 /// Returns the points of these crashes.
 std::uint32_t crashPoints(std::vector<Crash> crashes, const DecisionSettings &settings);
 
 /**
- * Decides which parts are at fault.
+ * Returns the parts that are at fault and were not blamed before.
  *
  * All requests of an endpoint are lost with it, so every part of theirs is a suspect. The part at fault is in all of the crashes that it has caused and in no
  * completed answer. Parts are judged from the most to the least suspect, and crashes for which one accounts hardly count for the next. Parts that share all
  * their crashes cannot be told apart, and are at fault together.
  */
-Decision decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings);
+std::vector<PromptPart> decide(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings);
 
-using DecideFunction = std::function<Decision(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)>;
+using DecideFunction = std::function<std::vector<PromptPart>(std::vector<Suspect> suspects, Core::Instant now, const DecisionSettings &settings)>;
 
 }
--- a/Libraries/LibQuarantine/PartQuarantine.cpp
+++ b/Libraries/LibQuarantine/PartQuarantine.cpp
@@ -81,6 +81,17 @@
 {
 }
 
+void PartQuarantine::setProcessCount(std::size_t count)
+{
+    m_processCount = std::max<std::size_t>(count, 1);
+}
+
+std::uint64_t PartQuarantine::completionsSince(Core::Instant since) const
+{
+    const std::ptrdiff_t own = std::count_if(m_completedAt.begin(), m_completedAt.end(), [since](Core::Instant at) { return at >= since; });
+    return static_cast<std::uint64_t>(own) * m_processCount;
+}
+
 const PartQuarantine::History *PartQuarantine::findHistory(const PromptPart &part) const
 {
     const std::map<PromptPart, History>::const_iterator found = m_history.find(part);
@@ -119,7 +130,8 @@
     const std::uint64_t spread = Core::stableHash(part.m_id, m_seed) % static_cast<std::uint64_t>(m_settings.m_holdTime.count() + 1);
     Core::Instant end = newestCrash(unexplained) + m_settings.m_holdTime + Core::Duration(static_cast<std::int64_t>(spread));
     if (crashPoints(unexplained, m_settings.m_decision) >= m_settings.m_decision.m_threshold) {
-        end = std::max(end, unexplained.front().m_at + m_settings.m_decision.m_settleTime); // A verdict follows unless the part is acquitted by then.
+        // A verdict follows unless the part is acquitted by then.
+        end = std::max(end, unexplained.front().m_at + m_settings.m_decision.m_settleTime);
     }
     return std::max(end, record.m_trialEnd);
 }
@@ -159,6 +171,14 @@
     });
 }
 
+void PartQuarantine::recordArrival(const std::vector<PromptPart> &parts, Core::Instant now)
+{
+    m_arrivals += parts.empty() ? 0 : 1;
+    for (const PromptPart &part : parts) {
+        ++history(part, now).m_arrivals;
+    }
+}
+
 void PartQuarantine::recordSent(const std::vector<PromptPart> &parts, Core::Instant now)
 {
     for (const PromptPart &part : parts) {
@@ -237,6 +257,10 @@
     const std::vector<PromptPart> &parts, Incarnation incarnation, Core::Duration writing, bool isEndStated, Core::Instant now)
 {
     const bool isProof = isEndStated && writing >= m_settings.m_provingTime;
+    m_completedAt.push_back(now);
+    if (m_completedAt.size() > m_settings.m_decision.m_neededCompletions) {
+        m_completedAt.pop_front();
+    }
     for (const PromptPart &part : parts) {
         if (isProof) {
             addCompletion(part, now, now);
@@ -407,8 +431,13 @@
     suspect.m_part = part;
     suspect.m_crashes = record.m_crashes;
     suspect.m_wasCompleted = known && known->m_completedAt;
+    suspect.m_arrivals = known ? known->m_arrivals : 0;
+    suspect.m_share = static_cast<double>(suspect.m_arrivals) / static_cast<double>(std::max<std::uint64_t>(m_arrivals, 1));
     suspect.m_runs = known ? known->m_runs : 0;
     suspect.m_lostRuns = known ? known->m_lostRuns : 0;
+    for (const Crash &crash : record.m_crashes) {
+        suspect.m_completionsSince = std::max(suspect.m_completionsSince, completionsSince(crash.m_at));
+    }
     return suspect;
 }
 
@@ -433,13 +462,9 @@
             suspects.push_back(describe(entry.second));
         }
     }
-    const Decision decision = m_decide(std::move(suspects), now, m_settings.m_decision);
-    for (const PromptPart &part : decision.m_atFault) {
+    for (const PromptPart &part : m_decide(std::move(suspects), now, m_settings.m_decision)) {
         blame(part, std::vector<Crash>(m_suspects.at(part).m_crashes), now);
     }
-    for (const PromptPart &part : decision.m_cleared) {
-        liftVerdict(m_verdicts.at(part), now);
-    }
 }
 
 void PartQuarantine::blame(const PromptPart &part, const std::vector<Crash> &crashes, Core::Instant now)
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -88,11 +88,14 @@
     /// @p seed: differs between processes, so that they do not send what they have held at the same time.
     explicit PartQuarantine(std::uint64_t seed = 0, QuarantineSettings settings = {}, DecideFunction decide = Quarantine::decide);
 
+    /// Sets the number of processes that have about as many requests as this one, including itself; by it completed answers of the others are estimated.
+    void setProcessCount(std::size_t count);
     /// Returns how to treat a request of the account with these parts.
     Treatment treat(const std::vector<PromptPart> &parts, Account account, Core::Instant now);
     /// Returns whether answers to requests with each of these parts have been completed, with few crashes under it since.
     bool areAcquitted(const std::vector<PromptPart> &parts) const;
 
+    void recordArrival(const std::vector<PromptPart> &parts, Core::Instant now);
     void recordSent(const std::vector<PromptPart> &parts, Core::Instant now);
     /// Records that the connection was lost to an endpoint at which a request was. @p writing: since the beginning of its answer; empty if there was none.
     void recordCrash(const std::vector<PromptPart> &parts, Incarnation incarnation, Account account, std::optional<Core::Duration> writing, Core::Instant now);
@@ -140,6 +143,7 @@
     /// What is known of a part that requests of this process have.
     struct History
     {
+        std::uint64_t m_arrivals = 0;
         std::uint64_t m_runs = 0;
         std::uint64_t m_lostRuns = 0; ///< That were lost with their endpoints.
         std::optional<Core::Instant> m_completedAt; ///< Last completed answer, also of other entries.
@@ -185,6 +189,8 @@
     void liftVerdict(VerdictRecord &record, Core::Instant now);
     void noteChange(const Verdict &verdict, bool isFromPeer, const std::vector<Crash> &crashes, Core::Instant now);
     bool isShared(const PromptPart &part, const SuspectRecord &record) const;
+    /// Returns the estimated number of answers that all processes have completed since then.
+    std::uint64_t completionsSince(Core::Instant since) const;
     Suspect describe(const PromptPart &part, const SuspectRecord &record) const;
     Suspect describe(const VerdictRecord &record) const;
     /// Returns until when requests with the part wait; in the past if they do not.
@@ -201,6 +207,9 @@
     std::map<PromptPart, History> m_history;
     std::map<PromptPart, SuspectRecord> m_suspects; ///< Without parts whose verdict is in force.
     std::map<PromptPart, VerdictRecord> m_verdicts;
+    std::uint64_t m_arrivals = 0; ///< Requests with parts that this process has received.
+    std::size_t m_processCount = 1;
+    std::deque<Core::Instant> m_completedAt; ///< The last answers that this process has seen completed; up to as many as a decision needs.
     std::set<Incarnation> m_explained; ///< Incarnations for whose ends the verdicts in force account.
     std::deque<UnprovedCompletion> m_unproved; ///< Oldest first.
     std::unordered_map<Incarnation, Core::Instant> m_aliveAt; ///< When incarnations were last known to be alive.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -107,6 +107,7 @@
         for (std::string &id : Quarantine::normalizedPartIds(m_facts.m_promptParts)) {
             m_promptParts.push_back(Quarantine::PromptPart{m_service->m_name, std::move(id)});
         }
+        m_relay.m_parts.m_quarantine.recordArrival(m_promptParts, m_arrivedAt);
     }
     m_relay.m_parts.m_retryBudgets.onRequest(m_service->m_name);
     if (canMeetObjective()) {
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -384,6 +384,7 @@
 {
     const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
     m_retryBudgets.setProcessCount(entries.size() + 1);
+    m_quarantine.setProcessCount(entries.size() + 1);
     const double ownRate = m_gossip.self().m_requestsPerSecond + 1.0;
     double totalRate = ownRate;
     for (const Gossip::Member &entry : entries) {
--- a/Tests/LibQuarantine/TestPartQuarantine.cpp
+++ b/Tests/LibQuarantine/TestPartQuarantine.cpp
@@ -42,8 +42,17 @@
     }
 }
 
+/// Records answers to other requests, which a decision needs.
+void completeOthers(PartQuarantine &quarantine, std::int64_t milliseconds)
+{
+    for (int count = 0; count < 30; ++count) {
+        quarantine.recordCompletion(parts({"other"}), 1'000'000, Core::Duration(400), true, after(milliseconds));
+    }
+}
+
 TreatmentKind treatment(PartQuarantine &quarantine, const Parts &prompt, std::int64_t milliseconds, Quarantine::Account account = Buyer)
 {
+    completeOthers(quarantine, milliseconds);
     quarantine.update(after(milliseconds));
     return quarantine.treat(prompt, account, after(milliseconds)).m_kind;
 }
@@ -219,6 +228,7 @@
     PartQuarantine quarantine(1, settings);
     PartQuarantine peer(2, settings);
     crash(quarantine, parts({"p"}), 1, 3);
+    completeOthers(quarantine, 5000);
     quarantine.update(after(5000));
     const std::int64_t step = settings.m_verdictLifetime.count() / 10;
     for (std::int64_t at = 5000; at < 2 * settings.m_verdictLifetime.count(); at += step) {
--- a/Tests/LibRelay/TestCrashingParts.cpp
+++ b/Tests/LibRelay/TestCrashingParts.cpp
@@ -34,6 +34,9 @@
         const Core::Instant at = now - age - Core::Duration(1000) * static_cast<std::int64_t>(count - 1 - index);
         fixture.m_quarantine.recordCrash(Bad, 100 + index, 1 + index % 2, Core::Duration(50), at);
     }
+    for (int answers = 0; answers < 30; ++answers) {
+        fixture.m_quarantine.recordCompletion({PromptPart{"desk", "07e4"}}, 1, Core::Duration(400), true, now);
+    }
     fixture.m_quarantine.update(now);
 }
 
--- a/Tests/LibServing/TestVerdictKeeper.cpp
+++ b/Tests/LibServing/TestVerdictKeeper.cpp
@@ -79,6 +79,9 @@
             const Core::Instant at = m_now - Core::Duration(5000) + Core::Duration(1000) * static_cast<std::int64_t>(incarnation);
             m_quarantine.recordCrash({PromptPart{"drafts", "bad"}}, incarnation, 0, Core::Duration(50), at);
         }
+        for (int answers = 0; answers < 30; ++answers) {
+            m_quarantine.recordCompletion({PromptPart{"drafts", "other"}}, 9, Core::Duration(400), true, m_now);
+        }
         m_quarantine.update(m_now);
     }
 
--- a/Utilities/measure-quarantine/Main.cpp
+++ b/Utilities/measure-quarantine/Main.cpp
@@ -21,7 +21,7 @@
     return {{"nothing",
              [](Emulator::QuarantineExperiment &experiment) {
                  experiment.m_decide = [](const std::vector<Quarantine::Suspect> &, Core::Instant, const Quarantine::DecisionSettings &) {
-                     return Quarantine::Decision();
+                     return std::vector<Quarantine::PromptPart>();
                  };
                  experiment.m_settings.m_decision.m_settleTime = Core::Duration(0);
                  experiment.m_settings.m_holdTime = Core::Duration(0);
@@ -40,6 +40,7 @@
              [](Emulator::QuarantineExperiment &experiment) {
                  experiment.m_settings.m_decision.m_settleTime = Core::Duration(0);
                  experiment.m_settings.m_decision.m_propagationTime = Core::Duration(0);
+                 experiment.m_settings.m_decision.m_neededCompletions = 0;
              }},
             {"explained crashes", [](Emulator::QuarantineExperiment &) {}}};
 }
