LibQuarantine: Let many crashes in one moment not hide later ones

Cause: eight crashes were remembered for a part and further ones dropped. Crashes within 100 ms count once, so that eight engines that ended together under a part filled the memory with the points of one crash, and the part could never be blamed.

Change: the newest twelve are kept, which is enough for any threshold.

--- a/Libraries/LibQuarantine/PartQuarantine.cpp
+++ b/Libraries/LibQuarantine/PartQuarantine.cpp
@@ -17,6 +17,11 @@
     return newest;
 }
 
+bool isEarlier(const Crash &left, const Crash &right)
+{
+    return left.m_at < right.m_at;
+}
+
 std::uint64_t ageOf(Core::Instant at, Core::Instant now)
 {
     return now > at ? static_cast<std::uint64_t>(std::chrono::duration_cast<Core::Duration>(now - at).count()) : 0;
@@ -227,7 +232,15 @@
         }
         same->m_hadBegun = same->m_hadBegun || crash.m_hadBegun;
         same->m_at = std::min(same->m_at, crash.m_at);
-    } else if (suspect.m_crashes.size() < m_settings.m_maximumCrashes) {
+    } else {
+        // The newest ones are kept: many crashes in one moment count once, and must not keep later ones from being counted.
+        const std::vector<Crash>::iterator oldest = std::min_element(suspect.m_crashes.begin(), suspect.m_crashes.end(), isEarlier);
+        if (suspect.m_crashes.size() >= m_settings.m_maximumCrashes) {
+            if (!isEarlier(*oldest, crash)) {
+                return;
+            }
+            suspect.m_crashes.erase(oldest);
+        }
         suspect.m_crashes.push_back(crash);
         if (isShared(part, suspect)) {
             m_newCrashes.emplace(part, crash.m_incarnation);
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -31,7 +31,7 @@
     std::size_t m_maximumSuspects = 512;
     std::size_t m_maximumVerdicts = 256;
     std::size_t m_maximumHistory = 4096; ///< Parts whose completed answers are remembered.
-    std::size_t m_maximumCrashes = 8; ///< Remembered for a part; more than any threshold needs.
+    std::size_t m_maximumCrashes = 12; ///< Remembered for a part; enough for any threshold.
     std::size_t m_maximumUnproved = 1024; ///< Completed answers of which it is not known yet whether the endpoint lived on.
     std::size_t m_maximumLivenessRecords = 4096;
 
@@ -152,7 +152,7 @@
 
     struct SuspectRecord
     {
-        std::vector<Crash> m_crashes; ///< Never empty. Also those for which a verdict accounts, which may turn out to be wrong.
+        std::vector<Crash> m_crashes; ///< Never empty. Also those for which a verdict accounts, since it may be lifted.
         Core::Instant m_trialEnd;
     };
 
--- a/Tests/LibQuarantine/TestPartQuarantine.cpp
+++ b/Tests/LibQuarantine/TestPartQuarantine.cpp
@@ -210,6 +210,17 @@
     CHECK(treatment(quarantine, parts({"p"}), 9000) == TreatmentKind::Refuse);
 }
 
+TEST_CASE("Many crashes in one moment do not hide the later ones")
+{
+    PartQuarantine quarantine;
+    for (Quarantine::Incarnation incarnation = 100; incarnation < 130; ++incarnation) {
+        quarantine.recordCrash(parts({"p"}), incarnation, Buyer, Early, after(500));
+    }
+    REQUIRE(treatment(quarantine, parts({"p"}), 4000) == TreatmentKind::Send);
+    crash(quarantine, parts({"p"}), 5, 2);
+    CHECK(treatment(quarantine, parts({"p"}), 9000) == TreatmentKind::Refuse);
+}
+
 TEST_CASE("A verdict ends when no request with the part has come for long")
 {
     QuarantineSettings settings;
