LibQuarantine, LibGossip, LibRelay: Split the quarantine, keep one copy of each step, and bound its datagrams

The end of a request that is not sent any more, the random choice and the description of a run had two or three copies each.

Fault: observations with the longest names that callers can make did not fit into a datagram of 1,400 bytes, and news with fifteen of them exceeded the receiver's 2,048, so that it would have been lost; limits and observations together pushed a heartbeat over the same bound. LibGossip/TestMessages packs the largest of each now.

--- a/Libraries/LibCore/Random.h
+++ b/Libraries/LibCore/Random.h
@@ -1,9 +1,12 @@
 /// @file Hashing and random numbers that give the same result on every instance.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace Core {
 
@@ -34,6 +37,17 @@
     std::uint64_t m_state;
 };
 
+/// Keeps a random choice of @p count elements and removes the others.
+template <typename T>
+void keepRandom(std::vector<T> &items, std::size_t count, Random &random)
+{
+    const std::size_t kept = std::min(count, items.size());
+    for (std::size_t index = 0; index < kept; ++index) {
+        std::swap(items[index], items[index + random.below(items.size() - index)]);
+    }
+    items.resize(kept);
+}
+
 /// Returns a seed that differs between instances and between starts of a process.
 std::uint64_t freshSeed(std::string_view instance);
 
--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -27,13 +27,13 @@
 constexpr std::uint64_t RequestsPerSession = 4;
 constexpr std::uint32_t MaximumAttempts = 2;
 constexpr Core::Duration RequestTimeout{6000};
-constexpr Quarantine::SampleSize NewsSize{3, 12, 6};
 constexpr std::size_t HistoryEntryBytes = 160; ///< Estimates of a map entry with its strings.
 constexpr std::size_t SuspectEntryBytes = 480;
 constexpr std::size_t VerdictEntryBytes = 320;
 
 struct Request
 {
+    Quarantine::RequestHash m_id = 0;
     std::size_t m_entry = 0;
     std::vector<PromptPart> m_parts;
     Quarantine::Account m_account = 0;
@@ -150,6 +150,7 @@
     std::shared_ptr<Request> makeRequest()
     {
         const std::shared_ptr<Request> request = std::make_shared<Request>();
+        request->m_id = ++m_requests;
         request->m_entry = m_random.below(m_entries.size());
         request->m_account = 1 + m_random.below(10);
         request->m_arrivedAt = m_now;
@@ -242,11 +243,24 @@
         }
     }
 
+    Quarantine::RunFacts factsOf(const Engine &engine, const Run &run) const
+    {
+        Quarantine::RunFacts facts;
+        facts.m_parts = run.m_request->m_parts;
+        facts.m_account = run.m_request->m_account;
+        facts.m_request = run.m_request->m_id;
+        facts.m_incarnation = engine.m_incarnation;
+        if (run.m_beginsAt <= m_now) {
+            facts.m_writing = std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt);
+        }
+        facts.m_isEndStated = true;
+        return facts;
+    }
+
     void complete(const Engine &engine, const Run &run)
     {
         if (m_experiment.m_acquits) {
-            const Core::Duration writing = std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt);
-            m_entries[run.m_request->m_entry].m_quarantine->recordCompletion(run.m_request->m_parts, engine.m_incarnation, writing, true, m_now);
+            m_entries[run.m_request->m_entry].m_quarantine->recordCompletion(factsOf(engine, run), m_now);
         }
     }
 
@@ -255,11 +269,8 @@
         std::vector<Run> lost;
         lost.swap(engine.m_runs);
         for (const Run &run : lost) {
-            const bool hasBegun = run.m_beginsAt <= m_now;
-            const std::optional<Core::Duration> writing =
-                hasBegun ? std::optional<Core::Duration>(std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt)) : std::nullopt;
-            Request &request = *run.m_request;
-            m_entries[request.m_entry].m_quarantine->recordCrash(request.m_parts, engine.m_incarnation, request.m_account, writing, m_now);
+            const Request &request = *run.m_request;
+            m_entries[request.m_entry].m_quarantine->recordCrash(factsOf(engine, run), m_now);
             if (request.m_attempts < MaximumAttempts) {
                 m_held.push_back(run.m_request);
             }
@@ -282,11 +293,11 @@
             }
             if (entry.m_newsAt && m_now >= *entry.m_newsAt) {
                 entry.m_newsAt.reset();
-                send(index, NewsTargets, entry.m_quarantine->takeNews(NewsSize, m_now));
+                send(index, NewsTargets, entry.m_quarantine->takeNews(Quarantine::NewsSample, m_now));
             }
             if (m_now >= entry.m_nextGossip) {
                 entry.m_nextGossip += GossipInterval;
-                send(index, GossipTargets, entry.m_quarantine->sample({}, m_now, m_random));
+                send(index, GossipTargets, entry.m_quarantine->sample(Quarantine::RegularSample, m_now, m_random));
             }
         }
     }
@@ -298,7 +309,7 @@
             const std::size_t to = (from + 1 + m_random.below(m_entries.size() - 1)) % m_entries.size();
             m_entries[from].m_bytes += bytes;
             if (m_random.unit() >= m_experiment.m_lossShare) {
-                m_messages.push_back(Message{m_now + MessageDelay, from, to, observations, m_entries[from].m_quarantine->verdictDigest()});
+                m_messages.push_back(Message{m_now + MessageDelay, from, to, observations, m_entries[from].m_quarantine->verdicts().digest()});
             }
         }
     }
@@ -310,9 +321,9 @@
             m_messages.pop_front();
             Entry &entry = m_entries[message.m_to];
             entry.m_quarantine->merge(message.m_observations, m_now);
-            if (message.m_digest != entry.m_quarantine->verdictDigest() && m_now >= entry.m_nextPull) {
+            if (message.m_digest != entry.m_quarantine->verdicts().digest() && m_now >= entry.m_nextPull) {
                 entry.m_nextPull = m_now + PullInterval;
-                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts(m_now)};
+                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts().verdicts(m_now)};
                 m_entries[message.m_from].m_bytes += encodedBytes(all);
                 entry.m_quarantine->merge(all, m_now);
             }
@@ -321,7 +332,7 @@
 
     void collectVerdicts(Quarantine::PartQuarantine &quarantine)
     {
-        for (const Quarantine::VerdictChange &change : quarantine.takeChanges()) {
+        for (const Quarantine::VerdictChange &change : quarantine.verdicts().takeChanges()) {
             const bool isSound = !change.m_verdict.m_part.m_id.starts_with("crashing-");
             if (isSound && !change.m_verdict.m_isLifted) {
                 m_wronglyBlamed.insert(change.m_verdict.m_part);
@@ -329,7 +340,7 @@
         }
         m_outcome.m_memoryBytes = std::max(m_outcome.m_memoryBytes,
                                            quarantine.historyCount() * HistoryEntryBytes + quarantine.suspectCount() * SuspectEntryBytes
-                                               + quarantine.blamedCount() * VerdictEntryBytes);
+                                               + quarantine.verdicts().blamed().size() * VerdictEntryBytes);
     }
 
     QuarantineOutcome finish()
@@ -354,6 +365,7 @@
     std::map<std::string, std::vector<Core::Instant>> m_crashes; ///< By part.
     std::set<PromptPart> m_wronglyBlamed;
     Quarantine::Incarnation m_lastIncarnation = 0;
+    Quarantine::RequestHash m_requests = 0;
     std::uint64_t m_sessions = 0;
     QuarantineOutcome m_outcome;
 };
--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -310,9 +310,9 @@
 std::vector<Core::Address> GossipService::sampleTargets(Role role)
 {
     std::vector<Member> chosen = membersInOwnDomain(role);
-    keepRandom(chosen, m_settings.m_ownDomainFanOut, m_parts.m_random);
+    Core::keepRandom(chosen, m_settings.m_ownDomainFanOut, m_parts.m_random);
     std::vector<Member> others = m_members.alive(role, Core::Clock::now());
-    keepRandom(others, m_settings.m_fleetFanOut, m_parts.m_random);
+    Core::keepRandom(others, m_settings.m_fleetFanOut, m_parts.m_random);
     chosen.insert(chosen.end(), others.begin(), others.end());
     std::vector<Core::Address> targets;
     for (const Member &member : chosen) {
@@ -351,10 +351,12 @@
     if (m_limitSource) {
         heartbeat.m_limits = m_limitSource(m_settings.m_sampledLimits);
     }
-    const std::size_t replaced = heartbeat.m_limits.size() * m_settings.m_digestsPerLimit + addQuarantine(heartbeat);
-    const std::size_t digests = m_settings.m_sampledDigests - std::min(m_settings.m_sampledDigests, replaced);
+    if (m_quarantine.m_sample) {
+        heartbeat.m_quarantine = m_quarantine.m_sample(Quarantine::RegularSample);
+        fitObservations(heartbeat, m_settings);
+    }
     // Entries already learn of live agents from their engine updates.
-    heartbeat.m_digests = m_members.sampleDigests(digests, Role::Entry, now, m_parts.m_random);
+    heartbeat.m_digests = m_members.sampleDigests(remainingDigests(heartbeat, m_settings), Role::Entry, now, m_parts.m_random);
     sendHeartbeatTo(heartbeat, sampleTargets(Role::Entry));
     heartbeat.m_limits.clear(); // Agents send no requests.
     heartbeat.m_quarantine = {};
@@ -454,7 +456,7 @@
     std::vector<Member> targets = membersInOwnDomain(Role::Entry);
     for (const Role role : {Role::Entry, Role::Agent}) {
         std::vector<Member> others = m_members.alive(role, now);
-        keepRandom(others, AnnouncementFanOut, m_parts.m_random);
+        Core::keepRandom(others, AnnouncementFanOut, m_parts.m_random);
         targets.insert(targets.end(), others.begin(), others.end());
     }
     for (const Member &member : targets) {
@@ -465,7 +467,7 @@
 void GossipService::announceStateChangeToAgents()
 {
     std::vector<Member> agents = m_members.alive(Role::Agent, Core::Clock::now());
-    keepRandom(agents, AnnouncementFanOut, m_parts.m_random);
+    Core::keepRandom(agents, AnnouncementFanOut, m_parts.m_random);
     const std::string encoded = Wire::pack(makeHeartbeat(0));
     for (const Member &agent : agents) {
         sendTo(agent.m_peers, encoded);
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -34,11 +34,9 @@
     std::size_t m_sampledMembers = 6; ///< Members that a heartbeat describes in full; with the other fields they fill half a datagram.
     std::size_t m_sampledLimits = 6; ///< Limits of endpoints in a heartbeat between entries.
     std::size_t m_digestsPerLimit = 3; ///< Digests that a limit takes the place of, so that the datagram does not grow.
-    Quarantine::SampleSize m_sampledQuarantine; ///< In a heartbeat between entries.
-    Quarantine::SampleSize m_newsOfQuarantine{3, 12, 6}; ///< In a message that is sent at once; as many as fit into a datagram of 1,400 bytes.
-    std::size_t m_digestsPerVerdict = 7; ///< Digests that a verdict takes the place of.
-    std::size_t m_digestsPerCrash = 3;
-    std::size_t m_digestsPerCompletion = 2;
+    std::size_t m_digestsPerVerdict = 13; ///< Digests that a verdict takes the place of.
+    std::size_t m_digestsPerCrash = 6;
+    std::size_t m_digestsPerCompletion = 4;
     Core::Duration m_quarantineDelay{80}; ///< Time for which news of the quarantine is collected before it is sent.
     Core::Duration m_verdictPullInterval{1000}; ///< Minimum time between two state requests because of verdicts that differ.
     std::size_t m_sampledDigests = 40; ///< Members that a heartbeat lists as digests; as many as fit beside the full descriptions.
@@ -55,6 +53,11 @@
 /// Returns the hosts of the addresses under "seeds". The ports are ignored because they may belong to other interfaces.
 std::vector<std::string> readSeedHosts(Settings::Reader &section);
 
+/// Returns the number of digests that fit beside the limits and observations of a heartbeat.
+std::size_t remainingDigests(const Heartbeat &heartbeat, const GossipSettings &settings);
+/// Removes observations from a heartbeat until they fit in place of digests: first crashes, which are told at once, too.
+void fitObservations(Heartbeat &heartbeat, const GossipSettings &settings);
+
 /// Returns the settings of a node that listens on @p peers and makes its calls from the same host.
 Wire::NodeSettings nodeSettings(const Core::Address &peers);
 
@@ -180,8 +183,6 @@
     void relayQueued();
     void mergeQuarantine(const Heartbeat &heartbeat);
     void sendQuarantineNews();
-    /// Adds observations to a heartbeat for entries. Returns the number of digests that they take the place of.
-    std::size_t addQuarantine(Heartbeat &heartbeat) const;
     void tick();
     void sendHeartbeats(ReportUrgency urgency);
     /// Builds a heartbeat with @p sampledMembers members described in full and without digests.
--- a/Libraries/LibGossip/GossipState.cpp
+++ b/Libraries/LibGossip/GossipState.cpp
@@ -119,7 +119,7 @@
 {
     std::vector<Member> entries = m_members.alive(Role::Entry, Core::Clock::now());
     std::erase_if(entries, [](const Member &member) { return !member.m_isReady; });
-    keepRandom(entries, 1, m_parts.m_random);
+    Core::keepRandom(entries, 1, m_parts.m_random);
     if (!entries.empty()) {
         pullFrom(entries.front().m_peers);
     }
--- a/Libraries/LibGossip/Membership.cpp
+++ b/Libraries/LibGossip/Membership.cpp
@@ -167,7 +167,7 @@
 std::vector<Member> Membership::sample(std::size_t count, Core::Instant now, Core::Random &random) const
 {
     std::vector<const Member *> chosen = liveMembers(now);
-    keepRandom(chosen, count, random);
+    Core::keepRandom(chosen, count, random);
     std::vector<Member> members;
     for (const Member *member : chosen) {
         members.push_back(*member);
@@ -179,7 +179,7 @@
 {
     std::vector<const Member *> chosen = liveMembers(now);
     std::erase_if(chosen, [role](const Member *member) { return role && member->m_role != *role; });
-    keepRandom(chosen, count, random);
+    Core::keepRandom(chosen, count, random);
     std::vector<HeartbeatDigest> digests;
     for (const Member *member : chosen) {
         digests.push_back(HeartbeatDigest{member->m_incarnation, member->m_heartbeatCount, member->m_revision, member->m_requestsPerSecond});
--- a/Libraries/LibGossip/Membership.h
+++ b/Libraries/LibGossip/Membership.h
@@ -146,17 +146,6 @@
     std::unordered_map<std::uint32_t, KnownMember *> m_byIncarnation; ///< Exactly one for each entry of m_knownMembers, to which it points.
 };
 
-/// Keeps a random choice of @p count elements and removes the others.
-template <typename T>
-void keepRandom(std::vector<T> &items, std::size_t count, Core::Random &random)
-{
-    const std::size_t kept = std::min(count, items.size());
-    for (std::size_t index = 0; index < kept; ++index) {
-        std::swap(items[index], items[index + random.below(items.size() - index)]);
-    }
-    items.resize(kept);
-}
-
 }
 
 MSGPACK_ADD_ENUM(Gossip::Role);
--- a/Libraries/LibGossip/QuarantineExchange.cpp
+++ b/Libraries/LibGossip/QuarantineExchange.cpp
@@ -10,21 +10,38 @@
 /// Entries, chosen at random, to which news is sent. Each passes it on once, so that it reaches a fleet of hundreds in three steps, although some are lost.
 constexpr std::size_t QuarantineFanOut = 8;
 
+/// Returns the number of digests that the limits and observations of a heartbeat take the place of.
+std::size_t replacedDigests(const Heartbeat &heartbeat, const GossipSettings &settings)
+{
+    const Quarantine::Observations &observations = heartbeat.m_quarantine;
+    return heartbeat.m_limits.size() * settings.m_digestsPerLimit + observations.m_verdicts.size() * settings.m_digestsPerVerdict
+        + observations.m_crashes.size() * settings.m_digestsPerCrash + observations.m_completions.size() * settings.m_digestsPerCompletion;
 }
 
-void GossipService::setQuarantine(QuarantineAccess access)
+}
+
+std::size_t remainingDigests(const Heartbeat &heartbeat, const GossipSettings &settings)
 {
-    m_quarantine = std::move(access);
+    return settings.m_sampledDigests - std::min(settings.m_sampledDigests, replacedDigests(heartbeat, settings));
 }
 
-std::size_t GossipService::addQuarantine(Heartbeat &heartbeat) const
+void fitObservations(Heartbeat &heartbeat, const GossipSettings &settings)
 {
-    if (!m_quarantine.m_sample) {
-        return 0;
+    Quarantine::Observations &observations = heartbeat.m_quarantine;
+    while (replacedDigests(heartbeat, settings) > settings.m_sampledDigests && !observations.isEmpty()) {
+        if (!observations.m_crashes.empty()) {
+            observations.m_crashes.pop_back();
+        } else if (!observations.m_completions.empty()) {
+            observations.m_completions.pop_back();
+        } else {
+            observations.m_verdicts.pop_back();
+        }
     }
-    heartbeat.m_quarantine = m_quarantine.m_sample(m_settings.m_sampledQuarantine);
-    return heartbeat.m_quarantine.m_verdicts.size() * m_settings.m_digestsPerVerdict + heartbeat.m_quarantine.m_crashes.size() * m_settings.m_digestsPerCrash
-        + heartbeat.m_quarantine.m_completions.size() * m_settings.m_digestsPerCompletion;
+}
+
+void GossipService::setQuarantine(QuarantineAccess access)
+{
+    m_quarantine = std::move(access);
 }
 
 void GossipService::mergeQuarantine(const Heartbeat &heartbeat)
@@ -64,9 +81,9 @@
 void GossipService::sendQuarantineNews()
 {
     std::vector<Member> entries = m_members.alive(Role::Entry, Core::Clock::now());
-    keepRandom(entries, QuarantineFanOut, m_parts.m_random);
+    Core::keepRandom(entries, QuarantineFanOut, m_parts.m_random);
     Heartbeat heartbeat = makeHeartbeat(0);
-    heartbeat.m_quarantine = m_quarantine.m_takeNews(m_settings.m_newsOfQuarantine);
+    heartbeat.m_quarantine = m_quarantine.m_takeNews(Quarantine::NewsSample);
     const std::string encoded = Wire::pack(heartbeat);
     for (const Member &entry : entries) {
         sendTo(entry.m_peers, encoded);
--- a/Libraries/LibGossip/ReportFanOut.cpp
+++ b/Libraries/LibGossip/ReportFanOut.cpp
@@ -40,7 +40,7 @@
         }
         if (isRelayed) {
             chosen = selectRelays(std::move(chosen), fanOut.m_relaysPerDomain);
-            keepRandom(chosen, urgency == ReportUrgency::Critical ? fanOut.m_criticalCopies : 1, random);
+            Core::keepRandom(chosen, urgency == ReportUrgency::Critical ? fanOut.m_criticalCopies : 1, random);
         }
         for (const Member &entry : chosen) {
             targets.push_back(entry.m_peers);
--- a/Libraries/LibPlacement/RequestLimits.cpp
+++ b/Libraries/LibPlacement/RequestLimits.cpp
@@ -124,11 +124,7 @@
                 known.first, known.second.m_endpoint.m_startedMilliseconds, known.second.m_perSecond, static_cast<std::uint64_t>(age.count())});
         }
     }
-    const std::size_t kept = std::min(count, observations.size());
-    for (std::size_t index = 0; index < kept; ++index) {
-        std::swap(observations[index], observations[index + random.below(observations.size() - index)]);
-    }
-    observations.resize(kept);
+    Core::keepRandom(observations, count, random);
     return observations;
 }
 
--- a/Libraries/LibQuarantine/Decision.cpp
+++ b/Libraries/LibQuarantine/Decision.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-bool isEarlier(const Crash &left, const Crash &right)
-{
-    return left.m_at < right.m_at;
-}
-
 bool hasSettled(const Suspect &suspect, Core::Instant now, const DecisionSettings &settings)
 {
     const std::vector<Crash>::const_iterator first = std::min_element(suspect.m_crashes.begin(), suspect.m_crashes.end(), isEarlier);
@@ -107,6 +102,17 @@
 
 }
 
+bool isEarlier(const Crash &left, const Crash &right)
+{
+    return left.m_at < right.m_at;
+}
+
+Core::Instant newestCrashAt(const std::vector<Crash> &crashes)
+{
+    const std::vector<Crash>::const_iterator newest = std::max_element(crashes.begin(), crashes.end(), isEarlier);
+    return newest == crashes.end() ? Core::Instant() : newest->m_at;
+}
+
 std::uint32_t crashPoints(std::vector<Crash> crashes, const DecisionSettings &settings)
 {
     std::sort(crashes.begin(), crashes.end(), isEarlier);
--- a/Libraries/LibQuarantine/Decision.h
+++ b/Libraries/LibQuarantine/Decision.h
@@ -41,6 +41,7 @@
     bool m_hadBegun = false;
     Core::Instant m_at;
     std::uint32_t m_candidates = 1; ///< Parts of the request with which no answer was known to have been completed; at least 1.
+    RequestHash m_request = 0; ///< The request with the part.
 
     bool operator==(const Crash &) const = default;
 };
@@ -61,6 +62,9 @@
     bool operator==(const Suspect &) const = default;
 };
 
+bool isEarlier(const Crash &left, const Crash &right);
+/// Returns when the newest of the crashes was; the epoch if there are none.
+Core::Instant newestCrashAt(const std::vector<Crash> &crashes);
 /// Returns the points of these crashes.
 std::uint32_t crashPoints(std::vector<Crash> crashes, const DecisionSettings &settings);
 
--- a/Libraries/LibQuarantine/Observations.cpp
+++ b/Libraries/LibQuarantine/Observations.cpp
@@ -16,4 +16,14 @@
     return name.empty() ? 0 : Core::stableHash(name);
 }
 
+RequestHash requestOf(const std::string &attemptId)
+{
+    return Core::stableHash(attemptId);
+}
+
+std::uint64_t ageMilliseconds(Core::Instant at, Core::Instant now)
+{
+    return now > at ? static_cast<std::uint64_t>(std::chrono::duration_cast<Core::Duration>(now - at).count()) : 0;
+}
+
 }
--- a/Libraries/LibQuarantine/Observations.h
+++ b/Libraries/LibQuarantine/Observations.h
@@ -1,6 +1,7 @@
 /// @file What entries tell each other about parts of prompts under which endpoints have ended.
 #pragma once
 
+#include "LibCore/Clock.h"
 #include "LibQuarantine/PromptPart.h"
 
 #include <cstdint>
@@ -15,6 +16,12 @@
 
 Incarnation incarnationOf(const std::string &endpointId, std::uint64_t startedMilliseconds);
 Account accountOf(const std::string &name);
+/// Identifies a request, by the id of the caller's attempt.
+using RequestHash = std::uint64_t;
+RequestHash requestOf(const std::string &attemptId);
+
+/// Returns the time from @p at to @p now as observations carry it; 0 if @p at is later.
+std::uint64_t ageMilliseconds(Core::Instant at, Core::Instant now);
 
 /// An endpoint ended while a request with the part was under way there. All requests of an incarnation count once for each part.
 struct CrashObservation
@@ -24,11 +31,12 @@
     Account m_account = 0; ///< Of one of these requests.
     bool m_hadBegun = false; ///< The endpoint had just begun to answer one of these requests.
     std::uint32_t m_candidates = 1; ///< Parts of that request with which no answer is known to have been completed.
+    RequestHash m_request = 0; ///< One of these requests.
     std::uint64_t m_ageMilliseconds = 0;
 
     bool operator==(const CrashObservation &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_part, m_incarnation, m_account, m_hadBegun, m_candidates, m_ageMilliseconds);
+    MSGPACK_DEFINE_ARRAY(m_part, m_incarnation, m_account, m_hadBegun, m_candidates, m_request, m_ageMilliseconds);
 };
 
 /// An endpoint completed an answer to a request with the part, and lived on.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -245,6 +245,11 @@
 void RelayedRequest::endWithoutEndpoint(Placement::NoChoiceReason noChoiceReason)
 {
     const std::string reason = std::string(Placement::noChoiceReasonName(noChoiceReason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
+    endUnsent(reason, retryAfter(noChoiceReason));
+}
+
+void RelayedRequest::endUnsent(const std::string &reason, Core::Duration retryAfter)
+{
     if (m_isHeadForwarded) {
         m_connection->abort();
         finish(RequestOutcome::Failed, 0, "the answer broke off: " + reason);
@@ -254,7 +259,7 @@
         fail(BadGateway, reason);
         return;
     }
-    refuse(reason, retryAfter(noChoiceReason));
+    refuse(reason, retryAfter);
 }
 
 Core::Duration RelayedRequest::elapsedSinceFirstTry() const
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -60,8 +60,6 @@
     bool lacksSlots() const;
     /// Returns whether the request may be sent now. Otherwise it has been refused, or waits until it is known whether endpoints end under it.
     bool passesQuarantine();
-    /// Ends a request under a part of whose prompt endpoints end.
-    void endQuarantined(const Quarantine::PromptPart &part);
     /// Lets the request wait until it is known whether endpoints end under it; refuses it if there is no time or room for that.
     void hold(const Quarantine::Treatment &treatment);
     void continueAfterHold();
@@ -70,6 +68,8 @@
     void recordEndpointLost();
     void recordAnswerCompleted();
     Quarantine::Incarnation incarnation() const;
+    /// Describes the current attempt.
+    Quarantine::RunFacts runFacts() const;
     Quarantine::Account quarantineAccount() const;
     /// Marks the request as admitted and sends it to the chosen endpoint.
     void admitAndSend(const Placement::Choice &choice);
@@ -90,8 +90,10 @@
     Core::Duration elapsedSinceFirstTry() const;
     /// Returns whether the answer could still begin within the latency objective.
     bool canMeetObjective() const;
-    /// Ends a request for which no endpoint was chosen with a refusal, a failure or a closed connection, depending on what has been sent so far.
+    /// Ends a request for which no endpoint was chosen.
     void endWithoutEndpoint(Placement::NoChoiceReason noChoiceReason);
+    /// Ends a request that is not sent any more with a refusal, a failure or a closed connection, depending on what has been sent so far.
+    void endUnsent(const std::string &reason, Core::Duration retryAfter);
     Placement::AdmissionView admissionView() const;
     /// Returns the time after which a refused caller should retry.
     Core::Duration retryAfter(Placement::NoChoiceReason reason) const;
--- a/Libraries/LibRelay/RelayedRequestQuarantine.cpp
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -2,7 +2,6 @@
 /// under.
 
 #include "LibRelay/RelayedRequest.h"
-#include "LibRelay/StatusCodes.h"
 
 namespace Relay {
 
@@ -28,24 +27,9 @@
     case Quarantine::TreatmentKind::Refuse:
         break;
     }
-    endQuarantined(treatment.m_part);
-    return false;
-}
-
-void RelayedRequest::endQuarantined(const Quarantine::PromptPart &part)
-{
     m_relay.m_counters.m_quarantined.add();
-    const std::string reason = "engines end under part " + part.m_id + " of the prompt";
-    if (m_isHeadForwarded) {
-        m_connection->abort();
-        finish(RequestOutcome::Failed, 0, reason);
-        return;
-    }
-    if (m_mayHaveRun) {
-        fail(BadGateway, reason);
-        return;
-    }
-    refuse(reason, m_relay.m_settings.m_quarantineRetryAfter);
+    endUnsent("engines end under part " + treatment.m_part.m_id + " of the prompt", m_relay.m_settings.m_quarantineRetryAfter);
+    return false;
 }
 
 void RelayedRequest::hold(const Quarantine::Treatment &treatment)
@@ -53,15 +37,7 @@
     const RelaySettings &settings = m_relay.m_settings;
     const bool hasRoom = m_isHeld || m_relay.m_heldRequests < settings.m_maximumHeldRequests;
     if (!hasRoom || timeLeft() < treatment.m_holdTime + settings.m_minimumTimeLeft) {
-        const std::string reason = "it is being found out whether engines end under part " + treatment.m_part.m_id + " of the prompt";
-        if (m_isHeadForwarded) {
-            m_connection->abort();
-            finish(RequestOutcome::Failed, 0, reason);
-        } else if (m_mayHaveRun) {
-            fail(BadGateway, reason);
-        } else {
-            refuse(reason, treatment.m_holdTime);
-        }
+        endUnsent("it is being found out whether engines end under part " + treatment.m_part.m_id + " of the prompt", treatment.m_holdTime);
         return;
     }
     if (!m_isHeld) {
@@ -101,15 +77,24 @@
     }
 }
 
-void RelayedRequest::recordEndpointLost()
+Quarantine::RunFacts RelayedRequest::runFacts() const
 {
-    ++m_lostEndpoints;
-    const Core::Instant now = Core::Clock::now();
-    std::optional<Core::Duration> writing;
+    Quarantine::RunFacts facts;
+    facts.m_parts = m_promptParts;
+    facts.m_account = quarantineAccount();
+    facts.m_request = Quarantine::requestOf(m_facts.m_attemptId);
+    facts.m_incarnation = incarnation();
     if (m_attempt->m_answerBeganAt) {
-        writing = std::chrono::duration_cast<Core::Duration>(now - *m_attempt->m_answerBeganAt);
+        facts.m_writing = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_attempt->m_answerBeganAt);
     }
-    m_relay.m_parts.m_quarantine.recordCrash(m_promptParts, incarnation(), quarantineAccount(), writing, now);
+    facts.m_isEndStated = m_bodyEnd != Http::BodyEnd::Close;
+    return facts;
+}
+
+void RelayedRequest::recordEndpointLost()
+{
+    ++m_lostEndpoints;
+    m_relay.m_parts.m_quarantine.recordCrash(runFacts(), Core::Clock::now());
     if (m_relay.m_onQuarantineChanged) {
         m_relay.m_onQuarantineChanged();
     }
@@ -121,9 +106,7 @@
     if (m_promptParts.empty() || isEmpty || !m_attempt->m_answerBeganAt) {
         return;
     }
-    const Core::Instant now = Core::Clock::now();
-    const Core::Duration writing = std::chrono::duration_cast<Core::Duration>(now - *m_attempt->m_answerBeganAt);
-    m_relay.m_parts.m_quarantine.recordCompletion(m_promptParts, incarnation(), writing, m_bodyEnd != Http::BodyEnd::Close, now);
+    m_relay.m_parts.m_quarantine.recordCompletion(runFacts(), Core::Clock::now());
     if (m_relay.m_onQuarantineChanged) {
         m_relay.m_onQuarantineChanged();
     }
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -171,7 +171,7 @@
         object->set("open_requests", m_relay.openRequests());
         object->set("limited_endpoints", m_requestLimits.limitedCount());
         object->set("suspect_parts", m_quarantine.suspectCount());
-        object->set("blamed_parts", m_quarantine.blamedCount());
+        object->set("blamed_parts", m_quarantine.verdicts().blamed().size());
         object->set("known_parts", m_quarantine.historyCount());
         object->set("backed_off_endpoints", m_endpointTracker.backedOffCount(Core::Clock::now()));
         return object;
--- a/Libraries/LibServing/VerdictKeeper.cpp
+++ b/Libraries/LibServing/VerdictKeeper.cpp
@@ -37,7 +37,7 @@
     const std::vector<Gossip::Member> entries = m_parts.m_gossip.members().alive(Gossip::Role::Entry, now);
     readIfDue(entries, now);
     std::map<Quarantine::PromptPart, PendingVerdict> pending;
-    for (const Quarantine::Verdict &verdict : m_parts.m_quarantine.verdicts(now)) {
+    for (const Quarantine::Verdict &verdict : m_parts.m_quarantine.verdicts().verdicts(now)) {
         if (verdict.m_isStored) {
             continue;
         }
@@ -46,7 +46,7 @@
         pending[verdict.m_part] = isKnown ? known->second : PendingVerdict{verdict.m_revision, now};
     }
     m_pending = std::move(pending);
-    for (const Quarantine::Verdict &verdict : m_parts.m_quarantine.verdicts(now)) {
+    for (const Quarantine::Verdict &verdict : m_parts.m_quarantine.verdicts().verdicts(now)) {
         storeIfDue(verdict, entries, now);
     }
 }
@@ -95,7 +95,7 @@
             return;
         }
         m_retryDelay = m_settings.m_initialRetryDelay;
-        m_parts.m_quarantine.markStored(part, revision);
+        m_parts.m_quarantine.verdicts().markStored(part, revision);
     });
 }
 
--- a/Tests/LibGossip/TestMessages.cpp
+++ b/Tests/LibGossip/TestMessages.cpp
@@ -77,3 +77,41 @@
     relayed.m_engineUpdates.assign(settings.m_relayBatchSize, update);
     CHECK(Wire::pack(relayed).size() < PacketBytes);
 }
+
+TEST_CASE("Observations with the longest names that callers can make fit into a datagram, beside limits and members, too")
+{
+    const Gossip::GossipSettings settings;
+    const Quarantine::PromptPart part{"huvo11a", std::string(Quarantine::MaximumPartIdLength, 'f')};
+    const std::uint64_t large = ~std::uint64_t{0};
+    const Quarantine::CrashObservation crash{part, large, large, true, Quarantine::MaximumPartsPerPrompt, large, 1800000};
+    const Quarantine::Verdict verdict{
+        part, 100000, false, large, std::vector<std::uint64_t>(Quarantine::QuarantineSettings{}.m_maximumCrashes, large), true, 3600000};
+    const std::function<Quarantine::Observations(Quarantine::SampleSize)> largest = [&](Quarantine::SampleSize size) {
+        Quarantine::Observations observations;
+        observations.m_crashes.assign(size.m_crashes, crash);
+        observations.m_completions.assign(size.m_completions, Quarantine::CompletionObservation{part, 3600000});
+        observations.m_verdicts.assign(size.m_verdicts, verdict);
+        return observations;
+    };
+    Gossip::Heartbeat news;
+    news.m_sender = member(0);
+    news.m_weights = {Gossip::AgedWeights{Fleet::DeclaredWeights{"daka510000", 2, 17}, 1234},
+                      Gossip::AgedWeights{Fleet::DeclaredWeights{"daka510000", 3, 18}, 5}};
+    news.m_verdictDigest = large;
+    news.m_quarantine = largest(Quarantine::NewsSample);
+    CHECK(Wire::pack(news).size() < PacketBytes);
+    CHECK(Wire::unpack<Gossip::Heartbeat>(Wire::pack(news), "peer").value() == news);
+
+    for (const std::size_t limits : {std::size_t{0}, settings.m_sampledLimits}) {
+        Gossip::Heartbeat regular = news;
+        regular.m_quarantine = largest(Quarantine::RegularSample);
+        for (std::size_t index = 0; index < settings.m_sampledMembers; ++index) {
+            regular.m_members.push_back(member(static_cast<int>(index)));
+        }
+        regular.m_limits.assign(limits, Placement::LimitObservation{"i-28a91f3622", 1789000000000, 1.7, 12345});
+        Gossip::fitObservations(regular, settings);
+        regular.m_digests.assign(Gossip::remainingDigests(regular, settings), Gossip::HeartbeatDigest{4000000000U, 100000, 3, 120});
+        CHECK(regular.m_quarantine.m_verdicts.size() == 1);
+        CHECK(Wire::pack(regular).size() < PacketBytes);
+    }
+}
--- a/Tests/LibQuarantine/TestDecision.cpp
+++ b/Tests/LibQuarantine/TestDecision.cpp
@@ -32,7 +32,7 @@
     made.m_runs = runs;
     made.m_completionsSince = 100;
     for (const Quarantine::Incarnation incarnation : incarnations) {
-        made.m_crashes.push_back(Crash{incarnation, 1, true, Start + Core::Duration(1000) * static_cast<std::int64_t>(incarnation), 1});
+        made.m_crashes.push_back(Crash{incarnation, 1, true, Start + Core::Duration(1000) * static_cast<std::int64_t>(incarnation), 1, incarnation});
     }
     return made;
 }
@@ -110,7 +110,7 @@
     // A loss of power ends many endpoints at once, under whatever runs there.
     Suspect lost = suspect("new", {});
     for (Quarantine::Incarnation incarnation = 1; incarnation <= 8; ++incarnation) {
-        lost.m_crashes.push_back(Crash{incarnation, 1, true, Start + Core::Duration(10) * static_cast<std::int64_t>(incarnation), 1});
+        lost.m_crashes.push_back(Crash{incarnation, 1, true, Start + Core::Duration(10) * static_cast<std::int64_t>(incarnation), 1, incarnation});
     }
     CHECK(partsAtFault({lost}, Settled).empty());
 }
--- a/Tests/LibQuarantine/TestPartQuarantine.cpp
+++ b/Tests/LibQuarantine/TestPartQuarantine.cpp
@@ -34,11 +34,31 @@
     return made;
 }
 
+Quarantine::RunFacts run(const Parts &prompt, Quarantine::Incarnation incarnation, std::optional<Core::Duration> writing)
+{
+    Quarantine::RunFacts facts;
+    facts.m_parts = prompt;
+    facts.m_account = Buyer;
+    facts.m_request = incarnation;
+    facts.m_incarnation = incarnation;
+    facts.m_writing = writing;
+    facts.m_isEndStated = true;
+    return facts;
+}
+
+Quarantine::RunFacts withoutStatedEnd(Quarantine::RunFacts facts)
+{
+    facts.m_isEndStated = false;
+    return facts;
+}
+
 /// Records a crash under these parts each second, of incarnations from @p first on.
 void crash(PartQuarantine &quarantine, const Parts &prompt, Quarantine::Incarnation first, std::size_t count, Quarantine::Account account = Buyer)
 {
     for (std::size_t index = 0; index < count; ++index) {
-        quarantine.recordCrash(prompt, first + index, account, Early, after(static_cast<std::int64_t>(first + index) * 1000));
+        Quarantine::RunFacts facts = run(prompt, first + index, Early);
+        facts.m_account = account;
+        quarantine.recordCrash(facts, after(static_cast<std::int64_t>(first + index) * 1000));
     }
 }
 
@@ -46,7 +66,7 @@
 void completeOthers(PartQuarantine &quarantine, std::int64_t milliseconds)
 {
     for (int count = 0; count < 30; ++count) {
-        quarantine.recordCompletion(parts({"other"}), 1'000'000, Core::Duration(400), true, after(milliseconds));
+        quarantine.recordCompletion(run(parts({"other"}), 1'000'000, Core::Duration(400)), after(milliseconds));
     }
 }
 
@@ -84,7 +104,7 @@
     crash(quarantine, parts({"p"}), 1, 1);
     quarantine.recordSent(parts({"p"}), after(3000));
     CHECK(treatment(quarantine, parts({"p"}), 3500) == TreatmentKind::Hold);
-    quarantine.recordCompletion(parts({"p"}), 9, Core::Duration(400), true, after(3600));
+    quarantine.recordCompletion(run(parts({"p"}), 9, Core::Duration(400)), after(3600));
     CHECK(treatment(quarantine, parts({"p"}), 3600) == TreatmentKind::Send);
 }
 
@@ -92,7 +112,7 @@
 {
     PartQuarantine quarantine;
     crash(quarantine, parts({"p"}), 1, 2);
-    quarantine.recordCompletion(parts({"p"}), 9, Core::Duration(400), true, after(2500));
+    quarantine.recordCompletion(run(parts({"p"}), 9, Core::Duration(400)), after(2500));
     crash(quarantine, parts({"p"}), 3, 2);
     CHECK(treatment(quarantine, parts({"p"}), 9000) == TreatmentKind::Send);
 }
@@ -102,8 +122,8 @@
     PartQuarantine quarantine;
     for (Quarantine::Incarnation incarnation = 1; incarnation <= 3; ++incarnation) {
         const std::int64_t at = static_cast<std::int64_t>(incarnation) * 1000;
-        quarantine.recordCompletion(parts({"p"}), incarnation, Core::Duration(20), true, after(at));
-        quarantine.recordCrash(parts({"p"}), incarnation, Buyer, Early, after(at + 1));
+        quarantine.recordCompletion(run(parts({"p"}), incarnation, Core::Duration(20)), after(at));
+        quarantine.recordCrash(run(parts({"p"}), incarnation, Early), after(at + 1));
     }
     CHECK(treatment(quarantine, parts({"p"}), 9000) == TreatmentKind::Refuse);
 }
@@ -112,7 +132,7 @@
 {
     PartQuarantine quarantine;
     crash(quarantine, parts({"p"}), 1, 2);
-    quarantine.recordCompletion(parts({"p"}), 9, Core::Duration(900), false, after(2500));
+    quarantine.recordCompletion(withoutStatedEnd(run(parts({"p"}), 9, Core::Duration(900))), after(2500));
     CHECK_FALSE(quarantine.areAcquitted(parts({"p"})));
     quarantine.recordAlive(9, after(2400));
     CHECK_FALSE(quarantine.areAcquitted(parts({"p"})));
@@ -140,13 +160,13 @@
     REQUIRE(treatment(quarantine, parts({"p"}), 5000) == TreatmentKind::Refuse);
     tell(quarantine, peer, 5000);
     REQUIRE(treatment(peer, parts({"p"}), 5000) == TreatmentKind::Refuse);
-    peer.recordCompletion(parts({"p"}), 9, Core::Duration(400), true, after(5100));
+    peer.recordCompletion(run(parts({"p"}), 9, Core::Duration(400)), after(5100));
     CHECK(treatment(peer, parts({"p"}), 5200) == TreatmentKind::Send);
     tell(quarantine, peer, 5200);
     CHECK(treatment(peer, parts({"p"}), 5200) == TreatmentKind::Send);
     tell(peer, quarantine, 5200);
     CHECK(treatment(quarantine, parts({"p"}), 5200) == TreatmentKind::Send);
-    CHECK(quarantine.verdictDigest() == peer.verdictDigest());
+    CHECK(quarantine.verdicts().digest() == peer.verdicts().digest());
 }
 
 TEST_CASE("An operator lifts a verdict everywhere")
@@ -156,7 +176,7 @@
     crash(quarantine, parts({"p"}), 1, 3);
     REQUIRE(treatment(quarantine, parts({"p"}), 5000) == TreatmentKind::Refuse);
     tell(quarantine, peer, 5000);
-    peer.lift(parts({"p"}).front(), after(5000));
+    peer.verdicts().lift(parts({"p"}).front(), after(5000));
     tell(peer, quarantine, 5000);
     CHECK(treatment(quarantine, parts({"p"}), 5000) == TreatmentKind::Send);
 }
@@ -183,9 +203,9 @@
     REQUIRE(treatment(quarantine, parts({"theirs"}), 5000, Buyer) == TreatmentKind::Refuse);
     CHECK(treatment(quarantine, parts({"theirs"}), 5000, Other) == TreatmentKind::Send);
     // But the part is refused to all once endpoints end under it for others, too.
-    quarantine.recordCrash(parts({"p"}), 9, Other, Early, after(5000));
-    CHECK(treatment(quarantine, parts({"p"}), 5100, Other) == TreatmentKind::Refuse);
-    CHECK(treatment(quarantine, parts({"theirs"}), 5100, Other) == TreatmentKind::Send);
+    crash(quarantine, parts({"p"}), 9, 1, Other);
+    CHECK(treatment(quarantine, parts({"p"}), 9100, Other) == TreatmentKind::Refuse);
+    CHECK(treatment(quarantine, parts({"theirs"}), 9100, Other) == TreatmentKind::Send);
 }
 
 TEST_CASE("Ten thousand new parts a second neither fill the memory nor hide a part")
@@ -202,7 +222,7 @@
             }
             const std::int64_t at = second * 1000 + request % 900;
             quarantine.recordSent(prompt, after(at));
-            quarantine.recordCrash(prompt, 1000 + number, Buyer, std::nullopt, after(at));
+            quarantine.recordCrash(run(prompt, 1000 + number, std::nullopt), after(at));
         }
     }
     CHECK(quarantine.suspectCount() <= settings.m_maximumSuspects);
@@ -214,7 +234,7 @@
 {
     PartQuarantine quarantine;
     for (Quarantine::Incarnation incarnation = 100; incarnation < 130; ++incarnation) {
-        quarantine.recordCrash(parts({"p"}), incarnation, Buyer, Early, after(500));
+        quarantine.recordCrash(run(parts({"p"}), incarnation, Early), after(500));
     }
     REQUIRE(treatment(quarantine, parts({"p"}), 4000) == TreatmentKind::Send);
     crash(quarantine, parts({"p"}), 5, 2);
@@ -248,6 +268,6 @@
         quarantine.update(after(at));
         peer.update(after(at + 1));
     }
-    CHECK(quarantine.blamedCount() == 0);
-    CHECK(peer.blamedCount() == 0);
+    CHECK(quarantine.verdicts().blamed().empty());
+    CHECK(peer.verdicts().blamed().empty());
 }
--- a/Tests/LibRelay/TestCrashingParts.cpp
+++ b/Tests/LibRelay/TestCrashingParts.cpp
@@ -15,6 +15,7 @@
 constexpr const char *FirstEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
 constexpr const char *SecondEvent = "f\r\nid: 2\ndata: b\n\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
+constexpr const char *BadRequest = "GET /stream/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nParts: a11,bad,own\r\n\r\n";
 constexpr const char *PromptFields = "Key: k\r\nParts: a11,bad,own\r\n";
 
 const std::vector<PromptPart> Bad{PromptPart{"desk", "bad"}};
@@ -26,16 +27,29 @@
     connection->reset();
 }
 
+Quarantine::RunFacts run(const std::vector<PromptPart> &parts, Quarantine::Incarnation incarnation, Core::Duration writing)
+{
+    Quarantine::RunFacts facts;
+    facts.m_parts = parts;
+    facts.m_request = incarnation;
+    facts.m_incarnation = incarnation;
+    facts.m_writing = writing;
+    facts.m_isEndStated = true;
+    return facts;
+}
+
 /// Records crashes of @p count engines under the part "bad" for two accounts, the last one @p age ago.
 void recordCrashes(RelayFixture &fixture, std::size_t count, Core::Duration age)
 {
     const Core::Instant now = Core::Clock::now();
     for (std::size_t index = 0; index < count; ++index) {
         const Core::Instant at = now - age - Core::Duration(1000) * static_cast<std::int64_t>(count - 1 - index);
-        fixture.m_quarantine.recordCrash(Bad, 100 + index, 1 + index % 2, Core::Duration(50), at);
+        Quarantine::RunFacts facts = run(Bad, 100 + index, Core::Duration(50));
+        facts.m_account = 1 + index % 2;
+        fixture.m_quarantine.recordCrash(facts, at);
     }
     for (int answers = 0; answers < 30; ++answers) {
-        fixture.m_quarantine.recordCompletion({PromptPart{"desk", "07e4"}}, 1, Core::Duration(400), true, now);
+        fixture.m_quarantine.recordCompletion(run({PromptPart{"desk", "07e4"}}, 1, Core::Duration(400)), now);
     }
     fixture.m_quarantine.update(now);
 }
@@ -75,10 +89,10 @@
     configure(fixture, 1, answering(TestSupport::Good));
     recordCrashes(fixture, 1, Core::Duration(0));
     RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send("GET /stream/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\n" + std::string(PromptFields) + "\r\n");
+    caller.send(BadRequest);
     CHECK_FALSE(runUntil(
         fixture.m_loop, [&fixture] { return !fixture.m_requests.empty(); }, std::chrono::milliseconds(300)));
-    fixture.m_quarantine.recordCompletion(Bad, 7, Core::Duration(500), true, Core::Clock::now());
+    fixture.m_quarantine.recordCompletion(run(Bad, 7, Core::Duration(500)), Core::Clock::now());
     CHECK(runUntil(fixture.m_loop, [&fixture] { return !fixture.m_requests.empty(); }));
 }
 
@@ -88,7 +102,7 @@
     configure(fixture, 1, answering(TestSupport::Good));
     recordCrashes(fixture, 1, Core::Duration(0));
     RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send("GET /stream/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\n" + std::string(PromptFields) + "\r\n");
+    caller.send(BadRequest);
     CHECK_FALSE(runUntil(
         fixture.m_loop, [&caller] { return hasHead(caller.received()); }, std::chrono::milliseconds(200)));
     recordCrashes(fixture, 4, Core::Duration(1000));
@@ -132,11 +146,11 @@
     }
     fixture.m_fleetState.apply(declarations);
     RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send("GET /stream/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\n" + std::string(PromptFields) + "\r\n");
+    caller.send(BadRequest);
     const std::vector<PromptPart> parts{PromptPart{"desk", "a11"}, PromptPart{"desk", "bad"}};
     runUntil(fixture.m_loop, [&] {
         if (isAcquitted) {
-            fixture.m_quarantine.recordCompletion(parts, 7, Core::Duration(500), true, Core::Clock::now());
+            fixture.m_quarantine.recordCompletion(run(parts, 7, Core::Duration(500)), Core::Clock::now());
         }
         return caller.isClosed();
     });
--- a/Tests/LibServing/TestVerdictKeeper.cpp
+++ b/Tests/LibServing/TestVerdictKeeper.cpp
@@ -73,14 +73,25 @@
         }
     }
 
+    static Quarantine::RunFacts run(const std::string &part, Quarantine::Incarnation incarnation, Core::Duration writing)
+    {
+        Quarantine::RunFacts facts;
+        facts.m_parts = {PromptPart{"drafts", part}};
+        facts.m_request = incarnation;
+        facts.m_incarnation = incarnation;
+        facts.m_writing = writing;
+        facts.m_isEndStated = true;
+        return facts;
+    }
+
     void blame()
     {
         for (Quarantine::Incarnation incarnation = 1; incarnation <= 3; ++incarnation) {
             const Core::Instant at = m_now - Core::Duration(5000) + Core::Duration(1000) * static_cast<std::int64_t>(incarnation);
-            m_quarantine.recordCrash({PromptPart{"drafts", "bad"}}, incarnation, 0, Core::Duration(50), at);
+            m_quarantine.recordCrash(run("bad", incarnation, Core::Duration(50)), at);
         }
         for (int answers = 0; answers < 30; ++answers) {
-            m_quarantine.recordCompletion({PromptPart{"drafts", "other"}}, 9, Core::Duration(400), true, m_now);
+            m_quarantine.recordCompletion(run("other", 9, Core::Duration(400)), m_now);
         }
         m_quarantine.update(m_now);
     }
