LibQuarantine: Count further crashes of one request less

Cause: a request that loses its engine is sent again and loses the next one, and its caller then repeats it. Crashes of one request were counted as if they were independent, so that two sound requests were enough to blame what they share. A part at fault is in requests of which no two are alike.

Change: crashes carry the request, and further ones of the same request count two points instead of five. Two requests instead of five make a part popular, since a process that has just started has seen few.

--- a/Libraries/LibQuarantine/Decision.cpp
+++ b/Libraries/LibQuarantine/Decision.cpp
@@ -119,13 +119,16 @@
     std::uint32_t total = 0;
     std::uint32_t largestInWindow = 0;
     std::optional<Core::Instant> windowStart;
+    std::set<RequestHash> requests;
     for (const Crash &crash : crashes) {
         if (!windowStart || crash.m_at - *windowStart > settings.m_commonCauseWindow) {
             windowStart = crash.m_at;
             total += largestInWindow;
             largestInWindow = 0;
         }
-        largestInWindow = std::max(largestInWindow, crash.m_hadBegun ? settings.m_pointsBegun : settings.m_pointsOther);
+        const bool isRepeated = !requests.insert(crash.m_request).second;
+        const std::uint32_t points = crash.m_hadBegun ? settings.m_pointsBegun : settings.m_pointsOther;
+        largestInWindow = std::max(largestInWindow, isRepeated ? settings.m_pointsRepeated : points);
     }
     return total + largestInWindow;
 }
--- a/Libraries/LibQuarantine/Decision.h
+++ b/Libraries/LibQuarantine/Decision.h
@@ -11,13 +11,15 @@
 struct DecisionSettings
 {
     std::uint32_t m_pointsBegun = 5; ///< For a crash just after the endpoint had begun to answer a request with the part.
+    /// For a crash of a request under which an endpoint had ended before. All parts of a request that is sent again share such crashes.
+    std::uint32_t m_pointsRepeated = 2;
     std::uint32_t m_pointsOther = 3; ///< For a crash while such a request was queued there, or had been running for long.
     std::uint32_t m_threshold = 15; ///< Points of a part at fault: three crashes of the first kind, or five of any.
     std::uint32_t m_completedThreshold = 25; ///< The same for a part with which answers were completed before the first of these crashes.
     /// The same for a part that many requests have. It would end endpoints often, so that more crashes take little time; and it is lost with endpoints often.
     std::uint32_t m_popularThreshold = 30;
     double m_popularShare = 0.1; ///< Share of the requests that have a popular part.
-    std::uint64_t m_popularArrivals = 5; ///< Requests that a popular part has at least.
+    std::uint64_t m_popularArrivals = 2; ///< Requests that a popular part has at least.
     /// Points that may come from crashes for which another part at fault accounts, too.
     std::uint32_t m_sharedPoints = 5;
     /// Crashes within this time of each other count once: a loss of power ends many endpoints in one moment, under all parts.
--- a/Tests/LibQuarantine/TestDecision.cpp
+++ b/Tests/LibQuarantine/TestDecision.cpp
@@ -105,6 +105,17 @@
     CHECK(partsAtFault({suspect("a", {1, 3, 5}), suspect("b", {2, 4, 6}), shared}, Settled) == std::vector<PromptPart>{part("a"), part("b")});
 }
 
+TEST_CASE("Requests that are sent again after a crash do not have their other parts blamed")
+{
+    Suspect conversation = suspect("conversation", {1, 2, 3, 4});
+    for (Crash &crash : conversation.m_crashes) {
+        crash.m_request = crash.m_incarnation <= 2 ? 1 : 2;
+    }
+    CHECK(partsAtFault({conversation}, Settled).empty());
+    conversation.m_crashes.push_back(Crash{5, 1, true, Start + Core::Duration(5000), 1, 3});
+    CHECK(partsAtFault({conversation}, Settled).size() == 1);
+}
+
 TEST_CASE("Endpoints that end in the same moment under a part count once")
 {
     // A loss of power ends many endpoints at once, under whatever runs there.
