LibRelay, LibServing: Log and measure retry budgets

Nothing told who spent what of the limit on retries: relay_repeats_total counts, and no line said what an entry's share was, how many entries it counted, what it had left, or that a retry was not made for want of budget. Hypotheses on an excess of retries could not be told apart.

Each decision on a retry is one line (retry: service, entries counted, share, available, spent in the window, granted), each change of the count one line a service (retry_share). Gauges say the same (retry_budget_entries, retry_budget_share, _available, _spent by service), and relay_retries_refused_total counts retries not made for want of budget. No decision is changed.

--- a/Libraries/LibPlacement/RetryBudgets.cpp
+++ b/Libraries/LibPlacement/RetryBudgets.cpp
@@ -44,9 +44,31 @@
     return budget(service).hasRetry();
 }
 
-bool RetryBudgets::tryRetry(const std::string &service)
+bool RetryBudgets::tryRetry(const std::string &service, Core::Instant now)
 {
-    return budget(service).tryRetry();
+    const bool isGranted = budget(service).tryRetry();
+    if (isGranted) {
+        m_spentAt[service].push_back(now);
+    }
+    return isGranted;
+}
+
+RetryBudgetState RetryBudgets::describe(const std::string &service, Core::Instant now)
+{
+    std::deque<Core::Instant> &spentAt = m_spentAt[service];
+    while (!spentAt.empty() && now - spentAt.front() >= m_settings.m_window) {
+        spentAt.pop_front();
+    }
+    return RetryBudgetState{service, m_processCount, burst(), budget(service).available(), spentAt.size()};
+}
+
+std::vector<RetryBudgetState> RetryBudgets::describeAll(Core::Instant now)
+{
+    std::vector<RetryBudgetState> states;
+    for (const std::pair<const std::string, Routing::RetryBudget> &known : m_budgets) {
+        states.push_back(describe(known.first, now));
+    }
+    return states;
 }
 
 }
--- a/Libraries/LibPlacement/RetryBudgets.h
+++ b/Libraries/LibPlacement/RetryBudgets.h
@@ -1,11 +1,14 @@
 /// @file This process's share of the retry budgets of the fleet.
 #pragma once
 
+#include "LibCore/Clock.h"
 #include "LibRouting/RetryBudget.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Placement {
 
@@ -16,9 +19,23 @@
     double m_burst = 100; ///< Additional retries of a service within the window, summed over all processes.
     double m_safetyFactor = 0.85; ///< Part of the budget that is used, because requests are spread unevenly over processes and windows begin at any time.
 
+    Core::Duration m_window{10000}; ///< Time over which retries are counted.
+
     bool operator==(const RetryBudgetSettings &) const = default;
 };
 
+/// This process's part of the budget of one service, for logs and metrics.
+struct RetryBudgetState
+{
+    std::string m_service;
+    std::size_t m_processes = 1; ///< Processes that the budget is divided among, as this process knows them.
+    double m_share = 0; ///< Retries beyond those that requests add which this process may accumulate.
+    double m_available = 0; ///< Retries that this process may make now.
+    std::size_t m_spent = 0; ///< Retries that this process has made within the window.
+
+    bool operator==(const RetryBudgetState &) const = default;
+};
+
 /**
  * Keeps one retry budget for each service.
  *
@@ -36,7 +53,15 @@
     /// Returns whether the budget of the service allows a retry now.
     bool hasRetry(const std::string &service);
     /// Takes one retry out of the budget; returns false if the budget is used up.
-    bool tryRetry(const std::string &service);
+    bool tryRetry(const std::string &service, Core::Instant now);
+    std::size_t processCount() const
+    {
+        return m_processCount;
+    }
+    /// Describes the budget of the service.
+    RetryBudgetState describe(const std::string &service, Core::Instant now);
+    /// Describes the budgets of all services that have received requests.
+    std::vector<RetryBudgetState> describeAll(Core::Instant now);
 
 private:
     double burst() const;
@@ -45,6 +70,7 @@
     const RetryBudgetSettings m_settings;
     std::size_t m_processCount = 1;
     std::map<std::string, Routing::RetryBudget> m_budgets; ///< By service.
+    std::map<std::string, std::deque<Core::Instant>> m_spentAt; ///< Times of the retries within the window by service, oldest first.
 };
 
 }
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -78,6 +78,7 @@
     Telemetry::Counter &m_failed;
     Telemetry::Counter &m_abandoned;
     Telemetry::Counter &m_retries;
+    Telemetry::Counter &m_retriesRefused;
     Telemetry::Counter &m_resumed;
     Telemetry::Counter &m_limitReached;
     Telemetry::Counter &m_backedOff;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -3,6 +3,7 @@
 #include "LibRelay/RelayedRequest.h"
 
 #include "LibRelay/RequestTimeouts.h"
+#include "LibRelay/RetryBudgetLine.h"
 #include "LibRelay/StatusCodes.h"
 
 #include <algorithm>
@@ -668,7 +669,18 @@
 
 bool RelayedRequest::mayRetry(bool mayHaveRun)
 {
-    return hasAttemptLeft(mayHaveRun) && mayRepeat(callerWait()) && m_relay.m_parts.m_retryBudgets.tryRetry(m_service->m_name);
+    return hasAttemptLeft(mayHaveRun) && mayRepeat(callerWait()) && takeRetry();
+}
+
+bool RelayedRequest::takeRetry()
+{
+    Placement::RetryBudgets &budgets = m_relay.m_parts.m_retryBudgets;
+    const Core::Instant now = Core::Clock::now();
+    const bool isGranted = budgets.tryRetry(m_service->m_name, now);
+    m_relay.m_counters.m_retriesRefused.add(isGranted ? 0 : 1);
+    Telemetry::LogLine line = retryBudgetLine("retry", budgets.describe(m_service->m_name, now));
+    m_relay.m_parts.m_log.write(line.text("id", m_facts.m_attemptId).flag("granted", isGranted));
+    return isGranted;
 }
 
 bool RelayedRequest::isAttemptOutdated() const
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -132,6 +132,8 @@
     bool hasAttemptLeft(bool mayHaveRun) const;
     /// Takes a retry out of the budget if another attempt is allowed. Returns whether it is.
     bool mayRetry(bool mayHaveRun);
+    /// Takes a retry out of the budget and logs the decision. Returns false if the budget allows none.
+    bool takeRetry();
     /// Returns whether the current attempt ends, whose endpoint is silent: another one can take over, or the attempt has become useless. If not, the request
     /// goes on waiting for it.
     bool shouldLeaveEndpoint();
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -4,6 +4,7 @@
 
 #include "LibHttp/AdminPages.h"
 #include "LibRelay/LimitLine.h"
+#include "LibRelay/RetryBudgetLine.h"
 
 #include <unistd.h>
 
@@ -171,6 +172,7 @@
 
 void EntryProcess::addDumpSections()
 {
+    m_metrics.gauge("retry_budget_entries", [this] { return static_cast<double>(m_retryBudgets.processCount()); });
     m_metrics.gauge("evacuated_failure_domains", [this] { return static_cast<double>(m_evacuatedDomains.size()); });
     m_admin.addDumpSection("beliefs", [this] {
         Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
@@ -290,6 +292,7 @@
 {
     if (update.m_configuration) {
         applyLimits();
+        addRetryGauges();
         m_relay.onConfigurationChanged();
         const Fleet::Configuration &configuration = m_fleetState.configuration()->configuration();
         Telemetry::LogLine line("configuration");
@@ -464,7 +467,7 @@
 void EntryProcess::updateShares()
 {
     const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
-    m_retryBudgets.setProcessCount(entries.size() + 1);
+    updateRetryShares(entries.size() + 1);
     m_quarantine.setProcessCount(entries.size() + 1);
     const double ownRate = m_gossip.self().m_requestsPerSecond + 1.0;
     double totalRate = ownRate;
@@ -475,6 +478,28 @@
     updateLimitShares();
 }
 
+void EntryProcess::updateRetryShares(std::size_t processes)
+{
+    if (processes == m_retryBudgets.processCount()) {
+        return;
+    }
+    m_retryBudgets.setProcessCount(processes);
+    for (const Placement::RetryBudgetState &state : m_retryBudgets.describeAll(Core::Clock::now())) {
+        m_log.write(Relay::retryBudgetLine("retry_share", state));
+    }
+}
+
+void EntryProcess::addRetryGauges()
+{
+    for (const Fleet::Service &service : m_fleetState.configuration()->configuration().m_services) {
+        const std::string label = "{service=\"" + service.m_name + "\"}";
+        const std::function<Placement::RetryBudgetState()> state = [this, name = service.m_name] { return m_retryBudgets.describe(name, Core::Clock::now()); };
+        m_metrics.gauge("retry_budget_share" + label, [state] { return state().m_share; });
+        m_metrics.gauge("retry_budget_available" + label, [state] { return state().m_available; });
+        m_metrics.gauge("retry_budget_spent" + label, [state] { return static_cast<double>(state().m_spent); });
+    }
+}
+
 std::optional<Core::Duration> EntryProcess::declarationsAge() const
 {
     const std::optional<Core::Instant> &confirmed = m_fleetState.declarationsConfirmedAsOf();
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -86,6 +86,9 @@
     /// Updates this entry's shares of the retry budgets, slots and limits that all entries share.
     void updateShares();
     void updateLimitShares();
+    void updateRetryShares(std::size_t processes);
+    /// Registers gauges of the retry budgets of all configured services.
+    void addRetryGauges();
     void updateRequestRate();
     void tick();
     bool isReady() const;
--- a/Tests/LibPlacement/TestAdmission.cpp
+++ b/Tests/LibPlacement/TestAdmission.cpp
@@ -210,7 +210,7 @@
     int retries = 0;
     for (std::size_t change = 0; change < 20; ++change) {
         budgets.setProcessCount(12 + change % 2);
-        while (budgets.tryRetry("drafts")) {
+        while (budgets.tryRetry("drafts", Core::Instant())) {
             ++retries;
         }
     }
--- a/Tests/LibPlacement/TestRetryBudgets.cpp
+++ b/Tests/LibPlacement/TestRetryBudgets.cpp
@@ -17,7 +17,7 @@
         budgets.setProcessCount(processes);
         for (int request = 0; request < requestsEach; ++request) {
             budgets.onRequest("drafts");
-            retries += budgets.tryRetry("drafts") ? 1 : 0;
+            retries += budgets.tryRetry("drafts", Core::Instant()) ? 1 : 0;
         }
     }
     CHECK(retries <= 0.2 * processes * requestsEach + 217);
@@ -27,6 +27,6 @@
 TEST_CASE("services do not use each other's budget")
 {
     Placement::RetryBudgets budgets(Placement::RetryBudgetSettings{0.2, 2, 1});
-    while (budgets.tryRetry("one")) { }
-    CHECK(budgets.tryRetry("two"));
+    while (budgets.tryRetry("one", Core::Instant())) { }
+    CHECK(budgets.tryRetry("two", Core::Instant()));
 }
