LibPlacement, LibRelay, LibGossip: Limit retries by what the fleet may have spent

Callers saw repeats that engines refused again, and engines spent their time on refusing.

Cause: a limit on a sum over entries and time was kept as a bucket of each process, which was full at every start, so that what the predecessor had spent in the same window was forgotten; its size was divided by the entries that the process saw (one at first), and was never less than one retry, which for 400 entries is nearly twice the slack.

An entry's account of a service now has two parts. Tokens come from its own requests; they begin at zero, and as many as are kept count to the slack. The rest of its slack is a sum over the last window. It holds none until a window and the time of discovery have passed since its start, when what an earlier process of its instance has spent does not count any more. The slack is divided into whole retries, by rank if there are more entries than retries, among all entries that were seen in the last ten minutes or that others count. Entries that hold none keep a token only if their own requests cover it with the unused part of the ratio; otherwise a retry is drawn by lot with the chance that its request adds. All of this is one decision, decideRetry(), over plain structs. A retry is reserved when it is decided on and spent when it is sent; send() is the only place at which a request can reach a further endpoint, and does not send without a grant.

--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -133,6 +133,7 @@
     }
     if (heartbeat.m_sender.m_role == Role::Entry) {
         m_lastEntryHeartbeatAt = now;
+        m_reportedEntryCount = addReport(m_reportedEntryCount, heartbeat.m_entryCount, now);
     }
     m_reportedMemberCount = addReport(m_reportedMemberCount, heartbeat.m_knownMemberCount, now);
     applyDeclarations(heartbeat.m_weights, heartbeat.m_evacuations);
@@ -156,6 +157,16 @@
     return Gossip::knowsMostMembers(m_members.countAlive(now), m_reportedMemberCount, std::chrono::duration_cast<Core::Duration>(now - m_startedAt));
 }
 
+void GossipService::setEntryCount(std::size_t count)
+{
+    m_entryCount = static_cast<std::uint32_t>(count);
+}
+
+bool GossipService::hasOtherSeeds() const
+{
+    return std::any_of(m_settings.m_seedHosts.begin(), m_settings.m_seedHosts.end(), [this](const std::string &host) { return host != m_self.m_peers.m_host; });
+}
+
 /// Requests full descriptions of members that are known only by a digest. In a large fleet, random samples alone take a minute to cover all members.
 void GossipService::requestMembers(std::vector<std::uint32_t> incarnations, const Member &source)
 {
@@ -274,6 +285,7 @@
     Heartbeat heartbeat;
     heartbeat.m_sender = m_self;
     heartbeat.m_knownMemberCount = static_cast<std::uint32_t>(m_members.countAlive(now));
+    heartbeat.m_entryCount = m_entryCount;
     heartbeat.m_configurationRevisionOffset = m_parts.m_fleetState.declarations().configurationRevisionOffset();
     heartbeat.m_endpointsRevisionOffset = m_parts.m_fleetState.endpointsRevisionOffset();
     const std::optional<Core::Duration> age = listAge();
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -168,6 +168,15 @@
     /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large
     /// fleet needs a second or two to learn of all its members.
     bool knowsMostMembers() const;
+    /// Sets the number of entries in this entry's roster, itself included, which the next heartbeats report.
+    void setEntryCount(std::size_t count);
+    /// Returns the largest number of entries that another entry has reported recently; 0 if none has.
+    std::size_t reportedEntryCount() const
+    {
+        return m_reportedEntryCount.m_count;
+    }
+    /// Returns whether the settings name hosts of other processes.
+    bool hasOtherSeeds() const;
 
 private:
     void receive();
@@ -225,6 +234,8 @@
     std::optional<Core::Instant> m_lastEntryHeartbeatAt;
     Core::Instant m_startedAt; ///< When start() was called.
     ReportedMemberCount m_reportedMemberCount;
+    ReportedMemberCount m_reportedEntryCount;
+    std::uint32_t m_entryCount = 0; ///< In this entry's roster, itself included.
     Core::Instant m_nextPull;
     std::map<std::string, Core::Instant> m_newcomerAnswerTimes; ///< When each newcomer was last sent a large sample; pruned with each heartbeat.
     bool m_isPulling = false;
--- a/Libraries/LibGossip/Messages.h
+++ b/Libraries/LibGossip/Messages.h
@@ -55,6 +55,7 @@
     bool m_hasStoredVerdicts = false; ///< The sender's verdicts include those that were stored when it started.
     std::optional<std::uint64_t> m_declarationsAgeMilliseconds; ///< Time since the sender's declarations were confirmed to be complete; empty if never.
     std::vector<Fleet::Evacuation> m_evacuations; ///< All that an entry knows; few failure domains are ever evacuated.
+    std::uint32_t m_entryCount = 0; ///< Entries in the roster of an entry, itself included; 0 from agents.
 
     bool operator==(const Heartbeat &) const = default;
 
@@ -73,7 +74,8 @@
                          m_verdictDigest,
                          m_hasStoredVerdicts,
                          m_declarationsAgeMilliseconds,
-                         m_evacuations);
+                         m_evacuations,
+                         m_entryCount);
 };
 
 /// Requests state that the sender lacks (method fleet.state).
--- a/Libraries/LibPlacement/RetryBudgets.cpp
+++ b/Libraries/LibPlacement/RetryBudgets.cpp
@@ -2,70 +2,91 @@
 
 #include "LibPlacement/RetryBudgets.h"
 
-#include <algorithm>
-
 namespace Placement {
 
-RetryBudgets::RetryBudgets(RetryBudgetSettings settings)
+RetryBudgets::RetryBudgets(LimitHolder self, RetryBudgetSettings settings, Core::Instant startedAt)
     : m_settings(settings)
+    , m_startedAt(startedAt)
+    , m_sharers{std::move(self), {}, 0, false}
 {
 }
 
-double RetryBudgets::burst() const
+bool RetryBudgets::setSharers(RetrySharers sharers)
 {
-    return std::max(1.0, m_settings.m_burst * m_settings.m_safetyFactor / static_cast<double>(m_processCount));
+    if (sharers == m_sharers) {
+        return false;
+    }
+    m_sharers = std::move(sharers);
+    for (std::pair<const std::string, ServiceBudget> &known : m_budgets) {
+        known.second.m_heldSlack = heldSlack(known.first, m_sharers, m_settings);
+    }
+    return true;
 }
 
-void RetryBudgets::setProcessCount(std::size_t sharers)
+RetryShare RetryBudgets::shareOf(const ServiceBudget &budget) const
 {
-    m_processCount = std::max<std::size_t>(sharers, 1);
-    for (std::pair<const std::string, Routing::RetryBudget> &entry : m_budgets) {
-        // Keeps the used part of the budget: refilling the buckets at each change would allow unlimited retries while processes join and leave.
-        entry.second.limitBurst(burst());
-    }
+    return retryShare(budget.m_heldSlack, budget.m_account.m_requestedAt.size(), m_settings);
 }
 
-Routing::RetryBudget &RetryBudgets::budget(const std::string &service)
+RetryBudgets::ServiceBudget &RetryBudgets::updatedBudget(const std::string &service, Core::Instant now)
 {
-    const std::map<std::string, Routing::RetryBudget>::iterator known = m_budgets.find(service);
-    if (known != m_budgets.end()) {
-        return known->second;
+    std::map<std::string, ServiceBudget>::iterator known = m_budgets.find(service);
+    if (known == m_budgets.end()) {
+        known = m_budgets.emplace(service, ServiceBudget{heldSlack(service, m_sharers, m_settings), {}}).first;
     }
-    return m_budgets.emplace(service, Routing::RetryBudget(m_settings.m_retriesPerRequest * m_settings.m_safetyFactor, burst())).first->second;
+    updateAccount(known->second.m_account, shareOf(known->second), m_settings, now);
+    return known->second;
 }
 
-void RetryBudgets::onRequest(const std::string &service)
+void RetryBudgets::recordRequest(const std::string &service, Core::Instant now)
 {
-    budget(service).onRequest();
+    ServiceBudget &budget = updatedBudget(service, now);
+    Placement::recordRequest(budget.m_account, shareOf(budget), now);
 }
 
-bool RetryBudgets::hasRetry(const std::string &service)
+RetryGrant RetryBudgets::decide(const std::string &service, bool isFirst, double lot, Core::Instant now)
 {
-    return budget(service).hasRetry();
+    const ServiceBudget &budget = updatedBudget(service, now);
+    const bool isSlackKnown = Placement::isSlackKnown(std::chrono::duration_cast<Core::Duration>(now - m_startedAt), m_settings);
+    return decideRetry(budget.m_account, shareOf(budget), RetryQuestion{isFirst, lot, isSlackKnown});
 }
 
-bool RetryBudgets::tryRetry(const std::string &service, Core::Instant now)
+RetryGrant RetryBudgets::tryReserve(const std::string &service, bool isFirst, double lot, Core::Instant now)
 {
-    const bool isGranted = budget(service).tryRetry();
-    if (isGranted) {
-        m_spentAt[service].push_back(now);
-    }
-    return isGranted;
+    const RetryGrant grant = decide(service, isFirst, lot, now);
+    Placement::reserve(m_budgets.at(service).m_account, grant);
+    return grant;
+}
+
+void RetryBudgets::spend(const std::string &service, RetryGrant grant, Core::Instant now)
+{
+    Placement::spend(updatedBudget(service, now).m_account, grant, now);
+}
+
+void RetryBudgets::release(const std::string &service, RetryGrant grant)
+{
+    Placement::release(m_budgets.at(service).m_account, grant);
 }
 
 RetryBudgetState RetryBudgets::describe(const std::string &service, Core::Instant now)
 {
-    std::deque<Core::Instant> &spentAt = m_spentAt[service];
-    while (!spentAt.empty() && now - spentAt.front() >= m_settings.m_window) {
-        spentAt.pop_front();
-    }
-    return RetryBudgetState{service, m_processCount, burst(), budget(service).available(), spentAt.size()};
+    const ServiceBudget &budget = updatedBudget(service, now);
+    RetryBudgetState state;
+    state.m_service = service;
+    state.m_entries = m_sharers.count();
+    state.m_areEntriesKnown = m_sharers.m_areKnown;
+    state.m_isSlackKnown = isSlackKnown(std::chrono::duration_cast<Core::Duration>(now - m_startedAt), m_settings);
+    state.m_share = shareOf(budget);
+    state.m_tokens = budget.m_account.m_tokens;
+    state.m_spent = budget.m_account.m_spentAt.size();
+    state.m_slackSpent = budget.m_account.m_slackSpentAt.size();
+    return state;
 }
 
 std::vector<RetryBudgetState> RetryBudgets::describeAll(Core::Instant now)
 {
     std::vector<RetryBudgetState> states;
-    for (const std::pair<const std::string, Routing::RetryBudget> &known : m_budgets) {
+    for (const std::pair<const std::string, ServiceBudget> &known : m_budgets) {
         states.push_back(describe(known.first, now));
     }
     return states;
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -15,7 +15,10 @@
     , m_failed(metrics.counter("relay_requests_ended_total{outcome=\"failed\"}"))
     , m_abandoned(metrics.counter("relay_requests_ended_total{outcome=\"caller_left\"}"))
     , m_retries(metrics.counter("relay_repeats_total"))
-    , m_retriesRefused(metrics.counter("relay_retries_refused_total"))
+    , m_retryGrants{&metrics.counter("relay_retries_refused_total"),
+                    &metrics.counter("relay_retries_granted_total{grant=\"token\"}"),
+                    &metrics.counter("relay_retries_granted_total{grant=\"slack\"}"),
+                    &metrics.counter("relay_retries_granted_total{grant=\"lot\"}")}
     , m_resumed(metrics.counter("relay_streams_resumed_total"))
     , m_limitReached(metrics.counter("relay_limit_reached_total"))
     , m_backedOff(metrics.counter("relay_backed_off_total"))
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -78,7 +78,7 @@
     Telemetry::Counter &m_failed;
     Telemetry::Counter &m_abandoned;
     Telemetry::Counter &m_retries;
-    Telemetry::Counter &m_retriesRefused;
+    std::array<Telemetry::Counter *, 4> m_retryGrants; ///< Decisions on retries, by their Placement::RetryGrant.
     Telemetry::Counter &m_resumed;
     Telemetry::Counter &m_limitReached;
     Telemetry::Counter &m_backedOff;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -3,7 +3,6 @@
 #include "LibRelay/RelayedRequest.h"
 
 #include "LibRelay/RequestTimeouts.h"
-#include "LibRelay/RetryBudgetLine.h"
 #include "LibRelay/StatusCodes.h"
 
 #include <algorithm>
@@ -85,6 +84,7 @@
     , m_facts(relay.m_dialect.m_readRequest(m_request.m_fields))
     , m_configuration(relay.m_parts.m_fleetState.configuration())
     , m_arrivedAt(Core::Clock::now())
+    , m_retryLot(relay.m_parts.m_random.unit())
     , m_framer(m_facts.m_resumeAfter)
     , m_holdTimer(relay.m_parts.m_loop)
 {
@@ -127,7 +127,7 @@
         }
         m_relay.m_parts.m_quarantine.recordArrival(m_promptParts, m_arrivedAt);
     }
-    m_relay.m_parts.m_retryBudgets.onRequest(m_service->m_name);
+    m_relay.m_parts.m_retryBudgets.recordRequest(m_service->m_name, Core::Clock::now());
     m_places = Placement::homePlaces(m_route->m_homeRegions, m_account ? m_account->m_homeRegions : Placement::HomeRegions(), m_relay.m_settings.m_regions);
     m_rank = m_account && m_account->m_priority ? *m_account->m_priority : m_route->m_priority;
     if (m_service->m_mostUrgentRank) {
@@ -389,6 +389,10 @@
 
 void RelayedRequest::send(const Placement::Choice &choice)
 {
+    if (isRetry() && !spendRetry()) {
+        endUnsent("no retry is left in the budget, after: " + m_lastFailure, m_relay.m_settings.m_retryAfter);
+        return;
+    }
     Http::ClientRequest outgoing;
     outgoing.m_method = m_request.m_method;
     outgoing.m_target = m_request.m_target;
@@ -623,6 +627,7 @@
     // each entry has to find out on its own which ones.
     const bool wasSent = failure != Placement::EndpointFailure::Unreachable;
     m_attempts -= wasSent ? 0 : 1;
+    m_isRetryPaid = m_isRetryPaid && !wasSent;
     if (m_isHeadForwarded) {
         if (!resumeStream()) {
             m_connection->abort();
@@ -669,18 +674,7 @@
 
 bool RelayedRequest::mayRetry(bool mayHaveRun)
 {
-    return hasAttemptLeft(mayHaveRun) && mayRepeat(callerWait()) && takeRetry();
-}
-
-bool RelayedRequest::takeRetry()
-{
-    Placement::RetryBudgets &budgets = m_relay.m_parts.m_retryBudgets;
-    const Core::Instant now = Core::Clock::now();
-    const bool isGranted = budgets.tryRetry(m_service->m_name, now);
-    m_relay.m_counters.m_retriesRefused.add(isGranted ? 0 : 1);
-    Telemetry::LogLine line = retryBudgetLine("retry", budgets.describe(m_service->m_name, now));
-    m_relay.m_parts.m_log.write(line.text("id", m_facts.m_attemptId).flag("granted", isGranted));
-    return isGranted;
+    return hasAttemptLeft(mayHaveRun) && mayRepeat(callerWait()) && reserveRetry();
 }
 
 bool RelayedRequest::isAttemptOutdated() const
@@ -698,7 +692,7 @@
         return true;
     }
     const bool isBoundToEndpoint = m_isHeadForwarded && !m_isEventStream;
-    if (isBoundToEndpoint || !hasAttemptLeft(true) || !mayMove(callerWait()) || !m_relay.m_parts.m_retryBudgets.hasRetry(m_service->m_name)) {
+    if (isBoundToEndpoint || !hasAttemptLeft(true) || !mayMove(callerWait()) || !isRetryInBudget()) {
         return false;
     }
     const bool isAdded = m_excluded.insert(m_attempt->m_endpoint.m_id).second;
@@ -883,6 +877,7 @@
     }
     m_timer.cancel();
     endHold();
+    releaseRetry();
     m_relay.m_openRequests.erase(shared_from_this());
 }
 
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -130,10 +130,21 @@
     void onAttemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
     /// Returns whether the route and the endpoints that the request was lost with allow another attempt.
     bool hasAttemptLeft(bool mayHaveRun) const;
-    /// Takes a retry out of the budget if another attempt is allowed. Returns whether it is.
+    /// Reserves a retry of the budget if another attempt is allowed. Returns whether it is.
     bool mayRetry(bool mayHaveRun);
-    /// Takes a retry out of the budget and logs the decision. Returns false if the budget allows none.
-    bool takeRetry();
+    /// Returns whether the next attempt can arrive at an endpoint after an earlier one did, so that the budget must allow it.
+    bool isRetry() const
+    {
+        return m_attempts > 0;
+    }
+    /// Reserves a retry of the budget, unless one is reserved or paid for already, and logs the decision. Returns false if the budget allows none.
+    bool reserveRetry();
+    /// Returns whether reserveRetry() would succeed.
+    bool isRetryInBudget();
+    /// Spends the reservation for an attempt that is sent now. Returns false if there is none, and the budget allows none.
+    bool spendRetry();
+    /// Gives back a reservation that was not used.
+    void releaseRetry();
     /// Returns whether the current attempt ends, whose endpoint is silent: another one can take over, or the attempt has become useless. If not, the request
     /// goes on waiting for it.
     bool shouldLeaveEndpoint();
@@ -182,6 +193,10 @@
     Core::Instant m_deadline;
     Core::Duration m_elapsedBeforeArrival{0}; ///< Estimated time from the caller's first try to the arrival of this request.
     std::uint32_t m_attempts = 0; ///< Endpoints that the request was sent to. Endpoints that accepted no connection do not count.
+    double m_retryLot; ///< See Placement::RetryQuestion.
+    Placement::RetryGrant m_retryGrant = Placement::RetryGrant::None; ///< Reserved for the next attempt.
+    bool m_isRetryPaid = false; ///< The reservation was spent on an attempt that could not be sent, and covers the next one.
+    std::uint32_t m_retries = 0; ///< Retries that were paid for.
     std::optional<std::uint64_t> m_ticket; ///< Set while the request waits for a slot.
     Core::Instant m_waitingSince;
     Core::Duration m_totalWait{0}; ///< Total time spent waiting for slots.
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -24,10 +24,6 @@
     {
         return m_tokens >= 1;
     }
-    double available() const
-    {
-        return m_tokens;
-    }
     /// Takes one retry from the budget. Returns false if it is exhausted.
     bool tryRetry();
 
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -44,7 +44,7 @@
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
-    , m_retryBudgets(m_settings.m_retryBudgets)
+    , m_retryBudgets(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_retryBudgets, m_startedAt)
     , m_versions(m_settings.m_versionBound - Placement::VersionBoundMargin)
     , m_requestLimits(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain})
     , m_coldBudget(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_coldBudget)
@@ -172,7 +172,7 @@
 
 void EntryProcess::addDumpSections()
 {
-    m_metrics.gauge("retry_budget_entries", [this] { return static_cast<double>(m_retryBudgets.processCount()); });
+    m_metrics.gauge("retry_budget_entries", [this] { return static_cast<double>(m_retryBudgets.entryCount()); });
     m_metrics.gauge("evacuated_failure_domains", [this] { return static_cast<double>(m_evacuatedDomains.size()); });
     m_admin.addDumpSection("beliefs", [this] {
         Poco::JSON::Object::Ptr object(new Poco::JSON::Object);
@@ -467,7 +467,7 @@
 void EntryProcess::updateShares()
 {
     const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
-    updateRetryShares(entries.size() + 1);
+    updateRetryShares(entries);
     m_quarantine.setProcessCount(entries.size() + 1);
     const double ownRate = m_gossip.self().m_requestsPerSecond + 1.0;
     double totalRate = ownRate;
@@ -478,12 +478,22 @@
     updateLimitShares();
 }
 
-void EntryProcess::updateRetryShares(std::size_t processes)
+void EntryProcess::updateRetryShares(const std::vector<Gossip::Member> &aliveEntries)
 {
-    if (processes == m_retryBudgets.processCount()) {
+    Gossip::updateRoster(m_roster, aliveEntries, Gossip::EntryRosterSettings{}, Core::Clock::now());
+    m_gossip.setEntryCount(m_roster.size() + 1);
+    Placement::RetrySharers sharers;
+    sharers.m_self = Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain};
+    for (const std::pair<const std::string, Gossip::RosterEntry> &entry : m_roster) {
+        sharers.m_others.push_back(Placement::LimitHolder{entry.first, entry.second.m_failureDomain});
+    }
+    sharers.m_reportedEntries = m_gossip.reportedEntryCount();
+    // An entry that has heard of no other although its settings name some may be cut off from any number of them.
+    const bool isCutOff = m_roster.empty() && m_gossip.hasOtherSeeds();
+    sharers.m_areKnown = m_gossip.knowsMostMembers() && !isCutOff;
+    if (!m_retryBudgets.setSharers(std::move(sharers))) {
         return;
     }
-    m_retryBudgets.setProcessCount(processes);
     for (const Placement::RetryBudgetState &state : m_retryBudgets.describeAll(Core::Clock::now())) {
         m_log.write(Relay::retryBudgetLine("retry_share", state));
     }
@@ -494,8 +504,9 @@
     for (const Fleet::Service &service : m_fleetState.configuration()->configuration().m_services) {
         const std::string label = "{service=\"" + service.m_name + "\"}";
         const std::function<Placement::RetryBudgetState()> state = [this, name = service.m_name] { return m_retryBudgets.describe(name, Core::Clock::now()); };
-        m_metrics.gauge("retry_budget_share" + label, [state] { return state().m_share; });
-        m_metrics.gauge("retry_budget_available" + label, [state] { return state().m_available; });
+        m_metrics.gauge("retry_budget_tokens" + label, [state] { return state().m_tokens; });
+        m_metrics.gauge("retry_budget_slack" + label, [state] { return static_cast<double>(state().m_share.m_slack); });
+        m_metrics.gauge("retry_budget_slack_spent" + label, [state] { return static_cast<double>(state().m_slackSpent); });
         m_metrics.gauge("retry_budget_spent" + label, [state] { return static_cast<double>(state().m_spent); });
     }
 }
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -3,6 +3,7 @@
 
 #include "LibFleet/EndpointIndex.h"
 #include "LibFollow/Follower.h"
+#include "LibGossip/EntryRoster.h"
 #include "LibGossip/GossipService.h"
 #include "LibHttp/Listener.h"
 #include "LibRelay/Relay.h"
@@ -86,7 +87,7 @@
     /// Updates this entry's shares of the retry budgets, slots and limits that all entries share.
     void updateShares();
     void updateLimitShares();
-    void updateRetryShares(std::size_t processes);
+    void updateRetryShares(const std::vector<Gossip::Member> &aliveEntries);
     /// Registers gauges of the retry budgets of all configured services.
     void addRetryGauges();
     void updateRequestRate();
@@ -105,6 +106,7 @@
     Telemetry::Metrics m_metrics;
     Telemetry::EventLog m_log;
     Core::Random m_random;
+    const Core::Instant m_startedAt = Core::Clock::now();
     Fleet::FleetState m_fleetState;
     Fleet::EndpointIndex m_endpointsByAddress; ///< Of the endpoints in m_fleetState.
     Placement::EndpointTracker m_endpointTracker;
@@ -118,6 +120,7 @@
     Core::Duration m_timeSuspended{0}; ///< Suspensions of the machine that are included in the ages of m_requestLimits.
     Wire::Node m_node;
     Gossip::GossipService m_gossip;
+    Gossip::EntryRoster m_roster; ///< Of the other entries.
     Follow::Follower m_follower;
     VerdictKeeper m_verdictKeeper;
     Relay::Relay m_relay;
--- a/Libraries/LibServing/EntrySettings.cpp
+++ b/Libraries/LibServing/EntrySettings.cpp
@@ -17,7 +17,8 @@
     settings.m_leavingTime = section.milliseconds("leaving_ms", 100, 600000, settings.m_leavingTime.count());
     settings.m_versionBound = section.milliseconds("version_ms", 100, 600000, settings.m_versionBound.count());
     settings.m_retryBudgets.m_retriesPerRequest = section.number("repeat_share", 0, 1, settings.m_retryBudgets.m_retriesPerRequest);
-    settings.m_retryBudgets.m_burst = section.number("repeat_slack", 0, 100000, settings.m_retryBudgets.m_burst);
+    settings.m_retryBudgets.m_slack = section.number("repeat_slack", 0, 100000, settings.m_retryBudgets.m_slack);
+    settings.m_retryBudgets.m_window = section.milliseconds("repeat_window_ms", 1000, 600000, settings.m_retryBudgets.m_window.count());
     settings.m_coldBudget.m_excess = section.number("cold_excess", 0.1, 100, settings.m_coldBudget.m_excess);
     settings.m_coldBudget.m_slack = section.number("cold_slack", 0, 100000, settings.m_coldBudget.m_slack);
     constexpr std::int64_t longestLifetime = 3600;
--- a/Tests/LibPlacement/TestAdmission.cpp
+++ b/Tests/LibPlacement/TestAdmission.cpp
@@ -3,7 +3,6 @@
 #include "LibPlacement/Admission.h"
 #include "LibPlacement/Choice.h"
 #include "LibPlacement/EngineForecast.h"
-#include "LibPlacement/RetryBudgets.h"
 
 #include <catch2/catch.hpp>
 
@@ -201,22 +200,6 @@
     CHECK(Placement::neededSlots(Placement::AdmissionView{0, 0.1}, settings) == settings.m_slotsPerRequest);
 }
 
-TEST_CASE("processes that join and leave do not refill the retry budget")
-{
-    // The heartbeats of slow processes can stop and return repeatedly. If each return refilled the budgets of all others, together they would send more
-    // retries than the budget allows.
-    Placement::RetryBudgets budgets(Placement::RetryBudgetSettings{0.2, 26, 1});
-    budgets.setProcessCount(13);
-    int retries = 0;
-    for (std::size_t change = 0; change < 20; ++change) {
-        budgets.setProcessCount(12 + change % 2);
-        while (budgets.tryRetry("drafts", Core::Instant())) {
-            ++retries;
-        }
-    }
-    CHECK(retries <= 2);
-}
-
 TEST_CASE("refused callers are told to retry when capacity is expected, within the bounds")
 {
     const Placement::AdmissionSettings settings;
--- a/Tests/LibRelay/TestAttemptWindow.cpp
+++ b/Tests/LibRelay/TestAttemptWindow.cpp
@@ -122,8 +122,7 @@
     // Guards against engines that work for callers who have left.
     RelayFixture fixture;
     configureStreams(fixture);
-    fixture.m_retryBudgets.setProcessCount(1000); // No move while the endpoint is silent.
-    while (fixture.m_retryBudgets.tryRetry("desk", Core::Clock::now())) { }
+    fixture.exhaustRetryBudget(); // No move while the endpoint is silent.
     fixture.addEndpoint(closingAfter(fixture, Core::Duration(2000)));
     fixture.addEndpoint(closingAfter(fixture, Core::Duration(2000)));
     askAndLeave(fixture, Core::Duration(2400));
--- a/Tests/LibRelay/TestSilentEndpoints.cpp
+++ b/Tests/LibRelay/TestSilentEndpoints.cpp
@@ -63,7 +63,7 @@
     for (int count = 0; count < 2; ++count) {
         fixture.addEndpoint(pausing(fixture, std::string(StreamHead) + FirstEvent, LastEvent));
     }
-    while (fixture.m_retryBudgets.tryRetry("desk", Core::Clock::now())) { }
+    fixture.exhaustRetryBudget();
     CHECK(isWholeStream(fixture.ask("/stream/x", isWholeStream)));
     CHECK(fixture.m_requests.size() == 1);
 }
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -76,6 +76,8 @@
 
 inline constexpr const char *RequestOfModel = "GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n";
 
+inline constexpr Core::Duration RetryHistory{60000}; ///< Time for which a fixture's process counts as running already.
+
 /// A relay with scripted endpoints.
 struct RelayFixture
 {
@@ -85,7 +87,7 @@
     Core::Random m_random{5};
     Fleet::FleetState m_fleetState;
     Placement::EndpointTracker m_endpointTracker;
-    Placement::RetryBudgets m_retryBudgets{Placement::RetryBudgetSettings{}};
+    Placement::RetryBudgets m_retryBudgets{Placement::LimitHolder{"self", ""}, Placement::RetryBudgetSettings{}, Core::Clock::now() - RetryHistory};
     Placement::VersionDeadlines m_versionDeadlines{Core::Duration(6500)};
     Placement::ElapsedTimeEstimator m_elapsedTimeEstimator;
     Placement::SlotTracker m_slotTracker;
@@ -100,6 +102,7 @@
 
     RelayFixture()
     {
+        m_retryBudgets.setSharers(Placement::RetrySharers{Placement::LimitHolder{"self", ""}, {}, 0, true});
         Relay::RelayParts parts{m_loop,
                                 m_fleetState,
                                 m_endpointTracker,
@@ -121,6 +124,18 @@
         REQUIRE(m_listener->start());
     }
 
+    void exhaustRetryBudget()
+    {
+        const Core::Instant now = Core::Clock::now();
+        for (;;) {
+            const Placement::RetryGrant grant = m_retryBudgets.tryReserve("desk", false, 1, now);
+            if (grant == Placement::RetryGrant::None) {
+                return;
+            }
+            m_retryBudgets.spend("desk", grant, now);
+        }
+    }
+
     void configure()
     {
         Fleet::Declarations declarations;
