LibGossip, LibServing: Do not divide limits among the few entries known right after a start

A cold engine got 51 requests in a second, 44 allowed, 1.3 s after all power was lost and all entries had started together: by reading, an entry that has heard of nobody took itself for complete (0 of 0 members), so it held the whole of a cold engine's budget and of stated limits; entries that start together report small numbers to each other and go on doing so while they learn of the others.

An entry now divides limits only after the number of members that it knows has not grown by a tenth for a second. Agents still may download at once: nothing bounds their sum strictly, and engines would wait for weights.

--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -62,6 +62,7 @@
 Core::Result<void> GossipService::start()
 {
     m_startedAt = Core::Clock::now();
+    m_memberGrowth.m_grownAt = m_startedAt;
     try {
         const Asio::ip::udp::endpoint endpoint(Asio::ip::make_address_v4(m_self.m_peers.m_host), m_self.m_peers.m_port);
         m_socket.open(endpoint.protocol());
@@ -147,6 +148,7 @@
     pullOrConfirmState(heartbeat);
     answerNewcomer(heartbeat);
     if (isChanged && m_onMembersChanged) {
+        m_memberGrowth = addKnownCount(m_memberGrowth, m_members.countAlive(now), now);
         m_onMembersChanged();
     }
 }
@@ -157,6 +159,11 @@
     return Gossip::knowsMostMembers(m_members.countAlive(now), m_reportedMemberCount, std::chrono::duration_cast<Core::Duration>(now - m_startedAt));
 }
 
+bool GossipService::mayDivideByMembers() const
+{
+    return isGrowthOver(m_memberGrowth, Core::Clock::now()) && knowsMostMembers();
+}
+
 void GossipService::setEntryCount(std::size_t count)
 {
     m_entryCount = static_cast<std::uint32_t>(count);
@@ -413,6 +420,7 @@
     std::erase_if(m_receivedSequenceNumbers, [this](const std::pair<const std::uint32_t, std::uint64_t> &newest) { return !m_members.contains(newest.first); });
     std::erase_if(m_newcomerAnswerTimes,
                   [now](const std::pair<const std::string, Core::Instant> &entry) { return now - entry.second > NewcomerAnswerInterval; });
+    m_memberGrowth = addKnownCount(m_memberGrowth, m_members.countAlive(now), now);
     sendHeartbeats(ReportUrgency::Regular);
     if (m_onMembersChanged) {
         m_onMembersChanged();
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -168,6 +168,9 @@
     /// Returns whether this process knows nearly as many members as others report, or has been running for a while. A process that has just joined a large
     /// fleet needs a second or two to learn of all its members.
     bool knowsMostMembers() const;
+    /// Returns whether this process may divide limits on what all members do by the number that it knows. Other than knowsMostMembers(), this is false for a
+    /// while if all members have started together.
+    bool mayDivideByMembers() const;
     /// Sets the number of entries in this entry's roster, itself included, which the next heartbeats report.
     void setEntryCount(std::size_t count);
     /// Returns the largest number of entries that another entry has reported recently; 0 if none has.
@@ -235,6 +238,7 @@
     Core::Instant m_startedAt; ///< When start() was called.
     ReportedMemberCount m_reportedMemberCount;
     ReportedMemberCount m_reportedEntryCount;
+    MemberGrowth m_memberGrowth;
     std::uint32_t m_entryCount = 0; ///< In this entry's roster, itself included.
     Core::Instant m_nextPull;
     std::map<std::string, Core::Instant> m_newcomerAnswerTimes; ///< When each newcomer was last sent a large sample; pruned with each heartbeat.
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -460,8 +460,9 @@
             others.push_back(Placement::LimitHolder{entry.m_id, entry.m_failureDomain});
         }
     }
-    m_coldBudget.setEntries(others, m_gossip.knowsMostMembers());
-    m_requestLimits.setEntries(std::move(others), m_gossip.knowsMostMembers(), Core::Clock::now());
+    const bool areKnown = m_gossip.mayDivideByMembers();
+    m_coldBudget.setEntries(others, areKnown);
+    m_requestLimits.setEntries(std::move(others), areKnown, Core::Clock::now());
 }
 
 void EntryProcess::updateShares()
@@ -490,7 +491,7 @@
     sharers.m_reportedEntries = m_gossip.reportedEntryCount();
     // An entry that has heard of no other although its settings name some may be cut off from any number of them.
     const bool isCutOff = m_roster.empty() && m_gossip.hasOtherSeeds();
-    sharers.m_areKnown = m_gossip.knowsMostMembers() && !isCutOff;
+    sharers.m_areKnown = m_gossip.mayDivideByMembers() && !isCutOff;
     if (!m_retryBudgets.setSharers(std::move(sharers))) {
         return;
     }
--- a/Tests/LibGossip/TestMemberCount.cpp
+++ b/Tests/LibGossip/TestMemberCount.cpp
@@ -38,3 +38,23 @@
     largest = Gossip::addReport(largest, 40, Start + Core::Duration(2100));
     CHECK(largest.m_count == 40);
 }
+
+TEST_CASE("Members that start together do not divide limits before they know each other")
+{
+    // Guards against entries that each use the limit of all because nobody has told them of others yet.
+    Gossip::MemberGrowth growth{0, Start};
+    CHECK_FALSE(Gossip::isGrowthOver(growth, Start + Core::Duration(900)));
+    growth = Gossip::addKnownCount(growth, 3, Start + Core::Duration(100));
+    growth = Gossip::addKnownCount(growth, 40, Start + Core::Duration(600));
+    growth = Gossip::addKnownCount(growth, 90, Start + Core::Duration(1100));
+    CHECK_FALSE(Gossip::isGrowthOver(growth, Start + Core::Duration(2000)));
+    growth = Gossip::addKnownCount(growth, 95, Start + Core::Duration(2000));
+    CHECK(Gossip::isGrowthOver(growth, Start + Core::Duration(2100)));
+}
+
+TEST_CASE("A single join does not take the parts of limits from those who run")
+{
+    Gossip::MemberGrowth growth{100, Start};
+    growth = Gossip::addKnownCount(growth, 101, Start + Core::Duration(5000));
+    CHECK(Gossip::isGrowthOver(growth, Start + Core::Duration(5001)));
+}
