LibPlacement, LibServing: Name the use of slack by what it allows, tell the log event from a setting

isSlackKnown() read as if the amount were unknown; it says whether this process may use its slack. The event retry_share had the name of a setting of the own interface. No decision is changed.

--- a/Libraries/LibPlacement/RetryBudgets.cpp
+++ b/Libraries/LibPlacement/RetryBudgets.cpp
@@ -28,6 +28,11 @@
     return retryShare(budget.m_heldSlack, budget.m_account.m_requestedAt.size(), m_settings);
 }
 
+bool RetryBudgets::mayUseSlack(Core::Instant now) const
+{
+    return Placement::mayUseSlack(std::chrono::duration_cast<Core::Duration>(now - m_startedAt), m_settings);
+}
+
 RetryBudgets::ServiceBudget &RetryBudgets::updatedBudget(const std::string &service, Core::Instant now)
 {
     std::map<std::string, ServiceBudget>::iterator known = m_budgets.find(service);
@@ -47,8 +52,7 @@
 RetryGrant RetryBudgets::decide(const std::string &service, bool isFirst, double lot, Core::Instant now)
 {
     const ServiceBudget &budget = updatedBudget(service, now);
-    const bool isSlackKnown = Placement::isSlackKnown(std::chrono::duration_cast<Core::Duration>(now - m_startedAt), m_settings);
-    return decideRetry(budget.m_account, shareOf(budget), RetryQuestion{isFirst, lot, isSlackKnown});
+    return decideRetry(budget.m_account, shareOf(budget), RetryQuestion{isFirst, lot, mayUseSlack(now)});
 }
 
 RetryGrant RetryBudgets::tryReserve(const std::string &service, bool isFirst, double lot, Core::Instant now)
@@ -75,7 +79,7 @@
     state.m_service = service;
     state.m_entries = m_sharers.count();
     state.m_areEntriesKnown = m_sharers.m_areKnown;
-    state.m_isSlackKnown = isSlackKnown(std::chrono::duration_cast<Core::Duration>(now - m_startedAt), m_settings);
+    state.m_mayUseSlack = mayUseSlack(now);
     state.m_share = shareOf(budget);
     state.m_tokens = budget.m_account.m_tokens;
     state.m_spent = budget.m_account.m_spentAt.size();
--- a/Libraries/LibPlacement/RetryBudgets.h
+++ b/Libraries/LibPlacement/RetryBudgets.h
@@ -15,7 +15,7 @@
     std::string m_service;
     std::size_t m_entries = 1; ///< Entries that the slack is divided among, as this one counts them.
     bool m_areEntriesKnown = false; ///< See RetrySharers.
-    bool m_isSlackKnown = false; ///< See Placement::isSlackKnown().
+    bool m_mayUseSlack = false; ///< See Placement::mayUseSlack().
     RetryShare m_share;
     double m_tokens = 0;
     std::size_t m_spent = 0; ///< Retries that this process has sent within the window.
@@ -61,6 +61,7 @@
     };
 
     RetryShare shareOf(const ServiceBudget &budget) const;
+    bool mayUseSlack(Core::Instant now) const;
     /// Returns the budget of the service as of now.
     ServiceBudget &updatedBudget(const std::string &service, Core::Instant now);
 
--- a/Libraries/LibPlacement/RetryDecision.cpp
+++ b/Libraries/LibPlacement/RetryDecision.cpp
@@ -64,7 +64,7 @@
     return share;
 }
 
-bool isSlackKnown(Core::Duration runningFor, const RetryBudgetSettings &settings)
+bool mayUseSlack(Core::Duration runningFor, const RetryBudgetSettings &settings)
 {
     return runningFor >= settings.m_window + settings.m_discovery;
 }
@@ -83,7 +83,7 @@
     if (account.m_tokens - static_cast<double>(account.m_reservedTokens) >= 1) {
         return RetryGrant::Token;
     }
-    if (question.m_isSlackKnown && account.m_slackSpentAt.size() + account.m_reservedSlack < share.m_slack) {
+    if (question.m_mayUseSlack && account.m_slackSpentAt.size() + account.m_reservedSlack < share.m_slack) {
         return RetryGrant::Slack;
     }
     const bool isDrawn = share.m_maximumTokens == 0 && question.m_isFirst;
--- a/Libraries/LibPlacement/RetryDecision.h
+++ b/Libraries/LibPlacement/RetryDecision.h
@@ -72,7 +72,7 @@
 {
     bool m_isFirst = true; ///< The request has not been retried yet.
     double m_lot = 1; ///< Drawn once for the request, from 0 to below 1; 1 never wins.
-    bool m_isSlackKnown = false; ///< No earlier process of this instance can have spent slack that still counts; see isSlackKnown().
+    bool m_mayUseSlack = false; ///< No earlier process of this instance can have spent slack that still counts; see mayUseSlack().
 };
 
 /**
@@ -93,7 +93,7 @@
 
 /// Returns whether a process that has been running for this long may use slack: what an earlier process of its instance spent does not count any more, and
 /// the other entries have reduced their parts for at least a window.
-bool isSlackKnown(Core::Duration runningFor, const RetryBudgetSettings &settings);
+bool mayUseSlack(Core::Duration runningFor, const RetryBudgetSettings &settings);
 
 /// Forgets what lies before the window, and keeps no more tokens than the share allows.
 void updateAccount(RetryAccount &account, const RetryShare &share, const RetryBudgetSettings &settings, Core::Instant now);
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -496,7 +496,7 @@
         return;
     }
     for (const Placement::RetryBudgetState &state : m_retryBudgets.describeAll(Core::Clock::now())) {
-        m_log.write(Relay::retryBudgetLine("retry_share", state));
+        m_log.write(Relay::retryBudgetLine("retry_budget", state));
     }
 }
 
