--- a/Tests/LibPlacement/TestRetryLimit.cpp
+++ b/Tests/LibPlacement/TestRetryLimit.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-TEST_CASE("A lone entry that fails for a moment may retry nearly all requests")
+TEST_CASE("Nearly all requests are retried while a service fails for a moment")
 {
     // Guards against a limit that is kept by refusing what it allows.
     Scenario scenario;
--- a/Tests/Support/SimulatedRetries.h
+++ b/Tests/Support/SimulatedRetries.h
@@ -1,9 +1,8 @@
 /// @file Entries that retry failing requests, each with its own budget and its own view of the others, and the sum that the limit on retries counts.
 #pragma once
 
-#include "LibPlacement/RetryBudgets.h"
-
 #include "LibCore/Random.h"
+#include "LibPlacement/RetryBudgets.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,7 +19,6 @@
     double m_failingShare = 0.7; ///< Of the requests while endpoints fail.
     double m_failFrom = 25;
     double m_failTo = 45;
-    std::size_t m_failingEntries = 1'000'000; ///< Only the first of this many entries have failing requests.
     std::vector<double> m_restarts; ///< At each, the entries of m_restartShare are killed.
     double m_restartShare = 1;
     double m_restartGap = 0; ///< Between the restarts of two entries.
@@ -198,7 +196,7 @@
                 continue;
             }
             m_processes[entry]->m_budgets.recordRequest("drafts", now);
-            const bool isFailing = now >= at(m_scenario.m_failFrom) && now < at(m_scenario.m_failTo) && entry < m_scenario.m_failingEntries;
+            const bool isFailing = now >= at(m_scenario.m_failFrom) && now < at(m_scenario.m_failTo);
             if (isFailing && m_random.unit() < m_scenario.m_failingShare) {
                 retry(m_processes[entry]->m_budgets, now);
             }
