LibPlacement, LibGossip, LibRelay, Tests: Keep one copy of the rule on retries and of its state

The rule on windows stood in the soak and in the simulation; both use Tests/Support/RetryWindows.h now. Retries need the names of entries only, not their failure domains. Whether a retry is the first follows from the attempts. EntryProcess says in one function which entries share the slack, and in another what follows from a change. Heads and events of scripted streams stand in the fixture.

--- a/Libraries/LibGossip/EntryRoster.h
+++ b/Libraries/LibGossip/EntryRoster.h
@@ -21,7 +21,6 @@
 /// An entry other than this process.
 struct RosterEntry
 {
-    std::string m_failureDomain;
     Core::Instant m_lastAliveAt;
     bool m_isLeaving = false;
 
--- a/Libraries/LibPlacement/RetryBudgets.cpp
+++ b/Libraries/LibPlacement/RetryBudgets.cpp
@@ -4,7 +4,7 @@
 
 namespace Placement {
 
-RetryBudgets::RetryBudgets(LimitHolder self, RetryBudgetSettings settings, Core::Instant startedAt)
+RetryBudgets::RetryBudgets(std::string self, RetryBudgetSettings settings, Core::Instant startedAt)
     : m_settings(settings)
     , m_startedAt(startedAt)
     , m_sharers{std::move(self), {}, 0, false}
--- a/Libraries/LibPlacement/RetryBudgets.h
+++ b/Libraries/LibPlacement/RetryBudgets.h
@@ -28,7 +28,7 @@
 class RetryBudgets
 {
 public:
-    RetryBudgets(LimitHolder self, RetryBudgetSettings settings, Core::Instant startedAt);
+    RetryBudgets(std::string self, RetryBudgetSettings settings, Core::Instant startedAt);
 
     /// Sets the entries that share the budgets. Returns whether any of them has changed.
     bool setSharers(RetrySharers sharers);
--- a/Libraries/LibPlacement/RetryDecision.cpp
+++ b/Libraries/LibPlacement/RetryDecision.cpp
@@ -17,10 +17,9 @@
 /// Returns the number of entries that hold parts of the slack before this one.
 std::size_t slackRank(const std::string &service, const RetrySharers &sharers)
 {
-    const std::uint64_t own = Core::rendezvousWeight(service, sharers.m_self.m_id);
-    return static_cast<std::size_t>(std::count_if(sharers.m_others.begin(), sharers.m_others.end(), [&service, own](const LimitHolder &other) {
-        return Core::rendezvousWeight(service, other.m_id) > own;
-    }));
+    const std::uint64_t own = Core::rendezvousWeight(service, sharers.m_self);
+    return static_cast<std::size_t>(std::count_if(
+        sharers.m_others.begin(), sharers.m_others.end(), [&service, own](const std::string &other) { return Core::rendezvousWeight(service, other) > own; }));
 }
 
 void removeBefore(std::deque<Core::Instant> &times, Core::Instant start)
--- a/Libraries/LibPlacement/RetryDecision.h
+++ b/Libraries/LibPlacement/RetryDecision.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "LibCore/Clock.h"
-#include "LibPlacement/RequestLimits.h"
 
 #include <cstddef>
 #include <deque>
@@ -27,8 +26,8 @@
 /// The entries among which the slack is divided, as one of them knows them.
 struct RetrySharers
 {
-    LimitHolder m_self;
-    std::vector<LimitHolder> m_others;
+    std::string m_self; ///< Name of the instance.
+    std::vector<std::string> m_others; ///< Names of the other instances.
     std::size_t m_reportedEntries = 0; ///< Largest number of entries that others count.
     bool m_areKnown = false; ///< The others are nearly all that there are. Until then this entry holds none of the slack.
 
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -137,6 +137,10 @@
     {
         return m_attempts > 0;
     }
+    bool isFirstRetry() const
+    {
+        return m_attempts == 1;
+    }
     /// Reserves a retry of the budget, unless one is reserved or paid for already, and logs the decision. Returns false if the budget allows none.
     bool reserveRetry();
     /// Returns whether reserveRetry() would succeed.
@@ -196,7 +200,6 @@
     double m_retryLot; ///< See Placement::RetryQuestion.
     Placement::RetryGrant m_retryGrant = Placement::RetryGrant::None; ///< Reserved for the next attempt.
     bool m_isRetryPaid = false; ///< The reservation was spent on an attempt that could not be sent, and covers the next one.
-    std::uint32_t m_retries = 0; ///< Retries that were paid for.
     std::optional<std::uint64_t> m_ticket; ///< Set while the request waits for a slot.
     Core::Instant m_waitingSince;
     Core::Duration m_totalWait{0}; ///< Total time spent waiting for slots.
--- a/Libraries/LibRelay/RelayedRequestRetries.cpp
+++ b/Libraries/LibRelay/RelayedRequestRetries.cpp
@@ -14,7 +14,7 @@
     }
     Placement::RetryBudgets &budgets = m_relay.m_parts.m_retryBudgets;
     const Core::Instant now = Core::Clock::now();
-    m_retryGrant = budgets.tryReserve(m_service->m_name, m_retries == 0, m_retryLot, now);
+    m_retryGrant = budgets.tryReserve(m_service->m_name, isFirstRetry(), m_retryLot, now);
     m_relay.m_counters.m_retryGrants.at(static_cast<std::size_t>(m_retryGrant))->add();
     Telemetry::LogLine line = retryBudgetLine("retry", budgets.describe(m_service->m_name, now));
     m_relay.m_parts.m_log.write(line.text("id", m_facts.m_attemptId).text("grant", Placement::retryGrantName(m_retryGrant)));
@@ -25,7 +25,7 @@
 {
     const bool isReserved = m_isRetryPaid || m_retryGrant != Placement::RetryGrant::None;
     const Core::Instant now = Core::Clock::now();
-    return isReserved || m_relay.m_parts.m_retryBudgets.decide(m_service->m_name, m_retries == 0, m_retryLot, now) != Placement::RetryGrant::None;
+    return isReserved || m_relay.m_parts.m_retryBudgets.decide(m_service->m_name, isFirstRetry(), m_retryLot, now) != Placement::RetryGrant::None;
 }
 
 bool RelayedRequest::spendRetry()
@@ -37,7 +37,6 @@
         m_relay.m_parts.m_retryBudgets.spend(m_service->m_name, m_retryGrant, Core::Clock::now());
         m_retryGrant = Placement::RetryGrant::None;
         m_isRetryPaid = true;
-        ++m_retries;
     }
     return true;
 }
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -44,7 +44,7 @@
     , m_adapter(std::move(adapter))
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
-    , m_retryBudgets(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_retryBudgets, m_startedAt)
+    , m_retryBudgets(m_settings.m_instance, m_settings.m_retryBudgets, m_startedAt)
     , m_versions(m_settings.m_versionBound - Placement::VersionBoundMargin)
     , m_requestLimits(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain})
     , m_coldBudget(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_coldBudget)
@@ -479,20 +479,25 @@
     updateLimitShares();
 }
 
-void EntryProcess::updateRetryShares(const std::vector<Gossip::Member> &aliveEntries)
+Placement::RetrySharers EntryProcess::retrySharers() const
 {
-    Gossip::updateRoster(m_roster, aliveEntries, Gossip::EntryRosterSettings{}, Core::Clock::now());
-    m_gossip.setEntryCount(m_roster.size() + 1);
     Placement::RetrySharers sharers;
-    sharers.m_self = Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain};
+    sharers.m_self = m_settings.m_instance;
     for (const std::pair<const std::string, Gossip::RosterEntry> &entry : m_roster) {
-        sharers.m_others.push_back(Placement::LimitHolder{entry.first, entry.second.m_failureDomain});
+        sharers.m_others.push_back(entry.first);
     }
     sharers.m_reportedEntries = m_gossip.reportedEntryCount();
     // An entry that has heard of no other although its settings name some may be cut off from any number of them.
     const bool isCutOff = m_roster.empty() && m_gossip.hasOtherSeeds();
     sharers.m_areKnown = m_gossip.mayDivideByMembers() && !isCutOff;
-    if (!m_retryBudgets.setSharers(std::move(sharers))) {
+    return sharers;
+}
+
+void EntryProcess::updateRetryShares(const std::vector<Gossip::Member> &aliveEntries)
+{
+    Gossip::updateRoster(m_roster, aliveEntries, Gossip::EntryRosterSettings{}, Core::Clock::now());
+    m_gossip.setEntryCount(m_roster.size() + 1);
+    if (!m_retryBudgets.setSharers(retrySharers())) {
         return;
     }
     for (const Placement::RetryBudgetState &state : m_retryBudgets.describeAll(Core::Clock::now())) {
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -87,6 +87,9 @@
     /// Updates this entry's shares of the retry budgets, slots and limits that all entries share.
     void updateShares();
     void updateLimitShares();
+    /// Returns the entries among which the slack of retries is divided.
+    Placement::RetrySharers retrySharers() const;
+    /// Counts the entries anew, and logs the retry budgets if that changes them.
     void updateRetryShares(const std::vector<Gossip::Member> &aliveEntries);
     /// Registers gauges of the retry budgets of all configured services.
     void addRetryGauges();
--- a/Tests/LibPlacement/TestRetryBudgets.cpp
+++ b/Tests/LibPlacement/TestRetryBudgets.cpp
@@ -14,16 +14,16 @@
 
 Placement::RetrySharers sharers(std::size_t others, bool areKnown = true)
 {
-    Placement::RetrySharers sharers{Placement::LimitHolder{"self", ""}, {}, 0, areKnown};
+    Placement::RetrySharers sharers{"self", {}, 0, areKnown};
     for (std::size_t other = 0; other < others; ++other) {
-        sharers.m_others.push_back(Placement::LimitHolder{"other-" + std::to_string(other), ""});
+        sharers.m_others.push_back("other-" + std::to_string(other));
     }
     return sharers;
 }
 
 Placement::RetryBudgets budgetsOf(std::size_t others, bool areKnown = true)
 {
-    Placement::RetryBudgets budgets(Placement::LimitHolder{"self", ""}, Settings, Start);
+    Placement::RetryBudgets budgets("self", Settings, Start);
     budgets.setSharers(sharers(others, areKnown));
     return budgets;
 }
@@ -108,10 +108,10 @@
     const std::size_t entries = GENERATE(1, 12, 52, 150, 184, 185, 400);
     std::size_t sum = 0;
     for (std::size_t self = 0; self < entries; ++self) {
-        Placement::RetrySharers view{Placement::LimitHolder{"entry-" + std::to_string(self), ""}, {}, 0, true};
+        Placement::RetrySharers view{"entry-" + std::to_string(self), {}, 0, true};
         for (std::size_t other = 0; other < entries; ++other) {
             if (other != self) {
-                view.m_others.push_back(Placement::LimitHolder{"entry-" + std::to_string(other), ""});
+                view.m_others.push_back("entry-" + std::to_string(other));
             }
         }
         const Placement::RetryShare share = Placement::retryShare(Placement::heldSlack("drafts", view, Settings), 0, Settings);
@@ -128,7 +128,7 @@
     CHECK(retryAll(budgets, Settled) == 0);
     budgets.setSharers(sharers(11));
     const std::size_t known = retryAll(budgets, Settled);
-    Placement::RetryBudgets reported(Placement::LimitHolder{"self", ""}, Settings, Start);
+    Placement::RetryBudgets reported("self", Settings, Start);
     Placement::RetrySharers few = sharers(2);
     few.m_reportedEntries = 12;
     reported.setSharers(few);
--- a/Tests/LibRelay/TestCrashingParts.cpp
+++ b/Tests/LibRelay/TestCrashingParts.cpp
@@ -8,10 +8,10 @@
 using TestSupport::RelayFixture;
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
+using TestSupport::StreamHead;
 
 namespace {
 
-constexpr const char *StreamHead = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr const char *FirstEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
 constexpr const char *SecondEvent = "f\r\nid: 2\ndata: b\n\n\r\n";
 constexpr const char *LastChunk = "0\r\n\r\n";
--- a/Tests/LibRelay/TestRetryArrivals.cpp
+++ b/Tests/LibRelay/TestRetryArrivals.cpp
@@ -3,17 +3,17 @@
 #include "../Support/RelayFixture.h"
 
 using TestSupport::answering;
+using TestSupport::FirstEvent;
+using TestSupport::LastEvent;
 using TestSupport::RawCaller;
 using TestSupport::RelayFixture;
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
+using TestSupport::StreamHead;
 
 namespace {
 
 constexpr const char *Refusal = "HTTP/1.1 503 Busy\r\nAttempt: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
-constexpr const char *StreamHead = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr const char *FirstEvent = "12\r\nid: 1\ndata: text\n\n\r\n";
-constexpr const char *LastEvent = "12\r\nid: 2\ndata: text\n\n\r\n0\r\n\r\n";
 
 std::size_t spent(RelayFixture &fixture)
 {
@@ -49,24 +49,29 @@
     }
 }
 
-/// Adds an endpoint to which no connection can be made.
-void addUnreachable(RelayFixture &fixture)
+/// Adds endpoints to which no connection can be made.
+void addUnreachable(RelayFixture &fixture, int count)
 {
     Http::EventLoop loop;
-    const std::uint16_t closedPort = TestSupport::ScriptedServer(loop, [](const std::shared_ptr<ScriptedConnection> &) {}).port();
-    fixture.addAddress(Core::Address{"127.0.0.1", closedPort});
+    for (; count > 0; --count) {
+        const std::uint16_t closedPort = TestSupport::ScriptedServer(loop, [](const std::shared_ptr<ScriptedConnection> &) {}).port();
+        fixture.addAddress(Core::Address{"127.0.0.1", closedPort});
+    }
 }
 
 }
 
-TEST_CASE("A retry after a refusal is paid for")
+TEST_CASE("A retry after a refusal is paid for once, also if it meets endpoints without connections on its way")
 {
-    RelayFixture fixture;
-    fixture.configure();
-    addRefusal(fixture);
-    CHECK(fixture.statusOf("/read/x") == "200");
-    CHECK(fixture.m_requests.size() == 2);
-    CHECK(spent(fixture) == 1);
+    for (const int unreachable : {0, 2}) {
+        RelayFixture fixture;
+        fixture.configure();
+        addUnreachable(fixture, unreachable);
+        addRefusal(fixture);
+        CHECK(fixture.statusOf("/read/x") == "200");
+        CHECK(fixture.m_requests.size() == 2);
+        CHECK(spent(fixture) == 1);
+    }
 }
 
 TEST_CASE("A request is not sent again without a budget")
@@ -101,8 +106,7 @@
 {
     RelayFixture fixture;
     fixture.configure();
-    addUnreachable(fixture);
-    addUnreachable(fixture);
+    addUnreachable(fixture, 2);
     fixture.addEndpoint(answering(TestSupport::Good));
     fixture.exhaustRetryBudget();
     const std::size_t before = spent(fixture);
@@ -113,18 +117,6 @@
     CHECK(spent(fixture) == before);
 }
 
-TEST_CASE("A retry that meets endpoints without connections on its way is paid for once")
-{
-    RelayFixture fixture;
-    fixture.configure();
-    addUnreachable(fixture);
-    addUnreachable(fixture);
-    addRefusal(fixture);
-    CHECK(fixture.statusOf("/read/x") == "200");
-    CHECK(fixture.m_requests.size() == 2);
-    CHECK(spent(fixture) == 1);
-}
-
 TEST_CASE("A connection that is accepted and reset counts as an arrival")
 {
     // The request may be in flight when the connection is reset.
--- a/Tests/LibRelay/TestSilentEndpoints.cpp
+++ b/Tests/LibRelay/TestSilentEndpoints.cpp
@@ -2,17 +2,17 @@
 
 #include "../Support/RelayFixture.h"
 
+using TestSupport::FirstEvent;
+using TestSupport::LastEvent;
 using TestSupport::RelayFixture;
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
+using TestSupport::StreamHead;
 
 namespace {
 
 constexpr std::uint32_t GapGoalMilliseconds = 50;
 constexpr Core::Duration Silence{GapGoalMilliseconds * 8}; ///< Twice the pause after which a stream may move to another endpoint.
-constexpr const char *StreamHead = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr const char *FirstEvent = "12\r\nid: 1\ndata: text\n\n\r\n";
-constexpr const char *LastEvent = "12\r\nid: 2\ndata: text\n\n\r\n0\r\n\r\n";
 
 void configureWithGoals(RelayFixture &fixture)
 {
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -74,6 +74,11 @@
 
 inline constexpr const char *Good = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone";
 
+/// Head of an event stream, and two events of it; the second one ends it.
+inline constexpr const char *StreamHead = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline constexpr const char *FirstEvent = "12\r\nid: 1\ndata: text\n\n\r\n";
+inline constexpr const char *LastEvent = "12\r\nid: 2\ndata: text\n\n\r\n0\r\n\r\n";
+
 inline constexpr const char *RequestOfModel = "GET /read/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\nModel: m\r\nPatience: 3000\r\n\r\n";
 
 inline constexpr Core::Duration RetryHistory{60000}; ///< Time for which a fixture's process counts as running already.
@@ -87,7 +92,7 @@
     Core::Random m_random{5};
     Fleet::FleetState m_fleetState;
     Placement::EndpointTracker m_endpointTracker;
-    Placement::RetryBudgets m_retryBudgets{Placement::LimitHolder{"self", ""}, Placement::RetryBudgetSettings{}, Core::Clock::now() - RetryHistory};
+    Placement::RetryBudgets m_retryBudgets{"self", Placement::RetryBudgetSettings{}, Core::Clock::now() - RetryHistory};
     Placement::VersionDeadlines m_versionDeadlines{Core::Duration(6500)};
     Placement::ElapsedTimeEstimator m_elapsedTimeEstimator;
     Placement::SlotTracker m_slotTracker;
@@ -102,7 +107,7 @@
 
     RelayFixture()
     {
-        m_retryBudgets.setSharers(Placement::RetrySharers{Placement::LimitHolder{"self", ""}, {}, 0, true});
+        m_retryBudgets.setSharers(Placement::RetrySharers{"self", {}, 0, true});
         Relay::RelayParts parts{m_loop,
                                 m_fleetState,
                                 m_endpointTracker,
--- a/Tests/Support/SimulatedRetries.h
+++ b/Tests/Support/SimulatedRetries.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Random.h"
 #include "LibPlacement/RetryBudgets.h"
+#include "RetryWindows.h"
 
 #include <algorithm>
 #include <cmath>
@@ -57,32 +58,6 @@
     std::set<std::size_t> m_roster; ///< Of the others.
 };
 
-/// Counts within any window, from times in order.
-class Counts
-{
-public:
-    void add(Core::Instant time)
-    {
-        m_times.push_back(time);
-    }
-    void sort()
-    {
-        std::sort(m_times.begin(), m_times.end());
-    }
-    const std::vector<Core::Instant> &times() const
-    {
-        return m_times;
-    }
-    double within(Core::Instant from, Core::Duration window) const
-    {
-        const std::vector<Core::Instant>::const_iterator first = std::lower_bound(m_times.begin(), m_times.end(), from);
-        return static_cast<double>(std::lower_bound(first, m_times.end(), from + window) - first);
-    }
-
-private:
-    std::vector<Core::Instant> m_times;
-};
-
 class Fleet
 {
 public:
@@ -116,8 +91,7 @@
             }
             receive(now);
         }
-        m_requests.sort();
-        m_retries.sort();
+        std::sort(m_retries.begin(), m_retries.end());
         return judge();
     }
 
@@ -135,7 +109,7 @@
         for (std::size_t entry = 0; entry < m_processes.size(); ++entry) {
             if (!m_processes[entry] && now >= m_nextStart[entry]) {
                 m_lastChangeAt = now;
-                m_processes[entry].emplace(Process{Placement::RetryBudgets(holder(entry), m_settings, now), now, {}});
+                m_processes[entry].emplace(Process{Placement::RetryBudgets(name(entry), m_settings, now), now, {}});
             }
         }
     }
@@ -145,9 +119,9 @@
         return now >= at(seconds) && now < at(seconds) + Step;
     }
 
-    static Placement::LimitHolder holder(std::size_t entry)
+    static std::string name(std::size_t entry)
     {
-        return Placement::LimitHolder{"entry-" + std::to_string(entry), "a"};
+        return "entry-" + std::to_string(entry);
     }
 
     bool sees(std::size_t self, std::size_t other, Core::Instant now) const
@@ -175,9 +149,9 @@
 
     Placement::RetrySharers sharers(std::size_t self, Core::Instant now) const
     {
-        Placement::RetrySharers sharers{holder(self), {}, 0, false};
+        Placement::RetrySharers sharers{name(self), {}, 0, false};
         for (const std::size_t other : m_processes[self]->m_roster) {
-            sharers.m_others.push_back(holder(other));
+            sharers.m_others.push_back(name(other));
             if (sees(self, other, now)) {
                 sharers.m_reportedEntries = std::max(sharers.m_reportedEntries, m_processes[other]->m_roster.size() + 1);
             }
@@ -191,7 +165,7 @@
         m_due += m_scenario.m_requestsPerSecond * Core::secondsBetween(now, now + Step);
         for (; m_due >= 1; m_due -= 1) {
             const std::size_t entry = m_random.below(m_processes.size());
-            m_requests.add(now);
+            m_requests.push_back(now);
             if (!m_processes[entry]) {
                 continue;
             }
@@ -212,27 +186,17 @@
             return;
         }
         budgets.spend("drafts", grant, now);
-        m_retries.add(now + Core::Duration(static_cast<std::int64_t>(m_random.below(MaximumDelay))));
-    }
-
-    /// Returns how many retries may arrive within the window that begins at @p from.
-    double allowed(Core::Instant from) const
-    {
-        const Core::Duration window = m_settings.m_window;
-        const double requests =
-            std::max({m_requests.within(from, window), m_requests.within(from - window / 2, window), m_requests.within(from - window, window)});
-        return m_settings.m_retriesPerRequest * requests + m_settings.m_slack;
+        m_retries.push_back(now + Core::Duration(static_cast<std::int64_t>(m_random.below(MaximumDelay))));
     }
 
     Outcome judge()
     {
-        for (const Core::Instant from : m_retries.times()) {
-            m_outcome.m_worstUse = std::max(m_outcome.m_worstUse, m_retries.within(from, m_settings.m_window) / allowed(from));
-        }
-        m_outcome.m_sent = m_retries.times().size();
-        m_outcome.m_refusedThoughAllowed = static_cast<std::size_t>(std::count_if(m_refused.begin(), m_refused.end(), [this](Core::Instant time) {
-            const Core::Instant from = time - m_settings.m_window + Step;
-            return m_retries.within(from, m_settings.m_window) + 1 <= allowed(from);
+        const TestSupport::RetryLimit limit{m_settings.m_retriesPerRequest, m_settings.m_slack, m_settings.m_window};
+        m_outcome.m_worstUse = TestSupport::worstRetryUse(m_requests, m_retries, limit).part();
+        m_outcome.m_sent = m_retries.size();
+        m_outcome.m_refusedThoughAllowed = static_cast<std::size_t>(std::count_if(m_refused.begin(), m_refused.end(), [this, &limit](Core::Instant time) {
+            const TestSupport::RetryUse use = TestSupport::retryUse(m_requests, m_retries, time - m_settings.m_window + Step, limit);
+            return static_cast<double>(use.m_retries) + 1 <= use.m_allowed;
         }));
         return m_outcome;
     }
@@ -246,8 +210,8 @@
     Core::Instant m_lastChangeAt = Start; ///< When an entry last started or ended, or a cut began or ended.
     double m_due = 0; ///< Requests that have not been received yet.
     Core::Random m_random{11};
-    Counts m_requests;
-    Counts m_retries;
+    std::vector<Core::Instant> m_requests;
+    std::vector<Core::Instant> m_retries; ///< Arrivals.
     std::vector<Core::Instant> m_refused;
     Outcome m_outcome;
 };
