LibPlacement: Do not make an entry earn the only retry of the slack that it holds

Cause: of an entry's part of the slack at least one retry was a kept token, which starts empty and takes six requests to earn; an entry with a part of one had no slack besides.

An entry keeps tokens only from a part of four retries on; smaller parts are slack as a whole, and a token is kept only on account of the own requests. The sum of all parts is unchanged.

--- a/Libraries/LibPlacement/RetryDecision.cpp
+++ b/Libraries/LibPlacement/RetryDecision.cpp
@@ -53,13 +53,12 @@
 {
     RetryShare share;
     share.m_perRequest = settings.m_retriesPerRequest * settings.m_safetyFactor;
-    if (heldSlack > 0) {
-        share.m_maximumTokens = std::max<std::size_t>(1, heldSlack / RetriesPerKeptToken);
-        share.m_slack = heldSlack - share.m_maximumTokens;
-        return share;
-    }
+    share.m_maximumTokens = heldSlack / RetriesPerKeptToken;
+    share.m_slack = heldSlack - share.m_maximumTokens;
     const double unused = settings.m_retriesPerRequest * (1 - settings.m_safetyFactor) * static_cast<double>(ownRequests);
-    share.m_maximumTokens = unused >= 1 ? 1 : 0;
+    if (share.m_maximumTokens == 0 && unused >= 1) {
+        share.m_maximumTokens = 1;
+    }
     return share;
 }
 
--- a/Libraries/LibPlacement/RetryDecision.h
+++ b/Libraries/LibPlacement/RetryDecision.h
@@ -85,8 +85,8 @@
 /**
  * Returns the share of an entry that holds @p heldSlack retries and has received @p ownRequests of the service within the last window.
  *
- * Kept tokens are part of the slack, since their requests may lie before the window. An entry that holds no slack keeps a token only if its own requests cover
- * it with the part of the ratio that the safety factor leaves unused.
+ * Kept tokens are part of the slack, since their requests may lie before the window. An entry that holds too little for that uses all of it as slack, and keeps
+ * a token only if its own requests cover it with the part of the ratio that the safety factor leaves unused.
  */
 RetryShare retryShare(std::size_t heldSlack, std::size_t ownRequests, const RetryBudgetSettings &settings);
 
--- a/Tests/LibPlacement/TestRetryBudgets.cpp
+++ b/Tests/LibPlacement/TestRetryBudgets.cpp
@@ -121,6 +121,15 @@
     CHECK(sum == 184);
 }
 
+TEST_CASE("An entry that holds a single retry of the slack need not earn it by requests")
+{
+    // Guards against services with few requests in large fleets that are refused all retries, although nearly none are made.
+    const Placement::RetryShare share = Placement::retryShare(1, 0, Settings);
+    CHECK(share.m_slack == 1);
+    CHECK(share.m_maximumTokens == 0);
+    CHECK(Placement::decideRetry(Placement::RetryAccount{}, share, Placement::RetryQuestion{true, 1, true}) == RetryGrant::Slack);
+}
+
 TEST_CASE("An entry that does not know the others holds none of the slack")
 {
     // Guards against entries that start together and each use the slack of all.
