review: Show that requests need no key once the last client account is removed

Found by reading RelayedRequest::findAccount(): an empty list of accounts counts as a deployment without keys. A configuration whose list of tenants is empty lets requests with the dropped key and with keys that were never valid through to the endpoints.

--- a/review/standins/Main.cpp
+++ b/review/standins/Main.cpp
@@ -6,7 +6,7 @@
 
 int main(int argc, char **argv)
 {
-    const std::map<std::string, int (*)(const std::string &)> cases{{"uploads", Review::playUploads}};
+    const std::map<std::string, int (*)(const std::string &)> cases{{"uploads", Review::playUploads}, {"tenants", Review::playTenants}};
     if (argc != 3 || !cases.contains(argv[1])) {
         std::cerr << "usage: review-case NAME RECORD" << std::endl;
         return Review::CouldNotRun;
