review: Show that an endpoint that restarted with an earlier clock is never seen to leave

Found by reading FleetState::applyChange(): records with a lower start time than the known one are dropped. An endpoint that crashes and starts again under its id after its machine's clock was set back stays in the state of its first start for the entries, and its report that it leaves is ignored.

--- a/review/standins/Cases.h
+++ b/review/standins/Cases.h
@@ -5,6 +5,9 @@
 
 namespace Review {
 
+/// An engine crashes and starts again under its id with an earlier time of day, and later leaves in order.
+int playDrain(const std::string &recordFile);
+
 /// The operator takes the last client account away.
 int playTenants(const std::string &recordFile);
 
--- a/review/standins/Main.cpp
+++ b/review/standins/Main.cpp
@@ -6,7 +6,8 @@
 
 int main(int argc, char **argv)
 {
-    const std::map<std::string, int (*)(const std::string &)> cases{{"uploads", Review::playUploads}, {"tenants", Review::playTenants}};
+    const std::map<std::string, int (*)(const std::string &)> cases{
+        {"uploads", Review::playUploads}, {"tenants", Review::playTenants}, {"drain", Review::playDrain}};
     if (argc != 3 || !cases.contains(argv[1])) {
         std::cerr << "usage: review-case NAME RECORD" << std::endl;
         return Review::CouldNotRun;
