--- a/Libraries/LibBench/Process.cpp
+++ b/Libraries/LibBench/Process.cpp
@@ -161,4 +161,13 @@
     return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::size_t Process::peakResidentBytes() const
+{
+    constexpr std::size_t bytesPerKibibyte = 1024;
+    const std::string status = readProcFile(m_pid, "status");
+    const std::string label = "VmHWM:";
+    const std::size_t position = status.find(label);
+    return position == std::string::npos ? 0 : std::stoul(status.substr(position + label.size())) * bytesPerKibibyte;
+}
+
 }
--- a/Libraries/LibBench/Process.h
+++ b/Libraries/LibBench/Process.h
@@ -42,6 +42,8 @@
     double processorSeconds() const;
     /// Returns the resident memory of the process in bytes.
     std::size_t residentBytes() const;
+    /// Returns the largest resident memory that the process has had, in bytes.
+    std::size_t peakResidentBytes() const;
 
 private:
     Process(pid_t pid, std::string logFile);
--- a/Libraries/LibDaemon/HeapSettings.h
+++ b/Libraries/LibDaemon/HeapSettings.h
@@ -4,10 +4,10 @@
 namespace Daemon {
 
 /**
- * Makes the allocator return blocks of the size of a chunk of weights to the system as soon as they are freed.
+ * Makes the allocator return blocks of the size of a chunk of weights or of a large request to the system as soon as they are freed.
  *
- * Several threads allocate and free chunks, copies of chunks in transfer and complete frames. In the allocator's arenas each size leaves gaps that other
- * sizes do not fit into. The process would keep several times the memory that it uses, and beside an engine memory is scarce.
+ * Processes allocate and free chunks, copies of chunks in transfer, complete frames and bodies of requests. In the allocator's arenas each size leaves gaps
+ * that other sizes do not fit into. A process would keep several times the memory that it uses, and could be ended for memory that it has freed.
  */
 void returnLargeBlocks();
 
--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -28,6 +28,9 @@
 /// all claims within a second, and callers get an epoch again.
 constexpr Core::Duration MissingEpochRetryAfter{1000};
 
+/// Retry time for a request that is refused because the bodies of others fill the memory. Most requests end within a second.
+constexpr Core::Duration MemoryRetryAfter{1000};
+
 constexpr const char *JsonType = "application/json";
 constexpr const char *LinesType = "application/x-ndjson";
 constexpr std::size_t ReadBytes = 16384;
@@ -82,8 +85,9 @@
     return CallerError{CallerCode::InvalidInput, error, std::nullopt, {}};
 }
 
-/// Reads a body of at most @p limit bytes. Fails with Overloaded if it is longer, with InvalidInput if it is shorter than announced.
-Core::Result<std::string> readBody(HTTPServerRequest &request, std::size_t limit)
+/// Reads a body of at most @p limit bytes, for which @p memory is enlarged before they are read. Fails with Overloaded if it is longer, with Unavailable if no
+/// memory is left for it, with InvalidInput if it is shorter than announced.
+Core::Result<std::string> readBody(HTTPServerRequest &request, std::size_t limit, Core::ByteReservation &memory)
 {
     const Core::Error tooLarge =
         Core::makeError(Core::ErrorCode::Overloaded, "read request", "", "the body is larger than " + std::to_string(limit) + " bytes");
@@ -91,11 +95,25 @@
     if (hasLength && static_cast<std::uint64_t>(request.getContentLength64()) > limit) {
         return tooLarge;
     }
+    const Core::Error noMemory = Core::makeError(Core::ErrorCode::Unavailable, "read request", "", "the memory for requests is in use");
+    const std::size_t announced = hasLength ? static_cast<std::size_t>(request.getContentLength64()) : 0;
+    if (!memory.tryResize(ReadBytes + announced)) {
+        return noMemory;
+    }
     std::string body;
+    body.reserve(announced);
     std::string part(ReadBytes, '\0');
     std::istream &stream = request.stream();
     while (stream.good()) {
         stream.read(part.data(), static_cast<std::streamsize>(part.size()));
+        const std::size_t received = body.size() + static_cast<std::size_t>(stream.gcount());
+        if (received > body.capacity()) {
+            const std::size_t capacity = std::max(received, 2 * body.capacity());
+            if (!memory.tryResize(ReadBytes + capacity)) {
+                return noMemory;
+            }
+            body.reserve(capacity);
+        }
         body.append(part.data(), static_cast<std::size_t>(stream.gcount()));
         if (body.size() > limit) {
             return tooLarge;
@@ -107,6 +125,18 @@
     return body;
 }
 
+CallerError bodyError(const Core::Error &error)
+{
+    switch (error.m_code) {
+    case Core::ErrorCode::Overloaded:
+        return CallerError{CallerCode::TooLarge, error, std::nullopt, {}};
+    case Core::ErrorCode::Unavailable:
+        return CallerError{CallerCode::NotRun, error, MemoryRetryAfter, {}};
+    default:
+        return inputError(error);
+    }
+}
+
 /// Reads and discards the rest of a body. Closing a connection with unread bytes resets it, and a caller that is still sending would get a connection
 /// error instead of the refusal. The time is bounded by the guard's request timeout.
 void discardBody(HTTPServerRequest &request)
@@ -246,11 +276,11 @@
     void serve(HTTPServerRequest &request, HTTPServerResponse &response)
     {
         const Core::Instant arrival = Core::Clock::now();
-        const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBodyBytes);
+        Core::ByteReservation memory(m_frontend.m_requestMemory);
+        const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBodyBytes, memory);
         if (!body) {
             response.setKeepAlive(false);
-            const bool tooLarge = body.error().m_code == Core::ErrorCode::Overloaded;
-            sendError(response, tooLarge ? CallerError{CallerCode::TooLarge, body.error(), std::nullopt, {}} : inputError(body.error()));
+            sendError(response, bodyError(body.error()));
             discardBody(request);
             return;
         }
--- a/Libraries/LibEntry/Entry.cpp
+++ b/Libraries/LibEntry/Entry.cpp
@@ -59,7 +59,14 @@
     , m_agentWatcher(
           AgentWatcherParts{&m_node, &m_store, &m_router, &m_versions, &m_metrics, m_settings.m_instance.m_member.m_id, m_settings.m_watchedPerGroup})
     , m_claims(ClaimServiceParts{&m_node, &m_store, &m_claimsLog, &m_metrics, m_settings.m_instance.m_member, m_settings.m_claims})
-    , m_frontend{&m_settings, &m_node, &m_store, &m_router, &m_versions, &m_claims, &m_metrics}
+    , m_frontend{&m_settings,
+                 &m_node,
+                 &m_store,
+                 &m_router,
+                 &m_versions,
+                 &m_claims,
+                 &m_metrics,
+                 std::make_shared<Core::ByteBudget>(m_settings.m_callers.m_maximumHeldBytes)}
     , m_callers(m_frontend)
     , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
 {
--- a/Libraries/LibEntry/Frontend.h
+++ b/Libraries/LibEntry/Frontend.h
@@ -1,6 +1,7 @@
 /// @file State and services shared by the handlers of callers' requests.
 #pragma once
 
+#include "LibCore/ByteBudget.h"
 #include "LibEntry/ClaimService.h"
 #include "LibEntry/EntrySettings.h"
 #include "LibEntry/Router.h"
@@ -27,6 +28,7 @@
     VersionTracker *m_versions = nullptr;
     ClaimService *m_claims = nullptr;
     Telemetry::Metrics *m_metrics = nullptr;
+    std::shared_ptr<Core::ByteBudget> m_requestMemory; ///< For the bodies of all requests.
     std::atomic<EntryState> m_state = EntryState::Serving;
     std::atomic<std::size_t> m_openRequests = 0; ///< Requests that have not been answered completely.
 };
--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -29,11 +29,12 @@
     return hosts;
 }
 
-Wire::NodeSettings nodeSettings(const Core::Address &peers)
+Wire::NodeSettings nodeSettings(const Core::Address &peers, std::size_t memoryBytes)
 {
     Wire::NodeSettings settings;
     settings.m_listen = peers;
     settings.m_network.m_bindHost = peers.m_host;
+    settings.m_memoryBytes = memoryBytes;
     return settings;
 }
 
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -59,8 +59,8 @@
 /// Removes observations from a heartbeat until they fit in place of digests: first crashes, which are told at once, too.
 void fitObservations(Heartbeat &heartbeat, const GossipSettings &settings);
 
-/// Returns the settings of a node that listens on @p peers and makes its calls from the same host.
-Wire::NodeSettings nodeSettings(const Core::Address &peers);
+/// Returns the settings of a node that listens on @p peers and makes its calls from the same host. @p memoryBytes: limit on what it holds for its peers.
+Wire::NodeSettings nodeSettings(const Core::Address &peers, std::size_t memoryBytes);
 
 /// Access to the quarantine of an entry.
 struct QuarantineAccess
--- a/Libraries/LibHttp/AdminPages.cpp
+++ b/Libraries/LibHttp/AdminPages.cpp
@@ -8,7 +8,7 @@
 {
     const std::string path = pathOf(request.m_target);
     const std::string query = request.m_target.size() > path.size() ? request.m_target.substr(path.size() + 1) : "";
-    Telemetry::AdminAnswer answer = pages.answer(Telemetry::AdminRequest{request.m_method, path, query, request.m_body});
+    Telemetry::AdminAnswer answer = pages.answer(Telemetry::AdminRequest{request.m_method, path, query, request.m_body.bytes()});
     connection.answer(answer.m_status, {HeaderField{"Content-Type", answer.m_contentType}}, std::move(answer.m_body));
 }
 
--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::uint32_t MaximumAnswerHeadBytes = 16 << 10; ///< The head of an endpoint's answer has a few hundred bytes.
 constexpr Core::Duration SilenceCheckInterval{100}; ///< Interval at which the owner of a silent call is asked again whether it ends.
-constexpr std::size_t MaximumBufferedBytes = 64 << 10; ///< Of what the parser cannot use yet, such as a chunk's size that does not end.
+constexpr std::size_t MaximumBufferedBytes = 24 << 10; ///< Of what the parser cannot use yet: a head, or a chunk's size that does not end.
 constexpr std::size_t ReadBytes = 8 << 10; ///< Size of one read; holds several events of a stream.
 constexpr std::uint64_t UnlimitedBodyBytes = std::numeric_limits<std::int64_t>::max(); ///< Beast 1.74 rejects answers with a length if no limit is set.
 
@@ -32,7 +32,7 @@
         head += field.m_name + ": " + field.m_value + "\r\n";
     }
     const bool mayHaveBody = request.m_method != "GET" && request.m_method != "HEAD" && request.m_method != "DELETE";
-    if (mayHaveBody || !request.m_body.empty()) {
+    if (mayHaveBody || !request.m_body.isEmpty()) {
         head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
     }
     return head + "\r\n";
@@ -68,7 +68,8 @@
     Beast::flat_buffer m_buffer{MaximumBufferedBytes};
     AnswerParser m_parser;
     std::array<char, ReadBytes> m_chunk;
-    std::string m_outgoing; ///< Must stay valid until the write has ended.
+    std::string m_outgoingHead; ///< Must stay valid until the write has ended, as must the body.
+    Body m_outgoingBody;
     Core::Instant m_bodyEndsBy;
 };
 
@@ -84,7 +85,8 @@
 
 void ClientCall::start(const ClientRequest &request)
 {
-    m_state->m_outgoing = encodeHead(request) + request.m_body;
+    m_state->m_outgoingHead = encodeHead(request);
+    m_state->m_outgoingBody = request.m_body;
     m_state->m_parser.skip(request.m_method == "HEAD");
     boost::system::error_code error;
     const Asio::ip::address_v4 host = Asio::ip::make_address_v4(m_peer.m_host, error);
@@ -155,7 +157,8 @@
     }
     setStreamOptions(m_state->m_socket);
     m_wasSent = true;
-    Asio::async_write(m_state->m_socket, Asio::buffer(m_state->m_outgoing), [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
+    const std::array<Asio::const_buffer, 2> outgoing{Asio::buffer(m_state->m_outgoingHead), Asio::buffer(m_state->m_outgoingBody.bytes())};
+    Asio::async_write(m_state->m_socket, outgoing, [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
         // Errors are ignored here: a failed write also fails the read, and an answer that the peer sent early can still be read.
     });
     startTimer(m_limits.m_headTimeout, "await answer");
--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Clock.h"
+#include "LibHttp/Body.h"
 #include "LibHttp/BodyEnd.h"
 #include "LibHttp/EventLoop.h"
 #include "LibHttp/HeaderFields.h"
@@ -18,7 +19,7 @@
     std::string m_method = "GET";
     std::string m_target = "/";
     HeaderFields m_fields; ///< Without Content-Length, which is set from the body.
-    std::string m_body;
+    Body m_body;
 };
 
 struct AnswerHead
--- a/Libraries/LibHttp/HeaderFields.cpp
+++ b/Libraries/LibHttp/HeaderFields.cpp
@@ -97,6 +97,14 @@
     return number;
 }
 
+std::string retryAfterText(Core::Duration duration)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(duration.count()) / millisecondsPerSecond);
+    return text.data();
+}
+
 bool isConnectionField(std::string_view name, std::string_view connectionValue)
 {
     const bool isFixed =
--- a/Libraries/LibHttp/HeaderFields.h
+++ b/Libraries/LibHttp/HeaderFields.h
@@ -40,6 +40,9 @@
 /// Parses the value of Retry-After as seconds, which may have a fraction. Returns nothing for a date, whose meaning depends on clocks that may differ.
 std::optional<Core::Duration> parseRetryAfter(const std::string &value);
 
+/// Returns the value of Retry-After, in seconds with a fraction.
+std::string retryAfterText(Core::Duration duration);
+
 /// Returns whether a field concerns one connection only and must not be passed on. @p connectionValue is the value of the Connection field.
 bool isConnectionField(std::string_view name, std::string_view connectionValue);
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <deque>
@@ -27,6 +26,14 @@
 constexpr Core::Duration CloseCheckInterval{50};
 constexpr unsigned HttpVersion11 = 11; ///< HTTP/1.1 as the parser encodes it.
 constexpr Core::Duration AbortedWriteLimit{200}; ///< For what is queued of an aborted answer. Longer than a round trip to any caller.
+constexpr std::size_t HeadReadBytes = 2 << 10; ///< Size of one read of a head; most heads are smaller.
+constexpr std::size_t BodyReadBytes = 8 << 10; ///< Size of one read of a body.
+constexpr std::size_t UnreservedHeadBytes = 4 << 10; ///< Bytes of a head that are received without a reservation.
+constexpr std::size_t HeadCopies = 3; ///< A request's head is held as received, as fields, and as fields to be sent.
+/// Held for a request besides its head and its body: its state and the buffers of its reader and of its call to an endpoint.
+constexpr std::size_t RequestOverheadBytes = 16 << 10;
+constexpr std::size_t SmallestBodyCapacity = 4 << 10; ///< Of a body whose length is not declared.
+constexpr Core::Duration DiscardLimit{2000}; ///< Time for which the rest of a rejected request is ignored, so that its caller reads the answer.
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -74,13 +81,20 @@
     ProgressTimer m_timer;
     Timer m_closeCheckTimer; ///< For a peer that has sent the next request before the answer.
     Timer m_lingerTimer; ///< Until a connection is closed whose last answer was sent.
-    Beast::flat_buffer m_buffer;
-    std::optional<RequestParser> m_parser; ///< One for each request.
-    HeaderFields m_fields; ///< Of the current request.
+    Beast::flat_buffer m_buffer; ///< Received and not parsed.
+    std::optional<RequestParser> m_parser; ///< Set while a request is read.
+    ServerRequest m_request; ///< The current request, from the end of its head until it is passed to the handler.
+    Core::ByteReservation m_memory; ///< For the current request until it is passed to the handler, then empty.
+    std::optional<RequestMemory::Ticket> m_memoryTicket; ///< Set while the request waits for memory.
+    Core::Instant m_bodyEndsBy; ///< Time limit of the current request's body.
+    Core::Instant m_waitsSince; ///< When the request began to wait for memory.
+    Core::Duration m_memoryWaited{0}; ///< By the current request.
+    std::size_t m_headBytes = 0; ///< Of the current request.
     std::string m_peer;
     Core::Instant m_idleSince; ///< When the connection last began to wait for a request.
     std::deque<std::string> m_outgoing; ///< The first is being written.
     std::size_t m_pendingBytes = 0; ///< Sum of the sizes of m_outgoing.
+    Core::ByteReservation m_answerMemory; ///< For m_pendingBytes.
 };
 
 ServerConnection::ServerConnection(Socket socket, std::shared_ptr<ServerContext> context)
@@ -90,6 +104,7 @@
     boost::system::error_code error;
     const Asio::ip::tcp::endpoint peer = m_state->m_socket.remote_endpoint(error);
     m_state->m_peer = error ? std::string("unknown") : peer.address().to_string() + ":" + std::to_string(peer.port());
+    m_state->m_answerMemory = makeAnswerReservation();
 }
 
 ServerConnection::~ServerConnection()
@@ -154,11 +169,66 @@
     m_state->m_parser.emplace();
     m_state->m_parser->header_limit(m_context->m_limits.m_maximumHeaderBytes);
     m_state->m_parser->body_limit(m_context->m_limits.m_maximumBodyBytes);
+    m_state->m_memory = m_context->m_requestMemory ? m_context->m_requestMemory->makeReservation() : Core::ByteReservation();
+    m_state->m_memoryWaited = Core::Duration(0);
+    m_state->m_headBytes = 0;
+    m_state->m_request = ServerRequest();
+    m_isHeadRequest = false;
+    m_isHttp10Caller = false;
     startTimer(m_context->m_limits.m_headTimeout, [this] { reject(408, "the head came too slowly"); });
-    Beast::http::async_read_header(m_state->m_socket,
-                                   m_state->m_buffer,
-                                   *m_state->m_parser,
-                                   [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onHeadRead(error); });
+    parseHead();
+}
+
+void ServerConnection::parseHead()
+{
+    boost::system::error_code error = Beast::http::error::need_more;
+    if (m_state->m_buffer.size() > 0) {
+        const std::size_t parsed = m_state->m_parser->put(m_state->m_buffer.data(), error);
+        m_state->m_buffer.consume(parsed);
+        m_state->m_headBytes += parsed;
+    }
+    if (m_state->m_parser->is_header_done() && !error) {
+        onHeadRead();
+        return;
+    }
+    if (error && error != Beast::http::error::need_more) {
+        rejectUnreadable(error);
+        return;
+    }
+    const std::size_t unparsed = m_state->m_buffer.size();
+    if (unparsed > UnreservedHeadBytes && m_context->m_requestMemory
+        && !m_context->m_requestMemory->tryEnlarge(m_state->m_memory, 2 * (unparsed + HeadReadBytes))) {
+        refuseForMemory(2 * (unparsed + HeadReadBytes));
+        return;
+    }
+    receive(HeadReadBytes, &ServerConnection::parseHead);
+}
+
+void ServerConnection::receive(std::size_t maximumBytes, void (ServerConnection::*parse)())
+{
+    m_isReceiving = true;
+    m_state->m_socket.async_read_some(m_state->m_buffer.prepare(maximumBytes),
+                                      [self = shared_from_this(), parse](const boost::system::error_code &error, std::size_t size) {
+                                          self->m_isReceiving = false;
+                                          self->onReceived(error, size, parse);
+                                      });
+}
+
+void ServerConnection::onReceived(const boost::system::error_code &error, std::size_t size, void (ServerConnection::*parse)())
+{
+    if (m_isClosed) {
+        return;
+    }
+    if (m_isRejected) {
+        discardInput();
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    m_state->m_buffer.commit(size);
+    (this->*parse)();
 }
 
 void ServerConnection::rejectUnreadable(const boost::system::error_code &error)
@@ -171,66 +241,163 @@
         reject(413, "the body is too large");
         return;
     }
-    const bool isPeerGone = error == Beast::http::error::end_of_stream || error == Beast::http::error::partial_message
-        || error.category() == boost::system::system_category() || error.category() == Asio::error::get_misc_category();
-    if (isPeerGone) {
-        close();
-        return;
-    }
     reject(400, error.message());
 }
 
-void ServerConnection::onHeadRead(const boost::system::error_code &error)
+void ServerConnection::takeHead()
+{
+    const RequestParser::value_type &message = m_state->m_parser->get();
+    m_closeAfterAnswer = !message.keep_alive();
+    m_isHeadRequest = message.method() == Beast::http::verb::head;
+    m_isHttp10Caller = message.version() < HttpVersion11;
+    ServerRequest request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    request.m_peer = m_state->m_peer;
+    request.m_arrivedAt = Core::Clock::now();
+    for (const Beast::http::fields::value_type &field : message) {
+        request.m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
+    }
+    m_state->m_request = std::move(request);
+}
+
+void ServerConnection::onHeadRead()
 {
-    if (m_isClosed || m_isRejected) {
+    takeHead();
+    const HeaderFields &fields = m_state->m_request.m_fields;
+    if (!hasKnownTransferCoding(fields)) {
+        reject(400, "the body's framing is not supported");
         return;
     }
-    if (error) {
-        rejectUnreadable(error);
+    if (countHostFields(fields) != 1) {
+        reject(400, "one Host field is needed");
         return;
     }
-    m_state->m_fields.clear();
-    for (const Beast::http::fields::value_type &field : m_state->m_parser->get()) {
-        m_state->m_fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
+    // The parser has checked the declared length against the limit on bodies.
+    const std::uint64_t length = m_state->m_parser->content_length().value_or(0);
+    obtainMemory(requestBytes(static_cast<std::size_t>(length)), &ServerConnection::readBody);
+}
+
+std::size_t ServerConnection::requestBytes(std::size_t bodyBytes) const
+{
+    return RequestOverheadBytes + HeadCopies * m_state->m_headBytes + bodyBytes;
+}
+
+void ServerConnection::obtainMemory(std::size_t bytes, void (ServerConnection::*resume)())
+{
+    RequestMemory *memory = m_context->m_requestMemory.get();
+    if (!memory || memory->tryEnlarge(m_state->m_memory, bytes)) {
+        (this->*resume)();
+        return;
     }
-    if (!hasKnownTransferCoding(m_state->m_fields)) {
-        reject(400, "the body's framing is not supported");
+    if (!memory->canEverHold(bytes)) {
+        reject(413, "the request is larger than this process may hold");
         return;
     }
-    if (countHostFields(m_state->m_fields) != 1) {
-        reject(400, "one Host field is needed");
+    awaitMemory(bytes, resume);
+}
+
+void ServerConnection::awaitMemory(std::size_t bytes, void (ServerConnection::*resume)())
+{
+    RequestMemory &memory = *m_context->m_requestMemory;
+    const Core::Duration limit = m_context->m_maximumMemoryWait ? m_context->m_maximumMemoryWait(m_state->m_request) : Core::Duration(0);
+    const Core::Instant now = Core::Clock::now();
+    if (limit <= Core::Duration(0) || memory.expectedWait(bytes, now).value_or(Core::Duration(0)) > limit) {
+        refuseForMemory(bytes);
         return;
     }
-    const std::string *expectation = findField(m_state->m_fields, "Expect");
-    if (expectation && isSameName(*expectation, "100-continue") && !m_state->m_parser->is_done()) {
-        write("HTTP/1.1 100 Continue\r\n\r\n");
+    m_state->m_waitsSince = now;
+    startTimer(limit, [this, bytes] {
+        cancelMemoryWait();
+        refuseForMemory(bytes);
+    });
+    m_state->m_memoryTicket = memory.await(m_state->m_memory, bytes, [self = shared_from_this(), resume] {
+        self->m_state->m_memoryTicket.reset();
+        self->recordMemoryWait();
+        (self.get()->*resume)();
+    });
+}
+
+void ServerConnection::recordMemoryWait()
+{
+    m_state->m_memoryWaited += std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_state->m_waitsSince);
+}
+
+void ServerConnection::cancelMemoryWait()
+{
+    if (!m_state->m_memoryTicket) {
+        return;
     }
-    readBody();
+    recordMemoryWait();
+    m_context->m_requestMemory->cancel(*std::exchange(m_state->m_memoryTicket, std::nullopt));
+}
+
+void ServerConnection::refuseForMemory(std::size_t bytes)
+{
+    const RequestMemory &memory = *m_context->m_requestMemory;
+    const MemoryShortage shortage{bytes, memory.budget().held(), m_state->m_memoryWaited, memory.expectedWait(bytes, Core::Clock::now())};
+    constexpr Core::Duration usualRetryAfter{1000};
+    const Core::Duration retryAfter = m_context->m_onMemoryRefused ? m_context->m_onMemoryRefused(m_state->m_request, shortage) : usualRetryAfter;
+    answerUnread(503, "the memory for requests is in use", {HeaderField{"Retry-After", retryAfterText(retryAfter)}});
 }
 
 void ServerConnection::readBody()
 {
+    const std::string *expectation = findField(m_state->m_request.m_fields, "Expect");
+    if (expectation && isSameName(*expectation, "100-continue") && !m_state->m_parser->is_done()) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_state->m_parser->eager(true);
     if (m_state->m_parser->is_done()) {
         dispatchRequest();
         return;
     }
-    startTimer(m_context->m_limits.m_bodyTimeout, [this] { reject(408, "the body came too slowly"); });
-    Beast::http::async_read(m_state->m_socket,
-                            m_state->m_buffer,
-                            *m_state->m_parser,
-                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onBodyRead(error); });
+    m_state->m_bodyEndsBy = Core::Clock::now() + m_context->m_limits.m_bodyTimeout;
+    continueBody();
+}
+
+void ServerConnection::continueBody()
+{
+    const Core::Duration left = std::chrono::ceil<Core::Duration>(m_state->m_bodyEndsBy - Core::Clock::now());
+    startTimer(std::max(left, Core::Duration(0)), [this] { reject(408, "the body came too slowly"); });
+    parseBody();
+}
+
+std::size_t ServerConnection::neededBodyCapacity() const
+{
+    const std::string &body = m_state->m_parser->get().body();
+    const std::size_t received = std::min<std::size_t>(body.size() + m_state->m_buffer.size(), m_context->m_limits.m_maximumBodyBytes);
+    return received <= body.capacity() ? body.capacity() : std::max({received, 2 * body.capacity(), SmallestBodyCapacity});
 }
 
-void ServerConnection::onBodyRead(const boost::system::error_code &error)
+void ServerConnection::parseBody()
 {
-    if (m_isClosed || m_isRejected) {
+    const std::size_t capacity = neededBodyCapacity();
+    const bool needsMemory = m_context->m_requestMemory && requestBytes(capacity) > m_state->m_memory.bytes();
+    if (m_state->m_parser->chunked() && needsMemory) {
+        obtainMemory(requestBytes(capacity), &ServerConnection::continueBody);
         return;
     }
-    if (error) {
+    if (m_state->m_parser->chunked()) {
+        m_state->m_parser->get().body().reserve(capacity);
+    }
+    boost::system::error_code error = Beast::http::error::need_more;
+    if (m_state->m_buffer.size() > 0) {
+        m_state->m_buffer.consume(m_state->m_parser->put(m_state->m_buffer.data(), error));
+    }
+    if (m_state->m_parser->is_done() && !error) {
+        dispatchRequest();
+        return;
+    }
+    if (error && error != Beast::http::error::need_more) {
         rejectUnreadable(error);
         return;
     }
-    dispatchRequest();
+    if (m_state->m_buffer.size() > m_context->m_limits.m_maximumHeaderBytes) {
+        reject(400, "the header of a chunk does not end");
+        return;
+    }
+    receive(BodyReadBytes, &ServerConnection::parseBody);
 }
 
 void ServerConnection::reject(int status, const std::string &reason)
@@ -238,11 +405,40 @@
     if (m_context->m_onRejected) {
         m_context->m_onRejected(status, m_state->m_peer, reason);
     }
+    answerUnread(status, reason, {});
+}
+
+void ServerConnection::answerUnread(int status, const std::string &reason, HeaderFields fields)
+{
     m_isRejected = true;
     m_isReading = false;
     m_isAnswering = true;
     m_closeAfterAnswer = true;
-    answer(status, {HeaderField{"Content-Type", "text/plain"}}, reason + "\n");
+    m_state->m_parser.reset();
+    m_state->m_memory = Core::ByteReservation();
+    fields.push_back(HeaderField{"Content-Type", "text/plain"});
+    answer(status, std::move(fields), reason + "\n");
+    if (!m_isReceiving) {
+        discardInput();
+    }
+}
+
+void ServerConnection::discardInput()
+{
+    // The bytes are ignored, so that all connections of a thread may write to the same buffer.
+    static thread_local std::array<char, BodyReadBytes> ignoredBytes;
+    m_state->m_buffer.clear();
+    m_state->m_buffer.shrink_to_fit();
+    m_state->m_socket.async_read_some(Asio::buffer(ignoredBytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+        if (self->m_isClosed) {
+            return;
+        }
+        if (!error) {
+            self->discardInput();
+        } else if (self->m_state->m_outgoing.empty()) {
+            self->close();
+        }
+    });
 }
 
 void ServerConnection::dispatchRequest()
@@ -250,20 +446,21 @@
     m_state->m_timer.stop();
     m_isAnswering = true;
     m_isReading = false;
-    const RequestParser::value_type &message = m_state->m_parser->get();
-    m_closeAfterAnswer = !message.keep_alive();
     m_bodyEnd = BodyEnd::NoBody;
-    ServerRequest request;
-    request.m_method = std::string(message.method_string());
-    request.m_target = std::string(message.target());
-    request.m_fields = std::move(m_state->m_fields);
-    request.m_body = message.body();
-    request.m_peer = m_state->m_peer;
+    ServerRequest request = std::move(m_state->m_request);
+    request.m_body = Body(std::move(m_state->m_parser->get().body()), std::move(m_state->m_memory));
+    releaseReader();
     watchForPeerClose();
     const std::shared_ptr<ServerConnection> self = shared_from_this();
     m_context->m_onRequest(self, std::move(request));
 }
 
+void ServerConnection::releaseReader()
+{
+    m_state->m_parser.reset();
+    m_state->m_buffer.shrink_to_fit();
+}
+
 void ServerConnection::watchForPeerClose()
 {
     boost::system::error_code ignored; // A check that is left of the answer before does no harm.
@@ -328,9 +525,15 @@
     m_onDrained = std::move(callback);
 }
 
-std::size_t ServerConnection::pendingBytes() const
+bool ServerConnection::isBacklogged(std::size_t maximumBytes) const
+{
+    const bool isMemoryExceeded = m_context->m_answerMemory && m_context->m_answerMemory->isExceeded();
+    return m_state->m_pendingBytes > (isMemoryExceeded ? 0 : maximumBytes);
+}
+
+Core::ByteReservation ServerConnection::makeAnswerReservation() const
 {
-    return m_state->m_pendingBytes;
+    return Core::ByteReservation(m_context->m_answerMemory);
 }
 
 bool ServerConnection::isOpen() const
@@ -370,13 +573,10 @@
 
 BodyEnd ServerConnection::supportedBodyEnd(int status, BodyEnd wanted) const
 {
-    const bool isRequestKnown = m_state->m_parser && m_state->m_parser->is_header_done();
-    const bool isHeadRequest = isRequestKnown && m_state->m_parser->get().method() == Beast::http::verb::head;
-    if (isHeadRequest || status == NoContent || status == NotModified) {
+    if (m_isHeadRequest || status == NoContent || status == NotModified) {
         return BodyEnd::NoBody;
     }
-    const bool isHttp10Caller = isRequestKnown && m_state->m_parser->get().version() < HttpVersion11;
-    return wanted == BodyEnd::LastChunk && isHttp10Caller ? BodyEnd::Close : wanted;
+    return wanted == BodyEnd::LastChunk && m_isHttp10Caller ? BodyEnd::Close : wanted;
 }
 
 void ServerConnection::sendBody(std::string_view bytes)
@@ -417,6 +617,7 @@
 void ServerConnection::write(std::string bytes)
 {
     m_state->m_pendingBytes += bytes.size();
+    m_state->m_answerMemory.resize(m_state->m_pendingBytes);
     // Data queued behind the current write is merged into one buffer.
     if (m_state->m_outgoing.size() > 1) {
         m_state->m_outgoing.back() += bytes;
@@ -453,6 +654,7 @@
         return;
     }
     m_state->m_pendingBytes -= m_state->m_outgoing.front().size();
+    m_state->m_answerMemory.resize(m_state->m_pendingBytes);
     m_state->m_outgoing.pop_front();
     if (!m_state->m_outgoing.empty()) {
         writeNext();
@@ -486,7 +688,7 @@
     m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
     constexpr Core::Duration linger{200}; // Longer than a round trip to any caller.
     m_state->m_timer.stop();
-    m_state->m_lingerTimer.expires_after(linger);
+    m_state->m_lingerTimer.expires_after(m_isRejected ? DiscardLimit : linger);
     m_state->m_lingerTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
 }
 
@@ -510,6 +712,8 @@
     }
     m_isClosed = true;
     m_state->m_timer.stop();
+    cancelMemoryWait();
+    m_state->m_memory = Core::ByteReservation();
     boost::system::error_code ignored; // The connection is closed in any case.
     m_state->m_lingerTimer.cancel(ignored);
     m_state->m_closeCheckTimer.cancel(ignored);
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "LibCore/Clock.h"
+#include "LibHttp/Body.h"
 #include "LibHttp/BodyEnd.h"
 #include "LibHttp/EventLoop.h"
 #include "LibHttp/HeaderFields.h"
+#include "LibHttp/RequestMemory.h"
 
 #include <functional>
 #include <memory>
@@ -12,14 +14,15 @@
 
 namespace Http {
 
-/// A complete request.
+/// A complete request, or one whose head has been read.
 struct ServerRequest
 {
     std::string m_method;
     std::string m_target;
     HeaderFields m_fields;
-    std::string m_body;
+    Body m_body; ///< Empty before it has been read.
     std::string m_peer; ///< Address of the other end.
+    Core::Instant m_arrivedAt; ///< When the head was complete.
 };
 
 /// Limits on the size and the duration of what the other end sends. They may change while connections are open.
@@ -36,6 +39,15 @@
 
 class ServerConnection;
 
+/// Why a request got no memory.
+struct MemoryShortage
+{
+    std::size_t m_neededBytes = 0; ///< For the complete request.
+    std::size_t m_heldBytes = 0; ///< By all requests of the process.
+    Core::Duration m_waited{0};
+    std::optional<Core::Duration> m_expectedWait; ///< As known when the request was refused.
+};
+
 /// Settings and callbacks that all connections of a listener share. Used on the loop's thread only.
 struct ServerContext
 {
@@ -43,6 +55,12 @@
     bool m_isClosing = false; ///< If true, every answer asks the caller to close the connection, and connections close instead of waiting for a request.
     std::function<void(const std::shared_ptr<ServerConnection> &connection, ServerRequest request)> m_onRequest;
     std::function<void(int status, const std::string &peer, const std::string &reason)> m_onRejected; ///< Called for rejected requests.
+    std::shared_ptr<RequestMemory> m_requestMemory; ///< Shared by all listeners of a process. Null sets no limit.
+    std::shared_ptr<Core::ByteBudget> m_answerMemory; ///< For bytes of answers that callers have not read yet; see isBacklogged(). Null sets no limit.
+    /// Returns how long waiting for memory can help the caller of a request whose head has been read. Without it requests do not wait.
+    std::function<Core::Duration(const ServerRequest &head)> m_maximumMemoryWait;
+    /// Called for a request that is refused for want of memory. Returns after which time its caller should retry.
+    std::function<Core::Duration(const ServerRequest &head, const MemoryShortage &shortage)> m_onMemoryRefused;
 };
 
 /// How the body of an answer is delimited.
@@ -83,8 +101,11 @@
     void onPeerClosed(std::function<void()> callback);
     /// Sets a callback that is called whenever all pending bytes of the answer have been written.
     void onDrained(std::function<void()> callback);
-    /// Returns the number of bytes that are queued and not yet written.
-    std::size_t pendingBytes() const;
+    /// Returns whether the source of the answer should pause until onDrained(): more than @p maximumBytes are queued, or any bytes while the answers of the
+    /// process hold more memory than they may.
+    bool isBacklogged(std::size_t maximumBytes) const;
+    /// Returns a reservation of zero bytes for parts of an answer that cannot be sent yet.
+    Core::ByteReservation makeAnswerReservation() const;
 
     /// Closes the connection if no request is being read or answered.
     void closeIfIdle();
@@ -96,15 +117,40 @@
     void awaitRequest();
     void closeIfIdleForLong();
     void readHead();
-    void onHeadRead(const boost::system::error_code &error);
+    /// Parses what has been received of the head, and receives more of it if it is incomplete.
+    void parseHead();
+    void onHeadRead();
     void readBody();
-    void onBodyRead(const boost::system::error_code &error);
+    void continueBody();
+    void parseBody();
+    /// Receives at most @p maximumBytes and then calls @p parse.
+    void receive(std::size_t maximumBytes, void (ServerConnection::*parse)());
+    void onReceived(const boost::system::error_code &error, std::size_t size, void (ServerConnection::*parse)());
+    /// Enlarges the reservation of the request and calls @p resume, at once or after a wait; or refuses the request.
+    void obtainMemory(std::size_t bytes, void (ServerConnection::*resume)());
+    void awaitMemory(std::size_t bytes, void (ServerConnection::*resume)());
+    void recordMemoryWait();
+    void cancelMemoryWait();
+    void refuseForMemory(std::size_t bytes);
+    /// Returns the bytes that the request holds if its body has @p bodyBytes.
+    std::size_t requestBytes(std::size_t bodyBytes) const;
+    /// Returns the bytes that the body's buffer needs to take what has been received.
+    std::size_t neededBodyCapacity() const;
+    /// Answers a request that violates the protocol or a limit.
     void reject(int status, const std::string &reason);
+    /// Answers a request that has not been read completely, ignores the rest of it and closes the connection.
+    void answerUnread(int status, const std::string &reason, HeaderFields fields);
+    /// Reads and ignores what the other end still sends of a rejected request.
+    void discardInput();
     void rejectUnreadable(const boost::system::error_code &error);
     void dispatchRequest();
     void watchForPeerClose();
     void checkForPeerClose();
     void awaitCloseAfterInput();
+    /// Takes the head of the current request from the parser.
+    void takeHead();
+    /// Frees the memory of the reader, except for bytes that have been received of the next request.
+    void releaseReader();
     /// Returns how the body of an answer to the current request ends if the handler wants it to end like @p wanted.
     BodyEnd supportedBodyEnd(int status, BodyEnd wanted) const;
     void write(std::string bytes);
@@ -123,7 +169,10 @@
     std::function<void()> m_onDrained;
     bool m_isAnswering = false; ///< A request was passed to the handler or rejected, and its answer has not ended.
     BodyEnd m_bodyEnd = BodyEnd::NoBody; ///< Of the current answer.
-    bool m_isReading = false; ///< A request is being read.
+    bool m_isReading = false; ///< A request is being read, or waits for memory.
+    bool m_isReceiving = false; ///< The socket writes to the buffer of the reader, which therefore must not be freed.
+    bool m_isHeadRequest = false; ///< The current request's answer has no body.
+    bool m_isHttp10Caller = false; ///< The current request's caller knows no chunks.
     bool m_isRejected = false; ///< An error was sent before the request was complete; the rest of the request is ignored.
     bool m_isAborted = false; ///< Nothing is added to the answer any more, and the connection closes.
     bool m_closeAfterAnswer = false;
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -75,6 +75,7 @@
     Telemetry::Counter &m_requests;
     Telemetry::Counter &m_succeeded;
     Telemetry::Counter &m_refused;
+    Telemetry::Counter &m_refusedForMemory;
     Telemetry::Counter &m_failed;
     Telemetry::Counter &m_abandoned;
     Telemetry::Counter &m_retries;
@@ -91,6 +92,9 @@
     Telemetry::Latency &m_completeAnswer;
 };
 
+/// Returns how long a request may wait for memory, so that its time limit leaves enough for reading and running it.
+Core::Duration usefulMemoryWait(Core::Duration timeout, Core::Duration goal);
+
 /// Relays requests. Used on the loop's thread.
 class Relay
 {
@@ -103,6 +107,10 @@
 
     /// Relays a request and answers it on its connection.
     void handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request);
+    /// Returns how long it can help a caller to wait for memory before its request is read. Zero for requests that would not be relayed.
+    Core::Duration maximumMemoryWait(const Http::ServerRequest &head) const;
+    /// Records and logs that a request was refused for want of memory. Returns the time after which its caller should retry.
+    Core::Duration onMemoryRefused(const Http::ServerRequest &head, const Http::MemoryShortage &shortage);
     /// Must be called when the configuration has changed.
     void onConfigurationChanged();
     /// Must be called when engines have reported, because slots may have become free.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRelay/RelayedRequest.h"
 
+#include "LibRelay/CallerAccess.h"
 #include "LibRelay/RequestTimeouts.h"
 #include "LibRelay/StatusCodes.h"
 
@@ -16,6 +17,7 @@
 /// Bytes that may be buffered for a slow caller before reading from its endpoint pauses: a few dozen events.
 constexpr std::size_t MaximumPendingBytes = 64 << 10;
 constexpr std::size_t MaximumEventBytes = 1 << 20; ///< Many times the size of an event. Endpoints in trouble may send bytes without end.
+constexpr std::size_t UnreservedEventBytes = 4 << 10; ///< Of an incomplete event; covered by what is reserved for each request.
 constexpr std::size_t MaximumLoggedFieldBytes = 64; ///< Of a header field's value.
 constexpr std::size_t MaximumLoggedParts = 8; ///< Of a prompt.
 constexpr Core::Duration MinimumHeadTimeout{400};
@@ -67,13 +69,6 @@
     return route.m_priority + (account ? account->m_priority.value_or(0) : 0);
 }
 
-std::string secondsText(Core::Duration duration)
-{
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(duration.count()) / MillisecondsPerSecond);
-    return text.data();
-}
-
 }
 
 RelayedRequest::RelayedRequest(Relay &relay, std::shared_ptr<Http::ServerConnection> connection, Http::ServerRequest request)
@@ -83,9 +78,10 @@
     , m_timer(relay.m_parts.m_loop)
     , m_facts(relay.m_dialect.m_readRequest(m_request.m_fields))
     , m_configuration(relay.m_parts.m_fleetState.configuration())
-    , m_arrivedAt(Core::Clock::now())
+    , m_arrivedAt(m_request.m_arrivedAt)
     , m_retryLot(relay.m_parts.m_random.unit())
     , m_framer(m_facts.m_resumeAfter)
+    , m_partialEventMemory(m_connection->makeAnswerReservation())
     , m_holdTimer(relay.m_parts.m_loop)
 {
 }
@@ -168,11 +164,8 @@
 
 bool RelayedRequest::findAccount()
 {
-    if (m_configuration->configuration().m_accounts.empty()) {
-        return true;
-    }
-    m_account = m_facts.m_key.empty() ? nullptr : m_configuration->accountOfKey(m_facts.m_key);
-    if (!m_account && !m_route->m_isPublic) {
+    m_account = accountOf(*m_configuration, m_facts);
+    if (!mayUseRoute(*m_configuration, *m_route, m_facts)) {
         answerWithText(Unauthorized, {}, "unknown key");
         return false;
     }
@@ -181,10 +174,7 @@
 
 void RelayedRequest::setDeadline()
 {
-    Core::Duration timeout(m_route->m_timeoutMilliseconds);
-    if (m_facts.m_timeout && (*m_facts.m_timeout < timeout || timeout.count() == 0)) {
-        timeout = *m_facts.m_timeout;
-    }
+    const Core::Duration timeout = requestTimeout(*m_route, m_facts);
     m_deadline = m_arrivedAt + timeout;
     m_elapsedBeforeArrival = m_relay.m_parts.m_elapsedTimeEstimator.estimateElapsed(m_route->m_name, timeout, m_arrivedAt);
     m_timer.expires_at(m_deadline);
@@ -521,6 +511,10 @@
             onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "an event of the stream does not end");
             return;
         }
+        if (!reservePartialEvent()) {
+            onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "no memory is left for an event of the stream that is not complete");
+            return;
+        }
         if (!events.empty()) {
             m_hasAttemptForwardedEvents = true;
             recordPause();
@@ -535,11 +529,18 @@
     } else {
         m_connection->sendBody(bytes);
     }
-    if (m_connection->pendingBytes() > MaximumPendingBytes) {
+    if (m_connection->isBacklogged(MaximumPendingBytes)) {
         m_attempt->m_call->pause();
     }
 }
 
+bool RelayedRequest::reservePartialEvent()
+{
+    const std::size_t bytes = m_framer.partialEvent().size();
+    const std::size_t reserved = bytes > UnreservedEventBytes ? 2 * bytes : 0; // Text that grows is held with up to twice its size.
+    return m_partialEventMemory.tryResize(reserved);
+}
+
 void RelayedRequest::recordPause()
 {
     const Core::Instant now = Core::Clock::now();
@@ -766,7 +767,7 @@
 void RelayedRequest::refuse(const std::string &reason, Core::Duration retryAfter)
 {
     m_relay.m_parts.m_elapsedTimeEstimator.recordRefusal(Core::Clock::now());
-    answerWithText(ServiceUnavailable, {Http::HeaderField{"Retry-After", secondsText(retryAfter)}}, reason);
+    answerWithText(ServiceUnavailable, {Http::HeaderField{"Retry-After", Http::retryAfterText(retryAfter)}}, reason);
 }
 
 void RelayedRequest::fail(int status, const std::string &reason)
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -122,6 +122,8 @@
     Http::AnswerFraming framing(const Http::AnswerHead &head) const;
     void onData(std::string_view bytes);
     void onAttemptEnded(const Http::ClientCallEnd &end);
+    /// Reserves memory for the incomplete event of the stream. Returns false if there is none.
+    bool reservePartialEvent();
     void recordPause();
     /// Returns what shows that the answer was broken off although its body has ended as its framing demands; empty if nothing does.
     std::string interruption() const;
@@ -219,6 +221,7 @@
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
     EventFramer m_framer;
+    Core::ByteReservation m_partialEventMemory; ///< For the incomplete event in m_framer.
     std::vector<Quarantine::PromptPart> m_promptParts; ///< Empty unless the request is for a model engine.
     std::uint32_t m_lostEndpoints = 0; ///< Endpoints that were lost while the request was there.
     Http::Timer m_holdTimer;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -15,6 +15,7 @@
 constexpr Core::Duration TickInterval{200}; ///< Interval between log flushes, and between updates of the request rate.
 constexpr std::size_t PageConnections = 256;
 constexpr std::size_t AdminConnections = 16;
+constexpr std::uint32_t MaximumPageBodyBytes = 64 << 10; ///< Of requests for pages and to the operators' interface; most have no body.
 /// Fraction of the leaving time during which requests are still accepted, because callers use a received list of entry addresses for some seconds.
 constexpr double AcceptingShare = 0.4;
 /// Fraction of the leaving time after which idle connections are closed. By then callers have had time to learn of other entries.
@@ -49,7 +50,7 @@
     , m_requestLimits(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain})
     , m_coldBudget(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_coldBudget)
     , m_quarantine(Core::stableHash(m_settings.m_instance))
-    , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
+    , m_node(Gossip::nodeSettings(m_settings.m_peers, m_settings.m_memory.m_peerBytes), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
                  Follow::FollowerSettings{},
@@ -118,9 +119,39 @@
     m_reload = std::move(reload);
 }
 
+void EntryProcess::limitMemory()
+{
+    Http::RequestMemorySettings requests;
+    requests.m_limitBytes = m_settings.m_memory.m_requestBytes;
+    m_requestMemory = std::make_shared<Http::RequestMemory>(requests);
+    m_answerMemory = std::make_shared<Core::ByteBudget>(m_settings.m_memory.m_answerBytes);
+    for (const std::shared_ptr<Http::ServerContext> &context : {m_callerContext, m_pageContext, m_adminContext}) {
+        context->m_requestMemory = m_requestMemory;
+        context->m_answerMemory = m_answerMemory;
+    }
+    m_pageContext->m_limits.m_maximumBodyBytes = MaximumPageBodyBytes;
+    m_adminContext->m_limits.m_maximumBodyBytes = MaximumPageBodyBytes;
+    m_callerContext->m_maximumMemoryWait = [this](const Http::ServerRequest &head) { return m_relay.maximumMemoryWait(head); };
+    m_callerContext->m_onMemoryRefused = [this](const Http::ServerRequest &head, const Http::MemoryShortage &shortage) {
+        return m_relay.onMemoryRefused(head, shortage);
+    };
+    addMemoryGauges("requests", m_requestMemory->budget());
+    addMemoryGauges("answers", *m_answerMemory);
+    m_metrics.gauge("requests_waiting_for_memory", [this] { return static_cast<double>(m_requestMemory->waitingCount()); });
+}
+
+void EntryProcess::addMemoryGauges(const std::string &use, const Core::ByteBudget &budget)
+{
+    const std::string label = "{use=\"" + use + "\"}";
+    m_metrics.gauge("memory_held_bytes" + label, [&budget] { return static_cast<double>(budget.held()); });
+    m_metrics.gauge("memory_held_peak_bytes" + label, [&budget] { return static_cast<double>(budget.peak()); });
+    m_metrics.gauge("memory_limit_bytes" + label, [&budget] { return static_cast<double>(budget.limit()); });
+}
+
 Core::Result<void> EntryProcess::start()
 {
     awaitSignals();
+    limitMemory();
     m_callerContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
         m_relay.handle(connection, std::move(request));
     };
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -70,6 +70,9 @@
     void handleEngineUpdates(const std::vector<Gossip::EngineUpdate> &updates);
     void applyEngineUpdate(const Gossip::EngineUpdate &update, Core::Instant now);
     void applyLimits();
+    /// Makes all listeners share the memory for requests and for answers.
+    void limitMemory();
+    void addMemoryGauges(const std::string &use, const Core::ByteBudget &budget);
     void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
     /// Records the free slots of an engine from a report of its load.
     void recordSlots(const Fleet::Endpoint &endpoint, const Placement::EngineReport &report, Core::Instant now);
@@ -128,6 +131,8 @@
     VerdictKeeper m_verdictKeeper;
     Relay::Relay m_relay;
     Telemetry::AdminServer m_admin;
+    std::shared_ptr<Http::RequestMemory> m_requestMemory;
+    std::shared_ptr<Core::ByteBudget> m_answerMemory;
     std::shared_ptr<Http::ServerContext> m_callerContext;
     std::shared_ptr<Http::ServerContext> m_pageContext;
     std::shared_ptr<Http::ServerContext> m_adminContext;
--- a/Libraries/LibServing/EntrySettings.cpp
+++ b/Libraries/LibServing/EntrySettings.cpp
@@ -44,6 +44,7 @@
     reader.section("peers", [&settings](Settings::Reader &section) { readPeers(section, settings); });
     settings.m_admin = reader.address("admin");
     settings.m_log = reader.address("log");
+    settings.m_memory = Settings::readMemoryShares(reader);
     reader.section("bounds", [&settings](Settings::Reader &section) { readBounds(section, settings); });
     reader.section("regions", [&settings](Settings::Reader &section) {
         for (const std::string &domain : section.fields()) {
--- a/Libraries/LibServing/EntrySettings.h
+++ b/Libraries/LibServing/EntrySettings.h
@@ -5,6 +5,7 @@
 #include "LibRelay/Relay.h"
 #include "LibServing/Directory.h"
 #include "LibServing/ReaderSelection.h"
+#include "LibSettings/MemoryShares.h"
 #include "LibSettings/Reader.h"
 
 namespace Serving {
@@ -20,6 +21,7 @@
     Core::Address m_admin; ///< Listen address for metrics, state dump and health.
     Core::Address m_log; ///< Address of the platform's log.
     std::size_t m_connections = 2000; ///< Maximum number of caller connections.
+    Settings::MemoryShares m_memory = Settings::divideMemory(Settings::DefaultMemoryMegabytes * Settings::BytesPerMegabyte);
     Core::Duration m_leavingTime{8000}; ///< Maximum time from the termination signal to the end of the process.
     Core::Duration m_versionBound{8000}; ///< Time from the acceptance of a version until no request may start on an older one.
     Placement::RetryBudgetSettings m_retryBudgets;
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -12,6 +12,7 @@
 
 constexpr Core::Duration TickInterval{250}; ///< Interval at which buffered log lines are flushed.
 constexpr std::size_t MaximumAdminConnections = 16;
+constexpr std::uint32_t MaximumAdminBodyBytes = 64 << 10; ///< Most requests to the operators' interface have no body.
 
 Follow::FollowerSettings followerSettings()
 {
@@ -47,7 +48,7 @@
     , m_log(STDOUT_FILENO, m_settings.m_instance, m_metrics)
     , m_random(Core::freshSeed(m_settings.m_instance))
     , m_versions(m_settings.m_versionBound)
-    , m_node(Gossip::nodeSettings(m_settings.m_peers), m_metrics)
+    , m_node(Gossip::nodeSettings(m_settings.m_peers, m_settings.m_memory.m_peerBytes), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
     , m_follower(Follow::FollowerParts{m_loop, m_fleetState, m_versions, m_metrics, m_log, m_random},
                  followerSettings(),
@@ -116,6 +117,10 @@
     m_adminContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request) {
         Http::answerAdminRequest(m_admin, *connection, request);
     };
+    Http::RequestMemorySettings requests;
+    requests.m_limitBytes = m_settings.m_memory.m_requestBytes;
+    m_adminContext->m_requestMemory = std::make_shared<Http::RequestMemory>(requests);
+    m_adminContext->m_limits.m_maximumBodyBytes = MaximumAdminBodyBytes;
     BOOST_OUTCOME_TRYV(m_adminListener.start());
     m_admin.addDumpSection("transfer", [this] { return m_transfer.dump(); });
     m_gossip.registerMethods();
--- a/Libraries/LibStaging/AgentSettings.cpp
+++ b/Libraries/LibStaging/AgentSettings.cpp
@@ -58,6 +58,7 @@
     settings.m_admin = reader.address("admin");
     settings.m_log = reader.address("log");
     reader.section("engine", [&settings](Settings::Reader &section) { readEngine(section, settings); });
+    settings.m_memory = Settings::readMemoryShares(reader);
     reader.section("bounds", [&settings](Settings::Reader &section) {
         settings.m_versionBound = section.milliseconds("version_ms", 100, 600000, settings.m_versionBound.count());
         settings.m_weightsManager.m_loadSchedule.m_versionBound = settings.m_versionBound;
--- a/Libraries/LibStaging/AgentSettings.h
+++ b/Libraries/LibStaging/AgentSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibGossip/GossipService.h"
+#include "LibSettings/MemoryShares.h"
 #include "LibSettings/Reader.h"
 #include "LibStaging/WeightsManager.h"
 #include "LibTransfer/TransferSettings.h"
@@ -19,6 +20,7 @@
     Core::Address m_engine; ///< Address of the engine on this instance.
     Core::Duration m_versionBound{8000}; ///< Time from the acceptance of a version until no request may start on an older one.
     Core::Duration m_entrySilenceLimit{5000}; ///< After this long without a message from any entry, the agent reads the log directly.
+    Settings::MemoryShares m_memory = Settings::divideMemory(Settings::DefaultMemoryMegabytes * Settings::BytesPerMegabyte);
     WeightsManagerSettings m_weightsManager;
     Gossip::GossipSettings m_gossip;
     Transfer::TransferSettings m_transfer;
--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -15,6 +15,11 @@
 constexpr std::int32_t StreamWindow = 1 << 20;
 constexpr std::int32_t ConnectionWindow = 16 << 20;
 constexpr std::size_t FrameHeaderBytes = 9;
+constexpr std::size_t StreamBytes = 1 << 10; ///< Held for a stream besides its data.
+constexpr std::size_t LargeStreamBytes = 64 << 10; ///< A stream that holds more than this is a large one.
+/// Large streams may fill this part of the memory, so that connections and small messages always find some.
+constexpr std::size_t LargeStreamParts = 3;
+constexpr std::size_t LargeStreamDivisor = 4;
 constexpr std::string_view TimeoutHeader = "timeout-ms";
 constexpr std::string_view VersionHeader = "wire-version";
 constexpr std::string_view WireVersion = "1";
@@ -52,11 +57,12 @@
     return std::unique_ptr<Connection>(new Connection(id, std::move(socket), peer, State::Dialing, throughGateway, host));
 }
 
-std::unique_ptr<Connection> Connection::createAccepted(ConnectionId id, Poco::Net::StreamSocket socket, ConnectionHost &host)
+std::unique_ptr<Connection> Connection::createAccepted(ConnectionId id, Poco::Net::StreamSocket socket, Core::ByteReservation memory, ConnectionHost &host)
 {
     const Poco::Net::SocketAddress address = socket.peerAddress();
     const Core::Address peer{address.host().toString(), address.port()};
     std::unique_ptr<Connection> connection(new Connection(id, std::move(socket), peer, State::Open, false, host));
+    connection->m_memory = std::move(memory);
     connection->openSession(false);
     return connection;
 }
@@ -149,7 +155,8 @@
                   call.m_method,
                   call.m_options.m_timeout,
                   {},
-                  false};
+                  false,
+                  Core::ByteReservation(m_host.m_memory)};
     if (!stream.m_output->push(FrameKind::Message, call.m_body)) {
         stream.m_output->finish(FrameKind::Error, {});
     }
@@ -206,7 +213,8 @@
 std::shared_ptr<StreamOutput> Connection::makeOutput(std::int32_t streamId)
 {
     const std::function<void(ConnectionId, std::int32_t)> &markDirty = m_host.m_markDirty;
-    return std::make_shared<StreamOutput>(m_host.m_limits.m_maximumBacklogBytes, [markDirty, id = m_id, streamId] { markDirty(id, streamId); });
+    return std::make_shared<StreamOutput>(
+        m_host.m_limits.m_maximumBacklogBytes, m_host.m_memory, [markDirty, id = m_id, streamId] { markDirty(id, streamId); });
 }
 
 void Connection::onConnected()
@@ -444,12 +452,18 @@
     (*handler)(IncomingCall{stream.m_method, body, m_peerName, stream.m_timeout, responder});
 }
 
-int Connection::onBeginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *user)
+int Connection::onBeginHeaders(nghttp2_session *session, const nghttp2_frame *frame, void *user)
 {
     Connection &self = *static_cast<Connection *>(user);
     if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-        self.m_streams.emplace(frame->hd.stream_id,
-                               Stream{Purpose::Control, FrameDecoder(self.m_host.m_limits.m_maximumMessageBytes), nullptr, {}, Core::Duration(0), {}, false});
+        Core::ByteReservation memory(self.m_host.m_memory);
+        if (!memory.tryResize(StreamBytes)) {
+            nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
+            return 0;
+        }
+        self.m_streams.emplace(
+            frame->hd.stream_id,
+            Stream{Purpose::Control, FrameDecoder(self.m_host.m_limits.m_maximumMessageBytes), nullptr, {}, Core::Duration(0), {}, false, std::move(memory)});
     }
     return 0;
 }
@@ -473,26 +487,44 @@
     return 0;
 }
 
-int Connection::onDataChunk(nghttp2_session *session, uint8_t, int32_t streamId, const uint8_t *data, size_t length, void *user)
+int Connection::onDataChunk(nghttp2_session *, uint8_t, int32_t streamId, const uint8_t *data, size_t length, void *user)
 {
     Connection &self = *static_cast<Connection *>(user);
     const std::unordered_map<std::int32_t, Stream>::iterator found = self.m_streams.find(streamId);
     if (found == self.m_streams.end()) {
         return 0;
     }
+    if (!self.reserveStream(found->second, length)) {
+        const Core::Error error = Core::makeError(Core::ErrorCode::Overloaded, "receive call", self.m_peerName, "no memory is left for the message");
+        self.refuseStream(streamId, error, NGHTTP2_REFUSED_STREAM);
+        return 0;
+    }
     std::vector<Frame> frames;
     const Core::Result<void> fed = found->second.m_decoder.feed(std::string_view(reinterpret_cast<const char *>(data), length), frames);
+    self.reserveStream(found->second, 0);
     self.onFrames(streamId, frames);
     if (!fed) {
-        const std::unordered_map<std::int32_t, Stream>::iterator remaining = self.m_streams.find(streamId);
-        if (remaining != self.m_streams.end()) {
-            self.endCall(remaining->second, CallEnd{false, Delivery::Sent, fed.error()});
-        }
-        nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_PROTOCOL_ERROR);
+        self.refuseStream(streamId, fed.error(), NGHTTP2_PROTOCOL_ERROR);
     }
     return 0;
 }
 
+bool Connection::reserveStream(Stream &stream, std::size_t undecodedBytes) const
+{
+    const std::size_t bytes = StreamBytes + stream.m_decoder.partialBytes() + undecodedBytes;
+    const std::size_t limit = m_host.m_memory->limit();
+    return stream.m_memory.tryResize(bytes, bytes > LargeStreamBytes ? limit / LargeStreamDivisor * LargeStreamParts : limit);
+}
+
+void Connection::refuseStream(std::int32_t streamId, const Core::Error &error, std::uint32_t code)
+{
+    const std::unordered_map<std::int32_t, Stream>::iterator found = m_streams.find(streamId);
+    if (found != m_streams.end()) {
+        endCall(found->second, CallEnd{false, Delivery::Sent, error});
+    }
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, streamId, code);
+}
+
 int Connection::onFrameReceived(nghttp2_session *, const nghttp2_frame *frame, void *user)
 {
     const Connection &self = *static_cast<Connection *>(user);
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -1,6 +1,7 @@
 /// @file One HTTP/2 connection between two processes. Owned by a node and used on the node's thread only.
 #pragma once
 
+#include "LibCore/ByteBudget.h"
 #include "LibNetwork/Dialer.h"
 #include "LibWire/Call.h"
 #include "LibWire/Frame.h"
@@ -37,6 +38,7 @@
 {
     ConnectionLimits m_limits;
     Traffic *m_traffic = nullptr;
+    std::shared_ptr<Core::ByteBudget> m_memory; ///< For what all connections of the node hold.
     std::function<const Handler *(const std::string &method)> m_findHandler;
     /// Marks a stream as having data to send; may be called from any thread.
     std::function<void(ConnectionId connection, std::int32_t stream)> m_markDirty;
@@ -57,7 +59,7 @@
     static std::unique_ptr<Connection>
     createOutgoing(ConnectionId id, Poco::Net::StreamSocket socket, const Core::Address &peer, bool throughGateway, ConnectionHost &host);
     /// Creates the server side of an accepted connection.
-    static std::unique_ptr<Connection> createAccepted(ConnectionId id, Poco::Net::StreamSocket socket, ConnectionHost &host);
+    static std::unique_ptr<Connection> createAccepted(ConnectionId id, Poco::Net::StreamSocket socket, Core::ByteReservation memory, ConnectionHost &host);
     ~Connection();
 
     Connection(const Connection &) = delete;
@@ -124,6 +126,7 @@
         Core::Duration m_timeout{0};
         std::optional<NewCall> m_call; ///< Set on the calling side, until the call has ended.
         bool m_dispatched = false; ///< On the answering side: whether the handler has been called.
+        Core::ByteReservation m_memory; ///< For the stream and the incomplete frame in m_decoder.
     };
 
     Connection(ConnectionId id, Poco::Net::StreamSocket socket, Core::Address peer, State state, bool throughGateway, ConnectionHost &host);
@@ -135,6 +138,10 @@
     void receive(std::string_view bytes);
     void submitCall(NewCall call);
     void endCall(Stream &stream, const CallEnd &end);
+    /// Reserves memory for bytes of a stream before they are decoded, or for what is left of them afterwards. Returns false if there is none.
+    bool reserveStream(Stream &stream, std::size_t undecodedBytes) const;
+    /// Ends a stream whose data cannot be taken.
+    void refuseStream(std::int32_t streamId, const Core::Error &error, std::uint32_t code);
     void onFrames(std::int32_t streamId, const std::vector<Frame> &frames);
     void dispatch(std::int32_t streamId, Stream &stream, const std::string &body);
     std::shared_ptr<StreamOutput> makeOutput(std::int32_t streamId);
@@ -161,6 +168,7 @@
     std::vector<NewCall> m_waiting; ///< Calls that were started before the connection opened.
     std::string m_unsent; ///< Bytes that the socket has not accepted yet.
     std::string m_gatewayAnswer;
+    Core::ByteReservation m_memory; ///< For an accepted connection.
     Core::Instant m_created;
     Core::Instant m_lastReceived;
     Core::Instant m_lastPing;
--- a/Libraries/LibWire/Frame.cpp
+++ b/Libraries/LibWire/Frame.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t HeaderBytes = 5;
+constexpr std::size_t KeptCapacity = 1 << 10; ///< Of the buffer of an incomplete frame.
 
 struct PackedError
 {
@@ -65,6 +66,11 @@
         position += HeaderBytes + length;
     }
     m_partial.erase(0, position);
+    if (m_partial.empty() && m_partial.capacity() > KeptCapacity) {
+        m_partial.shrink_to_fit(); // A stream may stay open for long after a large frame.
+    } else if (m_partial.size() >= HeaderBytes) {
+        m_partial.reserve(HeaderBytes + decodeLength(m_partial)); // Text that grows step by step would take up to twice its size.
+    }
     return Core::success();
 }
 
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -36,6 +36,12 @@
     /// Appends the frames that @p bytes complete to @p frames. Fails with Corrupt on an unknown kind or a payload over the limit.
     Core::Result<void> feed(std::string_view bytes, std::vector<Frame> &frames);
 
+    /// Returns the number of bytes that are held of an incomplete frame.
+    std::size_t partialBytes() const
+    {
+        return m_partial.size();
+    }
+
 private:
     std::size_t m_maximumPayload;
     std::string m_partial; ///< The received part of an incomplete frame.
--- a/Libraries/LibWire/Node.cpp
+++ b/Libraries/LibWire/Node.cpp
@@ -19,6 +19,7 @@
 constexpr int EventsPerIteration = 256;
 constexpr int AcceptsPerIteration = 64;
 constexpr int ListenBacklog = 512;
+constexpr std::size_t ConnectionBytes = 8 << 10; ///< Reserved for an accepted connection without calls.
 constexpr Core::Duration TickInterval{100};
 
 Core::Error makeStoppingError()
@@ -30,6 +31,7 @@
 
 Node::Node(NodeSettings settings, Telemetry::Metrics &metrics)
     : m_settings(std::move(settings))
+    , m_memory(std::make_shared<Core::ByteBudget>(m_settings.m_memoryBytes))
     , m_traffic(metrics)
     , m_connectionsLost(metrics.counter("wire_connections_lost_total"))
     , m_callsRefused(metrics.counter("wire_calls_refused_total"))
@@ -38,6 +40,10 @@
 {
     m_host.m_limits = m_settings.m_limits;
     m_host.m_traffic = &m_traffic;
+    m_host.m_memory = m_memory;
+    metrics.gauge("memory_held_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->held()); });
+    metrics.gauge("memory_held_peak_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->peak()); });
+    metrics.gauge("memory_limit_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->limit()); });
     m_host.m_findHandler = [this](const std::string &method) {
         const std::map<std::string, Handler>::const_iterator it = m_handlers.find(method);
         return it == m_handlers.end() ? nullptr : &it->second;
@@ -257,13 +263,14 @@
     for (int accepts = 0; accepts < AcceptsPerIteration; ++accepts) {
         try {
             Poco::Net::StreamSocket socket = m_listener->acceptConnection();
-            if (m_connections.size() >= m_settings.m_maximumConnections) {
+            Core::ByteReservation memory(m_memory);
+            if (m_connections.size() >= m_settings.m_maximumConnections || !memory.tryResize(ConnectionBytes)) {
                 m_callsRefused.add();
                 continue;
             }
             socket.setBlocking(false);
             socket.setNoDelay(true);
-            std::unique_ptr<Connection> connection = Connection::createAccepted(m_nextConnection++, std::move(socket), m_host);
+            std::unique_ptr<Connection> connection = Connection::createAccepted(m_nextConnection++, std::move(socket), std::move(memory), m_host);
             Connection &added = *connection;
             m_connections.emplace(added.id(), std::move(connection));
             registerConnection(added);
--- a/Libraries/LibWire/Node.h
+++ b/Libraries/LibWire/Node.h
@@ -22,6 +22,7 @@
     Network::NetworkSettings m_network;
     ConnectionLimits m_limits;
     std::size_t m_maximumConnections = 4096;
+    std::size_t m_memoryBytes = 64 << 20; ///< Limit on the bytes that all connections hold for their peers.
     std::size_t m_commandCapacity = 1 << 16; ///< Maximum number of calls and cancellations that wait for the node's thread.
     Core::Duration m_idleTimeout{60000}; ///< A connection without calls is closed after this time.
 };
@@ -89,6 +90,7 @@
     void shutDownAll();
 
     const NodeSettings m_settings;
+    const std::shared_ptr<Core::ByteBudget> m_memory;
     Traffic m_traffic;
     Telemetry::Counter &m_connectionsLost;
     Telemetry::Counter &m_callsRefused;
--- a/Libraries/LibWire/StreamOutput.cpp
+++ b/Libraries/LibWire/StreamOutput.cpp
@@ -8,9 +8,10 @@
 
 namespace Wire {
 
-StreamOutput::StreamOutput(std::size_t maximumBacklog, std::function<void()> wake)
+StreamOutput::StreamOutput(std::size_t maximumBacklog, std::shared_ptr<Core::ByteBudget> memory, std::function<void()> wake)
     : m_maximumBacklog(maximumBacklog)
     , m_wake(std::move(wake))
+    , m_memory(std::move(memory))
 {
 }
 
@@ -21,8 +22,12 @@
         if (m_closed || m_finished || m_backlog + payload.size() > m_maximumBacklog) {
             return false;
         }
-        m_frames.push_back(encodeFrame(kind, payload));
-        m_backlog += m_frames.back().size();
+        std::string frame = encodeFrame(kind, payload);
+        if (!m_memory.tryResize(m_backlog + frame.size())) {
+            return false;
+        }
+        m_backlog += frame.size();
+        m_frames.push_back(std::move(frame));
     }
     m_wake();
     return true;
@@ -38,6 +43,7 @@
         m_finished = true;
         m_frames.push_back(encodeFrame(kind, payload));
         m_backlog += m_frames.back().size();
+        m_memory.resize(m_backlog);
     }
     m_wake();
 }
@@ -49,6 +55,7 @@
     m_frames.clear();
     m_firstFrameOffset = 0;
     m_backlog = 0;
+    m_memory.resize(0);
 }
 
 bool StreamOutput::isClosed() const
@@ -91,6 +98,7 @@
             m_firstFrameOffset = 0;
         }
     }
+    m_memory.resize(m_backlog);
     taken.m_isLast = m_finished && m_frames.empty();
     return taken;
 }
--- a/Tests/LibGossip/TestStateRequests.cpp
+++ b/Tests/LibGossip/TestStateRequests.cpp
@@ -33,7 +33,7 @@
         m_self.m_id = "self";
         m_self.m_role = Gossip::Role::Entry;
         m_self.m_peers = Network::freeLoopbackAddress();
-        m_node = std::make_unique<Wire::Node>(Gossip::nodeSettings(m_self.m_peers), m_metrics);
+        m_node = std::make_unique<Wire::Node>(Gossip::nodeSettings(m_self.m_peers, Wire::NodeSettings().m_memoryBytes), m_metrics);
         m_gossip = std::make_unique<Gossip::GossipService>(
             Gossip::GossipParts{m_loop, *m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, Gossip::GossipSettings{}, m_self);
         m_gossip->registerMethods();
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -22,7 +22,7 @@
     EchoServer()
     {
         m_context->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
-            const std::string body = request.m_body;
+            const std::string body = request.m_body.bytes();
             m_requests.push_back(std::move(request));
             connection->answer(200, {}, body);
         };
--- a/Tests/LibServing/TestVerdictKeeper.cpp
+++ b/Tests/LibServing/TestVerdictKeeper.cpp
@@ -109,7 +109,7 @@
     Core::Random m_random{1};
     Fleet::FleetState m_fleetState;
     Placement::VersionDeadlines m_versions{Core::Duration(6500)};
-    Wire::Node m_node{Gossip::nodeSettings(Core::Address{"127.0.0.1", 0}), m_metrics};
+    Wire::Node m_node{Gossip::nodeSettings(Core::Address{"127.0.0.1", 0}, Wire::NodeSettings().m_memoryBytes), m_metrics};
     Quarantine::PartQuarantine m_quarantine;
     Gossip::GossipService m_gossip{Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, {}, member("entry-1")};
     Serving::VerdictKeeper m_keeper;
--- a/Tests/Support/LoopbackPeer.h
+++ b/Tests/Support/LoopbackPeer.h
@@ -1,6 +1,7 @@
 /// @file Scripted clients and servers, for tests that need a peer which violates the protocol.
 #pragma once
 
+#include "LibCore/Address.h"
 #include "LibHttp/EventLoop.h"
 
 #include <boost/asio/connect.hpp>
@@ -37,9 +38,14 @@
 {
 public:
     RawCaller(Http::EventLoop &loop, std::uint16_t port)
+        : RawCaller(loop, Core::Address{"127.0.0.1", port})
+    {
+    }
+
+    RawCaller(Http::EventLoop &loop, const Core::Address &address)
         : m_socket(loop)
     {
-        m_socket.connect(loopback(port));
+        m_socket.connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address_v4(address.m_host), address.m_port));
         read();
     }
 
