platform, LibFleet, LibRelay: Tell absent, empty and unreadable lists apart

What callers saw: once the operators removed the last client account, the next configuration held an empty list of accounts, and both entries let every request through without a key: 10 of 10 bookings ran with the key that had been dropped and 10 of 10 with one that no configuration ever held.

Cause: a list that is absent, a list that is empty and a list of which nothing can be read were one value, and that value meant that everything is allowed. The reader of JSON dropped elements of another type before anything could count them; the configuration had no field that told the cases apart; the message between processes did not either.

Change: Json::List says whether the field exists and how many elements could not be read, and every reader decides on both. - Accounts: Configuration::m_needsKeys is false only if the declaration has no list of accounts. An empty or unreadable list lets nobody in, except on public routes. A message without the field counts as closed. - Homes of routes and accounts: a list of which nothing can be read allows no region.

Why it works: the decision no longer rests on the number of elements that could be read.

--- a/Libraries/LibFleet/Configuration.cpp
+++ b/Libraries/LibFleet/Configuration.cpp
@@ -55,13 +55,15 @@
 ConfigurationIndex::ConfigurationIndex(Configuration configuration)
     : m_configuration(std::move(configuration))
 {
+    for (const UnreadableRoute &route : m_configuration.m_unreadableRoutes) {
+        m_prefixesByHost[route.m_host].push_back(Prefix{route.m_pathPrefix, nullptr});
+    }
     for (const Route &route : m_configuration.m_routes) {
-        m_routesByHost[route.m_host].push_back(&route);
+        m_prefixesByHost[route.m_host].push_back(Prefix{route.m_pathPrefix, &route});
     }
-    for (std::pair<const std::string, std::vector<const Route *>> &entry : m_routesByHost) {
-        std::stable_sort(entry.second.begin(), entry.second.end(), [](const Route *left, const Route *right) {
-            return left->m_pathPrefix.size() > right->m_pathPrefix.size();
-        });
+    for (std::pair<const std::string, std::vector<Prefix>> &entry : m_prefixesByHost) {
+        std::stable_sort(
+            entry.second.begin(), entry.second.end(), [](const Prefix &left, const Prefix &right) { return left.m_path.size() > right.m_path.size(); });
     }
     for (const ClientAccount &account : m_configuration.m_accounts) {
         for (const std::string &key : account.m_keys) {
@@ -75,13 +77,13 @@
 
 const Route *ConfigurationIndex::route(const std::string &host, const std::string &path) const
 {
-    const std::map<std::string, std::vector<const Route *>>::const_iterator routes = m_routesByHost.find(host);
-    if (routes == m_routesByHost.end()) {
+    const std::map<std::string, std::vector<Prefix>>::const_iterator prefixes = m_prefixesByHost.find(host);
+    if (prefixes == m_prefixesByHost.end()) {
         return nullptr;
     }
-    for (const Route *candidate : routes->second) {
-        if (path.starts_with(candidate->m_pathPrefix)) {
-            return candidate;
+    for (const Prefix &prefix : prefixes->second) {
+        if (path.starts_with(prefix.m_path)) {
+            return prefix.m_route;
         }
     }
     return nullptr;
--- a/Libraries/LibFleet/Configuration.h
+++ b/Libraries/LibFleet/Configuration.h
@@ -46,7 +46,7 @@
     bool m_isPublic = false; ///< Callers need no key.
     bool m_isSticky = false; ///< Requests state which parts their prompts consist of.
     bool m_isResumable = false; ///< Another endpoint can continue a stream after a given event.
-    std::vector<std::string> m_homeRegions; ///< Regions whose endpoints may serve its requests; empty if all may.
+    std::optional<std::vector<std::string>> m_homeRegions; ///< Regions whose endpoints may serve its requests, none if the list is empty; absent if all may.
 
     bool operator==(const Route &) const = default;
 
@@ -157,13 +157,25 @@
     std::string m_name;
     std::vector<std::string> m_keys;
     std::optional<std::uint32_t> m_priority; ///< 0 is the most urgent; overrides the priority of routes.
-    std::vector<std::string> m_homeRegions; ///< Regions whose endpoints may serve its requests; empty if all may. Binds together with the route's.
+    /// Regions whose endpoints may serve its requests, none if the list is empty; absent if all may. Binds together with the route's.
+    std::optional<std::vector<std::string>> m_homeRegions;
 
     bool operator==(const ClientAccount &) const = default;
 
     MSGPACK_DEFINE_ARRAY(m_name, m_keys, m_priority, m_homeRegions);
 };
 
+/// Host and path prefix of a route that cannot be read.
+struct UnreadableRoute
+{
+    std::string m_host; ///< As in Route.
+    std::string m_pathPrefix;
+
+    bool operator==(const UnreadableRoute &) const = default;
+
+    MSGPACK_DEFINE_ARRAY(m_host, m_pathPrefix);
+};
+
 /// One complete accepted configuration. Versions increase, not necessarily by one.
 struct Configuration
 {
@@ -171,12 +183,15 @@
     std::vector<Route> m_routes;
     std::vector<Service> m_services;
     CallerLimits m_limits;
-    std::vector<ClientAccount> m_accounts; ///< Empty if callers need no keys.
-    std::uint32_t m_skippedItems = 0; ///< Routes, services and accounts of the declaration that could not be read and are left out.
+    std::vector<ClientAccount> m_accounts;
+    std::uint32_t m_skippedItems = 0; ///< Elements of the declaration's lists that could not be read and are left out.
+    /// Callers need the key of an account, except on public routes; also if there are no accounts. False only if the declaration has no list of accounts.
+    bool m_needsKeys = true;
+    std::vector<UnreadableRoute> m_unreadableRoutes; ///< Their requests must not be served by routes with shorter prefixes.
 
     bool operator==(const Configuration &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_version, m_routes, m_services, m_limits, m_accounts, m_skippedItems);
+    MSGPACK_DEFINE_ARRAY(m_version, m_routes, m_services, m_limits, m_accounts, m_skippedItems, m_needsKeys, m_unreadableRoutes);
 };
 
 /// Derives from the routes to each service whether its running requests may move to another endpoint.
@@ -202,7 +217,7 @@
         return m_configuration;
     }
 
-    /// Returns the route of the host with the longest prefix of @p path; null if there is none.
+    /// Returns the route of the host with the longest prefix of @p path; null if there is none, or if it cannot be read.
     const Route *route(const std::string &host, const std::string &path) const;
     /// Returns the account that holds the key; null if there is none.
     const ClientAccount *accountOfKey(const std::string &key) const;
@@ -213,7 +228,13 @@
 
 private:
     const Configuration m_configuration;
-    std::map<std::string, std::vector<const Route *>> m_routesByHost; ///< Longest prefix first.
+    struct Prefix
+    {
+        std::string m_path;
+        const Route *m_route = nullptr; ///< Null if the route cannot be read.
+    };
+
+    std::map<std::string, std::vector<Prefix>> m_prefixesByHost; ///< Longest first.
     std::map<std::string, const ClientAccount *> m_accountsByKey;
     std::map<std::string, const Service *> m_servicesByName;
 };
--- a/Libraries/LibFleet/Endpoint.cpp
+++ b/Libraries/LibFleet/Endpoint.cpp
@@ -8,10 +8,10 @@
 
 bool holdsEveryLayer(const LoadedWeights &weights, std::uint32_t layers)
 {
-    if (weights.m_layers.empty()) {
+    if (!weights.m_layers) {
         return true;
     }
-    std::vector<LayerRange> ranges = weights.m_layers;
+    LayerRanges ranges = *weights.m_layers;
     std::sort(ranges.begin(), ranges.end(), [](const LayerRange &left, const LayerRange &right) { return left.m_first < right.m_first; });
     std::uint32_t covered = 0;
     for (const LayerRange &range : ranges) {
--- a/Libraries/LibFleet/Endpoint.h
+++ b/Libraries/LibFleet/Endpoint.h
@@ -21,12 +21,14 @@
     MSGPACK_DEFINE_ARRAY(m_first, m_end);
 };
 
+using LayerRanges = std::vector<LayerRange>;
+
 /// A version of a model's weights as an engine has it loaded.
 struct LoadedWeights
 {
     std::string m_model;
     std::uint64_t m_version = 0;
-    std::vector<LayerRange> m_layers; ///< Empty if the engine lists no layers, which means that it has all of them.
+    std::optional<LayerRanges> m_layers; ///< Absent if the engine lists no layers, which means that it has all of them.
 
     bool operator==(const LoadedWeights &) const = default;
 
--- a/Libraries/LibJson/Json.cpp
+++ b/Libraries/LibJson/Json.cpp
@@ -3,6 +3,7 @@
 #include "LibJson/Json.h"
 
 #include <Poco/JSON/Parser.h>
+#include <functional>
 #include <sstream>
 
 namespace Json {
@@ -21,6 +22,28 @@
     return object.get(field);
 }
 
+/// Returns a list of the elements that @p read can read.
+template <typename T>
+List<T> listOf(const Poco::JSON::Object &object, const std::string &field, const std::function<std::optional<T>(const Poco::Dynamic::Var &)> &read)
+{
+    List<T> list;
+    list.m_isPresent = object.has(field);
+    const Poco::JSON::Array::Ptr elements = object.getArray(field);
+    if (!elements) {
+        list.m_unreadable = list.m_isPresent ? 1 : 0;
+        return list;
+    }
+    for (std::size_t index = 0; index < elements->size(); ++index) {
+        std::optional<T> element = read(elements->get(static_cast<unsigned>(index)));
+        if (element) {
+            list.m_items.push_back(std::move(*element));
+        } else {
+            ++list.m_unreadable;
+        }
+    }
+    return list;
+}
+
 }
 
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text)
@@ -101,30 +124,19 @@
     return object.getObject(field);
 }
 
-std::vector<Poco::JSON::Object::Ptr> objectsOf(const Poco::JSON::Object &object, const std::string &field)
+List<Poco::JSON::Object::Ptr> objectsOf(const Poco::JSON::Object &object, const std::string &field)
 {
-    std::vector<Poco::JSON::Object::Ptr> objects;
-    const Poco::JSON::Array::Ptr list = object.getArray(field);
-    for (std::size_t index = 0; list && index < list->size(); ++index) {
-        const Poco::JSON::Object::Ptr element = list->getObject(static_cast<unsigned>(index));
-        if (element) {
-            objects.push_back(element);
-        }
-    }
-    return objects;
+    return listOf<Poco::JSON::Object::Ptr>(object, field, [](const Poco::Dynamic::Var &element) {
+        const bool isObject = element.type() == typeid(Poco::JSON::Object::Ptr);
+        return isObject ? std::optional<Poco::JSON::Object::Ptr>(element.extract<Poco::JSON::Object::Ptr>()) : std::nullopt;
+    });
 }
 
-std::vector<std::string> textsOf(const Poco::JSON::Object &object, const std::string &field)
+List<std::string> textsOf(const Poco::JSON::Object &object, const std::string &field)
 {
-    std::vector<std::string> texts;
-    const Poco::JSON::Array::Ptr list = object.getArray(field);
-    for (std::size_t index = 0; list && index < list->size(); ++index) {
-        const Poco::Dynamic::Var element = list->get(static_cast<unsigned>(index));
-        if (element.isString()) {
-            texts.push_back(element.convert<std::string>());
-        }
-    }
-    return texts;
+    return listOf<std::string>(object, field, [](const Poco::Dynamic::Var &element) {
+        return element.isString() ? std::optional<std::string>(element.convert<std::string>()) : std::nullopt;
+    });
 }
 
 Core::Result<void> refuseUnknownFields(const Poco::JSON::Object &object, const std::vector<std::string> &known)
--- a/Libraries/LibJson/Json.h
+++ b/Libraries/LibJson/Json.h
@@ -28,9 +28,28 @@
 std::optional<std::string> optionalText(const Poco::JSON::Object &object, const std::string &field);
 /// Returns null if the field is absent or not an object.
 Poco::JSON::Object::Ptr optionalObject(const Poco::JSON::Object &object, const std::string &field);
-/// Each returns the elements of a list that are objects or texts; empty if the field is absent or not a list.
-std::vector<Poco::JSON::Object::Ptr> objectsOf(const Poco::JSON::Object &object, const std::string &field);
-std::vector<std::string> textsOf(const Poco::JSON::Object &object, const std::string &field);
+/**
+ * What a field that should be a list holds.
+ *
+ * A list can restrict something, for example to the holders of keys. An absent field, an empty list and a list that cannot be read therefore mean different
+ * things, and every reader has to decide about each of them.
+ */
+template <typename T>
+struct List
+{
+    bool m_isPresent = false; ///< The field exists, whatever it holds.
+    std::vector<T> m_items; ///< The elements of the right type.
+    std::uint32_t m_unreadable = 0; ///< Number of other elements; 1 if the field holds no list.
+
+    bool isComplete() const
+    {
+        return m_isPresent && m_unreadable == 0;
+    }
+};
+
+/// Each returns a list of objects or of texts.
+List<Poco::JSON::Object::Ptr> objectsOf(const Poco::JSON::Object &object, const std::string &field);
+List<std::string> textsOf(const Poco::JSON::Object &object, const std::string &field);
 
 /// Fails with InvalidInput if the object has a field outside @p known.
 Core::Result<void> refuseUnknownFields(const Poco::JSON::Object &object, const std::vector<std::string> &known);
--- a/Libraries/LibPlacement/AllowedPlaces.cpp
+++ b/Libraries/LibPlacement/AllowedPlaces.cpp
@@ -10,7 +10,7 @@
 
 bool includes(const HomeRegions &homes, const std::string &region)
 {
-    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+    return !homes || std::find(homes->begin(), homes->end(), region) != homes->end();
 }
 
 }
@@ -18,7 +18,7 @@
 AllowedPlaces homePlaces(const HomeRegions &route, const HomeRegions &account, const RegionsByDomain &regions)
 {
     AllowedPlaces places;
-    places.m_hasHomes = !route.empty() || !account.empty();
+    places.m_hasHomes = route || account;
     if (!places.m_hasHomes) {
         return places;
     }
--- a/Libraries/LibPlacement/AllowedPlaces.h
+++ b/Libraries/LibPlacement/AllowedPlaces.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,8 +12,8 @@
 /// Region of each failure domain.
 using RegionsByDomain = std::map<std::string, std::string>;
 
-/// Regions in which something may be served; an empty list allows all.
-using HomeRegions = std::vector<std::string>;
+/// Regions in which something may be served, nowhere if the list is empty; absent if it may be served everywhere.
+using HomeRegions = std::optional<std::vector<std::string>>;
 
 /// Failure domains whose endpoints may serve a request. The default allows all.
 struct AllowedPlaces
--- a/Libraries/LibRelay/CallerAccess.cpp
+++ b/Libraries/LibRelay/CallerAccess.cpp
@@ -11,7 +11,7 @@
 
 bool mayUseRoute(const Fleet::ConfigurationIndex &configuration, const Fleet::Route &route, const RequestFacts &facts)
 {
-    return route.m_isPublic || configuration.configuration().m_accounts.empty() || accountOf(configuration, facts) != nullptr;
+    return route.m_isPublic || !configuration.configuration().m_needsKeys || accountOf(configuration, facts) != nullptr;
 }
 
 Core::Duration requestTimeout(const Fleet::Route &route, const RequestFacts &facts)
--- a/Libraries/LibServing/Directory.cpp
+++ b/Libraries/LibServing/Directory.cpp
@@ -23,16 +23,15 @@
 {
     std::optional<std::vector<std::string>> common;
     for (const Fleet::Route &route : routes) {
-        if (route.m_host != host || route.m_homeRegions.empty()) {
+        if (route.m_host != host || !route.m_homeRegions) {
             continue;
         }
+        const std::vector<std::string> &homes = *route.m_homeRegions;
         if (!common) {
-            common = route.m_homeRegions;
+            common = homes;
             continue;
         }
-        std::erase_if(*common, [&route](const std::string &region) {
-            return std::find(route.m_homeRegions.begin(), route.m_homeRegions.end(), region) == route.m_homeRegions.end();
-        });
+        std::erase_if(*common, [&homes](const std::string &region) { return std::find(homes.begin(), homes.end(), region) == homes.end(); });
     }
     return common.value_or(std::vector<std::string>());
 }
--- a/Tests/LibGossip/TestMessages.cpp
+++ b/Tests/LibGossip/TestMessages.cpp
@@ -73,7 +73,7 @@
     relayed.m_sender = member(0);
     relayed.m_weights = regular.m_weights;
     Gossip::EngineUpdate update{Core::Address{"10.200.100.200", 8014}, 1789000000000, 4000000000U, 100000, {12, 24, 1.25, false, {}}};
-    update.m_report.m_weights = {Fleet::LoadedWeights{"daka510000", 2, {Fleet::LayerRange{0, 16}}}};
+    update.m_report.m_weights = {Fleet::LoadedWeights{"daka510000", 2, Fleet::LayerRanges{{0, 16}}}};
     relayed.m_engineUpdates.assign(settings.m_relayBatchSize, update);
     CHECK(Wire::pack(relayed).size() < PacketBytes);
 }
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -43,7 +43,7 @@
         known.m_endpoint.m_service = "drafts";
         known.m_endpoint.m_slots = 16;
         known.m_endpoint.m_failureDomain = "here";
-        known.m_endpoint.m_weights = {Fleet::LoadedWeights{"draft", version, {{0, 16}}}};
+        known.m_endpoint.m_weights = {Fleet::LoadedWeights{"draft", version, Fleet::LayerRanges{{0, 16}}}};
         return known.m_endpoint;
     }
 
@@ -75,7 +75,7 @@
     fleet.add("partial").m_weights[0].m_layers = {{0, 8}};
     Placement::EngineReport loading;
     loading.m_isLoading = true;
-    loading.m_weights = {Fleet::LoadedWeights{"draft", 1, {{0, 16}}}};
+    loading.m_weights = {Fleet::LoadedWeights{"draft", 1, Fleet::LayerRanges{{0, 16}}}};
     fleet.m_endpointTracker.recordEngineReport(fleet.add("loading"), loading, Start);
     CHECK_FALSE(fleet.choose(request()).m_choice);
     CHECK(fleet.choose(request()).m_reason == Placement::NoChoiceReason::NoWeights);
