LibHttp: Limit the wait for memory by a timer of its own

A request that waited for memory could wait for as long as its caller kept the connection open: the timer of the reader grants time while bytes wait unread, which is always so for a request that is not read. The test of a refused request now leaves most of the body unread, and failed before. A rejected request also stops the limit on its head, which could have rejected it a second time within the longer time that its rest is ignored; a connection whose caller does not read that answer is closed. A chunked body no longer reserves more than the largest body allowed.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -32,7 +32,6 @@
 constexpr std::size_t HeadCopies = 3; ///< A request's head is held as received, as fields, and as fields to be sent.
 /// Held for a request besides its head and its body: its state and the buffers of its reader and of its call to an endpoint.
 constexpr std::size_t RequestOverheadBytes = 16 << 10;
-constexpr std::size_t SmallestBodyCapacity = 4 << 10; ///< Of a body whose length is not declared.
 constexpr Core::Duration DiscardLimit{2000}; ///< Time for which the rest of a rejected request is ignored, so that its caller reads the answer.
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
@@ -74,6 +73,7 @@
         , m_timer(m_socket)
         , m_closeCheckTimer(m_socket.get_executor())
         , m_lingerTimer(m_socket.get_executor())
+        , m_memoryTimer(m_socket.get_executor())
     {
     }
 
@@ -81,6 +81,7 @@
     ProgressTimer m_timer;
     Timer m_closeCheckTimer; ///< For a peer that has sent the next request before the answer.
     Timer m_lingerTimer; ///< Until a connection is closed whose last answer was sent.
+    Timer m_memoryTimer; ///< Limits the wait for memory. The bytes that wait unread meanwhile must not prolong it as they would prolong m_timer.
     Beast::flat_buffer m_buffer; ///< Received and not parsed.
     std::optional<RequestParser> m_parser; ///< Set while a request is read.
     ServerRequest m_request; ///< The current request, from the end of its head until it is passed to the handler.
@@ -307,15 +308,22 @@
         return;
     }
     m_state->m_waitsSince = now;
-    startTimer(limit, [this, bytes] {
-        cancelMemoryWait();
-        refuseForMemory(bytes);
-    });
-    m_state->m_memoryTicket = memory.await(m_state->m_memory, bytes, [self = shared_from_this(), resume] {
+    m_state->m_timer.stop();
+    const RequestMemory::Ticket ticket = memory.await(m_state->m_memory, bytes, [self = shared_from_this(), resume] {
         self->m_state->m_memoryTicket.reset();
+        self->m_state->m_memoryTimer.cancel();
         self->recordMemoryWait();
         (self.get()->*resume)();
     });
+    m_state->m_memoryTicket = ticket;
+    m_state->m_memoryTimer.expires_after(limit);
+    m_state->m_memoryTimer.async_wait([weak = weak_from_this(), bytes, ticket](const boost::system::error_code &error) {
+        const std::shared_ptr<ServerConnection> self = weak.lock();
+        if (!error && self && self->m_state->m_memoryTicket == ticket) {
+            self->cancelMemoryWait();
+            self->refuseForMemory(bytes);
+        }
+    });
 }
 
 void ServerConnection::recordMemoryWait()
@@ -329,6 +337,7 @@
         return;
     }
     recordMemoryWait();
+    m_state->m_memoryTimer.cancel();
     m_context->m_requestMemory->cancel(*std::exchange(m_state->m_memoryTicket, std::nullopt));
 }
 
@@ -366,8 +375,9 @@
 std::size_t ServerConnection::neededBodyCapacity() const
 {
     const std::string &body = m_state->m_parser->get().body();
-    const std::size_t received = std::min<std::size_t>(body.size() + m_state->m_buffer.size(), m_context->m_limits.m_maximumBodyBytes);
-    return received <= body.capacity() ? body.capacity() : std::max({received, 2 * body.capacity(), SmallestBodyCapacity});
+    const std::size_t maximum = m_context->m_limits.m_maximumBodyBytes;
+    const std::size_t received = std::min(body.size() + m_state->m_buffer.size(), maximum);
+    return received <= body.capacity() ? body.capacity() : std::clamp(2 * body.capacity(), received, std::max(received, maximum));
 }
 
 void ServerConnection::parseBody()
@@ -416,6 +426,7 @@
     m_closeAfterAnswer = true;
     m_state->m_parser.reset();
     m_state->m_memory = Core::ByteReservation();
+    startTimer(DiscardLimit, [this] { close(); }); // The other end may not read the answer. The limit of the reader no longer counts.
     fields.push_back(HeaderField{"Content-Type", "text/plain"});
     answer(status, std::move(fields), reason + "\n");
     if (!m_isReceiving) {
--- a/Tests/LibHttp/TestRequestMemory.cpp
+++ b/Tests/LibHttp/TestRequestMemory.cpp
@@ -120,9 +120,9 @@
     server.m_context->m_maximumMemoryWait = [](const Http::ServerRequest &) { return Core::Duration(50); };
     const std::unique_ptr<RawCaller> first = server.send(post(LargeBytes));
     REQUIRE(server.awaitOpen(1));
-    const std::unique_ptr<RawCaller> second = server.send(post(LargeBytes, 10));
+    const std::unique_ptr<RawCaller> second = server.send(post(LargeBytes, LargeBytes / 2)); // The server leaves most of it unread.
     REQUIRE(runUntil(server.m_loop, [&second] { return !second->received().empty(); }));
-    second->send(std::string(LargeBytes - 10, 'w'));
+    second->send(std::string(LargeBytes / 2, 'w'));
     CHECK(statusOf(*second) == "HTTP/1.1 503");
     CHECK(second->received().find("Retry-After: 1.50\r\n") != std::string::npos);
     REQUIRE(runUntil(server.m_loop, [&second] { return second->isClosed(); }));
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -263,6 +263,18 @@
     CHECK(countAnswers(caller) == 1);
 }
 
+TEST_CASE("A request that was rejected is not rejected again by the limit on the time of its head")
+{
+    EchoServer server;
+    server.m_context->m_limits.m_headTimeout = ShortLimit;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    runUntil(
+        server.m_loop, [] { return false; }, ShortLimit * 4);
+    CHECK(countAnswers(caller) == 1);
+}
+
 TEST_CASE("A caller that closes its connection after it sent another request is noticed while the first one runs")
 {
     // Guards against engines that work for a caller who has left.
