LibFleet: Keep messages readable for peers of the last release

A list that may be absent was sent as nil when absent, which processes of the last release reject, and their empty arrays were read as lists that allow nothing: while both releases run, entries would have refused routes without homes and used no engine that lists no layers. Found by reading before any run with both. Absent lists are empty arrays again, and only an empty list, which the last release could not tell from an absent one, is nil.

--- a/Libraries/LibFleet/Configuration.h
+++ b/Libraries/LibFleet/Configuration.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Address.h"
+#include "LibFleet/OptionalList.h"
 
 #include <cstdint>
 #include <map>
@@ -46,7 +47,7 @@
     bool m_isPublic = false; ///< Callers need no key.
     bool m_isSticky = false; ///< Requests state which parts their prompts consist of.
     bool m_isResumable = false; ///< Another endpoint can continue a stream after a given event.
-    std::optional<std::vector<std::string>> m_homeRegions; ///< Regions whose endpoints may serve its requests, none if the list is empty; absent if all may.
+    OptionalList<std::string> m_homeRegions; ///< Regions whose endpoints may serve its requests, none if the list is empty; absent if all may.
 
     bool operator==(const Route &) const = default;
 
@@ -158,7 +159,7 @@
     std::vector<std::string> m_keys;
     std::optional<std::uint32_t> m_priority; ///< 0 is the most urgent; overrides the priority of routes.
     /// Regions whose endpoints may serve its requests, none if the list is empty; absent if all may. Binds together with the route's.
-    std::optional<std::vector<std::string>> m_homeRegions;
+    OptionalList<std::string> m_homeRegions;
 
     bool operator==(const ClientAccount &) const = default;
 
--- a/Libraries/LibFleet/Endpoint.h
+++ b/Libraries/LibFleet/Endpoint.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Address.h"
+#include "LibFleet/OptionalList.h"
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -28,7 +29,7 @@
 {
     std::string m_model;
     std::uint64_t m_version = 0;
-    std::optional<LayerRanges> m_layers; ///< Absent if the engine lists no layers, which means that it has all of them.
+    OptionalList<LayerRange> m_layers; ///< Absent if the engine lists no layers, which means that it has all of them.
 
     bool operator==(const LoadedWeights &) const = default;
 
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -124,7 +124,8 @@
         m_relay.m_parts.m_quarantine.recordArrival(m_promptParts, m_arrivedAt);
     }
     m_relay.m_parts.m_retryBudgets.recordRequest(m_service->m_name, Core::Clock::now());
-    m_places = Placement::homePlaces(m_route->m_homeRegions, m_account ? m_account->m_homeRegions : Placement::HomeRegions(), m_relay.m_settings.m_regions);
+    const Placement::HomeRegions accountHomes = m_account ? m_account->m_homeRegions : Fleet::OptionalList<std::string>();
+    m_places = Placement::homePlaces(m_route->m_homeRegions, accountHomes, m_relay.m_settings.m_regions);
     m_rank = m_account && m_account->m_priority ? *m_account->m_priority : m_route->m_priority;
     if (m_service->m_mostUrgentRank) {
         m_rank = rankOf(*m_route, m_account);
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -72,7 +72,7 @@
     TestFleet fleet;
     fleet.add("leaving").m_isLeaving = true;
     fleet.add("empty").m_weights.clear();
-    fleet.add("partial").m_weights[0].m_layers = {{0, 8}};
+    fleet.add("partial").m_weights[0].m_layers = Fleet::LayerRanges{{0, 8}};
     Placement::EngineReport loading;
     loading.m_isLoading = true;
     loading.m_weights = {Fleet::LoadedWeights{"draft", 1, Fleet::LayerRanges{{0, 16}}}};
--- a/Tests/LibServing/TestDirectory.cpp
+++ b/Tests/LibServing/TestDirectory.cpp
@@ -67,8 +67,8 @@
         route.m_host = "a";
     }
     CHECK(Serving::commonHomes(routes, "a").empty());
-    routes[0].m_homeRegions = {"north", "east"};
-    routes[1].m_homeRegions = {"east"};
+    routes[0].m_homeRegions = std::vector<std::string>{"north", "east"};
+    routes[1].m_homeRegions = std::vector<std::string>{"east"};
     CHECK(Serving::commonHomes(routes, "a") == std::vector<std::string>{"east"});
     CHECK(Serving::commonHomes(routes, "b").empty());
 }
