LibHttp: Grant memory to waiting requests from the event loop

A request that waited for memory continued inside the destructor of the body that gave memory back, so in the middle of ending another request, or of destroying the relay when the process stops. Found by reading the change; LibHttp/TestRequestMemory checks that nothing is granted before the event loop runs.

--- a/Libraries/LibHttp/RequestMemory.cpp
+++ b/Libraries/LibHttp/RequestMemory.cpp
@@ -14,8 +14,9 @@
 
 }
 
-RequestMemory::RequestMemory(RequestMemorySettings settings)
-    : m_settings(settings)
+RequestMemory::RequestMemory(EventLoop &loop, RequestMemorySettings settings)
+    : m_loop(loop)
+    , m_settings(settings)
     , m_budget(std::make_shared<Core::ByteBudget>(settings.m_limitBytes))
 {
     m_budget->onGivenBack([this](std::size_t bytes) { onGivenBack(bytes); });
@@ -23,6 +24,7 @@
 
 RequestMemory::~RequestMemory()
 {
+    *m_isAlive = false;
     m_budget->onGivenBack(nullptr); // Bodies may outlive this object.
 }
 
@@ -63,7 +65,7 @@
 void RequestMemory::cancel(Ticket ticket)
 {
     std::erase_if(m_waiters, [ticket](const Waiter &waiter) { return waiter.m_ticket == ticket; });
-    grantWaiting(); // The next one may need less.
+    scheduleGrants(); // The next one may need less.
 }
 
 std::optional<Core::Duration> RequestMemory::expectedWait(std::size_t bytes, Core::Instant now) const
@@ -83,13 +85,30 @@
 
 void RequestMemory::onGivenBack(std::size_t bytes)
 {
+    if (m_waiters.empty()) {
+        return;
+    }
     m_givenBackBytes += static_cast<double>(bytes);
     const Core::Instant now = Core::Clock::now();
     if (Core::secondsBetween(m_saturatedSince, now) > MaximumRatePeriodSeconds) {
         m_saturatedSince += (now - m_saturatedSince) / 2;
         m_givenBackBytes /= 2;
     }
-    grantWaiting();
+    scheduleGrants();
+}
+
+void RequestMemory::scheduleGrants()
+{
+    if (m_isScheduled || m_waiters.empty()) {
+        return;
+    }
+    m_isScheduled = true;
+    boost::asio::post(m_loop, [this, alive = m_isAlive] {
+        if (*alive) {
+            m_isScheduled = false;
+            grantWaiting();
+        }
+    });
 }
 
 std::optional<RequestMemory::Waiter> RequestMemory::takeGrantable()
@@ -112,15 +131,9 @@
 
 void RequestMemory::grantWaiting()
 {
-    // A callback may end its request at once, which gives bytes back and calls this function again.
-    if (m_isGranting) {
-        return;
-    }
-    m_isGranting = true;
     while (const std::optional<Waiter> waiter = takeGrantable()) {
         waiter->m_granted();
     }
-    m_isGranting = false;
 }
 
 }
--- a/Libraries/LibHttp/RequestMemory.h
+++ b/Libraries/LibHttp/RequestMemory.h
@@ -3,6 +3,7 @@
 
 #include "LibCore/ByteBudget.h"
 #include "LibCore/Clock.h"
+#include "LibHttp/EventLoop.h"
 
 #include <functional>
 #include <list>
@@ -21,7 +22,8 @@
  * Gives memory to requests before their bodies are read.
  *
  * A request that gets none at once may wait for it unread. Requests get the memory in the order in which they began to wait, except that small ones need not
- * wait for large ones. Used on the loop's thread.
+ * wait for large ones. They are granted it by the event loop and not by whoever gives bytes back, who may be in the middle of ending a request. Used on the
+ * loop's thread.
  */
 class RequestMemory
 {
@@ -29,7 +31,7 @@
     using Granted = std::function<void()>;
     using Ticket = std::uint64_t;
 
-    explicit RequestMemory(RequestMemorySettings settings);
+    RequestMemory(EventLoop &loop, RequestMemorySettings settings);
     ~RequestMemory();
 
     RequestMemory(const RequestMemory &) = delete;
@@ -71,15 +73,19 @@
     /// Returns the number of bytes up to which the memory may be filled by a request that holds @p bytes.
     std::size_t ceiling(std::size_t bytes) const;
     void onGivenBack(std::size_t bytes);
+    /// Lets the event loop call grantWaiting().
+    void scheduleGrants();
     void grantWaiting();
     /// Removes and returns the first request that can be granted its bytes, which are then reserved.
     std::optional<Waiter> takeGrantable();
 
+    EventLoop &m_loop;
     const RequestMemorySettings m_settings;
     const std::shared_ptr<Core::ByteBudget> m_budget;
     std::list<Waiter> m_waiters; ///< In order of arrival.
     Ticket m_lastTicket = 0;
-    bool m_isGranting = false;
+    bool m_isScheduled = false; ///< The event loop is going to call grantWaiting().
+    const std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False once this object is destroyed; what the loop calls can outlive it.
     // The rate at which memory becomes free is only known while all of it is in use.
     Core::Instant m_saturatedSince; ///< Begin of the period over which m_givenBackBytes is counted. Valid while requests wait.
     double m_givenBackBytes = 0;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -123,7 +123,7 @@
 {
     Http::RequestMemorySettings requests;
     requests.m_limitBytes = m_settings.m_memory.m_requestBytes;
-    m_requestMemory = std::make_shared<Http::RequestMemory>(requests);
+    m_requestMemory = std::make_shared<Http::RequestMemory>(m_loop, requests);
     m_answerMemory = std::make_shared<Core::ByteBudget>(m_settings.m_memory.m_answerBytes);
     for (const std::shared_ptr<Http::ServerContext> &context : {m_callerContext, m_pageContext, m_adminContext}) {
         context->m_requestMemory = m_requestMemory;
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -119,7 +119,7 @@
     };
     Http::RequestMemorySettings requests;
     requests.m_limitBytes = m_settings.m_memory.m_requestBytes;
-    m_adminContext->m_requestMemory = std::make_shared<Http::RequestMemory>(requests);
+    m_adminContext->m_requestMemory = std::make_shared<Http::RequestMemory>(m_loop, requests);
     m_adminContext->m_limits.m_maximumBodyBytes = MaximumAdminBodyBytes;
     BOOST_OUTCOME_TRYV(m_adminListener.start());
     m_admin.addDumpSection("transfer", [this] { return m_transfer.dump(); });
--- a/Tests/LibHttp/TestRequestMemory.cpp
+++ b/Tests/LibHttp/TestRequestMemory.cpp
@@ -27,7 +27,7 @@
     {
         Http::RequestMemorySettings settings;
         settings.m_limitBytes = LimitBytes;
-        m_context->m_requestMemory = std::make_shared<Http::RequestMemory>(settings);
+        m_context->m_requestMemory = std::make_shared<Http::RequestMemory>(m_loop, settings);
         m_context->m_answerMemory = std::make_shared<Core::ByteBudget>(LimitBytes);
         m_context->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request) {
             m_open.emplace_back(connection, std::move(request));
@@ -223,7 +223,8 @@
 {
     Http::RequestMemorySettings settings;
     settings.m_limitBytes = 4 << 20;
-    Http::RequestMemory memory(settings);
+    Http::EventLoop loop;
+    Http::RequestMemory memory(loop, settings);
     Core::ByteReservation first = memory.makeReservation();
     REQUIRE(memory.tryEnlarge(first, 3 << 20));
     CHECK_FALSE(memory.expectedWait(1 << 20, Core::Clock::now()));
@@ -238,5 +239,7 @@
     CHECK(*wait >= Core::Duration(1900)); // Two MiB more are needed than are free, and two became free within two seconds.
     CHECK(*wait <= Core::Duration(2100));
     first.resize(0);
+    CHECK_FALSE(isGranted); // Whoever gives bytes back may be in the middle of ending a request.
+    loop.run();
     CHECK(isGranted);
 }
