LibFleet: Do not ignore an endpoint that starts again with an earlier time of day

Callers saw bookings lost: an engine whose time of day had been set back started again under its id and later reported that it leaves.

Cause: the order of starts was taken from start times, which come from clocks that may be set back. Every record of a start that seemed earlier than the known one was ignored as a late record, until the entry of the endpoint was removed. The same comparison decided which of two engines at one address is the later one, so that a successor was ignored until the entry before it expired.

Change: the order in the log decides, beside the start time. A record that seems to be of an earlier start is ignored once; a second one with none of the known incarnation in between shows that it is the later one, as an incarnation that has ended sends no further records. Late records of the one before stay ignored, whatever its clock showed. A peer's list has resolved such doubts already. A restart with a clock set back is known one heartbeat later.

--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -73,17 +73,25 @@
 namespace {
 
 constexpr std::size_t MaximumSaidLeaving = 4096; ///< Several times the endpoints of a large fleet. Beyond it, those that are not listed are forgotten.
+constexpr std::size_t MaximumDoubtful = 4096; ///< As above. Beyond it all are forgotten, which delays the recognition of restarts by one record.
 
 /**
- * Returns whether @p later is a restart of @p earlier: an endpoint of the same service that has started later at the same address under another id.
+ * Returns whether the endpoints are two incarnations of an engine that has another id after each start: they have the same service and the same address.
  *
  * The entry of a killed engine expires only after three heartbeats, while its successor at the same address has already registered. The successor refuses
  * requests for the old id, so until then many requests of callers would be refused.
  */
-bool replaces(const Endpoint &later, const Endpoint &earlier)
+bool areSuccessive(const Endpoint &one, const Endpoint &other)
 {
-    return later.m_id != earlier.m_id && later.m_address == earlier.m_address && later.m_service == earlier.m_service && earlier.m_startedMilliseconds > 0
-        && later.m_startedMilliseconds > earlier.m_startedMilliseconds;
+    const bool haveStartTimes = one.m_startedMilliseconds > 0 && other.m_startedMilliseconds > 0;
+    return one.m_id != other.m_id && one.m_address == other.m_address && one.m_service == other.m_service && haveStartTimes
+        && one.m_startedMilliseconds != other.m_startedMilliseconds;
+}
+
+/// Returns whether, by the start times, an endpoint is of an incarnation before the known one.
+bool seemsEarlier(const Endpoint &endpoint, const KnownEndpoint &known)
+{
+    return endpoint.m_startedMilliseconds < known.m_endpoint.m_startedMilliseconds || known.m_endedMilliseconds == endpoint.m_startedMilliseconds;
 }
 
 }
@@ -109,59 +117,104 @@
     return true;
 }
 
-bool FleetState::isReplaced(const Endpoint &endpoint) const
+const KnownEndpoint *FleetState::findContradicted(const Endpoint &endpoint) const
 {
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&endpoint](const std::pair<const std::string, KnownEndpoint> &entry) {
-        return replaces(entry.second.m_endpoint, endpoint);
-    });
+    const std::map<std::string, KnownEndpoint>::const_iterator same = m_endpoints.find(endpoint.m_id);
+    const std::map<std::string, KnownEndpoint>::const_iterator known = same != m_endpoints.end()
+        ? same
+        : std::find_if(m_endpoints.begin(), m_endpoints.end(), [&endpoint](const std::pair<const std::string, KnownEndpoint> &entry) {
+              return areSuccessive(endpoint, entry.second.m_endpoint) && seemsEarlier(endpoint, entry.second);
+          });
+    return known != m_endpoints.end() && seemsEarlier(endpoint, known->second) ? &known->second : nullptr;
 }
 
-void FleetState::removeReplacedBy(const Endpoint &endpoint)
+bool FleetState::isDoubtful(const EndpointChange &change)
 {
-    std::erase_if(m_endpoints, [&endpoint](const std::pair<const std::string, KnownEndpoint> &entry) { return replaces(endpoint, entry.second.m_endpoint); });
+    const KnownEndpoint *contradicted = findContradicted(*change.m_endpoint);
+    const std::map<std::string, DoubtfulRecord>::const_iterator before = m_doubtful.find(change.m_id);
+    const bool isSecond = contradicted && before != m_doubtful.end() && before->second.m_startedMilliseconds == change.m_endpoint->m_startedMilliseconds
+        && before->second.m_offset < change.m_offset && before->second.m_offset > contradicted->m_offset;
+    if (!contradicted || isSecond) {
+        m_doubtful.erase(change.m_id);
+        return false;
+    }
+    if (m_doubtful.size() >= MaximumDoubtful) {
+        m_doubtful.clear();
+    }
+    m_doubtful[change.m_id] = DoubtfulRecord{change.m_endpoint->m_startedMilliseconds, change.m_offset};
+    return true;
 }
 
-bool FleetState::applyChange(const EndpointChange &change, std::optional<Core::Instant> recoveredAt)
+std::optional<std::uint64_t> FleetState::removeReplacedBy(const Endpoint &endpoint)
+{
+    std::optional<std::uint64_t> latest;
+    std::erase_if(m_endpoints, [&endpoint, &latest](const std::pair<const std::string, KnownEndpoint> &entry) {
+        const Endpoint &other = entry.second.m_endpoint;
+        const bool isReplaced = areSuccessive(other, endpoint);
+        if (isReplaced && other.m_startedMilliseconds > endpoint.m_startedMilliseconds) {
+            latest = std::max(latest.value_or(0), other.m_startedMilliseconds);
+        }
+        return isReplaced;
+    });
+    return latest;
+}
+
+bool FleetState::applyRemoval(const EndpointChange &change, std::optional<Core::Instant> recoveredAt)
 {
     const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
-    if (known != m_endpoints.end() && change.m_offset <= known->second.m_offset) {
+    if (known == m_endpoints.end()) {
         return false;
     }
-    if (!change.m_endpoint) {
-        if (known == m_endpoints.end()) {
-            return false;
-        }
-        if (!recoveredAt) {
-            m_endpoints.erase(known);
-            return true;
-        }
-        known->second.m_offset = change.m_offset;
-        const bool isNew = !known->second.m_missingSince;
-        known->second.m_missingSince = isNew ? *recoveredAt : *known->second.m_missingSince;
-        return isNew;
-    }
-    if (known == m_endpoints.end()) {
-        if (isReplaced(*change.m_endpoint)) {
-            return false;
-        }
-        removeReplacedBy(*change.m_endpoint);
-        Endpoint added = *change.m_endpoint;
-        added.m_isLeaving = added.m_isLeaving || hasSaidLeaving(added);
-        m_endpoints[change.m_id] = KnownEndpoint{std::move(added), change.m_offset, std::nullopt};
+    if (!recoveredAt) {
+        m_endpoints.erase(known);
         return true;
     }
+    known->second.m_offset = change.m_offset;
+    const bool isNew = !known->second.m_missingSince;
+    known->second.m_missingSince = isNew ? *recoveredAt : *known->second.m_missingSince;
+    return isNew;
+}
+
+bool FleetState::addEndpoint(const EndpointChange &change)
+{
+    const std::optional<std::uint64_t> ended = removeReplacedBy(*change.m_endpoint);
+    Endpoint added = *change.m_endpoint;
+    added.m_isLeaving = added.m_isLeaving || hasSaidLeaving(added);
+    m_endpoints[change.m_id] = KnownEndpoint{std::move(added), change.m_offset, std::nullopt, ended};
+    return true;
+}
+
+bool FleetState::updateEndpoint(KnownEndpoint &known, const EndpointChange &change)
+{
     Endpoint next = *change.m_endpoint;
-    const Endpoint &before = known->second.m_endpoint;
+    const Endpoint &before = known.m_endpoint;
+    const bool isSameIncarnation = before.m_startedMilliseconds == next.m_startedMilliseconds;
+    // A late heartbeat that was sent before the endpoint began to leave must not make it available again.
+    next.m_isLeaving = next.m_isLeaving || (isSameIncarnation && before.m_isLeaving);
+    const bool isChanged = next != before || known.m_missingSince;
+    std::optional<std::uint64_t> ended = isSameIncarnation ? known.m_endedMilliseconds : std::nullopt;
     if (next.m_startedMilliseconds < before.m_startedMilliseconds) {
-        return false;
+        ended = before.m_startedMilliseconds;
     }
-    // A late heartbeat that was sent before the endpoint began to leave must not make it available again.
-    next.m_isLeaving = next.m_isLeaving || (before.m_isLeaving && before.m_startedMilliseconds == next.m_startedMilliseconds);
-    const bool isChanged = next != before || known->second.m_missingSince;
-    known->second = KnownEndpoint{std::move(next), change.m_offset, std::nullopt};
+    known = KnownEndpoint{std::move(next), change.m_offset, std::nullopt, ended};
     return isChanged;
 }
 
+bool FleetState::applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt)
+{
+    const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
+    if (known != m_endpoints.end() && change.m_offset <= known->second.m_offset) {
+        return false;
+    }
+    if (!change.m_endpoint) {
+        return applyRemoval(change, recoveredAt);
+    }
+    if (!isFromPeer && isDoubtful(change)) {
+        return false;
+    }
+    return known == m_endpoints.end() ? addEndpoint(change) : updateEndpoint(known->second, change);
+}
+
 bool FleetState::removeUnlisted(const EndpointChanges &changes, std::optional<Core::Instant> recoveredAt)
 {
     std::set<std::string> listedIds;
@@ -202,6 +255,7 @@
 FleetStateUpdate FleetState::apply(const EndpointChanges &changes, std::optional<Core::Instant> recoveredAt, Core::Instant now)
 {
     FleetStateUpdate update;
+    const bool isFromPeer = changes.m_revisionOffset > 0;
     if (changes.m_isSnapshot && changes.m_end >= m_endpointsEnd && removeUnlisted(changes, recoveredAt)) {
         update.m_endpoints = true;
         m_endpointsRevisionOffset = std::max(m_endpointsRevisionOffset, changes.m_revisionOffset > 0 ? changes.m_revisionOffset : changes.m_end);
@@ -212,7 +266,7 @@
         if (isOld) {
             continue;
         }
-        const bool isChanged = applyChange(change, recoveredAt);
+        const bool isChanged = applyChange(change, isFromPeer, recoveredAt);
         if (markMissing(change, recoveredAt.value_or(now)) || isChanged) {
             update.m_endpoints = true;
             m_endpointsRevisionOffset = std::max(m_endpointsRevisionOffset, changes.m_revisionOffset > 0 ? changes.m_revisionOffset : change.m_offset + 1);
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -116,6 +116,8 @@
     Offset m_offset = 0; ///< Offset of the newest record about it.
     /// Set if its entry is gone, possibly only because of an outage of the list: the time from which on the grace period for its return counts.
     std::optional<Core::Instant> m_missingSince;
+    /// Start time of the incarnation before, under this id or at this address, if it is later than that of m_endpoint. Late records of it are doubtful.
+    std::optional<std::uint64_t> m_endedMilliseconds;
 };
 
 /**
@@ -190,14 +192,34 @@
     }
 
 private:
+    struct DoubtfulRecord
+    {
+        std::uint64_t m_startedMilliseconds = 0;
+        Offset m_offset = 0;
+    };
+
     /// Applies evacuations and withdrawals. Returns whether the evacuated failure domains have changed.
     bool applyEvacuations(const Declarations &declarations);
     /// Returns whether this incarnation has said itself that it is leaving.
     bool hasSaidLeaving(const Endpoint &endpoint) const;
-    bool applyChange(const EndpointChange &change, std::optional<Core::Instant> recoveredAt);
-    /// Returns whether another endpoint of the service has started later at the same address, so that this one has ended although its entry still exists.
-    bool isReplaced(const Endpoint &endpoint) const;
-    void removeReplacedBy(const Endpoint &endpoint);
+    /// @p isFromPeer: the peer has resolved doubts about the order of incarnations.
+    bool applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt);
+    bool applyRemoval(const EndpointChange &change, std::optional<Core::Instant> recoveredAt);
+    bool addEndpoint(const EndpointChange &change);
+    bool updateEndpoint(KnownEndpoint &known, const EndpointChange &change);
+    /// Returns the endpoint that the record contradicts: the same one with a later start, or another one of the service that has started later at the same
+    /// address. Null if there is none.
+    const KnownEndpoint *findContradicted(const Endpoint &endpoint) const;
+    /**
+     * Returns whether the record is to be ignored because it may have been sent by an incarnation that has ended since.
+     *
+     * Start times are taken from clocks that may be set back, so that a later start can have an earlier time. But records may also arrive late. An incarnation
+     * that has ended sends no further records, so that a second one, with none of the contradicted incarnation in between, shows that it is the later one.
+     */
+    bool isDoubtful(const EndpointChange &change);
+    /// Removes the other endpoints of the service at the same address, which have ended although their entries still exist. Returns the latest of their
+    /// start times that is later than the endpoint's.
+    std::optional<std::uint64_t> removeReplacedBy(const Endpoint &endpoint);
     bool removeUnlisted(const EndpointChanges &changes, std::optional<Core::Instant> recoveredAt);
 
     Declarations m_declarations;
@@ -209,6 +231,7 @@
     Offset m_endpointsEnd = 0;
     Offset m_endpointsRevisionOffset = 0; ///< At most m_endpointsEnd.
     std::map<std::string, KnownEndpoint> m_endpoints; ///< By id.
+    std::map<std::string, DoubtfulRecord> m_doubtful; ///< The newest record that was ignored by isDoubtful(), by endpoint id.
     std::map<std::string, std::uint64_t> m_saidLeaving; ///< Start times of incarnations that have said that they are leaving, by endpoint id.
 };
 
--- a/Tests/LibFleet/TestFleetState.cpp
+++ b/Tests/LibFleet/TestFleetState.cpp
@@ -95,6 +95,67 @@
     CHECK(state.endpoints().at("a").m_endpoint.m_startedMilliseconds == 9);
 }
 
+TEST_CASE("an endpoint that starts again after its clock was set back is known by its second record, and is seen to leave")
+{
+    // Guards against an engine whose records are ignored until it ends because its start seems to be earlier than the one before.
+    Fleet::FleetState state;
+    state.apply(entry(endpoint("a", 100), 1), std::nullopt, Start);
+    state.apply(entry(endpoint("a", 60), 2), std::nullopt, Start);
+    CHECK(state.endpoints().at("a").m_endpoint.m_startedMilliseconds == 100);
+    CHECK(state.apply(entry(endpoint("a", 60), 3), std::nullopt, Start).m_endpoints);
+    CHECK(state.endpoints().at("a").m_endpoint.m_startedMilliseconds == 60);
+
+    Fleet::Endpoint leaving = endpoint("a", 60);
+    leaving.m_isLeaving = true;
+    CHECK(state.apply(entry(leaving, 4), std::nullopt, Start).m_endpoints);
+    CHECK(state.endpoints().at("a").m_endpoint.m_isLeaving);
+}
+
+TEST_CASE("late records of an incarnation that has ended change nothing, whatever its clock showed")
+{
+    Fleet::FleetState state;
+    state.apply(entry(endpoint("a", 100), 1), std::nullopt, Start);
+    state.apply(entry(endpoint("a", 60), 2), std::nullopt, Start);
+    state.apply(entry(endpoint("a", 60), 3), std::nullopt, Start);
+    CHECK_FALSE(state.apply(entry(endpoint("a", 100), 4), std::nullopt, Start).any());
+    CHECK_FALSE(state.apply(entry(endpoint("a", 60), 5), std::nullopt, Start).any());
+    CHECK_FALSE(state.apply(entry(endpoint("a", 100), 6), std::nullopt, Start).any());
+    CHECK(state.endpoints().at("a").m_endpoint.m_startedMilliseconds == 60);
+
+    // The same record read twice is one record.
+    Fleet::FleetState other;
+    other.apply(entry(endpoint("a", 9), 1), std::nullopt, Start);
+    other.apply(entry(endpoint("a", 8), 2), std::nullopt, Start);
+    CHECK_FALSE(other.apply(entry(endpoint("a", 8), 2), std::nullopt, Start).any());
+}
+
+TEST_CASE("an engine that starts at the address of an earlier one replaces it although its clock was set back")
+{
+    Fleet::FleetState state;
+    state.apply(entry(endpoint("old", 100), 1), std::nullopt, Start);
+    state.apply(entry(endpoint("new", 60), 2), std::nullopt, Start);
+    CHECK(state.endpoints().contains("old"));
+    state.apply(entry(endpoint("new", 60), 3), std::nullopt, Start);
+    CHECK_FALSE(state.endpoints().contains("old"));
+    CHECK(state.endpoints().contains("new"));
+    state.apply(entry(endpoint("old", 100), 4), std::nullopt, Start);
+    CHECK(state.endpoints().contains("new"));
+}
+
+TEST_CASE("a peer's list settles which incarnation is the later one")
+{
+    Fleet::FleetState reader;
+    reader.apply(entry(endpoint("a", 100), 1), std::nullopt, Start);
+    Fleet::FleetState other;
+    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    reader.apply(entry(endpoint("a", 60), 2), std::nullopt, Start);
+    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    CHECK(other.endpoints().at("a").m_endpoint.m_startedMilliseconds == 100);
+    reader.apply(entry(endpoint("a", 60), 3), std::nullopt, Start);
+    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    CHECK(other.endpoints().at("a").m_endpoint.m_startedMilliseconds == 60);
+}
+
 TEST_CASE("an endpoint whose entry expires during a log outage is removed only if the entry is still missing after the grace period")
 {
     // While the log is down engines cannot renew their entries, so all entries expire together. If the endpoints were removed at once, all requests would be
