--- a/Libraries/LibControl/TemplateDocument.cpp
+++ b/Libraries/LibControl/TemplateDocument.cpp
@@ -23,7 +23,8 @@
         parameters.m_replicas = static_cast<std::uint32_t>(reader.integer("replicas", 1, MaximumReplicas));
     }
     if (reader.has("places")) {
-        parameters.m_failureDomains = reader.texts("places");
+        constexpr std::size_t leastPlaces = 1; // An empty list would read as no place, but mean all of them.
+        parameters.m_failureDomains = reader.texts("places", leastPlaces);
     }
     parameters.m_weight = static_cast<std::uint32_t>(reader.integer("weight", 1, MaximumWeight, 1));
     return parameters;
--- a/Libraries/LibSettings/Reader.cpp
+++ b/Libraries/LibSettings/Reader.cpp
@@ -222,7 +222,7 @@
     return result;
 }
 
-std::vector<std::string> Reader::texts(const std::string &field)
+std::vector<std::string> Reader::texts(const std::string &field, std::size_t minimumItems)
 {
     const YAML::Node node = find(field, false, "a list of texts");
     std::vector<std::string> result;
@@ -240,6 +240,9 @@
         }
         result.push_back(it->Scalar());
     }
+    if (node.size() < minimumItems) {
+        addProblemAt(node, field, "expected a list of at least " + std::to_string(minimumItems) + " texts");
+    }
     return result;
 }
 
--- a/Libraries/LibSettings/Reader.h
+++ b/Libraries/LibSettings/Reader.h
@@ -60,7 +60,8 @@
     bool flag(const std::string &field, bool fallback);
     Core::Address address(const std::string &field);
     std::vector<Core::Address> addresses(const std::string &field);
-    std::vector<std::string> texts(const std::string &field);
+    /// Returns an empty list if the field is absent, and reports a list of fewer than @p minimumItems texts.
+    std::vector<std::string> texts(const std::string &field, std::size_t minimumItems = 0);
     /// Reads a whole number of milliseconds within the bounds.
     Core::Duration milliseconds(const std::string &field, std::int64_t minimum, std::int64_t maximum, std::int64_t fallback);
 
--- a/Tests/LibControl/TestTemplateDocument.cpp
+++ b/Tests/LibControl/TestTemplateDocument.cpp
@@ -52,6 +52,19 @@
     REQUIRE(problems.size() == 6);
 }
 
+TEST_CASE("a list of places that names none is a mistake, not a permission to use all")
+{
+    // Guards against replicas in every failure domain after the last place was taken out of the list.
+    Control::Template document;
+    const std::string head = "name: drafts\nservice: s\naccounts: [{account: a, model: m, version: \"1\", replicas: 1";
+    CHECK(read(head + "}]\n", document).empty());
+    CHECK(read(head + ", places: [hcm-a]}]\n", document).empty());
+    for (const std::string places : {"[]", "", "hcm-a", "{}", "[[hcm-a]]"}) {
+        CAPTURE(places);
+        CHECK(read(head + ", places: " + places + "}]\n", document).size() == 1);
+    }
+}
+
 TEST_CASE("accounts of a plain service must not name a model")
 {
     Control::Template document;
