LibEntry: Limit the sum of what is held of services' answers

The product's own interface collected answers of services of up to 16 MiB on each of 512 threads, and up to 4,096 frames of each attempt before that, with no limit on their sum: the class of the memory that peers fill.

All answers share `limits.held_answer_bytes` (64 MiB) now, from the frame that arrives to the last byte sent. A call is refused with 503 and Retry-After before it is sent while three quarters are in use; an answer that finds no room is given up with a time after which to retry. Gauges by use, also for the bodies of requests; one function registers them for all processes.

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -368,7 +368,9 @@
             return;
         }
         Poco::Net::StreamSocket &socket = socketOf(request);
-        const ServiceResult result = callService(m_frontend, parsed.value(), arrival + timeout.value(), [&socket] { return isClosed(socket); });
+        Core::ByteReservation answerMemory(m_frontend.m_answerMemory);
+        const ServiceResult result = callService(
+            m_frontend, parsed.value(), arrival + timeout.value(), [&socket] { return isClosed(socket); }, answerMemory);
         if (const CallerError *error = std::get_if<CallerError>(&result)) {
             sendError(response, withOtherEntries(m_frontend, *error));
             return;
--- a/Libraries/LibEntry/Entry.cpp
+++ b/Libraries/LibEntry/Entry.cpp
@@ -2,6 +2,7 @@
 
 #include "LibEntry/Entry.h"
 #include "LibEntry/StatusPage.h"
+#include "LibTelemetry/MemoryGauges.h"
 
 #include <Poco/JSON/Array.h>
 #include <glog/logging.h>
@@ -66,7 +67,8 @@
                  &m_versions,
                  &m_claims,
                  &m_metrics,
-                 std::make_shared<Core::ByteBudget>(m_settings.m_callers.m_maximumHeldBytes)}
+                 std::make_shared<Core::ByteBudget>(m_settings.m_callers.m_maximumHeldBytes),
+                 std::make_shared<Core::ByteBudget>(m_settings.m_callers.m_maximumHeldAnswerBytes)}
     , m_callers(m_frontend)
     , m_admin(m_settings.m_instance.m_member.m_admin, m_metrics)
 {
@@ -86,6 +88,8 @@
     m_admin.addDumpSection("routing", [this] { return dumpRouting(); });
     m_admin.addDumpSection("claims", [this] { return dumpClaims(); });
     m_admin.addPage("/status", [this](const Telemetry::AdminRequest &) { return status(); });
+    Telemetry::addMemoryGauges(m_metrics, "requests", m_frontend.m_requestMemory);
+    Telemetry::addMemoryGauges(m_metrics, "answers", m_frontend.m_answerMemory);
     m_metrics.gauge("callers_requests_open", [this] { return static_cast<double>(m_frontend.m_openRequests); });
     m_metrics.gauge("routing_queued", [this] { return static_cast<double>(m_router.queued()); });
     m_metrics.gauge("control_applied_offset", [this] { return static_cast<double>(m_store.current()->m_applied); });
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -13,6 +13,7 @@
     limits.m_maximumBodyBytes = static_cast<std::size_t>(section.integer("body_bytes", 1024, 64 << 20, 1 << 20));
     limits.m_maximumHeldBytes = static_cast<std::size_t>(section.integer("held_bytes", 1 << 20, std::int64_t{1} << 40, 64 << 20));
     limits.m_maximumAnswerBytes = static_cast<std::size_t>(section.integer("answer_bytes", 1024, 256 << 20, 16 << 20));
+    limits.m_maximumHeldAnswerBytes = static_cast<std::size_t>(section.integer("held_answer_bytes", 1 << 20, std::int64_t{1} << 40, 64 << 20));
     limits.m_requestTimeout = section.milliseconds("request_ms", 100, 600000, 10000);
     limits.m_keepAliveTimeout = section.milliseconds("keep_alive_ms", 100, 600000, 5000);
     limits.m_defaultTimeout = section.milliseconds("default_timeout_ms", 1, 600000, 30000);
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -16,6 +16,7 @@
     std::size_t m_maximumBodyBytes = 1 << 20; ///< Bytes of a request's body.
     std::size_t m_maximumHeldBytes = 64 << 20; ///< Bytes of the bodies of all requests that are held at the same time; further requests are refused.
     std::size_t m_maximumAnswerBytes = 16 << 20; ///< Bytes of a plain service's answer.
+    std::size_t m_maximumHeldAnswerBytes = 64 << 20; ///< Bytes of all answers that are held at the same time; further calls are refused.
     Core::Duration m_requestTimeout{10000}; ///< Time for a caller to send a request, from the first byte to the last.
     Core::Duration m_keepAliveTimeout{5000}; ///< Idle time after which a connection is closed.
     Core::Duration m_defaultTimeout{30000};
--- a/Libraries/LibEntry/Frontend.h
+++ b/Libraries/LibEntry/Frontend.h
@@ -29,6 +29,7 @@
     ClaimService *m_claims = nullptr;
     Telemetry::Metrics *m_metrics = nullptr;
     std::shared_ptr<Core::ByteBudget> m_requestMemory; ///< For the bodies of all requests.
+    std::shared_ptr<Core::ByteBudget> m_answerMemory; ///< For what was received of all answers and has not been sent to their callers.
     std::atomic<EntryState> m_state = EntryState::Serving;
     std::atomic<std::size_t> m_openRequests = 0; ///< Requests that have not been answered completely.
 };
--- a/Libraries/LibEntry/Generation.cpp
+++ b/Libraries/LibEntry/Generation.cpp
@@ -89,7 +89,7 @@
     {
         const Routing::Granted &granted = grant.m_granted;
         m_triedInstances.push_back(granted.m_member.m_id);
-        LiveAttempt live(*m_frontend.m_node, granted.m_member.m_wire, liveRequest(version, granted), m_deadline);
+        LiveAttempt live(*m_frontend.m_node, granted.m_member.m_wire, liveRequest(version, granted), m_deadline, m_frontend.m_answerMemory);
         const AttemptOutcome outcome = live.run([this, &version](const Protocol::AnswerFrame &frame) { return onFrame(version, frame); },
                                                 [this] { return !m_sink.flush() || m_sink.isDisconnected(); });
         m_frontend.m_router->release(grant, callResult(outcome));
--- a/Libraries/LibEntry/LiveAttempt.cpp
+++ b/Libraries/LibEntry/LiveAttempt.cpp
@@ -21,6 +21,11 @@
 
 }
 
+Core::Error answerMemoryError(const std::string &peer)
+{
+    return Core::makeError(Core::ErrorCode::Overloaded, "read answer", peer, "the memory for answers is in use");
+}
+
 bool provesNotRun(const Wire::CallEnd &end)
 {
     if (end.m_succeeded) {
@@ -49,20 +54,27 @@
     return false;
 }
 
-LiveAttempt::LiveAttempt(Wire::Node &node, const Core::Address &agent, Protocol::LiveRequest request, Core::Instant deadline)
+void LiveAttempt::Inbox::add(std::string frame)
+{
+    ReceivedFrame received{std::move(frame), Core::ByteReservation(m_memory)};
+    if (!received.m_memory.tryResize(received.m_bytes.size())) {
+        m_lacksMemory = true;
+    } else if (!m_frames.tryPush(std::move(received))) {
+        m_overrun = true;
+    }
+}
+
+LiveAttempt::LiveAttempt(
+    Wire::Node &node, const Core::Address &agent, Protocol::LiveRequest request, Core::Instant deadline, std::shared_ptr<Core::ByteBudget> memory)
     : m_node(node)
     , m_peer(agent.toString())
     , m_deadline(deadline)
     , m_checker(request.m_attempt, request.m_digest, m_peer)
-    , m_inbox(std::make_shared<Inbox>(InboxFrames))
+    , m_inbox(std::make_shared<Inbox>(InboxFrames, std::move(memory)))
 {
     const std::shared_ptr<Inbox> inbox = m_inbox;
     Wire::CallEvents events;
-    events.m_onFrame = [inbox](std::string frame) {
-        if (!inbox->m_frames.tryPush(std::move(frame))) {
-            inbox->m_overrun = true;
-        }
-    };
+    events.m_onFrame = [inbox](std::string frame) { inbox->add(std::move(frame)); };
     events.m_onEnd = [inbox](const Wire::CallEnd &end) {
         {
             const std::lock_guard<std::mutex> lock(inbox->m_endMutex);
@@ -92,15 +104,23 @@
     return Core::makeError(Core::ErrorCode::Ambiguous, "read answer", m_peer, detail);
 }
 
+std::optional<Core::Error> LiveAttempt::lossOfFrames() const
+{
+    if (m_inbox->m_lacksMemory) {
+        return answerMemoryError(m_peer);
+    }
+    return m_inbox->m_overrun ? std::optional<Core::Error>(ambiguousError("the caller reads too slowly")) : std::nullopt;
+}
+
 AttemptOutcome LiveAttempt::run(const Consumer &consume, const IdleCheck &isDisconnected)
 {
     bool idle = false;
     while (true) {
         // Doesn't wait at first, so that frames that have arrived together are passed on together.
-        const std::optional<std::string> received = m_inbox->m_frames.pop(idle ? DisconnectCheckInterval : Core::Duration(0));
+        const std::optional<ReceivedFrame> received = m_inbox->m_frames.pop(idle ? DisconnectCheckInterval : Core::Duration(0));
         idle = !received;
-        if (m_inbox->m_overrun) {
-            return AttemptOutcome{AttemptEnd::Unknown, ambiguousError("the caller reads too slowly")};
+        if (const std::optional<Core::Error> loss = lossOfFrames()) {
+            return AttemptOutcome{AttemptEnd::Unknown, *loss};
         }
         if (!received) {
             const std::optional<Wire::CallEnd> end = callEnd();
@@ -112,7 +132,7 @@
             }
             continue;
         }
-        const Core::Result<Protocol::AnswerFrame> frame = Wire::unpack<Protocol::AnswerFrame>(*received, m_peer);
+        const Core::Result<Protocol::AnswerFrame> frame = Wire::unpack<Protocol::AnswerFrame>(received->m_bytes, m_peer);
         if (!frame) {
             return AttemptOutcome{AttemptEnd::Unknown, frame.error()};
         }
--- a/Libraries/LibEntry/LiveAttempt.h
+++ b/Libraries/LibEntry/LiveAttempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibClaims/ClaimRecord.h"
+#include "LibCore/ByteBudget.h"
 #include "LibCore/Ring.h"
 #include "LibRouting/AnswerChecker.h"
 #include "LibWire/Node.h"
@@ -28,6 +29,9 @@
     bool operator==(const AttemptOutcome &) const = default;
 };
 
+/// Returns the error of an attempt whose answer finds no room in the memory that all answers share.
+Core::Error answerMemoryError(const std::string &peer);
+
 /// True if the end of a call proves that the agent has not run the attempt and never will.
 bool provesNotRun(const Wire::CallEnd &end);
 
@@ -35,12 +39,14 @@
  * A live.call whose frames are checked and passed to a consumer.
  *
  * The node's thread puts frames into a bounded ring, and the thread that serves the caller takes them out. If a caller reads so slowly that the ring
- * is full, its attempt is given up rather than buffered without a bound.
+ * is full, its attempt is given up rather than buffered without a bound. So is one whose frames find no room in the memory for answers, which all attempts
+ * share.
  */
 class LiveAttempt
 {
 public:
-    LiveAttempt(Wire::Node &node, const Core::Address &agent, Protocol::LiveRequest request, Core::Instant deadline);
+    /// @p memory: for the frames that have been received and not consumed.
+    LiveAttempt(Wire::Node &node, const Core::Address &agent, Protocol::LiveRequest request, Core::Instant deadline, std::shared_ptr<Core::ByteBudget> memory);
     /// Cancels the call unless it has ended.
     ~LiveAttempt();
 
@@ -56,16 +62,27 @@
     AttemptOutcome run(const Consumer &consume, const IdleCheck &isDisconnected);
 
 private:
+    struct ReceivedFrame
+    {
+        std::string m_bytes;
+        Core::ByteReservation m_memory; ///< For m_bytes.
+    };
+
     /// Shared with the call's callbacks, which may outlive this object.
     struct Inbox
     {
-        explicit Inbox(std::size_t capacity)
-            : m_frames(capacity)
+        Inbox(std::size_t capacity, std::shared_ptr<Core::ByteBudget> memory)
+            : m_memory(std::move(memory))
+            , m_frames(capacity)
         {
         }
 
-        Core::Ring<std::string> m_frames;
+        void add(std::string frame);
+
+        const std::shared_ptr<Core::ByteBudget> m_memory;
+        Core::Ring<ReceivedFrame> m_frames;
         std::atomic<bool> m_overrun = false;
+        std::atomic<bool> m_lacksMemory = false;
         std::mutex m_endMutex;
         std::optional<Wire::CallEnd> m_end; ///< Separate from the ring, so that it is not dropped when the ring is full.
     };
@@ -73,6 +90,8 @@
     std::optional<Wire::CallEnd> callEnd() const;
     AttemptOutcome makeOutcome(const Wire::CallEnd &end) const;
     Core::Error ambiguousError(const std::string &detail) const;
+    /// Returns why frames have been dropped; empty if none were.
+    std::optional<Core::Error> lossOfFrames() const;
 
     Wire::Node &m_node;
     const std::string m_peer;
--- a/Libraries/LibEntry/ServiceCall.cpp
+++ b/Libraries/LibEntry/ServiceCall.cpp
@@ -11,6 +11,8 @@
 constexpr Core::Duration DefaultRetryAfter{1000};
 constexpr Core::Duration OutcomePollInterval{100};
 constexpr Core::Duration OutcomeTimeout{2000};
+constexpr double AnswerMemoryShareForNewCalls = 0.75; ///< Fraction of the memory for answers above which calls are refused. The rest is for running ones.
+constexpr Core::Duration AnswerMemoryRetryAfter{1000}; ///< Most answers are sent within a second.
 /// Failed outcome queries after which an outcome is unavailable.
 constexpr int MaximumOutcomeQueries = 3;
 
@@ -88,35 +90,74 @@
     return harmless ? Routing::CallResult::Abandoned : Routing::CallResult::Failed;
 }
 
-AttemptResult
-runAttempt(Frontend &frontend, const Grant &grant, const Protocol::LiveRequest &request, Core::Instant deadline, const std::function<bool()> &isDisconnected)
+/// Gives the body a capacity of at least @p size, for which memory is taken first. Returns whether there was enough.
+bool reserveBody(std::string &body, std::size_t size, Core::ByteReservation &memory)
+{
+    if (size <= body.capacity()) {
+        return true;
+    }
+    const std::size_t capacity = std::max(size, 2 * body.capacity());
+    if (!memory.tryResize(capacity)) {
+        return false;
+    }
+    body.reserve(capacity);
+    return true;
+}
+
+AttemptResult runAttempt(Frontend &frontend,
+                         const Grant &grant,
+                         const Protocol::LiveRequest &request,
+                         Core::Instant deadline,
+                         const std::function<bool()> &isDisconnected,
+                         Core::ByteReservation &answerMemory)
 {
     AttemptResult result;
-    LiveAttempt live(*frontend.m_node, grant.m_granted.m_member.m_wire, request, deadline);
+    LiveAttempt live(*frontend.m_node, grant.m_granted.m_member.m_wire, request, deadline, frontend.m_answerMemory);
     bool tooLarge = false;
+    bool lacksMemory = false;
     const std::size_t limit = frontend.m_settings->m_callers.m_maximumAnswerBytes;
     result.m_outcome = live.run(
-        [&result, &tooLarge, limit](const Protocol::AnswerFrame &frame) {
+        [&result, &tooLarge, &lacksMemory, &answerMemory, limit](const Protocol::AnswerFrame &frame) {
+            std::string &body = result.m_answer.m_body;
+            const std::size_t size = body.size() + frame.m_data.size();
+            tooLarge = size > limit;
+            lacksMemory = !tooLarge && !reserveBody(body, size, answerMemory);
+            if (tooLarge || lacksMemory) {
+                return false;
+            }
             result.m_answer.m_status = frame.m_status;
-            result.m_answer.m_body += frame.m_data;
-            tooLarge = result.m_answer.m_body.size() > limit;
-            return !tooLarge;
+            body += frame.m_data;
+            return true;
         },
         isDisconnected);
     if (tooLarge) {
         result.m_outcome.m_end = AttemptEnd::Unknown;
         result.m_outcome.m_error = Core::makeError(Core::ErrorCode::Corrupt, "read answer", grant.m_granted.m_member.m_id, "the answer is too large");
     }
+    if (lacksMemory) {
+        result.m_outcome.m_end = AttemptEnd::Unknown;
+        result.m_outcome.m_error = answerMemoryError(grant.m_granted.m_member.m_id);
+    }
     frontend.m_router->release(grant, callResult(result.m_outcome));
     return result;
 }
 
+/// Returns whether the answer was given up because the memory for answers is in use.
+bool isForWantOfMemory(const AttemptOutcome &outcome)
+{
+    return outcome.m_end == AttemptEnd::Unknown && outcome.m_error.m_code == Core::ErrorCode::Overloaded;
+}
+
 CallerError notRunError(const Core::Error &error)
 {
     return CallerError{CallerCode::NotRun, error, DefaultRetryAfter, {}};
 }
 
-ServiceResult callRepeatable(Frontend &frontend, const CallRequest &request, Routing::Submission submission, const std::function<bool()> &isDisconnected)
+ServiceResult callRepeatable(Frontend &frontend,
+                             const CallRequest &request,
+                             Routing::Submission submission,
+                             const std::function<bool()> &isDisconnected,
+                             Core::ByteReservation &answerMemory)
 {
     const Core::Instant deadline = submission.m_request.m_deadline;
     bool mayHaveRun = false;
@@ -128,7 +169,7 @@
         }
         const Grant &grant = std::get<Grant>(acquired);
         const Protocol::LiveRequest live = makeLiveRequest(request, grant.m_granted, Core::randomIdentifier());
-        const AttemptResult result = runAttempt(frontend, grant, live, deadline, isDisconnected);
+        const AttemptResult result = runAttempt(frontend, grant, live, deadline, isDisconnected, answerMemory);
         if (result.m_outcome.m_end == AttemptEnd::Complete) {
             return result.m_answer;
         }
@@ -136,6 +177,9 @@
         mayHaveRun = mayHaveRun || result.m_outcome.m_end != AttemptEnd::NotRun;
         submission.m_excluded.push_back(grant.m_granted.m_member.m_id);
         const bool deadlinePassed = Core::Clock::now() >= deadline;
+        if (isForWantOfMemory(result.m_outcome)) {
+            return CallerError{CallerCode::OutcomeUnknown, lastError, AnswerMemoryRetryAfter, {}};
+        }
         const bool cannotSucceed = lastError.m_code == Core::ErrorCode::InvalidInput || result.m_outcome.m_end == AttemptEnd::CallerGone;
         if (!deadlinePassed && !cannotSucceed && submission.m_excluded.size() < MaximumAttempts && frontend.m_router->tryRetry()) {
             continue;
@@ -154,13 +198,18 @@
 class KeyedCall
 {
 public:
-    KeyedCall(Frontend &frontend, const CallRequest &request, Routing::Submission submission, std::function<bool()> isDisconnected)
+    KeyedCall(Frontend &frontend,
+              const CallRequest &request,
+              Routing::Submission submission,
+              std::function<bool()> isDisconnected,
+              Core::ByteReservation &answerMemory)
         : m_frontend(frontend)
         , m_request(request)
         , m_key(Claims::scopedKey(*request.m_key, request.m_account, request.m_service))
         , m_submission(std::move(submission))
         , m_deadline(m_submission.m_request.m_deadline)
         , m_isDisconnected(std::move(isDisconnected))
+        , m_answerMemory(answerMemory)
     {
     }
 
@@ -214,7 +263,8 @@
         m_grant.reset();
         const Protocol::LiveRequest live = makeLiveRequest(m_request, grant.m_granted, action.m_attempt);
         // A caller that disconnects does not end the call, so that the outcome is available when the caller retries with the key.
-        const AttemptResult result = runAttempt(m_frontend, grant, live, m_deadline, [] { return false; });
+        const AttemptResult result = runAttempt(
+            m_frontend, grant, live, m_deadline, [] { return false; }, m_answerMemory);
         m_error = result.m_outcome.m_error;
         switch (result.m_outcome.m_end) {
         case AttemptEnd::Complete:
@@ -242,6 +292,10 @@
         const OutcomeQuery query = action.m_isOwn ? ownOutcomeQuery(action) : holderOutcomeQuery(action);
         for (int attempt = 0; attempt < MaximumOutcomeQueries; ++attempt) {
             const Core::Result<Protocol::OutcomeAnswer> answer = queryOutcome(*m_frontend.m_node, query, OutcomeTimeout);
+            if (answer && !m_answerMemory.tryResize(answer.value().m_body.capacity())) {
+                m_error = answerMemoryError(query.m_agent.toString());
+                return Claims::OutcomeUnavailable{};
+            }
             if (answer) {
                 m_answer = ServiceAnswer{answer.value().m_status, answer.value().m_body};
                 return Claims::OutcomeReceived{answer.value().m_outcome};
@@ -308,6 +362,7 @@
     const Routing::Submission m_submission;
     const Core::Instant m_deadline;
     const std::function<bool()> m_isDisconnected;
+    Core::ByteReservation &m_answerMemory;
     std::optional<Grant> m_grant; ///< Held until the dispatch uses it or the call ends without a dispatch.
     Routing::Granted m_dispatchedTo; ///< Endpoint to which the call's own attempt was dispatched.
     ServiceAnswer m_answer;
@@ -316,17 +371,22 @@
 
 }
 
-ServiceResult callService(Frontend &frontend, const CallRequest &request, Core::Instant deadline, const std::function<bool()> &isDisconnected)
+ServiceResult callService(
+    Frontend &frontend, const CallRequest &request, Core::Instant deadline, const std::function<bool()> &isDisconnected, Core::ByteReservation &answerMemory)
 {
+    const Core::ByteBudget &memory = *frontend.m_answerMemory;
+    if (static_cast<double>(memory.held()) > AnswerMemoryShareForNewCalls * static_cast<double>(memory.limit())) {
+        return CallerError{CallerCode::NotRun, answerMemoryError(""), AnswerMemoryRetryAfter, {}};
+    }
     const Core::Result<std::uint32_t> weight = accountWeight(*frontend.m_store->current(), request);
     if (!weight) {
         return CallerError{CallerCode::NotFound, weight.error(), std::nullopt, {}};
     }
     Routing::Submission submission = makeSubmission(request, weight.value(), deadline);
     if (!request.m_key) {
-        return callRepeatable(frontend, request, std::move(submission), isDisconnected);
+        return callRepeatable(frontend, request, std::move(submission), isDisconnected, answerMemory);
     }
-    return KeyedCall(frontend, request, std::move(submission), isDisconnected).run();
+    return KeyedCall(frontend, request, std::move(submission), isDisconnected, answerMemory).run();
 }
 
 }
--- a/Libraries/LibEntry/ServiceCall.h
+++ b/Libraries/LibEntry/ServiceCall.h
@@ -20,7 +20,13 @@
 
 using ServiceResult = std::variant<ServiceAnswer, CallerError>;
 
-/// Runs a call to its end. @p isDisconnected returns true if the caller has disconnected; a keyed call is completed nevertheless.
-ServiceResult callService(Frontend &frontend, const CallRequest &request, Core::Instant deadline, const std::function<bool()> &isDisconnected);
+/**
+ * Runs a call to its end. @p isDisconnected returns true if the caller has disconnected; a keyed call is completed nevertheless.
+ *
+ * @p answerMemory is enlarged to the size of the answer, for as long as the caller of this function holds it. A call is refused before it is sent while the
+ * memory for answers is nearly in use.
+ */
+ServiceResult callService(
+    Frontend &frontend, const CallRequest &request, Core::Instant deadline, const std::function<bool()> &isDisconnected, Core::ByteReservation &answerMemory);
 
 }
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -5,6 +5,7 @@
 #include "LibHttp/AdminPages.h"
 #include "LibRelay/LimitLine.h"
 #include "LibRelay/RetryBudgetLine.h"
+#include "LibTelemetry/MemoryGauges.h"
 
 #include <unistd.h>
 
@@ -135,19 +136,11 @@
     m_callerContext->m_onMemoryRefused = [this](const Http::ServerRequest &head, const Http::MemoryShortage &shortage) {
         return m_relay.onMemoryRefused(head, shortage);
     };
-    addMemoryGauges("requests", m_requestMemory->budget());
-    addMemoryGauges("answers", *m_answerMemory);
+    Telemetry::addMemoryGauges(m_metrics, "requests", std::shared_ptr<const Core::ByteBudget>(m_requestMemory, &m_requestMemory->budget()));
+    Telemetry::addMemoryGauges(m_metrics, "answers", m_answerMemory);
     m_metrics.gauge("requests_waiting_for_memory", [this] { return static_cast<double>(m_requestMemory->waitingCount()); });
 }
 
-void EntryProcess::addMemoryGauges(const std::string &use, const Core::ByteBudget &budget)
-{
-    const std::string label = "{use=\"" + use + "\"}";
-    m_metrics.gauge("memory_held_bytes" + label, [&budget] { return static_cast<double>(budget.held()); });
-    m_metrics.gauge("memory_held_peak_bytes" + label, [&budget] { return static_cast<double>(budget.peak()); });
-    m_metrics.gauge("memory_limit_bytes" + label, [&budget] { return static_cast<double>(budget.limit()); });
-}
-
 Core::Result<void> EntryProcess::start()
 {
     awaitSignals();
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -72,7 +72,6 @@
     void applyLimits();
     /// Makes all listeners share the memory for requests and for answers.
     void limitMemory();
-    void addMemoryGauges(const std::string &use, const Core::ByteBudget &budget);
     void answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request);
     /// Records the free slots of an engine from a report of its load.
     void recordSlots(const Fleet::Endpoint &endpoint, const Placement::EngineReport &report, Core::Instant now);
--- a/Libraries/LibWire/Node.cpp
+++ b/Libraries/LibWire/Node.cpp
@@ -3,6 +3,7 @@
 #include "LibWire/Node.h"
 
 #include "LibNetwork/Listener.h"
+#include "LibTelemetry/MemoryGauges.h"
 
 #include <future>
 #include <sys/epoll.h>
@@ -41,9 +42,7 @@
     m_host.m_limits = m_settings.m_limits;
     m_host.m_traffic = &m_traffic;
     m_host.m_memory = m_memory;
-    metrics.gauge("memory_held_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->held()); });
-    metrics.gauge("memory_held_peak_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->peak()); });
-    metrics.gauge("memory_limit_bytes{use=\"peers\"}", [memory = m_memory] { return static_cast<double>(memory->limit()); });
+    Telemetry::addMemoryGauges(metrics, "peers", m_memory);
     m_host.m_findHandler = [this](const std::string &method) {
         const std::map<std::string, Handler>::const_iterator it = m_handlers.find(method);
         return it == m_handlers.end() ? nullptr : &it->second;
