LibEntry: Count and log requests that find no memory at the own interface

Operators could see refusals for want of memory only in the gauges of bytes held: neither a refused body nor an answer that was given up left a counter or a log line. Both are counted by use now, where the decision is made, and a warning names the step, the instance and the bytes held, at most once a second. Entry/TestAnswerMemory demands one count for each refused call.

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -279,6 +279,9 @@
         Core::ByteReservation memory(m_frontend.m_requestMemory);
         const Core::Result<std::string> body = readBody(request, m_frontend.m_settings->m_callers.m_maximumBodyBytes, memory);
         if (!body) {
+            if (body.error().m_code == Core::ErrorCode::Unavailable) {
+                recordMemoryShortage(m_frontend, MemoryUse::Request, body.error());
+            }
             response.setKeepAlive(false);
             sendError(response, bodyError(body.error()));
             discardBody(request);
--- a/Libraries/LibEntry/Frontend.cpp
+++ b/Libraries/LibEntry/Frontend.cpp
@@ -2,11 +2,14 @@
 
 #include "LibEntry/Frontend.h"
 
+#include <glog/logging.h>
+
 namespace Entry {
 
 namespace {
 
 constexpr Core::Duration DefaultRetryAfter{1000};
+constexpr double ShortageLogSeconds = 1; ///< Least time between two log lines about memory.
 
 }
 
@@ -64,4 +67,12 @@
     return error;
 }
 
+void recordMemoryShortage(const Frontend &frontend, MemoryUse use, const Core::Error &error)
+{
+    const bool isForRequest = use == MemoryUse::Request;
+    frontend.m_metrics->counter(isForRequest ? "callers_without_memory_total{use=\"requests\"}" : "callers_without_memory_total{use=\"answers\"}").add();
+    const Core::ByteBudget &memory = isForRequest ? *frontend.m_requestMemory : *frontend.m_answerMemory;
+    LOG_EVERY_T(WARNING, ShortageLogSeconds) << error << ", held " << memory.held() << " of " << memory.limit() << " bytes";
+}
+
 }
--- a/Libraries/LibEntry/Frontend.h
+++ b/Libraries/LibEntry/Frontend.h
@@ -18,6 +18,12 @@
     Draining, ///< New requests are refused; running ones are completed.
 };
 
+/// What a request holds memory for.
+enum class MemoryUse {
+    Request, ///< Its body.
+    Answer, ///< What was received of its answer.
+};
+
 /// The components that a request passes through; all outlive the HTTP server.
 struct Frontend
 {
@@ -43,5 +49,7 @@
 CallerError withOtherEntries(const Frontend &frontend, CallerError error);
 /// Returns the refusal of requests while no accepted state is known; empty if one is known.
 std::optional<CallerError> refusalUnlessReady(const Frontend &frontend);
+/// Counts and logs a request that was refused or given up because others fill the memory.
+void recordMemoryShortage(const Frontend &frontend, MemoryUse use, const Core::Error &error);
 
 }
--- a/Libraries/LibEntry/Generation.cpp
+++ b/Libraries/LibEntry/Generation.cpp
@@ -93,6 +93,9 @@
         const AttemptOutcome outcome = live.run([this, &version](const Protocol::AnswerFrame &frame) { return onFrame(version, frame); },
                                                 [this] { return !m_sink.flush() || m_sink.isDisconnected(); });
         m_frontend.m_router->release(grant, callResult(outcome));
+        if (isForWantOfMemory(outcome)) {
+            recordMemoryShortage(m_frontend, MemoryUse::Answer, outcome.m_error);
+        }
         return outcome;
     }
 
--- a/Libraries/LibEntry/LiveAttempt.cpp
+++ b/Libraries/LibEntry/LiveAttempt.cpp
@@ -26,6 +26,11 @@
     return Core::makeError(Core::ErrorCode::Overloaded, "read answer", peer, "the memory for answers is in use");
 }
 
+bool isForWantOfMemory(const AttemptOutcome &outcome)
+{
+    return outcome.m_end == AttemptEnd::Unknown && outcome.m_error.m_code == Core::ErrorCode::Overloaded;
+}
+
 bool provesNotRun(const Wire::CallEnd &end)
 {
     if (end.m_succeeded) {
--- a/Libraries/LibEntry/LiveAttempt.h
+++ b/Libraries/LibEntry/LiveAttempt.h
@@ -31,6 +31,8 @@
 
 /// Returns the error of an attempt whose answer finds no room in the memory that all answers share.
 Core::Error answerMemoryError(const std::string &peer);
+/// Returns whether the answer was given up because the memory for answers is in use.
+bool isForWantOfMemory(const AttemptOutcome &outcome);
 
 /// True if the end of a call proves that the agent has not run the attempt and never will.
 bool provesNotRun(const Wire::CallEnd &end);
--- a/Libraries/LibEntry/ServiceCall.cpp
+++ b/Libraries/LibEntry/ServiceCall.cpp
@@ -138,16 +138,13 @@
         result.m_outcome.m_end = AttemptEnd::Unknown;
         result.m_outcome.m_error = answerMemoryError(grant.m_granted.m_member.m_id);
     }
+    if (isForWantOfMemory(result.m_outcome)) {
+        recordMemoryShortage(frontend, MemoryUse::Answer, result.m_outcome.m_error);
+    }
     frontend.m_router->release(grant, callResult(result.m_outcome));
     return result;
 }
 
-/// Returns whether the answer was given up because the memory for answers is in use.
-bool isForWantOfMemory(const AttemptOutcome &outcome)
-{
-    return outcome.m_end == AttemptEnd::Unknown && outcome.m_error.m_code == Core::ErrorCode::Overloaded;
-}
-
 CallerError notRunError(const Core::Error &error)
 {
     return CallerError{CallerCode::NotRun, error, DefaultRetryAfter, {}};
@@ -294,6 +291,7 @@
             const Core::Result<Protocol::OutcomeAnswer> answer = queryOutcome(*m_frontend.m_node, query, OutcomeTimeout);
             if (answer && !m_answerMemory.tryResize(answer.value().m_body.capacity())) {
                 m_error = answerMemoryError(query.m_agent.toString());
+                recordMemoryShortage(m_frontend, MemoryUse::Answer, m_error);
                 return Claims::OutcomeUnavailable{};
             }
             if (answer) {
@@ -376,7 +374,9 @@
 {
     const Core::ByteBudget &memory = *frontend.m_answerMemory;
     if (static_cast<double>(memory.held()) > AnswerMemoryShareForNewCalls * static_cast<double>(memory.limit())) {
-        return CallerError{CallerCode::NotRun, answerMemoryError(""), AnswerMemoryRetryAfter, {}};
+        const Core::Error error = answerMemoryError("");
+        recordMemoryShortage(frontend, MemoryUse::Answer, error);
+        return CallerError{CallerCode::NotRun, error, AnswerMemoryRetryAfter, {}};
     }
     const Core::Result<std::uint32_t> weight = accountWeight(*frontend.m_store->current(), request);
     if (!weight) {
--- a/Tests/Entry/TestAnswerMemory.cpp
+++ b/Tests/Entry/TestAnswerMemory.cpp
@@ -25,6 +25,7 @@
     {
         const std::string metrics = send(m_entry.member().m_admin, "GET", "/metrics", "").m_body;
         const std::size_t at = metrics.find(name + "{use=\"answers\"} ");
+        INFO(name);
         REQUIRE(at != std::string::npos);
         return std::stoull(metrics.substr(metrics.find(' ', at) + 1));
     }
@@ -81,6 +82,7 @@
     CHECK(answered + refused == callers);
     CHECK(cluster.metric("memory_held_peak_bytes") <= HeldAnswerBytes);
     CHECK(cluster.metric("memory_held_bytes") == 0);
+    CHECK(cluster.metric("callers_without_memory_total") == refused);
 
     cluster.m_agent.setBehavior(
         [](FakeAgent &agent, const Protocol::LiveRequest &request, const Wire::Responder &responder) { agent.answer(request, responder); });
