LibPlacement: Let newcomers' requests to a cold endpoint come out of its budget

Cause: entries that do not know each other yet were chosen for one request by a weight of their own, entries that do by their rank, the nearest first. These are different entries, and both kinds spent the budget within the second in which the entries came to know each other.

Change: an entry that met a cold endpoint as a newcomer ranks those first that newcomers are chosen from, so that one set contains the other.

--- a/Libraries/LibPlacement/ColdBudget.cpp
+++ b/Libraries/LibPlacement/ColdBudget.cpp
@@ -7,8 +7,30 @@
 
 namespace Placement {
 
-std::size_t coldAllowance(
-    const Fleet::Endpoint &endpoint, double perSecond, const LimitHolder &self, const std::vector<LimitHolder> &others, const ColdBudgetSettings &settings)
+namespace {
+
+/// Returns how many of the others come before @p self.
+std::size_t rankAmong(
+    const Fleet::Endpoint &endpoint, const LimitHolder &self, const std::vector<LimitHolder> &others, HolderOrder order, const ColdBudgetSettings &settings)
+{
+    if (order == HolderOrder::NearestFirst) {
+        return holderRank(endpoint, self, others);
+    }
+    const bool isNewcomer = newcomerAllowance(endpoint, self, settings) > 0;
+    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const LimitHolder &other) {
+        const bool isOtherNewcomer = newcomerAllowance(endpoint, other, settings) > 0;
+        return isOtherNewcomer == isNewcomer ? ranksBefore(other, self, endpoint) : isOtherNewcomer;
+    }));
+}
+
+}
+
+std::size_t coldAllowance(const Fleet::Endpoint &endpoint,
+                          double perSecond,
+                          const LimitHolder &self,
+                          const std::vector<LimitHolder> &others,
+                          HolderOrder order,
+                          const ColdBudgetSettings &settings)
 {
     const double budget = (perSecond * settings.m_excess + settings.m_slack) * settings.m_usedShare;
     const std::size_t requests = static_cast<std::size_t>(std::max(1.0, std::floor(budget))); // Of no request at all an endpoint would not become warm.
@@ -16,7 +38,7 @@
     if (requests >= entries) {
         return requests / entries;
     }
-    return holderRank(endpoint, self, others) < requests ? 1 : 0;
+    return rankAmong(endpoint, self, others, order, settings) < requests ? 1 : 0;
 }
 
 std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const LimitHolder &self, const ColdBudgetSettings &settings)
@@ -44,6 +66,7 @@
     if (cold.m_startedMilliseconds != endpoint.m_startedMilliseconds) {
         cold = Cold{};
         cold.m_startedMilliseconds = endpoint.m_startedMilliseconds;
+        cold.m_order = m_isComplete ? HolderOrder::NearestFirst : HolderOrder::NewcomersFirst;
     }
     cold.m_perSecond = perSecond;
     cold.m_until = std::max(cold.m_until, now + duration);
@@ -74,8 +97,8 @@
     }
     const std::ptrdiff_t recent =
         std::count_if(cold->m_sentAt.begin(), cold->m_sentAt.end(), [this, now](Core::Instant sentAt) { return now - sentAt < m_settings.m_window; });
-    const std::size_t allowance =
-        m_isComplete ? coldAllowance(endpoint, cold->m_perSecond, m_self, m_others, m_settings) : newcomerAllowance(endpoint, m_self, m_settings);
+    const std::size_t allowance = m_isComplete ? coldAllowance(endpoint, cold->m_perSecond, m_self, m_others, cold->m_order, m_settings)
+                                               : newcomerAllowance(endpoint, m_self, m_settings);
     return static_cast<std::size_t>(recent) < allowance;
 }
 
--- a/Libraries/LibPlacement/ColdBudget.h
+++ b/Libraries/LibPlacement/ColdBudget.h
@@ -23,14 +23,25 @@
     bool operator==(const ColdBudgetSettings &) const = default;
 };
 
+/// Which entries get the requests of a budget that is smaller than their number.
+enum class HolderOrder {
+    NearestFirst,
+    /// Those to which newcomerAllowance() gives a request, then the nearest. Requests that were sent by newcomers then come out of the same budget.
+    NewcomersFirst,
+};
+
 /**
  * Returns how many requests @p self may send to a cold endpoint within each window.
  *
  * With more entries than requests in the budget, one request each is given to the entries that rank first for the endpoint. An entry that was cut off goes on
  * with its allowance, which no other entry uses as long as it is known.
  */
-std::size_t coldAllowance(
-    const Fleet::Endpoint &endpoint, double perSecond, const LimitHolder &self, const std::vector<LimitHolder> &others, const ColdBudgetSettings &settings);
+std::size_t coldAllowance(const Fleet::Endpoint &endpoint,
+                          double perSecond,
+                          const LimitHolder &self,
+                          const std::vector<LimitHolder> &others,
+                          HolderOrder order,
+                          const ColdBudgetSettings &settings);
 
 /// As coldAllowance(), for an entry that does not know most others: chosen by weights that depend on nobody else.
 std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const LimitHolder &self, const ColdBudgetSettings &settings);
@@ -64,6 +75,7 @@
         std::uint64_t m_startedMilliseconds = 0; ///< Incarnation of the endpoint.
         double m_perSecond = 0;
         Core::Instant m_until;
+        HolderOrder m_order = HolderOrder::NearestFirst; ///< Stays the same for as long as the endpoint is cold, as does the set of entries that may send.
         std::deque<Core::Instant> m_sentAt; ///< Times of the requests within the last window, oldest first.
     };
 
--- a/Libraries/LibPlacement/RequestLimits.cpp
+++ b/Libraries/LibPlacement/RequestLimits.cpp
@@ -17,7 +17,13 @@
     return *perSecond > settings.m_minimum ? *perSecond : settings.m_minimum; // Also if it is not a number.
 }
 
-/// Returns whether @p left holds shares of the endpoint's limit before @p right.
+Core::Clock::duration interval(double perSecond)
+{
+    return std::chrono::duration_cast<Core::Clock::duration>(std::chrono::duration<double>(1 / perSecond));
+}
+
+}
+
 bool ranksBefore(const LimitHolder &left, const LimitHolder &right, const Fleet::Endpoint &endpoint)
 {
     const bool isLeftNear = left.m_failureDomain == endpoint.m_failureDomain;
@@ -28,13 +34,6 @@
     return Core::rendezvousWeight(endpoint.m_id, left.m_id) > Core::rendezvousWeight(endpoint.m_id, right.m_id);
 }
 
-Core::Clock::duration interval(double perSecond)
-{
-    return std::chrono::duration_cast<Core::Clock::duration>(std::chrono::duration<double>(1 / perSecond));
-}
-
-}
-
 std::size_t holderRank(const Fleet::Endpoint &endpoint, const LimitHolder &self, const std::vector<LimitHolder> &others)
 {
     return static_cast<std::size_t>(
--- a/Libraries/LibPlacement/RequestLimits.h
+++ b/Libraries/LibPlacement/RequestLimits.h
@@ -51,7 +51,9 @@
     bool operator==(const RequestLimitSettings &) const = default;
 };
 
-/// Returns how many of @p others hold parts of the endpoint's limits before @p self: by rendezvous weight, entries of its failure domain first.
+/// Returns whether @p left holds shares of the endpoint's limit before @p right: by rendezvous weight, entries of its failure domain first.
+bool ranksBefore(const LimitHolder &left, const LimitHolder &right, const Fleet::Endpoint &endpoint);
+/// Returns how many of @p others rank before @p self.
 std::size_t holderRank(const Fleet::Endpoint &endpoint, const LimitHolder &self, const std::vector<LimitHolder> &others);
 
 /**
--- a/Tests/LibPlacement/TestColdBudget.cpp
+++ b/Tests/LibPlacement/TestColdBudget.cpp
@@ -89,6 +89,46 @@
     return most;
 }
 
+/// When an entry knows the others, counted from the start.
+struct KnownAfter
+{
+    Core::Duration m_least{0};
+    Core::Duration m_spread{1};
+};
+
+/// Returns the arrival times at an endpoint of entries that start together with it. Each knows all others after a time of its own.
+std::vector<Core::Instant> playJointStart(const Fleet::Endpoint &endpoint, std::size_t entries, std::uint64_t seed, const KnownAfter &knownAfter)
+{
+    Core::Random random(seed);
+    std::vector<Placement::ColdBudget> budgets;
+    std::vector<Core::Instant> knownAt;
+    std::vector<Placement::LimitHolder> all;
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        all.push_back(holder(entry));
+        budgets.emplace_back(all.back(), budgetSettings());
+        budgets.back().setEntries({}, false);
+        budgets.back().recordCold(endpoint, PerSecond, ColdTime, Start);
+        knownAt.push_back(Start + knownAfter.m_least
+                          + Core::Duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(knownAfter.m_spread.count())))));
+    }
+    std::vector<Core::Instant> arrivals;
+    for (Core::Instant now = Start; now < Start + ColdTime; now += Core::Duration(5)) {
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            if (now >= knownAt[entry]) {
+                std::vector<Placement::LimitHolder> others = all;
+                others.erase(others.begin() + static_cast<std::ptrdiff_t>(entry));
+                budgets[entry].setEntries(std::move(others), true);
+            }
+            if (budgets[entry].maySend(endpoint, now)) {
+                budgets[entry].recordSent(endpoint, now);
+                arrivals.push_back(now + Core::Duration(static_cast<std::int64_t>(random.below(80))));
+            }
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    return arrivals;
+}
+
 }
 
 TEST_CASE("Load: a domain returns cold while all entries press; no second exceeds the budget, and most of it is used")
@@ -128,6 +168,21 @@
     CHECK(static_cast<double>(*std::max_element(sent.begin(), sent.end())) <= budget());
 }
 
+TEST_CASE("Load: all entries and engines have started together, and entries come to know each other within a second; no second exceeds the budget")
+{
+    // Guards against entries that spend the budget of a cold engine twice: once as newcomers, and once more with those that rank first for it.
+    constexpr std::size_t entries = 87;
+    constexpr std::size_t engines = 34;
+    const KnownAfter knownAfter{Core::Duration(400), Core::Duration(600)};
+    const std::uint64_t seed = GENERATE(1U, 2U, 3U, 4U);
+    std::size_t most = 0;
+    for (std::size_t engine = 0; engine < engines; ++engine) {
+        const Fleet::Endpoint endpoint = coldEndpoint("engine-" + std::to_string(engine));
+        most = std::max(most, mostWithinASecond(playJointStart(endpoint, entries, seed, knownAfter)));
+    }
+    CHECK(static_cast<double>(most) <= budget());
+}
+
 TEST_CASE("An endpoint is cold until its time is over, the list calls it warm, or it has started again")
 {
     Placement::ColdBudget budget(holder(0), budgetSettings());
