LibStaging: Keep a stage that a killed agent may have ordered before its engine restarted

Cause: an order without a response may reach the next start of its engine, which the agent that sent it remembers. That agent was killed. The one that followed found version 2 staged and loaded, and concluded that no order for the stage could be open: true of orders to this start of the engine only.

Nothing is ordered before its version is staged, so an incomplete stage is free, and fleets that start together wait for nothing.

Evidence: two new cases of LibStaging/TestWeightsManager fail without the change (2 of 26), a third fails without the rule for incomplete stages.

--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -1,4 +1,4 @@
-/// @file The monotonic clock of the project. No decision uses the wall clock.
+/// @file The monotonic clock of the project. No decision uses the wall clock, except on times that another program states by it.
 #pragma once
 
 #include <chrono>
--- a/Libraries/LibStaging/InheritedOrder.cpp
+++ b/Libraries/LibStaging/InheritedOrder.cpp
@@ -26,9 +26,15 @@
     });
 }
 
+bool hasStartedWithin(Core::Duration time, const EngineStatus &status, std::uint64_t wallClock)
+{
+    const bool isKnown = status.m_startedMilliseconds > 0;
+    return isKnown && status.m_startedMilliseconds + static_cast<std::uint64_t>(time.count()) > wallClock;
+}
+
 bool isOpen(const InheritedOrder &inherited, const EngineStatus &status, Core::Instant now, Core::Duration settleTime)
 {
-    return mayAccept(status, inherited.m_order) && now - inherited.m_seenAt < settleTime;
+    return (inherited.m_mayBeStray || mayAccept(status, inherited.m_order)) && now - inherited.m_seenAt < settleTime;
 }
 
 }
--- a/Libraries/LibStaging/InheritedOrder.h
+++ b/Libraries/LibStaging/InheritedOrder.h
@@ -16,6 +16,8 @@
 {
     UnsettledOrder m_order; ///< The order that the engine would accept.
     Core::Instant m_seenAt; ///< When this agent first saw the engine.
+    /// The engine had restarted shortly before. A start may accept an order that was sent to the one before, once it has accepted as many as that expects.
+    bool m_mayBeStray = false;
 
     bool operator==(const InheritedOrder &) const = default;
 };
@@ -32,6 +34,12 @@
  */
 bool mayBeOtherVersion(const StageDigests &staged, const Weights::Manifest &target);
 
+/**
+ * Returns whether the engine has started less than @p time before @p wallClock, in milliseconds since the epoch. Its start time is of the wall clock as well:
+ * if that was set back, the engine seems to have started later than it has.
+ */
+bool hasStartedWithin(Core::Duration time, const EngineStatus &status, std::uint64_t wallClock);
+
 /// Returns whether the order may still be accepted. @p settleTime: after this time an order is no longer expected to be open.
 bool isOpen(const InheritedOrder &inherited, const EngineStatus &status, Core::Instant now, Core::Duration settleTime);
 
--- a/Libraries/LibStaging/WeightsManager.cpp
+++ b/Libraries/LibStaging/WeightsManager.cpp
@@ -484,6 +484,7 @@
         });
     };
     forEachChunk(std::move(chunks), m_settings.m_concurrentChunks, step, [this] {
+        ruleOutStrayOrder();
         if (hasLoadedTarget()) {
             enterStep(Step::Idle);
             return;
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -170,6 +170,8 @@
     /// Returns whether an order now would let the engine accept a stray order of another version right after it.
     bool isFollowedByStrayOrder() const;
     void compareStageWithLoadedVersion();
+    /// Rules out an order for an earlier start of the engine if the stage that was inherited is not complete, as nothing is ordered before it is.
+    void ruleOutStrayOrder();
     bool isManifestCheckDue();
     void checkManifest();
     void stageMissingChunks(std::uint64_t run);
--- a/Libraries/LibStaging/WeightsManagerOrders.cpp
+++ b/Libraries/LibStaging/WeightsManagerOrders.cpp
@@ -4,6 +4,7 @@
 #include "LibStaging/WeightsManager.h"
 
 #include <algorithm>
+#include <chrono>
 #include <numeric>
 
 namespace Staging {
@@ -19,7 +20,10 @@
 {
     const bool isFirstStatus = m_run == 0;
     if (isFirstStatus && !m_settings.m_mayHoldWeights && !m_wasEngineDown) {
-        m_inheritedOrder = InheritedOrder{UnsettledOrder{m_status->m_startedMilliseconds, m_status->m_acceptedOrders}, Core::Clock::now()};
+        const UnsettledOrder order{m_status->m_startedMilliseconds, m_status->m_acceptedOrders};
+        const std::chrono::milliseconds wallClock = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        const bool mayBeStray = hasStartedWithin(m_settings.m_inheritedOrderTime, *m_status, static_cast<std::uint64_t>(wallClock.count()));
+        m_inheritedOrder = InheritedOrder{order, Core::Clock::now(), mayBeStray};
     }
 }
 
@@ -66,11 +70,12 @@
     return m_strayOrder && m_status && m_target && followsOrder(*m_status, *m_strayOrder, m_target->m_version, Core::Clock::now());
 }
 
-/// Clears the inherited order if what is staged is what the engine has loaded, so that no order for it can be open.
+/// Clears the inherited order if what is staged is what the engine has loaded, so that no order for it can be open at this start of the engine.
 void WeightsManager::compareStageWithLoadedVersion()
 {
     const Fleet::Service *origin = m_parts.m_fleetState.configuration()->origin();
-    if (!origin || !m_status || m_status->m_weights.empty()) {
+    const bool mayBeStray = m_inheritedOrder && m_inheritedOrder->m_mayBeStray;
+    if (!origin || !m_status || m_status->m_weights.empty() || mayBeStray) {
         return;
     }
     const Fleet::LoadedWeights &loaded = m_status->m_weights.front();
@@ -87,6 +92,13 @@
     m_engine.m_fetchManifest(*origin->m_origin, loaded.m_model, loaded.m_version, onFetched);
 }
 
+void WeightsManager::ruleOutStrayOrder()
+{
+    if (m_inheritedOrder && m_inheritedStage.size() < m_manifest->chunkCount()) {
+        m_inheritedOrder = InheritedOrder{m_inheritedOrder->m_order, m_inheritedOrder->m_seenAt, false};
+    }
+}
+
 /// Returns whether the target may be loaded now. The engine's status must be known.
 bool WeightsManager::hasReachedLoadTime() const
 {
--- a/Tests/LibStaging/TestInheritedOrder.cpp
+++ b/Tests/LibStaging/TestInheritedOrder.cpp
@@ -57,7 +57,7 @@
     Staging::EngineStatus status;
     status.m_startedMilliseconds = 7;
     status.m_acceptedOrders = 3;
-    const Staging::InheritedOrder inherited{Staging::UnsettledOrder{7, 3}, now};
+    const Staging::InheritedOrder inherited{Staging::UnsettledOrder{7, 3}, now, false};
     CHECK(Staging::isOpen(inherited, status, now, SettleTime));
     CHECK_FALSE(Staging::isOpen(inherited, status, now + SettleTime, SettleTime));
     status.m_acceptedOrders = 4;
@@ -66,3 +66,25 @@
     status.m_startedMilliseconds = 8;
     CHECK_FALSE(Staging::isOpen(inherited, status, now, SettleTime));
 }
+
+TEST_CASE("An inherited order for an earlier start of the engine is open until the time is over")
+{
+    const Core::Instant now = Core::Clock::now();
+    Staging::EngineStatus status;
+    status.m_startedMilliseconds = 7;
+    status.m_acceptedOrders = 4;
+    const Staging::InheritedOrder inherited{Staging::UnsettledOrder{7, 3}, now, true};
+    CHECK(Staging::isOpen(inherited, status, now, SettleTime));
+    CHECK_FALSE(Staging::isOpen(inherited, status, now + SettleTime, SettleTime));
+}
+
+TEST_CASE("An engine whose start time is not known, or long ago, has not restarted shortly before")
+{
+    const std::uint64_t settleMilliseconds = static_cast<std::uint64_t>(SettleTime.count());
+    Staging::EngineStatus status;
+    CHECK_FALSE(Staging::hasStartedWithin(SettleTime, status, 100'000));
+    status.m_startedMilliseconds = 100'000;
+    CHECK(Staging::hasStartedWithin(SettleTime, status, 100'000));
+    CHECK(Staging::hasStartedWithin(SettleTime, status, 99'000));
+    CHECK_FALSE(Staging::hasStartedWithin(SettleTime, status, 100'000 + settleMilliseconds));
+}
--- a/Tests/LibStaging/TestWeightsManager.cpp
+++ b/Tests/LibStaging/TestWeightsManager.cpp
@@ -606,6 +606,74 @@
     checkPredecessorsOrderIsLoadedFirst(fixture);
 }
 
+namespace {
+
+/// Settings with a short time for orders of a predecessor.
+Staging::WeightsManagerSettings strayOrderSettings()
+{
+    Staging::WeightsManagerSettings settings = WeightsManagerFixture::settings();
+    settings.m_inheritedOrderTime = Core::Duration(1000);
+    return settings;
+}
+
+/// Version 2 is staged at an engine that has just restarted. An order for it, sent to the start before, arrives once the engine has accepted another one.
+void leaveStrayOrder(FakeEngine &engine)
+{
+    engine.fill(2);
+    engine.m_status.m_startedMilliseconds =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    engine.m_heldOrders = {Staging::LoadOrder{Model, 2, Staging::RunningRequestPolicy::Finish, 12, 1}};
+}
+
+}
+
+TEST_CASE("An agent that restarted leaves the staging area to an order of its predecessor for an earlier start of the engine")
+{
+    // Guards against an agent that takes the stage for free because the restarted engine has loaded what is staged.
+    WeightsManagerFixture fixture(strayOrderSettings());
+    leaveStrayOrder(fixture.m_engine);
+    fixture.m_engine.m_status.m_acceptedOrders = 1;
+    fixture.m_engine.m_status.m_weights = {Fleet::LoadedWeights{Model, 2, {}}};
+    fixture.declare(3);
+    fixture.m_manager.start();
+    checkPredecessorsOrderIsLoadedFirst(fixture);
+}
+
+TEST_CASE("An agent that restarted leaves the staging area to such an order also after an order of its own")
+{
+    // Guards against an agent that forgets a predecessor's order once the engine has accepted its own one.
+    WeightsManagerFixture fixture(strayOrderSettings());
+    leaveStrayOrder(fixture.m_engine);
+    fixture.declare(2);
+    fixture.m_manager.start();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_loadedVersions == std::vector<std::uint64_t>{2}; }));
+    fixture.declare(3);
+    REQUIRE(fixture.supplyChunks(3));
+    runUntil(
+        fixture.m_loop, [] { return false; }, std::chrono::milliseconds(100));
+    fixture.m_engine.processHeldOrders();
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_loadedVersions == std::vector<std::uint64_t>{2, 2, 3}; }));
+    CHECK(fixture.m_engine.hasOnlyLoadedOrderedChunks());
+}
+
+TEST_CASE("An engine that starts together with its agent and holds nothing gets a newer version at once")
+{
+    // Guards against a fleet that waits for orders which no agent can have sent, after all of it has lost power.
+    Staging::WeightsManagerSettings settings = WeightsManagerFixture::settings();
+    settings.m_inheritedOrderTime = Core::Duration(600'000); // Longer than the test.
+    WeightsManagerFixture fixture(settings);
+    leaveStrayOrder(fixture.m_engine);
+    fixture.m_engine.m_stage.clear();
+    fixture.m_engine.m_heldOrders.clear();
+    fixture.declare(2);
+    fixture.m_manager.start();
+    REQUIRE(fixture.supplyChunks(2));
+    REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_loadedVersions == std::vector<std::uint64_t>{2}; }));
+    fixture.declare(3);
+    REQUIRE(fixture.supplyChunks(3));
+    CHECK(runUntil(fixture.m_loop, [&fixture] { return fixture.m_engine.m_loadedVersions == std::vector<std::uint64_t>{2, 3}; }));
+}
+
 TEST_CASE("An engine that an agent cannot connect to within the time limit is not taken for one that was down")
 {
     // Guards against an agent that restarts beside a frozen engine and stages a newer version under an order of its predecessor.
