--- a/Tests/LibPlacement/TestColdBudget.cpp
+++ b/Tests/LibPlacement/TestColdBudget.cpp
@@ -3,6 +3,7 @@
 #include "LibPlacement/ColdBudget.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 namespace {
 
@@ -101,7 +102,7 @@
 {
     Core::Random random(seed);
     std::vector<Placement::ColdBudget> budgets;
-    std::vector<Core::Instant> knownAt;
+    std::vector<std::optional<Core::Instant>> knownAt; // Empty once the entry knows the others.
     std::vector<Placement::LimitHolder> all;
     for (std::size_t entry = 0; entry < entries; ++entry) {
         all.push_back(holder(entry));
@@ -112,12 +113,13 @@
                           + Core::Duration(static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(knownAfter.m_spread.count())))));
     }
     std::vector<Core::Instant> arrivals;
-    for (Core::Instant now = Start; now < Start + ColdTime; now += Core::Duration(5)) {
+    for (Core::Instant now = Start; now < Start + ColdTime; now += Core::Duration(25)) {
         for (std::size_t entry = 0; entry < entries; ++entry) {
-            if (now >= knownAt[entry]) {
+            if (knownAt[entry] && now >= *knownAt[entry]) {
                 std::vector<Placement::LimitHolder> others = all;
                 others.erase(others.begin() + static_cast<std::ptrdiff_t>(entry));
                 budgets[entry].setEntries(std::move(others), true);
+                knownAt[entry].reset();
             }
             if (budgets[entry].maySend(endpoint, now)) {
                 budgets[entry].recordSent(endpoint, now);
