LibHttp: Read what the kernel holds before a connection ends

Callers saw connections that an entry accepted while it left and closed without an answer, resets of kept connections on which a request had arrived, and large answers that a reset cut off.

Cause: a connection was closed on what the process believed (idle, done), while the kernel held bytes that it had not read. The kernel turns such a close into a reset, which also destroys what the caller has not read yet.

Change: every orderly end goes through one function, which ends the output alone and ignores input until the caller closes, for 2 s at most. A connection with unread input is not idle. A listener that stops accepts what the kernel has established. From SIGTERM on answers ask callers to close, unless their next request has already arrived; before, none did until 2.4 s of 8 s had passed, and connections accepted after that were closed at once. Connections beyond the maximum get a 503 with Retry-After instead of a reset.

--- a/Libraries/LibHttp/Listener.cpp
+++ b/Libraries/LibHttp/Listener.cpp
@@ -12,6 +12,9 @@
 
 constexpr Core::Duration AcceptRetryDelay{50}; ///< After a failed accept, for example when no descriptors are left.
 constexpr std::size_t RemovalInterval = 64; ///< Closed connections are removed whenever the list's length is a multiple of this.
+constexpr std::size_t MaximumRefusals = 64; ///< Connections beyond the maximum that are open because their caller has not read the refusal yet.
+constexpr int ServiceUnavailable = 503;
+constexpr Core::Duration RefusalRetryAfter{1000}; ///< Most requests end within this time.
 
 }
 
@@ -46,37 +49,74 @@
 
 void Listener::stop()
 {
-    boost::system::error_code ignored; // Closing a closed listener has no effect.
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    admitBacklog();
+    boost::system::error_code ignored; // The listener accepts nothing any more in any case.
     m_acceptor.close(ignored);
 }
 
+void Listener::admitBacklog()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        Socket socket = m_acceptor.accept(error);
+        if (!error) {
+            admit(std::move(socket));
+        }
+    }
+}
+
 void Listener::accept()
 {
     m_acceptor.async_accept([this, alive = m_isAlive](const boost::system::error_code &error, Socket socket) {
-        if (!*alive || !m_acceptor.is_open()) {
+        if (!*alive) {
             return;
         }
-        if (error) {
-            const std::shared_ptr<Timer> timer = std::make_shared<Timer>(m_acceptor.get_executor(), AcceptRetryDelay);
-            timer->async_wait([this, alive, timer](const boost::system::error_code &) {
-                if (*alive && m_acceptor.is_open()) {
-                    accept();
-                }
-            });
+        if (!error) {
+            admit(std::move(socket)); // Also if the listener was stopped after the kernel had accepted the connection.
+        }
+        if (!m_acceptor.is_open()) {
             return;
         }
-        if (m_connections.size() % RemovalInterval == 0 || m_connections.size() >= m_maximumConnections) {
-            removeClosed();
+        if (error) {
+            acceptLater();
+        } else {
+            accept();
         }
-        if (m_connections.size() < m_maximumConnections) {
-            const std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket), m_context);
-            m_connections.push_back(connection);
-            connection->start();
+    });
+}
+
+void Listener::acceptLater()
+{
+    const std::shared_ptr<Timer> timer = std::make_shared<Timer>(m_acceptor.get_executor(), AcceptRetryDelay);
+    timer->async_wait([this, alive = m_isAlive, timer](const boost::system::error_code &) {
+        if (*alive && m_acceptor.is_open()) {
+            accept();
         }
-        accept();
     });
 }
 
+void Listener::admit(Socket socket)
+{
+    if (m_connections.size() % RemovalInterval == 0 || m_connections.size() >= m_maximumConnections) {
+        removeClosed();
+    }
+    if (m_connections.size() >= m_maximumConnections + MaximumRefusals) {
+        return;
+    }
+    const bool isRefused = m_connections.size() >= m_maximumConnections;
+    const std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket), m_context);
+    m_connections.push_back(connection);
+    if (isRefused) {
+        connection->refuse(ServiceUnavailable, "too many connections", {HeaderField{"Retry-After", retryAfterText(RefusalRetryAfter)}});
+    } else {
+        connection->start();
+    }
+}
+
 void Listener::removeClosed()
 {
     std::erase_if(m_connections, [](const std::weak_ptr<ServerConnection> &weak) {
@@ -85,12 +125,12 @@
     });
 }
 
-void Listener::closeIdle()
+void Listener::endIdle(Core::Duration idle)
 {
     for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
         const std::shared_ptr<ServerConnection> connection = weak.lock();
         if (connection) {
-            connection->closeIfIdle();
+            connection->endIfIdleFor(idle);
         }
     }
     removeClosed();
--- a/Libraries/LibHttp/Listener.h
+++ b/Libraries/LibHttp/Listener.h
@@ -14,7 +14,7 @@
 class Listener
 {
 public:
-    /// Connections beyond @p maximumConnections are closed at once, so that descriptors remain for endpoints.
+    /// Connections beyond @p maximumConnections are refused at once, so that descriptors remain for endpoints.
     Listener(EventLoop &loop, Core::Address address, std::shared_ptr<ServerContext> context, std::size_t maximumConnections);
     ~Listener();
 
@@ -23,10 +23,10 @@
 
     /// Binds the address and starts accepting. Fails with Unavailable.
     Core::Result<void> start();
-    /// Stops accepting connections.
+    /// Accepts the connections that are established already, and no others. The connections stay open.
     void stop();
-    /// Closes the connections on which no request is being read or answered.
-    void closeIdle();
+    /// Ends the connections that have been waiting for a request for @p idle.
+    void endIdle(Core::Duration idle);
     /// Returns the number of open connections.
     std::size_t connectionCount();
     /// Returns the bound port; the system chooses it if the address has port 0.
@@ -34,6 +34,10 @@
 
 private:
     void accept();
+    void acceptLater();
+    /// Accepts the connections that wait in the kernel.
+    void admitBacklog();
+    void admit(Socket socket);
     void removeClosed();
 
     const Core::Address m_address;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t HeadCopies = 3; ///< A request's head is held as received, as fields, and as fields to be sent.
 /// Held for a request besides its head and its body: its state and the buffers of its reader and of its call to an endpoint.
 constexpr std::size_t RequestOverheadBytes = 16 << 10;
-constexpr Core::Duration DiscardLimit{2000}; ///< Time for which the rest of a rejected request is ignored, so that its caller reads the answer.
+constexpr Core::Duration DiscardLimit{2000}; ///< Time for which input is read and ignored at the end of a connection, so that the caller reads the answer.
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -72,7 +72,7 @@
         : m_socket(std::move(socket))
         , m_timer(m_socket)
         , m_closeCheckTimer(m_socket.get_executor())
-        , m_lingerTimer(m_socket.get_executor())
+        , m_endTimer(m_socket.get_executor())
         , m_memoryTimer(m_socket.get_executor())
     {
     }
@@ -80,7 +80,7 @@
     Socket m_socket;
     ProgressTimer m_timer;
     Timer m_closeCheckTimer; ///< For a peer that has sent the next request before the answer.
-    Timer m_lingerTimer; ///< Until a connection is closed whose last answer was sent.
+    Timer m_endTimer; ///< Limits the time until the other end closes a connection whose output has ended.
     Timer m_memoryTimer; ///< Limits the wait for memory. The bytes that wait unread meanwhile must not prolong it as they would prolong m_timer.
     Beast::flat_buffer m_buffer; ///< Received and not parsed.
     std::optional<RequestParser> m_parser; ///< Set while a request is read.
@@ -119,6 +119,12 @@
     awaitRequest();
 }
 
+void ServerConnection::refuse(int status, const std::string &reason, HeaderFields fields)
+{
+    setStreamOptions(m_state->m_socket);
+    answerUnread(status, reason, std::move(fields));
+}
+
 void ServerConnection::startTimer(Core::Duration limit, std::function<void()> onExpiry)
 {
     m_state->m_timer.start(limit, weak_from_this(), [this, expire = std::move(onExpiry)] {
@@ -131,18 +137,14 @@
 void ServerConnection::awaitRequest()
 {
     m_isReading = false;
-    if (m_context->m_isClosing && m_state->m_buffer.size() == 0) {
-        close();
-        return;
-    }
+    m_state->m_idleSince = Core::Clock::now();
     if (m_state->m_buffer.size() > 0) {
         readHead();
         return;
     }
-    m_state->m_idleSince = Core::Clock::now();
     startTimer(m_context->m_limits.m_idleTimeout, [this] { closeIfIdleForLong(); });
     m_state->m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
-        if (self->m_isClosed) {
+        if (self->m_isClosed || self->m_hasOutputEnded) {
             return;
         }
         if (error) {
@@ -158,7 +160,7 @@
     const Core::Duration idle = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - m_state->m_idleSince);
     const Core::Duration left = m_context->m_limits.m_idleTimeout - idle;
     if (left.count() <= 0) {
-        close();
+        endOutput();
         return;
     }
     startTimer(left, [this] { closeIfIdleForLong(); }); // The limit was raised meanwhile.
@@ -429,18 +431,21 @@
     startTimer(DiscardLimit, [this] { close(); }); // The other end may not read the answer. The limit of the reader no longer counts.
     fields.push_back(HeaderField{"Content-Type", "text/plain"});
     answer(status, std::move(fields), reason + "\n");
-    if (!m_isReceiving) {
-        discardInput();
-    }
+    discardInput();
 }
 
 void ServerConnection::discardInput()
 {
+    if (m_isReceiving || m_isDiscarding) {
+        return; // onReceived() and the read below continue by themselves.
+    }
     // The bytes are ignored, so that all connections of a thread may write to the same buffer.
     static thread_local std::array<char, BodyReadBytes> ignoredBytes;
+    m_isDiscarding = true;
     m_state->m_buffer.clear();
     m_state->m_buffer.shrink_to_fit();
     m_state->m_socket.async_read_some(Asio::buffer(ignoredBytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+        self->m_isDiscarding = false;
         if (self->m_isClosed) {
             return;
         }
@@ -549,7 +554,7 @@
 
 bool ServerConnection::isOpen() const
 {
-    return !m_isClosed && !m_isAborted;
+    return !m_isClosed;
 }
 
 void ServerConnection::answer(int status, HeaderFields fields, std::string body)
@@ -565,7 +570,7 @@
         return;
     }
     m_bodyEnd = supportedBodyEnd(status, framing.m_end);
-    m_closeAfterAnswer = m_closeAfterAnswer || m_context->m_isClosing || m_bodyEnd == BodyEnd::Close;
+    m_closeAfterAnswer = m_closeAfterAnswer || (m_context->m_isClosing && !hasNextRequest()) || m_bodyEnd == BodyEnd::Close;
     const bool mayStateLength = status != NoContent && status != NotModified;
     if (framing.m_length && mayStateLength) {
         fields.push_back(HeaderField{"Content-Length", std::to_string(*framing.m_length)});
@@ -582,6 +587,11 @@
     write(encodeAnswerHead(status, reason, fields) + "\r\n");
 }
 
+bool ServerConnection::hasNextRequest() const
+{
+    return m_state->m_buffer.size() > 0 || hasUnreadInput(m_state->m_socket);
+}
+
 BodyEnd ServerConnection::supportedBodyEnd(int status, BodyEnd wanted) const
 {
     if (m_isHeadRequest || status == NoContent || status == NotModified) {
@@ -617,14 +627,24 @@
 {
     m_onPeerClosed = nullptr;
     m_onDrained = nullptr;
+    m_isAborted = true;
     if (m_isClosed || m_state->m_outgoing.empty()) {
-        close();
+        endAborted();
         return;
     }
-    m_isAborted = true;
     startTimer(AbortedWriteLimit, [this] { close(); });
 }
 
+void ServerConnection::endAborted()
+{
+    // The end of the output would complete a body that ends with the connection.
+    if (m_isClosed || m_bodyEnd == BodyEnd::Close) {
+        close();
+    } else {
+        endOutput();
+    }
+}
+
 void ServerConnection::write(std::string bytes)
 {
     m_state->m_pendingBytes += bytes.size();
@@ -672,7 +692,7 @@
         return;
     }
     if (m_isAborted) {
-        close();
+        endAborted();
         return;
     }
     if (m_isAnswering) {
@@ -694,13 +714,18 @@
         return;
     }
     setEndsWithReset(false);
-    // Closing at once with unread bytes could reset the connection, and the caller would lose the answer.
-    boost::system::error_code ignored;
-    m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
-    constexpr Core::Duration linger{200}; // Longer than a round trip to any caller.
+    endOutput();
+}
+
+void ServerConnection::endOutput()
+{
+    m_hasOutputEnded = true;
     m_state->m_timer.stop();
-    m_state->m_lingerTimer.expires_after(m_isRejected ? DiscardLimit : linger);
-    m_state->m_lingerTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
+    boost::system::error_code ignored; // The other end may have reset the connection.
+    m_state->m_socket.shutdown(Socket::shutdown_send, ignored);
+    m_state->m_endTimer.expires_after(DiscardLimit);
+    m_state->m_endTimer.async_wait([self = shared_from_this()](const boost::system::error_code &) { self->close(); });
+    discardInput();
 }
 
 void ServerConnection::setEndsWithReset(bool endsWithReset)
@@ -709,10 +734,11 @@
     m_state->m_socket.set_option(Asio::socket_base::linger(endsWithReset, 0), ignored);
 }
 
-void ServerConnection::closeIfIdle()
+void ServerConnection::endIfIdleFor(Core::Duration idle)
 {
-    if (!m_isAnswering && !m_isReading && m_state->m_outgoing.empty()) {
-        close();
+    const bool isIdle = !m_isClosed && !m_isAnswering && !m_isReading && !m_hasOutputEnded && m_state->m_outgoing.empty();
+    if (isIdle && Core::Clock::now() - m_state->m_idleSince >= idle && !hasUnreadInput(m_state->m_socket)) {
+        endOutput();
     }
 }
 
@@ -726,7 +752,7 @@
     cancelMemoryWait();
     m_state->m_memory = Core::ByteReservation();
     boost::system::error_code ignored; // The connection is closed in any case.
-    m_state->m_lingerTimer.cancel(ignored);
+    m_state->m_endTimer.cancel(ignored);
     m_state->m_closeCheckTimer.cancel(ignored);
     m_state->m_socket.close(ignored);
 }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -52,7 +52,8 @@
 struct ServerContext
 {
     ServerLimits m_limits;
-    bool m_isClosing = false; ///< If true, every answer asks the caller to close the connection, and connections close instead of waiting for a request.
+    /// If true, answers ask the caller to close the connection, unless its next request has already arrived.
+    bool m_isClosing = false;
     std::function<void(const std::shared_ptr<ServerConnection> &connection, ServerRequest request)> m_onRequest;
     std::function<void(int status, const std::string &peer, const std::string &reason)> m_onRejected; ///< Called for rejected requests.
     std::shared_ptr<RequestMemory> m_requestMemory; ///< Shared by all listeners of a process. Null sets no limit.
@@ -76,6 +77,9 @@
  * Exactly one answer is sent for each request. If the source of an answer fails, abort() closes the connection, so that the caller cannot mistake
  * the part that it has received for a complete answer. A body that ends with the connection is complete for the caller if the connection ends in order, so
  * until finish() such a connection can only end with a reset, also if the process is killed.
+ *
+ * If a socket is closed while the kernel holds received bytes, the kernel resets the connection, and the other end loses what it has not read yet. So every
+ * orderly end goes through endOutput(): it ends the output alone, and input is ignored until the other end closes or a time limit passes.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
@@ -87,6 +91,8 @@
     ServerConnection &operator=(const ServerConnection &) = delete;
 
     void start();
+    /// Instead of start(): answers without reading a request.
+    void refuse(int status, const std::string &reason, HeaderFields fields);
 
     /// Sends a complete answer.
     void answer(int status, HeaderFields fields, std::string body);
@@ -107,8 +113,8 @@
     /// Returns a reservation of zero bytes for parts of an answer that cannot be sent yet.
     Core::ByteReservation makeAnswerReservation() const;
 
-    /// Closes the connection if no request is being read or answered.
-    void closeIfIdle();
+    /// Ends the connection if it has been waiting for a request for @p idle, and none has arrived that is still to be read.
+    void endIfIdleFor(Core::Duration idle);
     bool isOpen() const;
 
 private:
@@ -140,7 +146,7 @@
     void reject(int status, const std::string &reason);
     /// Answers a request that has not been read completely, ignores the rest of it and closes the connection.
     void answerUnread(int status, const std::string &reason, HeaderFields fields);
-    /// Reads and ignores what the other end still sends of a rejected request.
+    /// Reads and ignores input until the other end closes, and then closes the connection.
     void discardInput();
     void rejectUnreadable(const boost::system::error_code &error);
     void dispatchRequest();
@@ -157,6 +163,12 @@
     void writeNext();
     void onWritten(const boost::system::error_code &error);
     void onAnswerEnded();
+    /// Returns whether bytes of the request after the current one have arrived.
+    bool hasNextRequest() const;
+    /// Ends the connection in order.
+    void endOutput();
+    /// Ends the connection after an answer that remains incomplete.
+    void endAborted();
     /// Sets whether the connection ends with a reset instead of in order, whatever closes it.
     void setEndsWithReset(bool endsWithReset);
     void handlePeerClosed();
@@ -176,6 +188,8 @@
     bool m_isRejected = false; ///< An error was sent before the request was complete; the rest of the request is ignored.
     bool m_isAborted = false; ///< Nothing is added to the answer any more, and the connection closes.
     bool m_closeAfterAnswer = false;
+    bool m_hasOutputEnded = false; ///< Nothing is sent any more, and input is ignored.
+    bool m_isDiscarding = false; ///< A read is under way whose bytes are ignored.
     bool m_isClosed = false; ///< Once true, nothing is read or written any more.
 };
 
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -19,8 +19,9 @@
 constexpr std::uint32_t MaximumPageBodyBytes = 64 << 10; ///< Of requests for pages and to the operators' interface; most have no body.
 /// Fraction of the leaving time during which requests are still accepted, because callers use a received list of entry addresses for some seconds.
 constexpr double AcceptingShare = 0.4;
-/// Fraction of the leaving time after which idle connections are closed. By then callers have had time to learn of other entries.
-constexpr double IdleCloseShare = 0.3;
+/// Fraction of the leaving time after which idle connections are ended. By then callers have had time to learn of other entries.
+constexpr double IdleEndShare = 0.3;
+constexpr Core::Duration FirstRequestTime{500}; ///< For which a new connection is not idle; callers send a request as soon as they are connected.
 constexpr Core::Duration LeavingCheckInterval{100};
 constexpr Core::Duration ReportedDeclarationsAge{5000}; ///< Age of unconfirmed declarations from which it is logged; above the usual age by a few heartbeats.
 constexpr Core::Duration FinalFlushMargin{250}; ///< Time left before the platform ends the process, so that the last log lines are written.
@@ -264,6 +265,7 @@
         return;
     }
     m_leavingSince = Core::Clock::now();
+    m_callerContext->m_isClosing = true;
     m_log.write(Telemetry::LogLine("leaving").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_gossip.announceLeaving();
     continueLeaving();
@@ -273,14 +275,14 @@
 {
     const Core::Duration since = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_leavingSince);
     const bool acceptsRequests = since < fractionOf(m_settings.m_leavingTime, AcceptingShare);
-    if (since >= fractionOf(m_settings.m_leavingTime, IdleCloseShare)) {
-        m_callerContext->m_isClosing = true;
-        m_listeners.front()->closeIdle();
+    Http::Listener &callers = *m_listeners.front();
+    if (since >= fractionOf(m_settings.m_leavingTime, IdleEndShare)) {
+        callers.endIdle(FirstRequestTime);
     }
     if (!acceptsRequests) {
-        m_listeners.front()->stop();
+        callers.stop();
     }
-    const bool isIdle = m_relay.openRequests() == 0 && m_listeners.front()->connectionCount() == 0;
+    const bool isIdle = m_relay.openRequests() == 0 && callers.connectionCount() == 0;
     if ((!acceptsRequests && isIdle) || since >= m_settings.m_leavingTime - FinalFlushMargin) {
         stop();
         return;
