LibServing: Tell the budget of cold endpoints that became known before the configuration

Cause: an entry reads the list of endpoints and the configuration at the same time, and either may come first. Of an endpoint on the list the budget was not told while no configuration said what it takes, but it was noted as told. So that entry's requests to it had no limit for as long as it was cold.

Change: an endpoint is noted as told only if the budget was told, and the list is compared again when the configuration changes.

--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -316,6 +316,9 @@
 
 void EntryProcess::onFleetStateChanged(const Fleet::FleetStateUpdate &update, bool isFromLog)
 {
+    if (update.m_configuration || update.m_endpoints) {
+        m_listedCold = recordListedCold(m_listedCold, m_fleetState, m_coldBudget, Core::Clock::now());
+    }
     if (update.m_configuration) {
         applyLimits();
         addRetryGauges();
@@ -339,7 +342,6 @@
     }
     if (update.m_endpoints) {
         m_coldBudget.retainKnown(m_fleetState.endpoints());
-        recordColdEndpoints();
         m_endpointsByAddress.rebuild(m_fleetState.endpoints());
         m_endpointTracker.retainKnown(m_fleetState.endpoints(), Core::Clock::now());
         m_requestLimits.retainKnown(m_fleetState.endpoints(), Core::Clock::now());
@@ -381,36 +383,9 @@
     for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_fleetState.endpoints()) {
         const std::string &domain = entry.second.m_endpoint.m_failureDomain;
         if (before.contains(domain) && !m_evacuatedDomains.contains(domain)) {
-            recordCold(entry.second.m_endpoint, now); // It may have become cold without the list saying so yet.
-        }
-    }
-}
-
-void EntryProcess::recordCold(const Fleet::Endpoint &endpoint, Core::Instant now)
-{
-    const Fleet::Service *service = m_fleetState.configuration() ? m_fleetState.configuration()->service(endpoint.m_service) : nullptr;
-    if (service && service->m_coldRequestsPerSecond > 0) {
-        const Core::Duration duration(static_cast<std::int64_t>(service->m_coldSeconds * 1000));
-        m_coldBudget.recordCold(endpoint, service->m_coldRequestsPerSecond, duration, now);
-    }
-}
-
-void EntryProcess::recordColdEndpoints()
-{
-    const Core::Instant now = Core::Clock::now();
-    std::map<std::string, std::uint64_t> listed;
-    for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_fleetState.endpoints()) {
-        const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
-        if (!endpoint.m_isCold) {
-            continue;
-        }
-        const std::map<std::string, std::uint64_t>::const_iterator before = m_listedAsCold.find(entry.first);
-        if (before == m_listedAsCold.end() || before->second != endpoint.m_startedMilliseconds) {
-            recordCold(endpoint, now);
+            recordCold(entry.second.m_endpoint, m_fleetState, m_coldBudget, now); // It may have become cold without the list saying so yet.
         }
-        listed[entry.first] = endpoint.m_startedMilliseconds;
     }
-    m_listedAsCold = std::move(listed);
 }
 
 void EntryProcess::handleEngineUpdates(const std::vector<Gossip::EngineUpdate> &updates)
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -9,6 +9,7 @@
 #include "LibRelay/Relay.h"
 #include "LibServing/EntrySettings.h"
 #include "LibServing/LimitTransition.h"
+#include "LibServing/ListedCold.h"
 #include "LibServing/VerdictKeeper.h"
 #include "LibTelemetry/AdminServer.h"
 #include "LibTelemetry/StallDetector.h"
@@ -64,9 +65,6 @@
     void onFleetStateChanged(const Fleet::FleetStateUpdate &update, bool isFromLog);
     /// Logs the evacuated failure domains, counts their engines out, and expects those that come back to be cold.
     void onEvacuationsChanged(bool isFromLog);
-    /// Records which endpoints of the list are cold.
-    void recordColdEndpoints();
-    void recordCold(const Fleet::Endpoint &endpoint, Core::Instant now);
     void handleEngineUpdates(const std::vector<Gossip::EngineUpdate> &updates);
     void applyEngineUpdate(const Gossip::EngineUpdate &update, Core::Instant now);
     void applyLimits();
@@ -143,7 +141,7 @@
     std::function<std::optional<EntrySettings>()> m_reload;
     bool m_areDeclarationsOld = false;
     std::set<std::string> m_evacuatedDomains; ///< As last applied to the trackers.
-    std::map<std::string, std::uint64_t> m_listedAsCold; ///< Start times of the incarnations that the list calls cold, by endpoint id.
+    ListedCold m_listedCold;
     std::optional<LimitTransition> m_limits; ///< Of callers; empty until a configuration is known.
     std::optional<Core::Instant> m_leavingSince; ///< Set once a termination signal was received.
     double m_requestRate = 0; ///< Requests per second, as a moving average.
