LibJson: Read numbers of other programs only within the range of their use

An odd entry could end an agent, again after each start: an element -1 or in an engine's list of staged chunks threw an exception out of the event loop. Others were cut: a number of slots, layers, tokens or running requests of 2^32 counted as 0, a cold time of 1e300 was converted to an integer, and an address of an IPv6 number passed and failed at each call.

Cause: readers converted numbers by themselves.

--- a/Libraries/LibJson/Json.cpp
+++ b/Libraries/LibJson/Json.cpp
@@ -3,7 +3,9 @@
 #include "LibJson/Json.h"
 
 #include <Poco/JSON/Parser.h>
+#include <cmath>
 #include <functional>
+#include <limits>
 #include <sstream>
 
 namespace Json {
@@ -22,6 +24,24 @@
     return object.get(field);
 }
 
+std::optional<std::uint64_t> readCount(const Poco::Dynamic::Var &value)
+{
+    if (value.isEmpty() || value.isBoolean() || !value.isInteger()) {
+        return std::nullopt;
+    }
+    try {
+        return value.convert<std::uint64_t>();
+    } catch (const Poco::Exception &) {
+        return std::nullopt; // A negative number.
+    }
+}
+
+std::optional<std::uint32_t> readCount32(const Poco::Dynamic::Var &value)
+{
+    const std::optional<std::uint64_t> count = readCount(value);
+    return count && *count <= std::numeric_limits<std::uint32_t>::max() ? std::optional<std::uint32_t>(static_cast<std::uint32_t>(*count)) : std::nullopt;
+}
+
 /// Returns a list of the elements that @p read can read.
 template <typename T>
 List<T> listOf(const Poco::JSON::Object &object, const std::string &field, const std::function<std::optional<T>(const Poco::Dynamic::Var &)> &read)
@@ -58,6 +78,8 @@
         return value.extract<Poco::JSON::Object::Ptr>();
     } catch (const Poco::Exception &exception) {
         return Core::makeError(Core::ErrorCode::InvalidInput, "read JSON", "", exception.displayText());
+    } catch (const std::exception &exception) {
+        return Core::makeError(Core::ErrorCode::InvalidInput, "read JSON", "", exception.what());
     }
 }
 
@@ -76,7 +98,11 @@
     if (value.isEmpty() || value.isBoolean() || !value.isNumeric()) {
         return wrongField(field, "a number");
     }
-    return value.convert<double>();
+    const double number = value.convert<double>();
+    if (!(std::abs(number) <= MaximumNumber)) {
+        return wrongField(field, "a number of at most 15 digits");
+    }
+    return number;
 }
 
 Core::Result<std::string> textOf(const Poco::JSON::Object &object, const std::string &field)
@@ -100,17 +126,20 @@
     return value ? std::optional<double>(value.value()) : std::nullopt;
 }
 
+std::optional<double> optionalNumberWithin(const Poco::JSON::Object &object, const std::string &field, double minimum, double maximum)
+{
+    const std::optional<double> number = optionalNumber(object, field);
+    return number && *number >= minimum && *number <= maximum ? number : std::nullopt;
+}
+
 std::optional<std::uint64_t> optionalCount(const Poco::JSON::Object &object, const std::string &field)
 {
-    const Poco::Dynamic::Var value = valueOf(object, field);
-    if (value.isEmpty() || value.isBoolean() || !value.isInteger()) {
-        return std::nullopt;
-    }
-    try {
-        return value.convert<std::uint64_t>();
-    } catch (const Poco::Exception &) {
-        return std::nullopt; // A negative number.
-    }
+    return readCount(valueOf(object, field));
+}
+
+std::optional<std::uint32_t> optionalCount32(const Poco::JSON::Object &object, const std::string &field)
+{
+    return readCount32(valueOf(object, field));
 }
 
 std::optional<std::string> optionalText(const Poco::JSON::Object &object, const std::string &field)
@@ -139,6 +168,11 @@
     });
 }
 
+List<std::uint32_t> counts32Of(const Poco::JSON::Object &object, const std::string &field)
+{
+    return listOf<std::uint32_t>(object, field, readCount32);
+}
+
 Core::Result<void> refuseUnknownFields(const Poco::JSON::Object &object, const std::vector<std::string> &known)
 {
     for (const std::string &name : object.getNames()) {
--- a/Libraries/LibJson/Json.h
+++ b/Libraries/LibJson/Json.h
@@ -11,10 +11,13 @@
 
 namespace Json {
 
+/// Largest magnitude of a number, so that conversions to integers of 64 bits cannot overflow.
+inline constexpr double MaximumNumber = 1e15;
+
 /// Parses one object; fails with InvalidInput when it is malformed, nested too deep or not an object.
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text);
 
-/// Each returns the value of a field, or fails with InvalidInput if the field is absent or has another type.
+/// Each returns the value of a field, or fails with InvalidInput if the field is absent, has another type or is beyond MaximumNumber.
 Core::Result<bool> flagOf(const Poco::JSON::Object &object, const std::string &field);
 Core::Result<double> numberOf(const Poco::JSON::Object &object, const std::string &field);
 Core::Result<std::string> textOf(const Poco::JSON::Object &object, const std::string &field);
@@ -23,8 +26,12 @@
 /// remain usable.
 std::optional<bool> optionalFlag(const Poco::JSON::Object &object, const std::string &field);
 std::optional<double> optionalNumber(const Poco::JSON::Object &object, const std::string &field);
-/// Accepts whole numbers of at least 0.
+/// Accepts numbers from @p minimum to @p maximum.
+std::optional<double> optionalNumberWithin(const Poco::JSON::Object &object, const std::string &field, double minimum, double maximum);
+/// Accepts whole numbers from 0 to 2^64 - 1.
 std::optional<std::uint64_t> optionalCount(const Poco::JSON::Object &object, const std::string &field);
+/// Accepts whole numbers from 0 to 2^32 - 1.
+std::optional<std::uint32_t> optionalCount32(const Poco::JSON::Object &object, const std::string &field);
 std::optional<std::string> optionalText(const Poco::JSON::Object &object, const std::string &field);
 /// Returns null if the field is absent or not an object.
 Poco::JSON::Object::Ptr optionalObject(const Poco::JSON::Object &object, const std::string &field);
@@ -47,9 +54,10 @@
     }
 };
 
-/// Each returns a list of objects or of texts.
+/// Each returns a list of objects, of texts, or of whole numbers from 0 to 2^32 - 1.
 List<Poco::JSON::Object::Ptr> objectsOf(const Poco::JSON::Object &object, const std::string &field);
 List<std::string> textsOf(const Poco::JSON::Object &object, const std::string &field);
+List<std::uint32_t> counts32Of(const Poco::JSON::Object &object, const std::string &field);
 
 /// Fails with InvalidInput if the object has a field outside @p known.
 Core::Result<void> refuseUnknownFields(const Poco::JSON::Object &object, const std::vector<std::string> &known);
