LibEntry: Refuse whole numbers beyond 64 bits with a sign

A caller that asked for tokens got no answer at all: the conversion threw, and the handler took that for a lost connection. It is refused as out of range now, like other numbers.

Evidence: Entry/TestCallerRequests, malformed requests ("No message received" before).

--- a/Libraries/LibEntry/CallerRequest.cpp
+++ b/Libraries/LibEntry/CallerRequest.cpp
@@ -83,11 +83,13 @@
     if (!value.isInteger()) {
         return invalid(field + " must be a whole number");
     }
-    const std::int64_t number = value.convert<std::int64_t>();
-    if (number < minimum || number > maximum) {
-        return invalid(field + " must be from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    const Core::Error outOfRange = invalid(field + " must be from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    try {
+        const std::int64_t number = value.convert<std::int64_t>();
+        return number < minimum || number > maximum ? Core::Result<std::int64_t>(outOfRange) : Core::Result<std::int64_t>(number);
+    } catch (const Poco::Exception &) {
+        return outOfRange; // Beyond 64 bits with a sign.
     }
-    return number;
 }
 
 }
--- a/Tests/Entry/TestCallerRequests.cpp
+++ b/Tests/Entry/TestCallerRequests.cpp
@@ -232,6 +232,10 @@
     REQUIRE(send(callers, "POST", "/v1/generate", "{}").m_status == 400);
     REQUIRE(send(callers, "POST", "/v1/generate", R"({"account":"a b","template":"season","prompt":"x"})").m_status == 400);
     REQUIRE(send(callers, "POST", "/v1/generate", R"({"account":"sao-mai","template":"season","prompt":"x","max_tokens":-1})").m_status == 400);
+    for (const std::string number : {"0", "65537", "4294967297", "18446744073709551615", "-9223372036854775808", "1.5"}) {
+        INFO("max_tokens " << number);
+        REQUIRE(send(callers, "POST", "/v1/generate", R"({"account":"sao-mai","template":"season","prompt":"x","max_tokens":)" + number + "}").m_status == 400);
+    }
     REQUIRE(send(callers, "POST", "/v1/generate", R"({"account":"sao-mai","template":"none","prompt":"x"})").m_status == 404);
     REQUIRE(send(callers, "POST", "/v1/generate", std::string(2 << 20, 'x')).m_status == 413);
     REQUIRE(send(callers, "GET", "/v1/generate", "").m_status == 404);
