LibEntry: End connections of the own interface without destroying what callers have not read

Refused connections are half closed, and their input is ignored until the caller closes them, for 2 s at most. Answers of an entry that leaves ask callers to close.

Evidence: Entry/TestCallerRequests (I/O error before) and Entry/TestLeaving (connections were kept before).

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -262,6 +262,9 @@
     void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
     {
         const OpenRequest open(m_frontend);
+        if (m_frontend.m_state != EntryState::Serving) {
+            response.setKeepAlive(false); // The caller connects elsewhere before this entry ends its connections.
+        }
         try {
             serve(request, response);
         } catch (const Poco::Exception &exception) {
@@ -427,7 +430,7 @@
     }
 
 private:
-    static void refuse(Poco::Net::StreamSocket socket)
+    void refuse(Poco::Net::StreamSocket socket)
     {
         const CallerError error{
             CallerCode::NotRun, Core::makeError(Core::ErrorCode::Overloaded, "accept connection", "", "too many connections"), Core::Duration(1000), {}};
@@ -439,6 +442,7 @@
             // The empty send buffer of a new socket takes this much without blocking.
             socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
             socket.shutdownSend();
+            m_guard->discardUntilClosed(socket);
         } catch (const Poco::Exception &) {
             // The caller has already disconnected.
         }
--- a/Libraries/LibEntry/ConnectionGuard.cpp
+++ b/Libraries/LibEntry/ConnectionGuard.cpp
@@ -2,11 +2,32 @@
 
 #include "LibEntry/ConnectionGuard.h"
 
+#include <array>
+
 namespace Entry {
 
 namespace {
 
 constexpr Core::Duration CheckInterval{200};
+constexpr Core::Duration DiscardLimit{2000}; ///< For a caller to read a refusal.
+constexpr std::size_t MaximumDiscarding = 64;
+constexpr std::size_t DiscardBytes = 16 << 10; ///< Size of one read of ignored bytes.
+
+/// Reads and ignores the bytes that have arrived. Returns whether the other end has closed the connection.
+bool hasEndedAfterDiscard(Poco::Net::StreamSocket &socket)
+{
+    std::array<char, DiscardBytes> ignored{};
+    try {
+        while (socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            if (socket.receiveBytes(ignored.data(), static_cast<int>(ignored.size())) <= 0) {
+                return true;
+            }
+        }
+        return false;
+    } catch (const Poco::Exception &) {
+        return true; // The other end has reset the connection.
+    }
+}
 
 }
 
@@ -73,9 +94,24 @@
     while (!m_stopping) {
         m_changed.wait_for(lock, CheckInterval);
         closeTimedOut(Core::Clock::now());
+        discardInput(Core::Clock::now());
+    }
+}
+
+void ConnectionGuard::discardUntilClosed(const Poco::Net::StreamSocket &socket)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_discarding.size() < MaximumDiscarding) {
+        m_discarding.push_back(ReceivingConnection{socket, Core::Clock::now()});
     }
 }
 
+void ConnectionGuard::discardInput(Core::Instant now)
+{
+    std::erase_if(m_discarding,
+                  [now](ReceivingConnection &connection) { return now - connection.m_since >= DiscardLimit || hasEndedAfterDiscard(connection.m_socket); });
+}
+
 void ConnectionGuard::closeAll()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/Libraries/LibEntry/ConnectionGuard.h
+++ b/Libraries/LibEntry/ConnectionGuard.h
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace Entry {
 
@@ -37,6 +38,13 @@
     /// Stops the request timeout: the request was received completely, or the connection has ended.
     void endReceiving(const Poco::Net::StreamSocket &socket);
 
+    /**
+     * Reads and ignores what arrives on a connection that is not counted and whose answer has been sent, until the caller closes it or a time limit passes.
+     *
+     * If it was closed with unread bytes, the kernel would reset it, and the caller could lose the answer. Beyond a number of such connections it is closed.
+     */
+    void discardUntilClosed(const Poco::Net::StreamSocket &socket);
+
     /// Closes every connection that is idle or receiving a request.
     void closeAll();
 
@@ -54,6 +62,7 @@
 
     void checkLoop();
     void closeTimedOut(Core::Instant now);
+    void discardInput(Core::Instant now);
 
     const Core::Duration m_requestTimeout;
     const std::size_t m_maximumConnections;
@@ -64,6 +73,7 @@
     std::condition_variable m_changed;
     bool m_stopping = false;
     std::unordered_map<const void *, ReceivingConnection> m_receiving; ///< By the socket's implementation object; at most m_maximumConnections.
+    std::vector<ReceivingConnection> m_discarding; ///< Connections whose input is ignored; at most MaximumDiscarding.
     std::thread m_thread;
 };
 
--- a/Tests/Entry/EntryCluster.h
+++ b/Tests/Entry/EntryCluster.h
@@ -37,6 +37,7 @@
     int m_status = 0;
     std::string m_body;
     std::string m_retryAfter;
+    bool m_keepsConnection = false; ///< The entry accepts further requests on the connection.
 
     bool isComplete() const
     {
@@ -55,6 +56,7 @@
 inline HttpReply send(const Core::Address &address, const std::string &method, const std::string &path, const std::string &body, const Headers &headers = {})
 {
     Poco::Net::HTTPClientSession session(address.m_host, address.m_port);
+    session.setKeepAlive(true);
     Poco::Net::HTTPRequest request(method, path, "HTTP/1.1");
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     for (const std::pair<const std::string, std::string> &header : headers) {
@@ -66,6 +68,7 @@
     HttpReply reply;
     reply.m_status = response.getStatus();
     reply.m_retryAfter = response.get("Retry-After", "");
+    reply.m_keepsConnection = response.getKeepAlive();
     Poco::StreamCopier::copyToString(stream, reply.m_body);
     return reply;
 }
--- a/Tests/Entry/TestCallerRequests.cpp
+++ b/Tests/Entry/TestCallerRequests.cpp
@@ -275,3 +275,27 @@
     REQUIRE(refused.m_status == 503);
     REQUIRE(refused.m_retryAfter == "1");
 }
+
+TEST_CASE("a connection above the limit ends in order for a caller that has sent its request")
+{
+    // Guards against a reset, which can destroy the refusal before the caller reads it.
+    FakePlatform platform;
+    TestEntry entry("entry-1", platform, {}, [](Entry::EntrySettings &settings) { settings.m_callers.m_maximumConnections = 1; });
+    const Poco::Net::SocketAddress address(entry.member().m_callers.m_host, entry.member().m_callers.m_port);
+    const Poco::Net::StreamSocket first(address);
+    Poco::Net::StreamSocket second(address);
+    second.setReceiveTimeout(Poco::Timespan(10, 0));
+    const std::string request = "GET /v1/addresses HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(8000, 'x') + "\r\n\r\n";
+    second.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::this_thread::sleep_for(Core::Duration(300));
+    second.sendBytes(request.data(), static_cast<int>(request.size()));
+    second.shutdownSend();
+    std::string received(4096, '\0');
+    std::string answer;
+    int size = second.receiveBytes(received.data(), static_cast<int>(received.size()));
+    while (size > 0) {
+        answer.append(received.data(), static_cast<std::size_t>(size));
+        size = second.receiveBytes(received.data(), static_cast<int>(received.size()));
+    }
+    REQUIRE(answer.starts_with("HTTP/1.1 503 "));
+}
--- a/Tests/Entry/TestLeaving.cpp
+++ b/Tests/Entry/TestLeaving.cpp
@@ -52,6 +52,8 @@
 
     leavingEntry.entry().startLeaving();
     REQUIRE(leavingEntry.addresses().find(leavingEntry.member().m_callers.toString()) == std::string::npos);
+    REQUIRE_FALSE(send(leavingEntry.member().m_callers, "GET", "/v1/addresses", "").m_keepsConnection);
+    REQUIRE(send(stayingEntry.member().m_callers, "GET", "/v1/addresses", "").m_keepsConnection);
     REQUIRE(leavingEntry.generate().isComplete());
     std::future<bool> drained = std::async(std::launch::async, [&leavingEntry] { return leavingEntry.entry().awaitDrained(); });
     HttpReply refused = leavingEntry.generate();
