LibDaemon: Hold signals back until the process handles them

A SIGHUP between the reading of the settings and the installation of its handler was ignored, so that the process went on with settings that had changed. Now SIGHUP, SIGTERM and SIGINT are held back from the first statement of main on and delivered once they are handled.

Found by reading, not reproduced by a test.

--- a/Libraries/LibDaemon/Program.h
+++ b/Libraries/LibDaemon/Program.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Error.h"
+#include "LibCore/SignalMask.h"
 #include "LibSettings/Reader.h"
 
 #include <csignal>
@@ -80,7 +81,8 @@
 }
 
 /**
- * Runs a process that handles signals on its own event loop: checks all settings before anything starts.
+ * Runs a process that handles signals on its own event loop: checks all settings before anything starts. The process releases the signals, which are held
+ * back until then, once it handles them.
  *
  * @p Process is constructed from the settings and @p adapter, which connects the process to the platform. It has run() and onReload(). The callback that is
  * passed to onReload() reads the settings file again. If the file has mistakes, the callback reports them on standard error and returns nothing.
@@ -88,8 +90,7 @@
 template <typename Process, typename ProcessSettings, typename Adapter>
 int runLoopProgram(int argc, char **argv, const ProgramDescription &description, ProcessSettings (*readSettings)(Settings::Reader &), const Adapter &adapter)
 {
-    // A reload before the process handles the signal has nothing to do, since the settings are yet to be read.
-    std::signal(SIGHUP, SIG_IGN);
+    Core::holdProcessSignals(); // Until the process handles them: settings that change after they were read must be read again.
     int exitCode = ExitOk;
     const std::optional<CommandLine> commandLine = readCommandLine(argc, argv, description, exitCode);
     if (!commandLine) {
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "LibServing/EntryProcess.h"
 
+#include "LibCore/SignalMask.h"
 #include "LibHttp/AdminPages.h"
 #include "LibRelay/LimitLine.h"
 #include "LibRelay/RetryBudgetLine.h"
@@ -236,6 +237,7 @@
             awaitSignals();
         }
     });
+    Core::releaseProcessSignals();
 }
 
 void EntryProcess::handleSignal(int signal)
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "LibStaging/AgentProcess.h"
 
+#include "LibCore/SignalMask.h"
 #include "LibHttp/AdminPages.h"
 
 #include <unistd.h>
@@ -153,6 +154,7 @@
         }
         stop();
     });
+    Core::releaseProcessSignals();
 }
 
 void AgentProcess::reload()
