LibServing: End the connections of pages in order when an entry leaves

Only the connections of callers were ended before the process; those of the pages, by which callers learn of entries, were cut by its end, with requests in the kernel unread. The same steps apply to both now. The operators' interface serves until the process ends.

--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -81,6 +81,7 @@
     , m_callerContext(std::make_shared<Http::ServerContext>())
     , m_pageContext(std::make_shared<Http::ServerContext>())
     , m_adminContext(std::make_shared<Http::ServerContext>())
+    , m_adminListener(m_loop, m_settings.m_admin, m_adminContext, AdminConnections)
     , m_signals(m_loop)
     , m_tickTimer(m_loop)
     , m_leavingTimer(m_loop)
@@ -163,10 +164,10 @@
     for (const Core::Address &address : m_settings.m_pages) {
         m_listeners.push_back(std::make_unique<Http::Listener>(m_loop, address, m_pageContext, PageConnections));
     }
-    m_listeners.push_back(std::make_unique<Http::Listener>(m_loop, m_settings.m_admin, m_adminContext, AdminConnections));
     for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
         BOOST_OUTCOME_TRYV(listener->start());
     }
+    BOOST_OUTCOME_TRYV(m_adminListener.start());
     addDumpSections();
     m_gossip.registerMethods();
     m_gossip.onStateApplied([this](const Fleet::FleetStateUpdate &update) { onFleetStateChanged(update, false); });
@@ -268,6 +269,7 @@
     }
     m_leavingSince = Core::Clock::now();
     m_callerContext->m_isClosing = true;
+    m_pageContext->m_isClosing = true;
     m_log.write(Telemetry::LogLine("leaving").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_gossip.announceLeaving();
     continueLeaving();
@@ -277,14 +279,18 @@
 {
     const Core::Duration since = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_leavingSince);
     const bool acceptsRequests = since < fractionOf(m_settings.m_leavingTime, AcceptingShare);
-    Http::Listener &callers = *m_listeners.front();
-    if (since >= fractionOf(m_settings.m_leavingTime, IdleEndShare)) {
-        callers.endIdle(FirstRequestTime);
-    }
-    if (!acceptsRequests) {
-        callers.stop();
+    const bool endsIdle = since >= fractionOf(m_settings.m_leavingTime, IdleEndShare);
+    std::size_t connections = 0;
+    for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
+        if (endsIdle) {
+            listener->endIdle(FirstRequestTime);
+        }
+        if (!acceptsRequests) {
+            listener->stop();
+        }
+        connections += listener->connectionCount();
     }
-    const bool isIdle = m_relay.openRequests() == 0 && callers.connectionCount() == 0;
+    const bool isIdle = m_relay.openRequests() == 0 && connections == 0;
     if ((!acceptsRequests && isIdle) || since >= m_settings.m_leavingTime - FinalFlushMargin) {
         stop();
         return;
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -133,7 +133,8 @@
     std::shared_ptr<Http::ServerContext> m_callerContext;
     std::shared_ptr<Http::ServerContext> m_pageContext;
     std::shared_ptr<Http::ServerContext> m_adminContext;
-    std::vector<std::unique_ptr<Http::Listener>> m_listeners; ///< The first one is for callers.
+    Http::Listener m_adminListener; ///< Serves until the process ends.
+    std::vector<std::unique_ptr<Http::Listener>> m_listeners; ///< For callers and for pages.
     boost::asio::signal_set m_signals;
     Http::Timer m_tickTimer;
     Telemetry::StallDetector m_stallDetector;
