Tests: Cut answers within their head

Another operator's clients got a 200 with an empty or short body, framed as whole, when an engine stopped within its answer's head. Here such an answer is no success, at any length, by end and by reset: for a call, an exchange of the own interface, a request, and a stream that has moved. The origin's client still reads heads with POCO, which takes a cut one for complete: what it gets is checked by length and digest.

--- a/Tests/LibEndpoint/TestExchange.cpp
+++ b/Tests/LibEndpoint/TestExchange.cpp
@@ -64,6 +64,17 @@
     CHECK(body.value() == "full");
 }
 
+TEST_CASE("An endpoint's answer that ends within its head fails, wherever it ends")
+{
+    // Guards against a success with an empty body, framed as whole, that the endpoint has not sent.
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(length);
+        CHECK_FALSE(Peer(head.substr(0, length)).readAll());
+    }
+    CHECK(Peer(head).readAll());
+}
+
 TEST_CASE("An endpoint's answer that is cut, or whose end cannot be told from a cut, fails")
 {
     const std::string answer = GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfull",
--- a/Tests/LibHttp/TestClientCall.cpp
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -63,6 +63,27 @@
     CHECK(outcome.m_end->m_wasSent);
 }
 
+TEST_CASE("An answer that ends within its head has no head and is not complete, wherever it ends")
+{
+    // Guards against a success with an empty body, framed as whole, that the endpoint has not sent.
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nAttempt: 1\r\n\r\n";
+    const bool isReset = GENERATE(false, true);
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(isReset, length);
+        const Outcome outcome([&](const std::shared_ptr<ScriptedConnection> &connection) {
+            connection->send(head.substr(0, length));
+            if (isReset) {
+                connection->reset();
+            } else {
+                connection->close();
+            }
+        });
+        CHECK_FALSE(outcome.m_head);
+        CHECK(outcome.m_body.empty());
+        CHECK_FALSE(outcome.m_end->m_isComplete);
+    }
+}
+
 TEST_CASE("An answer without a length that ends in a reset is not complete")
 {
     const Outcome outcome([](const std::shared_ptr<ScriptedConnection> &connection) {
--- a/Tests/LibRelay/TestInterruptedAnswers.cpp
+++ b/Tests/LibRelay/TestInterruptedAnswers.cpp
@@ -185,6 +185,49 @@
     CHECK(received.eventIds() == "1234");
 }
 
+TEST_CASE("A stream whose next endpoint ends within its head does not look complete, wherever it ends")
+{
+    // Guards against a stream that ends as complete because the endpoint to which it has moved sent no more than a part of a head.
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::size_t length = GENERATE(range(0, 64, 9));
+    const bool isReset = GENERATE(false, true);
+    CAPTURE(length, isReset);
+    RelayFixture fixture;
+    fixture.configure();
+    const ScriptedServer::Script script = [&](const std::shared_ptr<ScriptedConnection> &connection) {
+        if (connection->request().find("After: 2") == std::string::npos) {
+            sendAnswer(connection, Delimiter::Chunks, eventsFrom(1, 2), Ending::Reset);
+            return;
+        }
+        connection->send(head.substr(0, length));
+        if (isReset) {
+            connection->reset();
+        } else {
+            connection->close();
+        }
+    };
+    fixture.addEndpoint(script);
+    fixture.addEndpoint(script);
+    const Received received = receive(fixture, "GET /stream/x HTTP/1.1");
+    CHECK_FALSE(received.looksComplete());
+    CHECK(received.eventIds() == "12");
+}
+
+TEST_CASE("A request whose endpoint ends within its head gets no success, wherever it ends")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n";
+    const std::string path = GENERATE("/read/x", "/stream/x");
+    const std::size_t length = GENERATE_COPY(range(std::size_t(0), head.size(), std::size_t(7)));
+    CAPTURE(path, length);
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint([&](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send(head.substr(0, length));
+        connection->close();
+    });
+    CHECK(receive(fixture, "GET " + path + " HTTP/1.1").m_head.find(" 200 ") == std::string::npos);
+}
+
 TEST_CASE("A chunked stream whose second part has no length is not ended as complete")
 {
     // Guards against a last chunk that no endpoint has sent.
