--- a/Libraries/LibCore/Address.cpp
+++ b/Libraries/LibCore/Address.cpp
@@ -16,13 +16,13 @@
 {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string_view::npos) {
-        return makeError(ErrorCode::InvalidInput, "parse address", std::string(text), "expected IPv4-number:port");
+        return makeError(ErrorCode::InvalidInput, "parse address", std::string(text), "expected IP-number:port");
     }
     const std::string host(text.substr(0, colon));
     const std::string_view digits = text.substr(colon + 1);
     in_addr ignored{};
     if (::inet_pton(AF_INET, host.c_str(), &ignored) != 1) {
-        return makeError(ErrorCode::InvalidInput, "parse address", std::string(text), "the host is not an IPv4 number");
+        return makeError(ErrorCode::InvalidInput, "parse address", std::string(text), "the host is not an IP number");
     }
     std::uint16_t port = 0;
     const std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
--- a/Libraries/LibPlacement/ColdBudget.cpp
+++ b/Libraries/LibPlacement/ColdBudget.cpp
@@ -110,8 +110,8 @@
     if (now - m_startedAt < m_settings.m_window) {
         return false;
     }
-    const std::size_t allowance = isSettled(now) ? coldAllowance(endpoint, cold->m_perSecond, m_self, m_others, m_settings)
-                                                 : newcomerAllowance(endpoint, m_self, m_settings);
+    const std::size_t allowance =
+        isSettled(now) ? coldAllowance(endpoint, cold->m_perSecond, m_self, m_others, m_settings) : newcomerAllowance(endpoint, m_self, m_settings);
     return countRecent(endpoint.m_id, now) < allowance;
 }
 
--- a/Tests/LibPlacement/TestColdBudget.cpp
+++ b/Tests/LibPlacement/TestColdBudget.cpp
@@ -279,8 +279,7 @@
     constexpr std::size_t entries = 87;
     const KnownAfter knownAfter{Core::Duration(400), Core::Duration(600)};
     const std::uint64_t seed = GENERATE(1U, 2U, 3U, 4U);
-    const std::size_t most =
-        mostAtAnyEndpoint([&](const Fleet::Endpoint &endpoint) { return playJointStart(endpoint, entries, seed, knownAfter); });
+    const std::size_t most = mostAtAnyEndpoint([&](const Fleet::Endpoint &endpoint) { return playJointStart(endpoint, entries, seed, knownAfter); });
     CHECK(static_cast<double>(most) <= budget());
 }
 
@@ -291,8 +290,8 @@
     const double share = GENERATE(0.33, 1.0);
     const std::int64_t latestStart = GENERATE(range(0, 2001, 250));
     CAPTURE(share, latestStart);
-    const std::size_t most = mostAtAnyEndpoint(
-        [&](const Fleet::Endpoint &endpoint) { return playRestarts(endpoint, entries, share, Core::Duration(latestStart), 1); });
+    const std::size_t most =
+        mostAtAnyEndpoint([&](const Fleet::Endpoint &endpoint) { return playRestarts(endpoint, entries, share, Core::Duration(latestStart), 1); });
     CHECK(static_cast<double>(most) <= budget());
 }
 
