--- a/Libraries/LibCore/SignalMask.cpp
+++ b/Libraries/LibCore/SignalMask.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/SignalMask.h"
 
 #include <csignal>
+#include <initializer_list>
 
 namespace Core {
 
