LibPlacement: Give the rest of a cold endpoint's budget to the nearest entries again

The entries that newcomers are chosen from come first, as before, then the nearest, for every entry that divides the budget. So the requests of newcomers still come out of those of the holders, whatever an entry knows.

Evidence: LibPlacement/TestColdBudget passes, restarts and joint starts included.

--- a/Libraries/LibPlacement/ColdBudget.cpp
+++ b/Libraries/LibPlacement/ColdBudget.cpp
@@ -11,17 +11,18 @@
 
 namespace {
 
-/// Returns the place of an entry in the order of those that send to the endpoint: from 0, the first one, to 1.
-double placeInOrder(const Fleet::Endpoint &endpoint, const std::string &entry)
+/// Returns whether @p left comes before @p right in the order of those that send to the endpoint.
+bool sendsBefore(const LimitHolder &left, const LimitHolder &right, const Fleet::Endpoint &endpoint, const ColdBudgetSettings &settings)
 {
-    constexpr double weights = 18446744073709551616.0; // Two to the power of 64.
-    return static_cast<double>(Core::rendezvousWeight(endpoint.m_id, entry)) / weights;
+    const std::size_t leftAllowance = newcomerAllowance(endpoint, left, settings);
+    const std::size_t rightAllowance = newcomerAllowance(endpoint, right, settings);
+    return leftAllowance == rightAllowance ? ranksBefore(left, right, endpoint) : leftAllowance > rightAllowance;
 }
 
 }
 
 std::size_t coldAllowance(
-    const Fleet::Endpoint &endpoint, double perSecond, const std::string &self, const std::vector<std::string> &others, const ColdBudgetSettings &settings)
+    const Fleet::Endpoint &endpoint, double perSecond, const LimitHolder &self, const std::vector<LimitHolder> &others, const ColdBudgetSettings &settings)
 {
     const double budget = (perSecond * settings.m_excess + settings.m_slack) * settings.m_usedShare;
     const std::size_t requests = static_cast<std::size_t>(std::max(1.0, std::floor(budget))); // Of no request at all an endpoint would not become warm.
@@ -29,18 +30,18 @@
     if (requests >= entries) {
         return requests / entries;
     }
-    const double place = placeInOrder(endpoint, self);
     const std::ptrdiff_t before =
-        std::count_if(others.begin(), others.end(), [&endpoint, place](const std::string &other) { return placeInOrder(endpoint, other) < place; });
+        std::count_if(others.begin(), others.end(), [&](const LimitHolder &other) { return sendsBefore(other, self, endpoint, settings); });
     return static_cast<std::size_t>(before) < requests ? 1 : 0;
 }
 
-std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const std::string &self, const ColdBudgetSettings &settings)
+std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const LimitHolder &self, const ColdBudgetSettings &settings)
 {
-    return placeInOrder(endpoint, self) < settings.m_newcomerShare ? 1 : 0;
+    constexpr double weights = 18446744073709551616.0; // Two to the power of 64.
+    return static_cast<double>(Core::rendezvousWeight(endpoint.m_id, self.m_id)) < settings.m_newcomerShare * weights ? 1 : 0;
 }
 
-ColdBudget::ColdBudget(std::string self, ColdBudgetSettings settings, Core::Instant startedAt)
+ColdBudget::ColdBudget(LimitHolder self, ColdBudgetSettings settings, Core::Instant startedAt)
     : m_self(std::move(self))
     , m_settings(settings)
     , m_startedAt(startedAt)
@@ -48,7 +49,7 @@
 {
 }
 
-void ColdBudget::setEntries(std::vector<std::string> others, bool isComplete, Core::Instant now)
+void ColdBudget::setEntries(std::vector<LimitHolder> others, bool isComplete, Core::Instant now)
 {
     if (static_cast<double>(others.size()) > m_settings.m_growthFactor * static_cast<double>(m_settledCount)) {
         m_settledCount = others.size();
--- a/Libraries/LibPlacement/ColdBudget.h
+++ b/Libraries/LibPlacement/ColdBudget.h
@@ -1,8 +1,7 @@
 /// @file Divides the requests that a cold endpoint takes per second among the entries, so that all of them together keep to its rate.
 #pragma once
 
-#include "LibCore/Clock.h"
-#include "LibFleet/FleetState.h"
+#include "LibPlacement/RequestLimits.h"
 
 #include <deque>
 #include <map>
@@ -31,24 +30,24 @@
 /**
  * Returns how many requests the entry @p self may send to a cold endpoint within each window, beside @p others.
  *
- * With more entries than requests in the budget, one request each is given to the entries that come first in an order which depends on nothing but the
- * endpoint and the entry. So entries with different lists of others choose nearly the same ones. An entry that was cut off goes on with its allowance, which
- * no other entry uses as long as it is known.
+ * With more entries than requests in the budget, one request each is given to those that newcomerAllowance() allows one, then to the nearest ones. The order
+ * depends on nothing but the endpoint and the entry, so entries with different lists of others choose nearly the same ones. An entry that was cut off goes on
+ * with its allowance, which no other entry uses as long as it is known.
  */
 std::size_t coldAllowance(
-    const Fleet::Endpoint &endpoint, double perSecond, const std::string &self, const std::vector<std::string> &others, const ColdBudgetSettings &settings);
+    const Fleet::Endpoint &endpoint, double perSecond, const LimitHolder &self, const std::vector<LimitHolder> &others, const ColdBudgetSettings &settings);
 
 /// As coldAllowance(), for an entry that may not know all others: it depends on nobody else, and comes out of the same requests.
-std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const std::string &self, const ColdBudgetSettings &settings);
+std::size_t newcomerAllowance(const Fleet::Endpoint &endpoint, const LimitHolder &self, const ColdBudgetSettings &settings);
 
 /// Knows which endpoints are cold and keeps to this process's part of what they take. Used by one thread.
 class ColdBudget
 {
 public:
-    ColdBudget(std::string self, ColdBudgetSettings settings, Core::Instant startedAt);
+    ColdBudget(LimitHolder self, ColdBudgetSettings settings, Core::Instant startedAt);
 
     /// Sets the other entries. @p isComplete: whether they are nearly all; until then this process sends little to cold endpoints.
-    void setEntries(std::vector<std::string> others, bool isComplete, Core::Instant now);
+    void setEntries(std::vector<LimitHolder> others, bool isComplete, Core::Instant now);
     /// Records that the endpoint is cold, for at most @p duration from now, and takes @p perSecond requests per second of all entries together.
     void recordCold(const Fleet::Endpoint &endpoint, double perSecond, Core::Duration duration, Core::Instant now);
     /// Records that the endpoint is not cold any more.
@@ -78,10 +77,10 @@
     /// Returns how many requests this process has sent to the endpoint within the last window.
     std::size_t countRecent(const std::string &endpoint, Core::Instant now) const;
 
-    const std::string m_self;
+    const LimitHolder m_self;
     const ColdBudgetSettings m_settings;
     const Core::Instant m_startedAt;
-    std::vector<std::string> m_others;
+    std::vector<LimitHolder> m_others;
     bool m_isComplete = false;
     std::size_t m_settledCount = 0; ///< Of the other entries, when they last became more.
     Core::Instant m_grownAt; ///< When that was.
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -51,7 +51,7 @@
     , m_retryBudgets(m_settings.m_instance, m_settings.m_retryBudgets, m_startedAt)
     , m_versions(m_settings.m_versionBound - Placement::VersionBoundMargin)
     , m_requestLimits(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain})
-    , m_coldBudget(m_settings.m_instance, m_settings.m_coldBudget, m_startedAt)
+    , m_coldBudget(Placement::LimitHolder{m_settings.m_instance, m_settings.m_failureDomain}, m_settings.m_coldBudget, m_startedAt)
     , m_quarantine(Core::stableHash(m_settings.m_instance))
     , m_node(Gossip::nodeSettings(m_settings.m_peers, m_settings.m_memory.m_peerBytes), m_metrics)
     , m_gossip(Gossip::GossipParts{m_loop, m_node, m_fleetState, m_versions, m_metrics, m_log, m_random}, m_settings.m_gossip, makeSelf())
@@ -471,14 +471,22 @@
     }
     const bool areKnown = m_gossip.mayDivideByMembers();
     const Core::Instant now = Core::Clock::now();
+    m_coldBudget.setEntries(withSilentEntries(others), areKnown, now);
     m_requestLimits.setEntries(std::move(others), areKnown, now);
-    std::vector<std::string> running;
+}
+
+std::vector<Placement::LimitHolder> EntryProcess::withSilentEntries(std::vector<Placement::LimitHolder> holders) const
+{
+    std::set<std::string> included;
+    for (const Placement::LimitHolder &holder : holders) {
+        included.insert(holder.m_id);
+    }
     for (const std::pair<const std::string, Gossip::RosterEntry> &entry : m_roster) {
-        if (!entry.second.m_isLeaving) {
-            running.push_back(entry.first);
+        if (!entry.second.m_isLeaving && !included.contains(entry.first)) {
+            holders.push_back(Placement::LimitHolder{entry.first, ""});
         }
     }
-    m_coldBudget.setEntries(std::move(running), areKnown, now);
+    return holders;
 }
 
 void EntryProcess::updateShares()
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -32,7 +32,7 @@
     Placement::SlotTracker m_slotTracker;
     Placement::RequestLimits m_requestLimits{Placement::LimitHolder{"self", "here"}};
     std::set<std::string> m_evacuatedDomains;
-    Placement::ColdBudget m_coldBudget{"self", {}, Core::Instant()};
+    Placement::ColdBudget m_coldBudget{Placement::LimitHolder{"self", ""}, {}, Core::Instant()};
     Fleet::EngineModel m_engine = engineModel();
     Core::Random m_random{7};
 
--- a/Tests/LibPlacement/TestColdBudget.cpp
+++ b/Tests/LibPlacement/TestColdBudget.cpp
@@ -36,28 +36,28 @@
     return PerSecond * budgetSettings().m_excess + budgetSettings().m_slack;
 }
 
-std::string entryName(std::size_t index)
+Placement::LimitHolder holder(std::size_t index)
 {
-    return "entry-" + std::to_string(index);
+    return Placement::LimitHolder{"entry-" + std::to_string(index), std::string(1, static_cast<char>('a' + index % 3))};
 }
 
 /// Returns all entries but @p self.
-std::vector<std::string> othersOf(std::size_t self, std::size_t entries)
+std::vector<Placement::LimitHolder> othersOf(std::size_t self, std::size_t entries)
 {
-    std::vector<std::string> others;
+    std::vector<Placement::LimitHolder> others;
     for (std::size_t other = 0; other < entries; ++other) {
         if (other != self) {
-            others.push_back(entryName(other));
+            others.push_back(holder(other));
         }
     }
     return others;
 }
 
 /// Returns the budget of an entry that has been running for long and knows @p others.
-Placement::ColdBudget settledBudget(std::size_t self, std::vector<std::string> others)
+Placement::ColdBudget settledBudget(std::size_t self, std::vector<Placement::LimitHolder> others)
 {
     const Core::Instant startedAt = Start - Core::Duration(60000);
-    Placement::ColdBudget budget(entryName(self), budgetSettings(), startedAt);
+    Placement::ColdBudget budget(holder(self), budgetSettings(), startedAt);
     budget.setEntries(std::move(others), true, startedAt);
     return budget;
 }
@@ -84,10 +84,10 @@
     SimulatedEntries(std::size_t entries, std::size_t unknown)
     {
         for (std::size_t self = 0; self < entries; ++self) {
-            std::vector<std::string> others;
+            std::vector<Placement::LimitHolder> others;
             for (std::size_t other = 0; other < entries; ++other) {
                 if (other != self && (unknown == 0 || (self + other) % unknown != 0)) {
-                    others.push_back(entryName(other));
+                    others.push_back(holder(other));
                 }
             }
             m_budgets.push_back(settledBudget(self, std::move(others)));
@@ -144,7 +144,7 @@
     std::vector<Placement::ColdBudget> budgets;
     std::vector<std::optional<Core::Instant>> knownAt; // Empty once the entry knows the others.
     for (std::size_t entry = 0; entry < entries; ++entry) {
-        budgets.emplace_back(entryName(entry), budgetSettings(), Start);
+        budgets.emplace_back(holder(entry), budgetSettings(), Start);
         budgets.back().setEntries({}, false, Start);
         budgets.back().recordCold(endpoint, PerSecond, ColdTime, Start);
         knownAt.emplace_back(Start + randomTime(knownAfter, random));
@@ -183,7 +183,7 @@
         return;
     }
     entry.m_known = known;
-    std::vector<std::string> others = othersOf(self, entries);
+    std::vector<Placement::LimitHolder> others = othersOf(self, entries);
     Core::keepRandom(others, known - 1, random);
     entry.m_budget->setEntries(std::move(others), true, now);
 }
@@ -206,7 +206,7 @@
         for (std::size_t self = 0; self < entries; ++self) {
             RestartingEntry &entry = running[self];
             if (now >= entry.m_startsAt && !entry.m_isRestarted) {
-                entry.m_budget = std::make_unique<Placement::ColdBudget>(entryName(self), budgetSettings(), now);
+                entry.m_budget = std::make_unique<Placement::ColdBudget>(holder(self), budgetSettings(), now);
                 entry.m_isRestarted = true;
                 entry.m_budget->recordCold(endpoint, PerSecond, ColdTime, now);
             }
@@ -258,7 +258,7 @@
     constexpr std::size_t engines = 34;
     std::vector<std::size_t> sent(engines);
     for (std::size_t entry = 0; entry < entries; ++entry) {
-        Placement::ColdBudget budget(entryName(entry), budgetSettings(), Start);
+        Placement::ColdBudget budget(holder(entry), budgetSettings(), Start);
         budget.setEntries({}, false, Start);
         const Core::Instant firstSend = Start + budgetSettings().m_window;
         std::size_t usable = 0;
@@ -297,7 +297,7 @@
 
 TEST_CASE("An endpoint is cold until its time is over, the list calls it warm, or it has started again")
 {
-    Placement::ColdBudget budget(entryName(0), budgetSettings(), Start);
+    Placement::ColdBudget budget(holder(0), budgetSettings(), Start);
     budget.recordCold(coldEndpoint(), PerSecond, ColdTime, Start);
     CHECK(budget.isCold(coldEndpoint(), Start));
     CHECK_FALSE(budget.isCold(coldEndpoint(), Start + ColdTime));
--- a/Tests/LibPlacement/TestNearEngines.cpp
+++ b/Tests/LibPlacement/TestNearEngines.cpp
@@ -62,7 +62,7 @@
     std::vector<SimulatedEntry> m_entries;
     Placement::RequestLimits m_requestLimits{Placement::LimitHolder{}}; ///< No engine states a limit.
     std::set<std::string> m_evacuatedDomains;
-    Placement::ColdBudget m_coldBudget{"self", {}, Core::Instant()};
+    Placement::ColdBudget m_coldBudget{Placement::LimitHolder{"self", ""}, {}, Core::Instant()};
     Core::Instant m_start = Core::Instant() + Core::Duration(1000000);
     std::array<std::size_t, Domains> m_sent{}; ///< Requests after the Settled time, by domain of the entry.
     std::array<std::size_t, Domains> m_late{}; ///< Those of them that were late.
--- a/Tests/LibPlacement/TestPromptSeparation.cpp
+++ b/Tests/LibPlacement/TestPromptSeparation.cpp
@@ -203,7 +203,7 @@
     std::map<std::string, Fleet::KnownEndpoint> m_endpoints;
     Placement::RequestLimits m_limits{Placement::LimitHolder{}};
     std::set<std::string> m_evacuatedDomains;
-    Placement::ColdBudget m_coldBudget{"self", {}, Core::Instant()};
+    Placement::ColdBudget m_coldBudget{Placement::LimitHolder{"self", ""}, {}, Core::Instant()};
     std::vector<SimulatedEngine> m_engines;
     std::vector<SimulatedEntry> m_entries;
 };
--- a/Tests/LibServing/TestListedCold.cpp
+++ b/Tests/LibServing/TestListedCold.cpp
@@ -42,7 +42,7 @@
     const bool isListFirst = GENERATE(true, false);
     CAPTURE(isListFirst);
     Fleet::FleetState state;
-    Placement::ColdBudget budget("self", {}, Start);
+    Placement::ColdBudget budget(Placement::LimitHolder{"self", ""}, {}, Start);
     Serving::ListedCold listed;
     for (const bool isList : {isListFirst, !isListFirst}) {
         if (isList) {
@@ -60,7 +60,7 @@
 TEST_CASE("An endpoint that stays on the list as cold does not become cold again")
 {
     Fleet::FleetState state;
-    Placement::ColdBudget budget("self", {}, Start);
+    Placement::ColdBudget budget(Placement::LimitHolder{"self", ""}, {}, Start);
     state.apply(configuration(26));
     state.apply(coldEndpoint(), std::nullopt, Start);
     Serving::ListedCold listed = Serving::recordListedCold({}, state, budget, Start);
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -97,7 +97,7 @@
     Placement::ElapsedTimeEstimator m_elapsedTimeEstimator;
     Placement::SlotTracker m_slotTracker;
     Placement::RequestLimits m_requestLimits{Placement::LimitHolder{"self", ""}};
-    Placement::ColdBudget m_coldBudget{"self", {}, Core::Instant()};
+    Placement::ColdBudget m_coldBudget{Placement::LimitHolder{"self", ""}, {}, Core::Instant()};
     Quarantine::PartQuarantine m_quarantine;
     std::vector<std::unique_ptr<ScriptedServer>> m_servers;
     std::vector<std::string> m_requests; ///< Requests as the endpoints received them.
