LibServing: Record a cold endpoint once any configuration states what it takes

An endpoint of a service without a rate was noted as told, so that a later configuration with a rate did not reach the budget. Found by reading the diff; LibServing/TestListedCold has the case.

--- a/Libraries/LibHttp/Listener.cpp
+++ b/Libraries/LibHttp/Listener.cpp
@@ -105,7 +105,7 @@
         removeClosed();
     }
     if (m_connections.size() >= m_maximumConnections + MaximumRefusals) {
-        return;
+        return; // Closed unread, since descriptors are short.
     }
     const bool isRefused = m_connections.size() >= m_maximumConnections;
     const std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket), m_context);
--- a/Libraries/LibServing/ListedCold.cpp
+++ b/Libraries/LibServing/ListedCold.cpp
@@ -6,15 +6,13 @@
 
 bool recordCold(const Fleet::Endpoint &endpoint, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now)
 {
-    if (!state.configuration()) {
+    const Fleet::Service *service = state.configuration() ? state.configuration()->service(endpoint.m_service) : nullptr;
+    if (!service || service->m_coldRequestsPerSecond <= 0) {
         return false;
     }
-    const Fleet::Service *service = state.configuration()->service(endpoint.m_service);
-    if (service && service->m_coldRequestsPerSecond > 0) {
-        const Core::Duration duration(static_cast<std::int64_t>(service->m_coldSeconds * 1000));
-        budget.recordCold(endpoint, service->m_coldRequestsPerSecond, duration, now);
-    }
-    return service != nullptr;
+    const Core::Duration duration(static_cast<std::int64_t>(service->m_coldSeconds * 1000));
+    budget.recordCold(endpoint, service->m_coldRequestsPerSecond, duration, now);
+    return true;
 }
 
 ListedCold recordListedCold(const ListedCold &before, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now)
--- a/Libraries/LibServing/ListedCold.h
+++ b/Libraries/LibServing/ListedCold.h
@@ -12,7 +12,7 @@
 /// Start times of the incarnations that the list calls cold and that the budget knows, by endpoint id.
 using ListedCold = std::map<std::string, std::uint64_t>;
 
-/// Records that an endpoint is cold from now on. Returns false if the configuration that states what it takes is not known yet.
+/// Records that an endpoint is cold from now on. Returns false if no known configuration states what it takes, so that it has no limit.
 bool recordCold(const Fleet::Endpoint &endpoint, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now);
 
 /**
--- a/Tests/LibServing/TestListedCold.cpp
+++ b/Tests/LibServing/TestListedCold.cpp
@@ -57,6 +57,21 @@
     CHECK(listed.size() == 1);
 }
 
+TEST_CASE("An endpoint is cold once a configuration states what it takes, although an earlier one did not")
+{
+    Fleet::FleetState state;
+    Placement::ColdBudget budget(Placement::LimitHolder{"self", ""}, {}, Start);
+    state.apply(configuration(0));
+    state.apply(coldEndpoint(), std::nullopt, Start);
+    Serving::ListedCold listed = Serving::recordListedCold({}, state, budget, Start);
+    CHECK_FALSE(budget.isCold(state.endpoints().at("e").m_endpoint, Start));
+    Fleet::Declarations changed = configuration(26);
+    changed.m_configurationOffset = 2;
+    state.apply(changed);
+    listed = Serving::recordListedCold(listed, state, budget, Start);
+    CHECK(budget.isCold(state.endpoints().at("e").m_endpoint, Start));
+}
+
 TEST_CASE("An endpoint that stays on the list as cold does not become cold again")
 {
     Fleet::FleetState state;
