LibQuarantine: Bound the ages that peers and the log state

A verdict in the log, or a message of a peer, with an age of 2^63 ms or more was read as one from the future: requests with that part of a prompt would be refused for ever, or a crash of any time count as a new one.

They are limited to a year now, which is older than anything that is kept and cannot overflow.

Evidence: LibQuarantine/TestPartQuarantine, ages of 2^62 and more (3 checks failed before, a verdict in force among them).

--- a/Libraries/LibQuarantine/PartQuarantineExchange.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineExchange.cpp
@@ -1,5 +1,6 @@
 /// @file The part of the quarantine's implementation that exchanges observations with other entries.
 
+#include "LibCore/StatedAge.h"
 #include "LibQuarantine/PartQuarantine.h"
 
 namespace Quarantine {
@@ -10,14 +11,14 @@
         mergeVerdict(verdict, now);
     }
     for (const CompletionObservation &completion : observations.m_completions) {
-        addCompletion(completion.m_part, now - Core::Duration(static_cast<std::int64_t>(completion.m_ageMilliseconds)), now);
+        addCompletion(completion.m_part, now - Core::statedAge(completion.m_ageMilliseconds), now);
         m_completionsToShare.erase(completion.m_part); // Others tell it already.
     }
     for (const CrashObservation &observed : observations.m_crashes) {
         if (m_history.wasCompleted(observed.m_part)) {
             m_completionsToShare[observed.m_part] = now + m_settings.m_sharingTime;
         }
-        const Core::Instant at = now - Core::Duration(static_cast<std::int64_t>(observed.m_ageMilliseconds));
+        const Core::Instant at = now - Core::statedAge(observed.m_ageMilliseconds);
         const Crash crash{observed.m_incarnation, observed.m_account, observed.m_hadBegun, at, observed.m_candidates, observed.m_request};
         addCrash(observed.m_part, crash, now);
     }
--- a/Libraries/LibQuarantine/VerdictTable.cpp
+++ b/Libraries/LibQuarantine/VerdictTable.cpp
@@ -2,6 +2,8 @@
 
 #include "LibQuarantine/VerdictTable.h"
 
+#include "LibCore/StatedAge.h"
+
 #include "LibCore/Random.h"
 
 #include <algorithm>
@@ -175,7 +177,7 @@
 
 void VerdictTable::merge(const Verdict &verdict, const std::vector<Crash> &crashes, Core::Instant now)
 {
-    const Core::Duration idle(static_cast<std::int64_t>(verdict.m_idleMilliseconds));
+    const Core::Duration idle = Core::statedAge(verdict.m_idleMilliseconds);
     // A verdict that has ended here may be told once more by a process where it has not yet.
     if (idle >= m_settings.m_verdictLifetime || verdict.m_incarnations.size() > m_settings.m_maximumCrashes) {
         return;
--- a/Tests/LibQuarantine/TestPartQuarantine.cpp
+++ b/Tests/LibQuarantine/TestPartQuarantine.cpp
@@ -271,3 +271,26 @@
     CHECK(quarantine.verdicts().blamed().empty());
     CHECK(peer.verdicts().blamed().empty());
 }
+
+TEST_CASE("A verdict, a crash or an answer of an age beyond all bounds is an old one")
+{
+    // Guards against a verdict that never ends because its age was read as a negative one.
+    const std::uint64_t age = GENERATE(std::uint64_t{1} << 62, std::uint64_t{1} << 63, (std::uint64_t{1} << 63) + 1, UINT64_MAX);
+    CAPTURE(age);
+    Quarantine::Verdict verdict;
+    verdict.m_part = PromptPart{"drafts", "p"};
+    verdict.m_revision = 1;
+    verdict.m_incarnations = {1, 2, 3};
+    verdict.m_idleMilliseconds = age;
+    Observations observations;
+    observations.m_verdicts = {verdict};
+    for (Quarantine::Incarnation incarnation = 1; incarnation <= 5; ++incarnation) {
+        observations.m_crashes.push_back(Quarantine::CrashObservation{PromptPart{"drafts", "q"}, incarnation, Buyer, true, 1, incarnation, age});
+    }
+    observations.m_completions = {Quarantine::CompletionObservation{PromptPart{"drafts", "r"}, age}};
+    PartQuarantine quarantine(1, QuarantineSettings{});
+    quarantine.merge(observations, Start);
+    quarantine.update(after(1000));
+    CHECK(quarantine.verdicts().blamed().empty());
+    CHECK(treatment(quarantine, parts({"p", "q"}), 1000) == TreatmentKind::Send);
+}
