--- a/Libraries/LibCore/SignalMask.cpp
+++ b/Libraries/LibCore/SignalMask.cpp
@@ -2,9 +2,6 @@
 
 #include "LibCore/SignalMask.h"
 
-#include <csignal>
-#include <initializer_list>
-
 namespace Core {
 
 namespace {
@@ -13,7 +10,7 @@
 {
     sigset_t signals;
     sigemptyset(&signals);
-    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    for (const int signal : ProcessSignals) {
         sigaddset(&signals, signal);
     }
     return signals;
--- a/Libraries/LibPlacement/ColdBudget.cpp
+++ b/Libraries/LibPlacement/ColdBudget.cpp
@@ -51,8 +51,8 @@
 
 void ColdBudget::setEntries(std::vector<LimitHolder> others, bool isComplete, Core::Instant now)
 {
-    if (static_cast<double>(others.size()) > m_settings.m_growthFactor * static_cast<double>(m_settledCount)) {
-        m_settledCount = others.size();
+    if (static_cast<double>(others.size()) > m_settings.m_growthFactor * static_cast<double>(m_grownCount)) {
+        m_grownCount = others.size();
         m_grownAt = now;
     }
     m_others = std::move(others);
--- a/Libraries/LibPlacement/ColdBudget.h
+++ b/Libraries/LibPlacement/ColdBudget.h
@@ -60,8 +60,6 @@
     void recordSent(const Fleet::Endpoint &endpoint, Core::Instant now);
     /// Returns the number of cold endpoints.
     std::size_t coldCount(Core::Instant now) const;
-    /// Returns whether this process divides budgets among all entries.
-    bool isSettled(Core::Instant now) const;
     /// Removes endpoints that are not in @p known.
     void retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known);
 
@@ -74,6 +72,8 @@
     };
 
     const Cold *find(const Fleet::Endpoint &endpoint, Core::Instant now) const;
+    /// Returns whether this process divides budgets among all entries.
+    bool isSettled(Core::Instant now) const;
     /// Returns how many requests this process has sent to the endpoint within the last window.
     std::size_t countRecent(const std::string &endpoint, Core::Instant now) const;
 
@@ -82,8 +82,8 @@
     const Core::Instant m_startedAt;
     std::vector<LimitHolder> m_others;
     bool m_isComplete = false;
-    std::size_t m_settledCount = 0; ///< Of the other entries, when they last became more.
-    Core::Instant m_grownAt; ///< When that was.
+    std::size_t m_grownCount = 0; ///< Of the other entries, when their number last grew.
+    Core::Instant m_grownAt; ///< When that was, or when the process started.
     std::map<std::string, Cold> m_cold; ///< By endpoint id.
     std::map<std::string, std::deque<Core::Instant>> m_sentAt; ///< Times of the requests within the last window, oldest first, by endpoint id.
 };
--- a/Libraries/LibStaging/AgentProcess.cpp
+++ b/Libraries/LibStaging/AgentProcess.cpp
@@ -140,7 +140,7 @@
 
 void AgentProcess::awaitSignals()
 {
-    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    for (const int signal : Core::ProcessSignals) {
         m_signals.add(signal);
     }
     m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
