--- a/Tests/LibHttp/TestConnectionEnd.cpp
+++ b/Tests/LibHttp/TestConnectionEnd.cpp
@@ -37,6 +37,14 @@
         REQUIRE(m_listener->start());
     }
 
+    /// Sends a request whose answer the test ends, and the next request behind it.
+    void holdBeforeNext(RawCaller &caller)
+    {
+        caller.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(runUntil(m_loop, [this] { return m_held != nullptr; }));
+        caller.send(Request);
+    }
+
     void run(Core::Duration time)
     {
         runUntil(
@@ -108,9 +116,7 @@
     // Guards against a reset that destroys the end of a large answer because the next request was not read.
     EndingServer server;
     RawCaller caller(server.m_loop, server.m_listener->port());
-    caller.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
-    REQUIRE(runUntil(server.m_loop, [&server] { return server.m_held != nullptr; }));
-    caller.send(Request);
+    server.holdBeforeNext(caller);
     server.m_context->m_isClosing = true;
     server.m_held->sendBody(std::string(LargeBytes, 'x'));
     server.m_held->finish();
@@ -187,9 +193,7 @@
 {
     EndingServer server;
     RawCaller caller(server.m_loop, server.m_listener->port());
-    caller.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
-    REQUIRE(runUntil(server.m_loop, [&server] { return server.m_held != nullptr; }));
-    caller.send(Request);
+    server.holdBeforeNext(caller);
     server.m_held->sendBody(std::string(LargeBytes, 'x'));
     server.m_held->abort();
     REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
