LibQuarantine, LibRelay: Identify requests by their content, and log it when an endpoint is lost

Cause: the logs could not tell one request that its caller repeats from many requests under which engines end. A lost attempt named its attempt id, which is new each time, and the parts that its prompt shares.

Change: requestIdentity() is a digest of what a caller keeps: account, method, host, path and query, all parts of the prompt also the last one, token counts and body. The line attempt_failed names it and the number of endpoints lost in the attempt; relay_lost_endpoints_total counts them. No decision changes.

--- a/Libraries/LibRelay/Dialect.h
+++ b/Libraries/LibRelay/Dialect.h
@@ -24,6 +24,7 @@
     std::optional<std::uint64_t> m_resumeAfter; ///< Id of the last event that the caller has received.
     /// Ids of the parts of the prompt, as received, without the last part, which belongs to the request itself. Empty if the request states no parts.
     std::vector<std::string> m_promptParts;
+    std::string m_ownPart; ///< Id of the prompt's last part, as received; empty if the request states no parts.
 };
 
 /// Header fields that the relay adds to a request for an endpoint.
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -27,6 +27,7 @@
     , m_yielding(metrics.counter("relay_yielding_total"))
     , m_quarantined(metrics.counter("relay_quarantined_total"))
     , m_held(metrics.counter("relay_held_total"))
+    , m_lostEndpoints(metrics.counter("relay_lost_endpoints_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"last_chunk\"}"),
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -87,6 +87,7 @@
     Telemetry::Counter &m_yielding;
     Telemetry::Counter &m_quarantined;
     Telemetry::Counter &m_held;
+    Telemetry::Counter &m_lostEndpoints; ///< Requests that were at an endpoint when it ended.
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
     Telemetry::Latency &m_completeAnswer;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -661,6 +661,9 @@
     if (!parts.empty()) {
         line.text("parts", parts);
     }
+    if (m_lostEndpoints > 0) {
+        line.text("request", m_identity->m_id).number("lost_endpoints", std::int64_t{m_lostEndpoints});
+    }
 }
 
 bool RelayedRequest::hasAttemptLeft(bool mayHaveRun) const
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -3,6 +3,7 @@
 
 #include "LibHttp/ClientCall.h"
 #include "LibPlacement/Choice.h"
+#include "LibQuarantine/RequestIdentity.h"
 #include "LibRelay/AttemptWindow.h"
 #include "LibRelay/EventFramer.h"
 #include "LibRelay/Relay.h"
@@ -73,6 +74,9 @@
     /// Describes the current attempt.
     Quarantine::RunFacts runFacts() const;
     Quarantine::Account quarantineAccount() const;
+    Quarantine::RequestContent content() const;
+    /// Returns the identity of the request, which is computed once.
+    const Quarantine::PromptPart &identity();
     /// Marks the request as admitted and sends it to the chosen endpoint.
     void admitAndSend(const Placement::Choice &choice);
     /// Adds the request to the requests that already wait and dispatches them; returns false if it may not wait.
@@ -175,7 +179,7 @@
     RequestEnd describeEnd(RequestOutcome outcome) const;
     /// Logs why no slot is expected for the request.
     void logNoSlotExpected(const Placement::QueueForecast &forecast, std::size_t ahead);
-    /// Adds what an engine that ended may have been working on: when its answer began, and the parts of the prompt.
+    /// Adds what an engine that ended may have been working on: when its answer began, the parts of the prompt, and the identity of the request.
     void describeWork(Telemetry::LogLine &line) const;
     /// Adds the configurations in force when the request arrived and now, and how long ago the present one was confirmed.
     void describeConfiguration(Telemetry::LogLine &line) const;
@@ -223,6 +227,7 @@
     EventFramer m_framer;
     Core::ByteReservation m_partialEventMemory; ///< For the incomplete event in m_framer.
     std::vector<Quarantine::PromptPart> m_promptParts; ///< Empty unless the request is for a model engine.
+    std::optional<Quarantine::PromptPart> m_identity; ///< Empty until it is needed: digesting a large body takes time.
     std::uint32_t m_lostEndpoints = 0; ///< Endpoints that were lost while the request was there.
     Http::Timer m_holdTimer;
     bool m_isHeld = false; ///< Counted among the relay's held requests.
--- a/Libraries/LibRelay/RelayedRequestQuarantine.cpp
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -15,6 +15,28 @@
     return Quarantine::accountOf(m_account ? m_account->m_name : "");
 }
 
+Quarantine::RequestContent RelayedRequest::content() const
+{
+    Quarantine::RequestContent content;
+    content.m_account = m_account ? m_account->m_name : "";
+    content.m_method = m_request.m_method;
+    content.m_host = Http::hostName(Http::fieldText(m_request.m_fields, "Host"));
+    content.m_target = m_request.m_target;
+    content.m_promptParts = m_facts.m_promptParts;
+    content.m_promptParts.push_back(m_facts.m_ownPart);
+    content.m_promptTokens = m_facts.m_promptTokens;
+    content.m_answerTokens = m_facts.m_answerTokens;
+    return content;
+}
+
+const Quarantine::PromptPart &RelayedRequest::identity()
+{
+    if (!m_identity) {
+        m_identity = Quarantine::requestIdentity(content(), m_request.m_body.bytes());
+    }
+    return *m_identity;
+}
+
 bool RelayedRequest::passesQuarantine()
 {
     const Quarantine::Treatment treatment = m_relay.m_parts.m_quarantine.treat(m_promptParts, quarantineAccount(), Core::Clock::now());
@@ -94,6 +116,8 @@
 void RelayedRequest::recordEndpointLost()
 {
     ++m_lostEndpoints;
+    m_relay.m_counters.m_lostEndpoints.add();
+    identity();
     m_relay.m_parts.m_quarantine.recordCrash(runFacts(), Core::Clock::now());
     if (m_relay.m_onQuarantineChanged) {
         m_relay.m_onQuarantineChanged();
--- a/Tests/Support/RelayFixture.h
+++ b/Tests/Support/RelayFixture.h
@@ -28,6 +28,7 @@
             facts.m_promptParts.push_back(parts.substr(0, comma));
             parts.erase(0, comma + 1);
         }
+        facts.m_ownPart = parts;
         if (timeout) {
             facts.m_timeout = Core::Duration(static_cast<std::int64_t>(*Http::parseNumber(*timeout)));
         }
