--- a/Tests/LibQuarantine/TestRequestIdentity.cpp
+++ b/Tests/LibQuarantine/TestRequestIdentity.cpp
@@ -6,8 +6,8 @@
 
 using Quarantine::identityPrefix;
 using Quarantine::isRequestIdentity;
-using Quarantine::requestIdentity;
 using Quarantine::RequestContent;
+using Quarantine::requestIdentity;
 
 namespace {
 
