LibQuarantine, LibRelay, LibGossip: Send a request to no other endpoint after three have ended under it

What callers saw: one request under which engines end took a new engine or two with each attempt of its caller, for as long as the caller repeated it, and with them the requests of others.

Cause: what was known of a request ended with the attempt. The quarantine knows parts that prompts share; the prompt's last part, prompts without parts and calls of plain services left no trace, and m_lostEndpoints counts within one attempt at one entry. Class: a failure is held against the server and never against the work, so that the work is handed to the next server.

Evidence: LibRelay/TestRepeatedRequests on the code before: 24 endpoints ended in twelve attempts of five kinds of request, 12 in those of a call that may run at most once; attempt_failed lines show one identity under different attempt ids.

Change: RequestSuspects counts the endpoints that have ended under an identity. A crash is told to all entries after 5 ms, not passed on. After two ends the request waits until 300 ms after its arrival and the newest end, since another entry may tell of a third; after three it is refused with 503 and Retry-After, and a verdict is exchanged and stored like those on parts. It ends after half an hour however often the request comes, or when an operator lifts it. Not counted: five endpoints or more that end within 100 ms, endpoints that turn out to live, ends before a completed answer. A request that was answered before, such as one for a thing that many want, is refused after six. Verdicts on parts lift those on requests for whose ends they account. Answers of plain services show that their endpoint lives, too. Crashes of one request count as repeated for the parts beside it in all attempts, not only in one.

Tried and dropped: ends for which verdicts on other requests or on parts account do not count.

LibRelay/TestCrashingParts expected four engines for a request whose parts are acquitted again and again; three is the stated limit.

--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -47,6 +47,7 @@
     , m_timer(parts.m_loop)
     , m_relayTimer(parts.m_loop)
     , m_quarantineTimer(parts.m_loop)
+    , m_requestNewsTimer(parts.m_loop)
     , m_datagramsSent(parts.m_metrics.counter("gossip_datagrams_sent_total"))
     , m_datagramsBad(parts.m_metrics.counter("gossip_datagrams_bad_total"))
     , m_pulls(parts.m_metrics.counter("gossip_state_requests_total"))
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -38,6 +38,7 @@
     std::size_t m_digestsPerCrash = 6;
     std::size_t m_digestsPerCompletion = 4;
     Core::Duration m_quarantineDelay{80}; ///< Time for which news of the quarantine is collected before it is sent.
+    Core::Duration m_requestNewsDelay{5}; ///< The same for crashes under single requests: the callers may send them again at once, to another entry.
     Core::Duration m_verdictPullInterval{1000}; ///< Minimum time between two state requests because of verdicts that differ.
     std::size_t m_sampledDigests = 40; ///< Members that a heartbeat lists as digests; as many as fit beside the full descriptions.
     std::size_t m_sampledForNewcomers = 11; ///< Members described in full to a process that knows few; as many as fit into a datagram of 1,400 bytes.
@@ -68,6 +69,8 @@
     std::function<Quarantine::Observations(Quarantine::SampleSize size)> m_sample;
     std::function<Quarantine::Observations(Quarantine::SampleSize size)> m_takeNews;
     std::function<bool()> m_hasNews;
+    std::function<Quarantine::Observations()> m_takeRequestNews;
+    std::function<bool()> m_hasRequestNews;
     std::function<std::vector<Quarantine::Verdict>()> m_verdicts;
     std::function<std::uint64_t()> m_verdictDigest;
     std::function<void(const Quarantine::Observations &observations)> m_merge;
@@ -126,6 +129,8 @@
     }
     /// Sends news of the quarantine to many entries, which pass on what is news to them.
     void announceQuarantine();
+    /// Sends news of crashes under single requests to all entries, which do not pass them on.
+    void announceRequests();
     /// Sets the callback that is called when the set of live members may have changed.
     void onMembersChanged(std::function<void()> callback);
 
@@ -198,6 +203,7 @@
     void relayQueued();
     void mergeQuarantine(const Heartbeat &heartbeat);
     void sendQuarantineNews();
+    void sendRequestNews();
     void tick();
     void sendHeartbeats(ReportUrgency urgency);
     /// Builds a heartbeat with @p sampledMembers members described in full and without digests.
@@ -257,6 +263,8 @@
     QuarantineAccess m_quarantine; ///< Empty functions unless this is an entry.
     Http::Timer m_quarantineTimer;
     bool m_isQuarantineNewsDue = false; ///< The timer is running.
+    Http::Timer m_requestNewsTimer;
+    bool m_isRequestNewsDue = false; ///< The timer is running.
     Core::Instant m_nextVerdictPull;
     bool m_hasStoredVerdicts = false;
     Telemetry::Counter &m_datagramsSent;
--- a/Libraries/LibGossip/QuarantineExchange.cpp
+++ b/Libraries/LibGossip/QuarantineExchange.cpp
@@ -90,4 +90,31 @@
     }
 }
 
+void GossipService::announceRequests()
+{
+    if (std::exchange(m_isRequestNewsDue, true)) {
+        return;
+    }
+    m_requestNewsTimer.expires_after(m_settings.m_requestNewsDelay);
+    m_requestNewsTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code &error) {
+        if (*alive && !error) {
+            m_isRequestNewsDue = false;
+            sendRequestNews();
+        }
+    });
+}
+
+void GossipService::sendRequestNews()
+{
+    const std::vector<Member> entries = m_members.alive(Role::Entry, Core::Clock::now());
+    while (m_quarantine.m_hasRequestNews()) {
+        Heartbeat heartbeat = makeHeartbeat(0);
+        heartbeat.m_quarantine = m_quarantine.m_takeRequestNews();
+        const std::string encoded = Wire::pack(heartbeat);
+        for (const Member &entry : entries) {
+            sendTo(entry.m_peers, encoded);
+        }
+    }
+}
+
 }
--- a/Libraries/LibQuarantine/Observations.cpp
+++ b/Libraries/LibQuarantine/Observations.cpp
@@ -16,9 +16,9 @@
     return name.empty() ? 0 : Core::stableHash(name);
 }
 
-RequestHash requestOf(const std::string &attemptId)
+RequestHash requestOf(const PromptPart &identity)
 {
-    return Core::stableHash(attemptId);
+    return Core::stableHash(identity.m_id);
 }
 
 std::uint64_t ageMilliseconds(Core::Instant at, Core::Instant now)
--- a/Libraries/LibQuarantine/Observations.h
+++ b/Libraries/LibQuarantine/Observations.h
@@ -1,4 +1,4 @@
-/// @file What entries tell each other about parts of prompts under which endpoints have ended.
+/// @file What entries tell each other about requests and parts of prompts under which endpoints have ended.
 #pragma once
 
 #include "LibCore/Clock.h"
@@ -16,14 +16,15 @@
 
 Incarnation incarnationOf(const std::string &endpointId, std::uint64_t startedMilliseconds);
 Account accountOf(const std::string &name);
-/// Identifies a request, by the id of the caller's attempt.
+/// Identifies a request in every attempt of its caller, among those under which endpoints have ended.
 using RequestHash = std::uint64_t;
-RequestHash requestOf(const std::string &attemptId);
+RequestHash requestOf(const PromptPart &identity);
 
 /// Returns the time from @p at to @p now as observations carry it; 0 if @p at is later.
 std::uint64_t ageMilliseconds(Core::Instant at, Core::Instant now);
 
-/// An endpoint ended while a request with the part was under way there. All requests of an incarnation count once for each part.
+/// An endpoint ended while a request with the part, or the request with this identity, was under way there. All requests of an incarnation count once for each
+/// part.
 struct CrashObservation
 {
     PromptPart m_part;
@@ -39,7 +40,7 @@
     MSGPACK_DEFINE_ARRAY(m_part, m_incarnation, m_account, m_hadBegun, m_candidates, m_request, m_ageMilliseconds);
 };
 
-/// An endpoint completed an answer to a request with the part, and lived on.
+/// An endpoint completed an answer to a request with the part, or to the request with this identity, and lived on.
 struct CompletionObservation
 {
     PromptPart m_part;
@@ -50,7 +51,7 @@
     MSGPACK_DEFINE_ARRAY(m_part, m_ageMilliseconds);
 };
 
-/// A decision to send no more requests with the part, or its withdrawal.
+/// A decision to send no more requests with the part, or not to send the request with this identity again; or its withdrawal.
 struct Verdict
 {
     PromptPart m_part;
--- a/Libraries/LibQuarantine/PartQuarantine.cpp
+++ b/Libraries/LibQuarantine/PartQuarantine.cpp
@@ -26,6 +26,7 @@
     , m_decide(std::move(decide))
     , m_history(settings.m_maximumHistory)
     , m_verdicts(settings)
+    , m_requests(settings.m_requests)
 {
 }
 
@@ -115,6 +116,9 @@
         ++m_history.use(part, now).m_lostRuns;
         addCrash(part, crash, now);
     }
+    if (run.m_identity) {
+        addRequestCrash(*run.m_identity, crash, true, now);
+    }
     decideNow(now);
 }
 
@@ -167,25 +171,43 @@
 
 void PartQuarantine::recordCompletion(const RunFacts &run, Core::Instant now)
 {
-    m_recentCompletions.push_back(now);
+    if (!run.m_parts.empty()) {
+        m_recentCompletions.push_back(now);
+    }
     if (m_recentCompletions.size() > m_settings.m_decision.m_neededCompletions) {
         m_recentCompletions.pop_front();
     }
     const bool isProof = run.m_isEndStated && run.m_writing && *run.m_writing >= m_settings.m_provingTime;
     for (const PromptPart &part : run.m_parts) {
-        if (isProof) {
-            addCompletion(part, now, now);
-            continue;
-        }
-        m_unproved.push_back(UnprovedCompletion{part, run.m_incarnation, now});
-        if (m_unproved.size() > m_settings.m_maximumUnproved) {
-            m_unproved.pop_front();
-        }
+        recordCompletion(part, run.m_incarnation, isProof, now);
+    }
+    if (run.m_identity && run.m_isEndStated) {
+        m_requests.recordAnswer(*run.m_identity, now);
+    }
+    if (run.m_identity && knowsRequests(run.m_identity->m_id)) {
+        // An endpoint that ends after a whole answer to the request does not end under it: the answer was not lost.
+        recordCompletion(*run.m_identity, run.m_incarnation, run.m_isEndStated, now);
+    }
+}
+
+void PartQuarantine::recordCompletion(const PromptPart &part, Incarnation incarnation, bool isProof, Core::Instant now)
+{
+    if (isProof) {
+        addCompletion(part, now, now);
+        return;
+    }
+    m_unproved.push_back(UnprovedCompletion{part, incarnation, now});
+    if (m_unproved.size() > m_settings.m_maximumUnproved) {
+        m_unproved.pop_front();
     }
 }
 
 void PartQuarantine::addCompletion(const PromptPart &part, Core::Instant at, Core::Instant now)
 {
+    if (isRequestIdentity(part)) {
+        addRequestCompletion(part, at, now);
+        return;
+    }
     PartRecord &known = m_history.use(part, now);
     known.m_completedAt = std::max(at, known.m_completedAt.value_or(at));
     const std::map<PromptPart, SuspectRecord>::iterator suspect = m_suspects.find(part);
@@ -202,7 +224,7 @@
 
 void PartQuarantine::recordAlive(Incarnation incarnation, Core::Instant asOf)
 {
-    if (m_suspects.empty() && m_verdicts.isEmpty() && m_unproved.empty()) {
+    if (m_suspects.empty() && m_requests.isEmpty() && m_verdicts.isEmpty() && m_unproved.empty()) {
         return;
     }
     if (m_aliveAt.size() < m_settings.m_maximumLivenessRecords || m_aliveAt.contains(incarnation)) {
@@ -210,6 +232,7 @@
         aliveAt = std::max(aliveAt, asOf);
     }
     eraseCrashes([incarnation, asOf](const Crash &crash) { return crash.m_incarnation == incarnation && crash.m_at < asOf; });
+    m_requests.recordAlive(incarnation, asOf);
     m_verdicts.refute(incarnation, asOf);
     const std::function<bool(const UnprovedCompletion &)> isProved = [incarnation, asOf](const UnprovedCompletion &completion) {
         return completion.m_incarnation == incarnation && completion.m_at < asOf;
@@ -264,7 +287,10 @@
         suspects.push_back(describe(entry.first, entry.second.m_crashes));
     }
     for (const std::pair<PromptPart, std::vector<Crash>> &entry : m_verdicts.blamed()) {
-        suspects.push_back(describe(entry.first, entry.second));
+        // A request that was refused accounts for no crash here: a part under which endpoints end would be found later.
+        if (!isRequestIdentity(entry.first)) {
+            suspects.push_back(describe(entry.first, entry.second));
+        }
     }
     for (const PromptPart &part : m_decide(std::move(suspects), now, m_settings.m_decision)) {
         m_verdicts.blame(part, m_suspects.at(part).m_crashes, now);
@@ -280,7 +306,9 @@
                   [this, now](const std::pair<const Incarnation, Core::Instant> &entry) { return now - entry.second > m_settings.m_livenessLifetime; });
     std::erase_if(m_completionsToShare, [now](const std::pair<const PromptPart, Core::Instant> &entry) { return now >= entry.second; });
     std::erase_if(m_unproved, [this, now](const UnprovedCompletion &completion) { return now - completion.m_at > m_settings.m_livenessLifetime; });
+    m_requests.update(now);
     decideNow(now);
+    decideRequests(now);
 }
 
 void PartQuarantine::limitSuspects()
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -1,8 +1,9 @@
-/// @file Keeps requests away from endpoints if endpoints end under a part of their prompts.
+/// @file Keeps requests away from endpoints if endpoints end under them or under a part of their prompts.
 #pragma once
 
 #include "LibCore/Random.h"
 #include "LibQuarantine/PartHistory.h"
+#include "LibQuarantine/RequestSuspects.h"
 #include "LibQuarantine/VerdictTable.h"
 
 #include <deque>
@@ -12,15 +13,15 @@
 
 enum class TreatmentKind {
     Send,
-    Hold, ///< Whether the part is at fault is being found out; the request should be treated again after a while.
-    Refuse, ///< Endpoints end under the part.
+    Hold, ///< Whether the part or the request is at fault is being found out; the request should be treated again after a while.
+    Refuse, ///< Endpoints end under the part or the request.
 };
 
 /// What to do with a request.
 struct Treatment
 {
     TreatmentKind m_kind = TreatmentKind::Send;
-    PromptPart m_part; ///< The reason, unless the request may be sent.
+    PromptPart m_part; ///< The reason, unless the request may be sent: a part, or the identity of the request.
     Core::Duration m_holdTime{0}; ///< Until the request will probably be sent.
 
     bool operator==(const Treatment &) const = default;
@@ -32,6 +33,7 @@
     std::vector<PromptPart> m_parts;
     Account m_account = 0;
     RequestHash m_request = 0;
+    std::optional<PromptPart> m_identity; ///< Of the request; empty if nothing needs it.
     Incarnation m_incarnation = 0; ///< Of the endpoint.
     std::optional<Core::Duration> m_writing; ///< Since the beginning of the endpoint's answer; empty if there was none.
     bool m_isEndStated = false; ///< The endpoint stated the end of the body, rather than closing the connection.
@@ -51,12 +53,13 @@
 
 inline constexpr SampleSize RegularSample{1, 3, 2}; ///< Fits into a heartbeat in place of some members.
 inline constexpr SampleSize NewsSample{1, 8, 4}; ///< Fits into a datagram without members.
+inline constexpr std::size_t RequestNewsSize = 8; ///< Crashes under requests that fit into a datagram without members.
 
 /**
- * Finds out, together with the other entries, under which parts of prompts endpoints end.
+ * Finds out, together with the other entries, under which requests and under which parts of prompts endpoints end.
  *
  * Each entry sees only some of the crashes, and only its own requests among those that an endpoint had. Entries exchange crashes as a set and decide alike.
- * A completed answer acquits all parts of its prompt of the crashes before it, and lifts a verdict. Used by one thread.
+ * A completed answer acquits the request and all parts of its prompt of the crashes before it, and lifts a verdict. Used by one thread.
  */
 class PartQuarantine
 {
@@ -68,6 +71,20 @@
     void setProcessCount(std::size_t count);
     /// Returns how to treat a request of the account with these parts.
     Treatment treat(const std::vector<PromptPart> &parts, Account account, Core::Instant now);
+    /// Returns whether something is known of requests whose identities begin like this, so that the whole identity is needed.
+    bool knowsRequests(const std::string &identityPrefix) const
+    {
+        return m_requests.hasPrefix(identityPrefix) || m_verdicts.hasRequest(identityPrefix);
+    }
+    /// Returns whether something is known of any request.
+    bool knowsRequests() const
+    {
+        return !m_requests.isEmpty() || m_verdicts.hasRequest("");
+    }
+    /// Returns how to treat a request with this identity that arrived at @p arrivedAt, whatever its parts.
+    Treatment treatRequest(const PromptPart &identity, Core::Instant arrivedAt, Core::Instant now) const;
+    /// Returns whether so many endpoints have ended under the request that an attempt which was at the last of them goes to no other.
+    bool hasTooManyEnds(const PromptPart &identity) const;
     /// Returns whether answers to requests with each of these parts have been completed, with few crashes under it since.
     bool areAcquitted(const std::vector<PromptPart> &parts) const;
 
@@ -94,6 +111,15 @@
         return !m_newCrashes.empty() || !m_newCompletions.empty() || m_verdicts.hasNews();
     }
 
+    /// Returns whether takeRequestNews() would return anything.
+    bool hasRequestNews() const
+    {
+        return m_requests.hasNews();
+    }
+    /// Returns crashes under requests that this process has seen and other entries have not been told, as many as fit. They are told to all at once: a caller
+    /// may send the request again at once, to any entry.
+    Observations takeRequestNews(Core::Instant now);
+
     VerdictTable &verdicts()
     {
         return m_verdicts;
@@ -113,6 +139,10 @@
     {
         return m_suspects.size();
     }
+    std::size_t suspectRequestCount() const
+    {
+        return m_requests.size();
+    }
     std::size_t historyCount() const
     {
         return m_history.size();
@@ -133,7 +163,13 @@
     };
 
     void addCrash(const PromptPart &part, const Crash &crash, Core::Instant now);
+    void addRequestCrash(const PromptPart &identity, const Crash &crash, bool isOwn, Core::Instant now);
+    void addRequestCompletion(const PromptPart &identity, Core::Instant at, Core::Instant now);
+    /// Decides which requests endpoints end under.
+    void decideRequests(Core::Instant now);
     void addCrash(SuspectRecord &suspect, const PromptPart &part, const Crash &crash);
+    /// @p isProof: the completed answer shows that the incarnation has not ended under the part. If not, the incarnation must turn out to live on.
+    void recordCompletion(const PromptPart &part, Incarnation incarnation, bool isProof, Core::Instant now);
     void addCompletion(const PromptPart &part, Core::Instant at, Core::Instant now);
     void mergeVerdict(const Verdict &verdict, Core::Instant now);
     /// Removes the crashes for which @p isWrong returns true, and suspects without crashes.
@@ -149,6 +185,8 @@
     /// Returns until when requests with the part wait; in the past if they do not.
     Core::Instant holdEnd(const PromptPart &part, const SuspectRecord &suspect) const;
     CrashObservation observationOf(const PromptPart &part, const Crash &crash, Core::Instant now) const;
+    /// Returns when the last answer to a request with the part, or to the request, was completed, as far as it is known.
+    std::optional<Core::Instant> completedAt(const PromptPart &part) const;
     CompletionObservation completionOf(const PromptPart &part, Core::Instant now) const;
     void limitSuspects();
 
@@ -157,6 +195,7 @@
     const DecideFunction m_decide;
     PartHistory m_history;
     VerdictTable m_verdicts;
+    RequestSuspects m_requests; ///< Without requests whose verdict is in force.
     std::map<PromptPart, SuspectRecord> m_suspects; ///< Without parts whose verdict is in force.
     std::uint64_t m_arrivals = 0; ///< Requests with parts that this process has received.
     std::size_t m_processCount = 1;
--- a/Libraries/LibQuarantine/PartQuarantineExchange.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineExchange.cpp
@@ -20,7 +20,11 @@
         }
         const Core::Instant at = now - Core::statedAge(observed.m_ageMilliseconds);
         const Crash crash{observed.m_incarnation, observed.m_account, observed.m_hadBegun, at, observed.m_candidates, observed.m_request};
-        addCrash(observed.m_part, crash, now);
+        if (isRequestIdentity(observed.m_part)) {
+            addRequestCrash(observed.m_part, crash, false, now);
+        } else {
+            addCrash(observed.m_part, crash, now);
+        }
     }
     decideNow(now);
 }
@@ -31,6 +35,7 @@
     m_verdicts.merge(verdict, suspect == m_suspects.end() ? std::vector<Crash>() : suspect->second.m_crashes, now);
     if (m_verdicts.isInForce(verdict.m_part)) {
         m_suspects.erase(verdict.m_part);
+        m_requests.remove(verdict.m_part);
     }
 }
 
@@ -46,9 +51,14 @@
         part, crash.m_incarnation, crash.m_account, crash.m_hadBegun, crash.m_candidates, crash.m_request, ageMilliseconds(crash.m_at, now)};
 }
 
+std::optional<Core::Instant> PartQuarantine::completedAt(const PromptPart &part) const
+{
+    return isRequestIdentity(part) ? m_requests.completedAt(part) : m_history.find(part).m_completedAt;
+}
+
 CompletionObservation PartQuarantine::completionOf(const PromptPart &part, Core::Instant now) const
 {
-    return CompletionObservation{part, ageMilliseconds(*m_history.find(part).m_completedAt, now)};
+    return CompletionObservation{part, ageMilliseconds(*completedAt(part), now)};
 }
 
 Observations PartQuarantine::sample(SampleSize size, Core::Instant now, Core::Random &random) const
@@ -61,9 +71,12 @@
             }
         }
     }
+    for (const std::pair<PromptPart, Crash> &end : m_requests.repeated()) {
+        observations.m_crashes.push_back(observationOf(end.first, end.second, now));
+    }
     Core::keepRandom(observations.m_crashes, size.m_crashes, random);
     for (const std::pair<const PromptPart, Core::Instant> &entry : m_completionsToShare) {
-        if (m_history.wasCompleted(entry.first)) {
+        if (completedAt(entry.first)) {
             observations.m_completions.push_back(completionOf(entry.first, now));
         }
     }
@@ -78,7 +91,7 @@
     Observations observations;
     observations.m_verdicts = m_verdicts.takeNews(size.m_verdicts, now);
     while (!m_newCompletions.empty() && observations.m_completions.size() < size.m_completions) {
-        if (m_history.wasCompleted(*m_newCompletions.begin())) {
+        if (completedAt(*m_newCompletions.begin())) {
             observations.m_completions.push_back(completionOf(*m_newCompletions.begin(), now));
         }
         m_newCompletions.erase(m_newCompletions.begin());
--- a/Libraries/LibQuarantine/PromptPart.h
+++ b/Libraries/LibQuarantine/PromptPart.h
@@ -8,7 +8,7 @@
 
 namespace Quarantine {
 
-/// A part of the prompts for one service. Parts are supplied by callers.
+/// A part of the prompts for one service, or the identity of a request (RequestIdentity.h). Parts are supplied by callers.
 struct PromptPart
 {
     std::string m_service;
--- a/Libraries/LibQuarantine/QuarantineSettings.h
+++ b/Libraries/LibQuarantine/QuarantineSettings.h
@@ -5,9 +5,31 @@
 
 namespace Quarantine {
 
+/// Settings for single requests under which endpoints end.
+struct RequestSettings
+{
+    std::size_t m_maximumEnds = 3; ///< A request under which this many endpoints have ended reaches no other, whichever entry gets it.
+    /// The same for a request to which answers were completed before, such as one for a thing that many callers want: it may be at many endpoints by chance.
+    std::size_t m_maximumProvenEnds = 6;
+    /// Time in which other entries tell of ends and of completed answers. A request that would be the last one allowed waits for it, after its arrival and
+    /// after the newest end.
+    Core::Duration m_propagationTime{300};
+    Core::Duration m_commonCauseWindow{100};
+    std::size_t m_commonCauseEnds = 5; ///< Endpoints that end within the window, by a loss of power or of connections rather than under single requests.
+    Core::Duration m_lifetime{1800000}; ///< For which ends are remembered.
+    Core::Duration m_verdictLifetime{1800000}; ///< From the decision, however often the request comes: it may have been there by chance.
+    std::size_t m_maximumSuspects = 1024;
+    std::size_t m_rememberedEnds = 8; ///< Of one request; more than m_maximumEnds, since some may turn out not to count.
+    std::size_t m_recentEnds = 1024; ///< Endpoints whose ends are compared.
+    std::size_t m_rememberedCompletions = 512; ///< Requests to which this process has returned complete answers most recently.
+
+    bool operator==(const RequestSettings &) const = default;
+};
+
 struct QuarantineSettings
 {
     DecisionSettings m_decision;
+    RequestSettings m_requests;
     /// After a crash under a part, requests with it wait for this time, in which other entries tell what they have seen, and for up to as long again, so that
     /// the entries do not send them all at once.
     Core::Duration m_holdTime{700};
--- a/Libraries/LibQuarantine/VerdictTable.cpp
+++ b/Libraries/LibQuarantine/VerdictTable.cpp
@@ -71,7 +71,8 @@
     for (const PromptPart &part : parts) {
         Record *record = findInForce(part);
         if (record && concerns(record->m_verdict, account)) {
-            record->m_usedAt = now;
+            // A verdict on a request ends even if the request keeps coming.
+            record->m_usedAt = isRequestIdentity(part) ? record->m_usedAt : now;
             return part;
         }
     }
@@ -89,10 +90,50 @@
     return std::any_of(m_records.begin(), m_records.end(), [incarnation](const std::pair<const PromptPart, Record> &entry) {
         const Verdict &verdict = entry.second.m_verdict;
         const std::vector<Incarnation> &ended = verdict.m_incarnations;
-        return !verdict.m_isLifted && std::find(ended.begin(), ended.end(), incarnation) != ended.end();
+        const bool isOnPart = !verdict.m_isLifted && !isRequestIdentity(entry.first);
+        return isOnPart && std::find(ended.begin(), ended.end(), incarnation) != ended.end();
     });
 }
 
+bool VerdictTable::hasRequest(const std::string &identityPrefix) const
+{
+    std::map<PromptPart, Record>::const_iterator found = m_records.lower_bound(PromptPart{"", identityPrefix});
+    for (; found != m_records.end() && isRequestIdentity(found->first) && found->first.m_id.starts_with(identityPrefix); ++found) {
+        if (!found->second.m_verdict.m_isLifted) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::set<Incarnation> VerdictTable::explainedByParts(const std::set<Incarnation> &ended) const
+{
+    std::set<Incarnation> explained;
+    for (const std::pair<const PromptPart, Record> &entry : m_records) {
+        const std::vector<Incarnation> &others = entry.second.m_verdict.m_incarnations;
+        const bool isWithin = std::all_of(others.begin(), others.end(), [&ended](Incarnation incarnation) { return ended.contains(incarnation); });
+        if (!entry.second.m_verdict.m_isLifted && !isRequestIdentity(entry.first) && !isWithin) {
+            explained.insert(others.begin(), others.end());
+        }
+    }
+    return explained;
+}
+
+void VerdictTable::liftExplainedRequests(Core::Instant now)
+{
+    for (std::pair<const PromptPart, Record> &entry : m_records) {
+        const std::vector<Incarnation> &incarnations = entry.second.m_verdict.m_incarnations;
+        if (!isRequestIdentity(entry.first) || entry.second.m_verdict.m_isLifted) {
+            continue;
+        }
+        const std::set<Incarnation> ended(incarnations.begin(), incarnations.end());
+        const std::set<Incarnation> explained = explainedByParts(ended);
+        if (std::includes(explained.begin(), explained.end(), ended.begin(), ended.end())) {
+            lift(entry.second, now);
+        }
+    }
+}
+
 void VerdictTable::blame(const PromptPart &part, const std::vector<Crash> &crashes, Core::Instant now)
 {
     Record &record = m_records[part];
@@ -179,7 +220,7 @@
 {
     const Core::Duration idle = Core::statedAge(verdict.m_idleMilliseconds);
     // A verdict that has ended here may be told once more by a process where it has not yet.
-    if (idle >= m_settings.m_verdictLifetime || verdict.m_incarnations.size() > m_settings.m_maximumCrashes) {
+    if (idle >= lifetimeOf(verdict.m_part) || verdict.m_incarnations.size() > m_settings.m_maximumCrashes) {
         return;
     }
     const bool isKnown = m_records.contains(verdict.m_part);
@@ -215,7 +256,7 @@
 void VerdictTable::removeEnded(Core::Instant now)
 {
     std::erase_if(m_records, [this, now](const std::pair<const PromptPart, Record> &entry) {
-        const bool hasEnded = now - entry.second.m_usedAt > m_settings.m_verdictLifetime;
+        const bool hasEnded = now - entry.second.m_usedAt > lifetimeOf(entry.first);
         if (hasEnded && !entry.second.m_verdict.m_isLifted) {
             noteChange(entry.second, false, now);
             m_changes.back().m_hasEnded = true;
--- a/Libraries/LibQuarantine/VerdictTable.h
+++ b/Libraries/LibQuarantine/VerdictTable.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibQuarantine/QuarantineSettings.h"
+#include "LibQuarantine/RequestIdentity.h"
 
 #include <map>
 #include <set>
@@ -21,7 +22,7 @@
 };
 
 /**
- * Verdicts by part, merged with those of other entries.
+ * Verdicts by part or by the identity of a request, merged with those of other entries.
  *
  * Each change of a verdict starts a new revision, and the highest revision holds, so that entries agree whatever the order in which they are told. Lifted
  * verdicts stay until their lifetime is over, since an entry that was cut off could otherwise revive them. Used by one thread.
@@ -37,8 +38,13 @@
     /// Returns the first of the parts whose requests are refused to the account; empty if none is.
     std::optional<PromptPart> findRefused(const std::vector<PromptPart> &parts, Account account, Core::Instant now);
     bool isInForce(const PromptPart &part) const;
-    /// Returns whether a verdict in force accounts for the end of this incarnation.
+    /// Returns whether a verdict in force on a part accounts for the end of this incarnation.
     bool explains(Incarnation incarnation) const;
+    /// Returns whether there is a verdict in force on a request whose identity begins like this.
+    bool hasRequest(const std::string &identityPrefix) const;
+    /// Lifts verdicts on requests if verdicts on parts account for all of their crashes. Verdicts on other requests do not: several requests under which
+    /// endpoints end may have been at the same endpoints.
+    void liftExplainedRequests(Core::Instant now);
 
     void blame(const PromptPart &part, const std::vector<Crash> &crashes, Core::Instant now);
     /// Adds a crash under a part whose verdict is in force. A crash for another account extends the verdict to all accounts.
@@ -85,6 +91,12 @@
     };
 
     Record *findInForce(const PromptPart &part);
+    /// Returns the incarnations for which verdicts in force on parts account, but for those that have no other crash than @p ended.
+    std::set<Incarnation> explainedByParts(const std::set<Incarnation> &ended) const;
+    Core::Duration lifetimeOf(const PromptPart &part) const
+    {
+        return isRequestIdentity(part) ? m_settings.m_requests.m_verdictLifetime : m_settings.m_verdictLifetime;
+    }
     void lift(Record &record, Core::Instant now);
     /// Starts a new revision of a verdict that has been changed.
     void revise(Record &record, Core::Instant now);
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -39,9 +39,10 @@
     Placement::PromptSeparationSettings m_promptSeparation;
     /// Longest time that a request waits for the first configuration of a process that has just started.
     Core::Duration m_configurationWait{1000};
-    std::size_t m_maximumHeldRequests = 256; ///< Requests that wait until it is known whether endpoints end under a part of their prompts.
+    std::size_t m_maximumHeldRequests = 256; ///< Requests that wait until it is known whether endpoints end under them or a part of their prompts.
     Core::Duration m_holdCheckInterval{100}; ///< Between checks whether such a request may be sent; short compared to a latency objective.
-    /// Retry-After of a request that is refused because endpoints end under a part of its prompt. Longer than callers wait: a retry would be refused, too.
+    /// Retry-After of a request that is refused because endpoints end under it or a part of its prompt. Longer than callers wait: a retry would be refused,
+    /// too.
     Core::Duration m_quarantineRetryAfter{60000};
     std::uint32_t m_maximumLostEndpoints = 2; ///< A request under which this many endpoints have ended is not sent again, unless its parts are acquitted.
     std::size_t m_successSampleInterval = 20; ///< One in this many successful requests is logged.
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -457,7 +457,7 @@
         m_relay.m_parts.m_endpointTracker.recordLoad(m_attempt->m_endpoint, facts.m_load->m_running, facts.m_load->m_waiting, now);
     }
     m_statedRetryAfter = Http::fieldText(head.m_fields, "Retry-After").substr(0, MaximumLoggedFieldBytes);
-    if (m_service->m_engine.m_slots > 0 && isEndpointsOwn(head, facts)) {
+    if (isEndpointsOwn(head, facts)) {
         m_relay.m_parts.m_quarantine.recordAlive(incarnation(), m_attempt->m_sentAt);
     }
     recordLimit(facts);
@@ -666,11 +666,14 @@
     }
 }
 
-bool RelayedRequest::hasAttemptLeft(bool mayHaveRun) const
+bool RelayedRequest::hasAttemptLeft(bool mayHaveRun)
 {
     if (mayHaveRun && !m_route->isRepeatable()) {
         return false;
     }
+    if (m_lostEndpoints > 0 && m_relay.m_parts.m_quarantine.hasTooManyEnds(identity())) {
+        return false;
+    }
     if (m_lostEndpoints >= m_relay.m_settings.m_maximumLostEndpoints && !m_relay.m_parts.m_quarantine.areAcquitted(m_promptParts)) {
         return false;
     }
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -75,6 +75,9 @@
     Quarantine::RunFacts runFacts() const;
     Quarantine::Account quarantineAccount() const;
     Quarantine::RequestContent content() const;
+    /// Returns whether endpoints have ended under the request, as far as this process knows, so that its identity is needed.
+    bool isKnownToQuarantine();
+    Quarantine::Treatment treatment();
     /// Returns the identity of the request, which is computed once.
     const Quarantine::PromptPart &identity();
     /// Marks the request as admitted and sends it to the chosen endpoint.
@@ -135,7 +138,7 @@
     /// Ends the current attempt after a failure, and retries the request, resumes its stream or ends it.
     void onAttemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
     /// Returns whether the route and the endpoints that the request was lost with allow another attempt.
-    bool hasAttemptLeft(bool mayHaveRun) const;
+    bool hasAttemptLeft(bool mayHaveRun);
     /// Reserves a retry of the budget if another attempt is allowed. Returns whether it is.
     bool mayRetry(bool mayHaveRun);
     /// Returns whether the next attempt can arrive at an endpoint after an earlier one did, so that the budget must allow it.
@@ -227,6 +230,7 @@
     EventFramer m_framer;
     Core::ByteReservation m_partialEventMemory; ///< For the incomplete event in m_framer.
     std::vector<Quarantine::PromptPart> m_promptParts; ///< Empty unless the request is for a model engine.
+    std::string m_identityPrefix; ///< Empty until it is needed.
     std::optional<Quarantine::PromptPart> m_identity; ///< Empty until it is needed: digesting a large body takes time.
     std::uint32_t m_lostEndpoints = 0; ///< Endpoints that were lost while the request was there.
     Http::Timer m_holdTimer;
--- a/Libraries/LibRelay/RelayedRequestQuarantine.cpp
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -1,10 +1,23 @@
-/// @file The part of a relayed request's implementation that keeps it from endpoints which end under a part of its prompt, and records what endpoints end
-/// under.
+/// @file The part of a relayed request's implementation that keeps it from endpoints which end under it or a part of its prompt, and records what
+/// endpoints end under.
 
 #include "LibRelay/RelayedRequest.h"
 
 namespace Relay {
 
+namespace {
+
+/// Requests with larger bodies are not remembered as answered, to spare the digest. Things that many callers want have small requests.
+constexpr std::size_t MaximumProvenBytes = 16 << 10;
+
+std::string describeReason(const Quarantine::Treatment &treatment)
+{
+    const bool isRequest = Quarantine::isRequestIdentity(treatment.m_part);
+    return isRequest ? "this request, " + treatment.m_part.m_id : "part " + treatment.m_part.m_id + " of the prompt";
+}
+
+}
+
 Quarantine::Incarnation RelayedRequest::incarnation() const
 {
     return Quarantine::incarnationOf(m_attempt->m_endpoint.m_id, m_attempt->m_endpoint.m_startedMilliseconds);
@@ -37,9 +50,36 @@
     return *m_identity;
 }
 
+bool RelayedRequest::isKnownToQuarantine()
+{
+    const Quarantine::PartQuarantine &quarantine = m_relay.m_parts.m_quarantine;
+    if (m_identity || !quarantine.knowsRequests()) {
+        return m_identity.has_value();
+    }
+    if (m_identityPrefix.empty()) {
+        m_identityPrefix = Quarantine::identityPrefix(content());
+    }
+    if (quarantine.knowsRequests(m_identityPrefix)) {
+        identity();
+    }
+    return m_identity.has_value();
+}
+
+Quarantine::Treatment RelayedRequest::treatment()
+{
+    Quarantine::PartQuarantine &quarantine = m_relay.m_parts.m_quarantine;
+    const Core::Instant now = Core::Clock::now();
+    const Quarantine::Treatment byParts = quarantine.treat(m_promptParts, quarantineAccount(), now);
+    if (byParts.m_kind == Quarantine::TreatmentKind::Refuse || !isKnownToQuarantine()) {
+        return byParts;
+    }
+    const Quarantine::Treatment byRequest = quarantine.treatRequest(identity(), m_arrivedAt, now);
+    return byRequest.m_kind == Quarantine::TreatmentKind::Refuse || byRequest.m_holdTime > byParts.m_holdTime ? byRequest : byParts;
+}
+
 bool RelayedRequest::passesQuarantine()
 {
-    const Quarantine::Treatment treatment = m_relay.m_parts.m_quarantine.treat(m_promptParts, quarantineAccount(), Core::Clock::now());
+    const Quarantine::Treatment treatment = this->treatment();
     switch (treatment.m_kind) {
     case Quarantine::TreatmentKind::Send:
         return true;
@@ -50,7 +90,7 @@
         break;
     }
     m_relay.m_counters.m_quarantined.add();
-    endUnsent("engines end under part " + treatment.m_part.m_id + " of the prompt", m_relay.m_settings.m_quarantineRetryAfter);
+    endUnsent("endpoints end under " + describeReason(treatment), m_relay.m_settings.m_quarantineRetryAfter);
     return false;
 }
 
@@ -59,7 +99,7 @@
     const RelaySettings &settings = m_relay.m_settings;
     const bool hasRoom = m_isHeld || m_relay.m_heldRequests < settings.m_maximumHeldRequests;
     if (!hasRoom || timeLeft() < treatment.m_holdTime + settings.m_minimumTimeLeft) {
-        endUnsent("it is being found out whether engines end under part " + treatment.m_part.m_id + " of the prompt", treatment.m_holdTime);
+        endUnsent("it is being found out whether endpoints end under " + describeReason(treatment), treatment.m_holdTime);
         return;
     }
     if (!m_isHeld) {
@@ -104,7 +144,8 @@
     Quarantine::RunFacts facts;
     facts.m_parts = m_promptParts;
     facts.m_account = quarantineAccount();
-    facts.m_request = Quarantine::requestOf(m_facts.m_attemptId);
+    facts.m_identity = m_identity;
+    facts.m_request = m_identity ? Quarantine::requestOf(*m_identity) : 0;
     facts.m_incarnation = incarnation();
     if (m_attempt->m_answerBeganAt) {
         facts.m_writing = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_attempt->m_answerBeganAt);
@@ -127,9 +168,12 @@
 void RelayedRequest::recordAnswerCompleted()
 {
     const bool isEmpty = m_isEventStream && !m_hasAttemptForwardedEvents;
-    if (m_promptParts.empty() || isEmpty || !m_attempt->m_answerBeganAt) {
+    if (isEmpty || !m_attempt->m_answerBeganAt) {
         return;
     }
+    if (isKnownToQuarantine() || m_request.m_body.size() <= MaximumProvenBytes) {
+        identity();
+    }
     m_relay.m_parts.m_quarantine.recordCompletion(runFacts(), Core::Clock::now());
     if (m_relay.m_onQuarantineChanged) {
         m_relay.m_onQuarantineChanged();
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -110,8 +110,7 @@
     if (lacksSlots()) {
         return QueueSendResult::NoSlot;
     }
-    const Core::Instant now = Core::Clock::now();
-    if (m_relay.m_parts.m_quarantine.treat(m_promptParts, quarantineAccount(), now).m_kind != Quarantine::TreatmentKind::Send) {
+    if (treatment().m_kind != Quarantine::TreatmentKind::Send) {
         stopWaiting();
         passesQuarantine();
         return QueueSendResult::Dequeued;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -220,6 +220,7 @@
         }
         object->set("evacuated_failure_domains", evacuated);
         object->set("suspect_parts", m_quarantine.suspectCount());
+        object->set("suspect_requests", m_quarantine.suspectRequestCount());
         object->set("blamed_parts", m_quarantine.verdicts().blamed().size());
         object->set("known_parts", m_quarantine.historyCount());
         object->set("backed_off_endpoints", m_endpointTracker.backedOffCount(Core::Clock::now()));
--- a/Libraries/LibServing/EntryQuarantine.cpp
+++ b/Libraries/LibServing/EntryQuarantine.cpp
@@ -28,6 +28,8 @@
     access.m_sample = [this](Quarantine::SampleSize size) { return m_quarantine.sample(size, Core::Clock::now(), m_random); };
     access.m_takeNews = [this](Quarantine::SampleSize size) { return m_quarantine.takeNews(size, Core::Clock::now()); };
     access.m_hasNews = [this] { return m_quarantine.hasNews(); };
+    access.m_takeRequestNews = [this] { return m_quarantine.takeRequestNews(Core::Clock::now()); };
+    access.m_hasRequestNews = [this] { return m_quarantine.hasRequestNews(); };
     access.m_verdicts = [this] { return m_quarantine.verdicts().verdicts(Core::Clock::now()); };
     access.m_verdictDigest = [this] { return m_quarantine.verdicts().digest(); };
     access.m_merge = [this](const Quarantine::Observations &observations) {
@@ -60,6 +62,9 @@
     if (m_quarantine.hasNews()) {
         m_gossip.announceQuarantine();
     }
+    if (m_quarantine.hasRequestNews()) {
+        m_gossip.announceRequests();
+    }
 }
 
 void EntryProcess::recordLiveness(const Fleet::Endpoint &endpoint, const Gossip::EngineUpdate &update, Core::Instant now)
