--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -21,12 +21,14 @@
 constexpr Core::Duration RestartTime{1800}; ///< Of an engine.
 constexpr Core::Duration ContactTime{3000};
 constexpr std::size_t NoticedCrashes = 5;
+constexpr std::size_t AllowedCrashes = 3; ///< Under a single request.
 constexpr std::size_t GossipTargets = 3;
 constexpr std::size_t NewsTargets = 8;
 constexpr std::size_t PopularParts = 50;
 constexpr std::uint64_t RequestsPerSession = 4;
-constexpr std::uint32_t MaximumAttempts = 2;
 constexpr Core::Duration RequestTimeout{6000};
+constexpr Core::Duration RepeatDelay{10}; ///< From a broken answer to the caller's next attempt.
+constexpr Core::Duration RefusedRepeatDelay{200}; ///< The same after a refusal; much shorter than what entries ask for.
 constexpr std::size_t HistoryEntryBytes = 160; ///< Estimates of a map entry with its strings.
 constexpr std::size_t SuspectEntryBytes = 480;
 constexpr std::size_t VerdictEntryBytes = 320;
@@ -37,12 +39,29 @@
     std::size_t m_entry = 0;
     std::vector<PromptPart> m_parts;
     Quarantine::Account m_account = 0;
-    std::string m_crashingPart; ///< Empty for sound requests.
-    std::uint32_t m_attempts = 0;
-    Core::Instant m_arrivedAt;
+    PromptPart m_identity;
+    std::string m_crashingPart; ///< Empty unless engines end under a part of it.
+    std::optional<std::size_t> m_crashingCaller; ///< The caller whose request ends engines; empty for other requests.
+    std::uint32_t m_attempts = 0; ///< At engines, of the caller's current attempt.
+    std::uint32_t m_callerAttempts = 1;
+    Core::Instant m_arrivedAt; ///< Of the caller's current attempt.
+    Core::Instant m_deadline;
     bool m_wasHeld = false;
 };
 
+bool isSound(const Request &request)
+{
+    return request.m_crashingPart.empty() && !request.m_crashingCaller;
+}
+
+/// A caller that repeats a request under which engines end.
+struct CrashingCaller
+{
+    std::shared_ptr<Request> m_request; ///< Null before the first attempt.
+    std::optional<Core::Instant> m_nextAt; ///< Empty while an attempt is under way.
+    std::size_t m_crashes = 0;
+};
+
 struct Run
 {
     std::shared_ptr<Request> m_request;
@@ -90,6 +109,7 @@
         , m_random(experiment.m_seed)
         , m_engines(experiment.m_engines)
         , m_entries(experiment.m_entries)
+        , m_callers(experiment.m_crashingCallers)
     {
         for (Engine &engine : m_engines) {
             engine.m_incarnation = ++m_lastIncarnation;
@@ -137,9 +157,9 @@
         for (std::size_t count = eventsInStep(m_experiment.m_otherCrashesPerSecond); count > 0; --count) {
             end(m_engines[m_random.below(m_engines.size())]);
         }
-        if (m_experiment.m_powerLoss && isNow(m_start + *m_experiment.m_powerLoss)) {
-            for (Engine &engine : m_engines) {
-                end(engine);
+        for (const Core::Duration at : m_experiment.m_powerLosses) {
+            for (std::size_t index = 0; isNow(m_start + at) && index < m_engines.size(); ++index) {
+                end(m_engines[index]);
             }
         }
         for (std::size_t index = 0; m_experiment.m_entriesRestart && isNow(m_start + *m_experiment.m_entriesRestart) && index < m_entries.size(); index += 3) {
@@ -151,9 +171,11 @@
     {
         const std::shared_ptr<Request> request = std::make_shared<Request>();
         request->m_id = ++m_requests;
+        request->m_identity = PromptPart{"", "request-" + std::to_string(m_requests)};
         request->m_entry = m_random.below(m_entries.size());
         request->m_account = 1 + m_random.below(10);
         request->m_arrivedAt = m_now;
+        request->m_deadline = m_now + RequestTimeout;
         const std::size_t popular = std::min(m_random.below(PopularParts), m_random.below(PopularParts));
         request->m_parts = {PromptPart{"drafts", "all"}, PromptPart{"drafts", "popular-" + std::to_string(popular)}};
         if (m_random.unit() < m_experiment.m_sessionShare) {
@@ -178,6 +200,20 @@
             request->m_parts.insert(request->m_parts.begin() + static_cast<std::ptrdiff_t>(place), PromptPart{"drafts", request->m_crashingPart});
             waiting.push_back(request);
         }
+        for (std::size_t index = 0; hasBegun && index < m_callers.size(); ++index) {
+            CrashingCaller &caller = m_callers[index];
+            if (!caller.m_request) {
+                caller.m_request = makeRequest();
+                caller.m_request->m_crashingCaller = index;
+                caller.m_nextAt = m_now;
+            }
+            if (caller.m_nextAt && m_now >= *caller.m_nextAt) {
+                caller.m_nextAt.reset();
+                startAttempt(*caller.m_request);
+                caller.m_request->m_deadline = m_now + RequestTimeout;
+                waiting.push_back(caller.m_request);
+            }
+        }
         for (const std::shared_ptr<Request> &request : waiting) {
             if (request->m_arrivedAt == m_now) {
                 m_entries[request->m_entry].m_quarantine->recordArrival(request->m_parts, m_now);
@@ -186,13 +222,49 @@
         }
     }
 
+    /// Lets the caller send the request to another entry.
+    void startAttempt(Request &request)
+    {
+        request.m_entry = m_random.below(m_entries.size());
+        request.m_attempts = 0;
+        request.m_arrivedAt = m_now;
+    }
+
+    /// Ends the current attempt of the request's caller without an answer.
+    void endAttempt(const std::shared_ptr<Request> &request, bool isRefused)
+    {
+        if (request->m_crashingCaller) {
+            m_callers[*request->m_crashingCaller].m_nextAt = m_now + (isRefused ? RefusedRepeatDelay : RepeatDelay);
+            return;
+        }
+        if (isRefused || request->m_callerAttempts >= m_experiment.m_callerAttempts) {
+            return;
+        }
+        ++request->m_callerAttempts;
+        startAttempt(*request);
+        m_held.push_back(request);
+    }
+
+    Quarantine::Treatment treatmentOf(const Request &request)
+    {
+        Quarantine::PartQuarantine &quarantine = *m_entries[request.m_entry].m_quarantine;
+        const Quarantine::Treatment byParts = quarantine.treat(request.m_parts, request.m_account, m_now);
+        if (byParts.m_kind == Quarantine::TreatmentKind::Refuse || !quarantine.knowsRequests(request.m_identity.m_id)) {
+            return byParts;
+        }
+        const Quarantine::Treatment byRequest = quarantine.treatRequest(request.m_identity, request.m_arrivedAt, m_now);
+        return byRequest.m_kind == Quarantine::TreatmentKind::Refuse || byRequest.m_holdTime > byParts.m_holdTime ? byRequest : byParts;
+    }
+
     void admit(const std::shared_ptr<Request> &request)
     {
-        const bool isSound = request->m_crashingPart.empty();
+        const bool isSound = Emulator::isSound(*request);
         Quarantine::PartQuarantine &quarantine = *m_entries[request->m_entry].m_quarantine;
-        const Quarantine::Treatment treatment = quarantine.treat(request->m_parts, request->m_account, m_now);
-        if (treatment.m_kind == Quarantine::TreatmentKind::Refuse || m_now - request->m_arrivedAt > RequestTimeout) {
+        const Quarantine::Treatment treatment = treatmentOf(*request);
+        if (treatment.m_kind == Quarantine::TreatmentKind::Refuse || m_now > request->m_deadline) {
             m_outcome.m_soundRefused += isSound ? 1 : 0;
+            m_outcome.m_soundBlamed += isSound && Quarantine::isRequestIdentity(treatment.m_part) ? 1 : 0;
+            endAttempt(request, true);
             return;
         }
         Engine &engine = m_engines[m_random.below(m_engines.size())];
@@ -205,7 +277,7 @@
         }
         quarantine.recordSent(request->m_parts, m_now);
         ++request->m_attempts;
-        const Core::Instant begins = m_now + Core::Duration(static_cast<std::int64_t>(100 + m_random.below(300)));
+        const Core::Instant begins = m_now + m_experiment.m_firstTokenTime + Core::Duration(static_cast<std::int64_t>(m_random.below(300)));
         const std::uint64_t length = isSound ? 600 + m_random.below(700) : 40 + m_random.below(70);
         engine.m_runs.push_back(Run{request, begins, begins + Core::Duration(static_cast<std::int64_t>(length))});
         countArrival(*request);
@@ -230,12 +302,11 @@
                 return true;
             });
             for (const Run &run : ended) {
-                if (run.m_request->m_crashingPart.empty()) {
+                if (isSound(*run.m_request)) {
                     complete(engine, run);
                     continue;
                 }
-                m_crashes[run.m_request->m_crashingPart].push_back(m_now);
-                ++m_outcome.m_crashes;
+                countCrash(*run.m_request);
                 engine.m_runs.push_back(run);
                 end(engine);
                 break;
@@ -243,12 +314,24 @@
         }
     }
 
+    void countCrash(const Request &request)
+    {
+        if (request.m_crashingCaller) {
+            ++m_outcome.m_requestCrashes;
+            m_outcome.m_crashesAfterThird += ++m_callers[*request.m_crashingCaller].m_crashes > AllowedCrashes ? 1 : 0;
+            return;
+        }
+        m_crashes[request.m_crashingPart].push_back(m_now);
+        ++m_outcome.m_crashes;
+    }
+
     Quarantine::RunFacts factsOf(const Engine &engine, const Run &run) const
     {
         Quarantine::RunFacts facts;
         facts.m_parts = run.m_request->m_parts;
         facts.m_account = run.m_request->m_account;
-        facts.m_request = run.m_request->m_id;
+        facts.m_identity = run.m_request->m_identity;
+        facts.m_request = Quarantine::requestOf(run.m_request->m_identity);
         facts.m_incarnation = engine.m_incarnation;
         if (run.m_beginsAt <= m_now) {
             facts.m_writing = std::chrono::duration_cast<Core::Duration>(m_now - run.m_beginsAt);
@@ -271,8 +354,10 @@
         for (const Run &run : lost) {
             const Request &request = *run.m_request;
             m_entries[request.m_entry].m_quarantine->recordCrash(factsOf(engine, run), m_now);
-            if (request.m_attempts < MaximumAttempts) {
+            if (request.m_attempts < m_experiment.m_maximumAttempts) {
                 m_held.push_back(run.m_request);
+            } else {
+                endAttempt(run.m_request, false);
             }
         }
         engine.m_upAt = m_now + RestartTime;
@@ -291,6 +376,9 @@
             if (!m_experiment.m_exchanges) {
                 continue;
             }
+            while (entry.m_quarantine->hasRequestNews()) {
+                sendToAll(index, entry.m_quarantine->takeRequestNews(m_now));
+            }
             if (entry.m_newsAt && m_now >= *entry.m_newsAt) {
                 entry.m_newsAt.reset();
                 send(index, NewsTargets, entry.m_quarantine->takeNews(Quarantine::NewsSample, m_now));
@@ -304,16 +392,28 @@
 
     void send(std::size_t from, std::size_t targets, const Quarantine::Observations &observations)
     {
-        const std::size_t bytes = observations.isEmpty() ? 0 : encodedBytes(observations);
         for (std::size_t count = 0; count < std::min(targets, m_entries.size() - 1); ++count) {
-            const std::size_t to = (from + 1 + m_random.below(m_entries.size() - 1)) % m_entries.size();
-            m_entries[from].m_bytes += bytes;
-            if (m_random.unit() >= m_experiment.m_lossShare) {
-                m_messages.push_back(Message{m_now + MessageDelay, from, to, observations, m_entries[from].m_quarantine->verdicts().digest()});
+            sendTo((from + 1 + m_random.below(m_entries.size() - 1)) % m_entries.size(), from, observations);
+        }
+    }
+
+    void sendToAll(std::size_t from, const Quarantine::Observations &observations)
+    {
+        for (std::size_t to = 0; to < m_entries.size(); ++to) {
+            if (to != from) {
+                sendTo(to, from, observations);
             }
         }
     }
 
+    void sendTo(std::size_t to, std::size_t from, const Quarantine::Observations &observations)
+    {
+        m_entries[from].m_bytes += observations.isEmpty() ? 0 : encodedBytes(observations);
+        if (m_random.unit() >= m_experiment.m_lossShare) {
+            m_messages.push_back(Message{m_now + MessageDelay, from, to, observations, m_entries[from].m_quarantine->verdicts().digest()});
+        }
+    }
+
     void deliverMessages()
     {
         while (!m_messages.empty() && m_messages.front().m_arrivesAt <= m_now) {
@@ -333,14 +433,16 @@
     void collectVerdicts(Quarantine::PartQuarantine &quarantine)
     {
         for (const Quarantine::VerdictChange &change : quarantine.verdicts().takeChanges()) {
-            const bool isSound = !change.m_verdict.m_part.m_id.starts_with("crashing-");
+            const bool isPart = !Quarantine::isRequestIdentity(change.m_verdict.m_part);
+            const bool isSound = isPart && !change.m_verdict.m_part.m_id.starts_with("crashing-");
             if (isSound && !change.m_verdict.m_isLifted) {
                 m_wronglyBlamed.insert(change.m_verdict.m_part);
             }
         }
-        m_outcome.m_memoryBytes = std::max(m_outcome.m_memoryBytes,
-                                           quarantine.historyCount() * HistoryEntryBytes + quarantine.suspectCount() * SuspectEntryBytes
-                                               + quarantine.verdicts().blamed().size() * VerdictEntryBytes);
+        m_outcome.m_memoryBytes =
+            std::max(m_outcome.m_memoryBytes,
+                     quarantine.historyCount() * HistoryEntryBytes + (quarantine.suspectCount() + quarantine.suspectRequestCount()) * SuspectEntryBytes
+                         + quarantine.verdicts().blamed().size() * VerdictEntryBytes);
     }
 
     QuarantineOutcome finish()
@@ -360,6 +462,7 @@
     Core::Random m_random;
     std::vector<Engine> m_engines;
     std::vector<Entry> m_entries;
+    std::vector<CrashingCaller> m_callers;
     std::vector<std::shared_ptr<Request>> m_held; ///< Requests that wait at their entries.
     std::deque<Message> m_messages; ///< In the order of their arrival.
     std::map<std::string, std::vector<Core::Instant>> m_crashes; ///< By part.
--- a/Libraries/LibEmulator/QuarantineEmulator.h
+++ b/Libraries/LibEmulator/QuarantineEmulator.h
@@ -14,9 +14,13 @@
     double m_requestsPerSecond = 200; ///< Sound ones.
     double m_crashingPerSecond = 4; ///< Requests with a part under which engines end.
     std::size_t m_crashingParts = 1;
+    std::size_t m_crashingCallers = 0; ///< Callers that send a request of their own under which engines end again and again, at once.
+    std::uint32_t m_maximumAttempts = 2; ///< Engines that one attempt of a caller may reach.
+    std::uint32_t m_callerAttempts = 1; ///< Attempts of the caller of a sound request, one after the other.
     double m_sessionShare = 0.3; ///< Share of the sound requests that have a part which only few others have.
+    Core::Duration m_firstTokenTime{100}; ///< Minimum time from the arrival of a request at an engine to its first event.
     double m_otherCrashesPerSecond = 0; ///< Ends of engines for other reasons, one at a time.
-    std::optional<Core::Duration> m_powerLoss; ///< When all engines end in one moment.
+    std::vector<Core::Duration> m_powerLosses; ///< When all engines end in one moment.
     std::optional<Core::Duration> m_entriesRestart; ///< When a third of the entries forget everything.
     double m_lossShare = 0.05; ///< Share of the messages between entries that are lost.
     bool m_exchanges = true; ///< Entries tell each other what they see.
@@ -31,6 +35,9 @@
 struct QuarantineOutcome
 {
     std::size_t m_crashes = 0; ///< Under the parts that end engines.
+    std::size_t m_requestCrashes = 0; ///< Under the requests that end engines by themselves.
+    std::size_t m_crashesAfterThird = 0; ///< Of these, after three engines had ended under the same request.
+    std::size_t m_soundBlamed = 0; ///< Sound requests that were refused because engines had ended under them.
     std::size_t m_lateArrivals = 0; ///< Requests with such a part at engines, later than three seconds after the fifth crash under it.
     std::size_t m_soundRequests = 0;
     std::size_t m_soundRefused = 0;
--- a/Tests/LibEmulator/TestQuarantine.cpp
+++ b/Tests/LibEmulator/TestQuarantine.cpp
@@ -43,7 +43,7 @@
 {
     QuarantineExperiment experiment;
     experiment.m_seed = GENERATE(7, 8, 9);
-    experiment.m_powerLoss = Core::Duration(7000);
+    experiment.m_powerLosses = {Core::Duration(7000)};
     experiment.m_otherCrashesPerSecond = 2;
     experiment.m_crashingPerSecond = GENERATE(0.0, 4.0);
     check(experiment);
@@ -68,3 +68,33 @@
     experiment.m_duration = Core::Duration(15000);
     check(experiment);
 }
+
+TEST_CASE("Three engines end under a request in a fleet, however often its caller sends it to whichever entry")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(21, 22, 23);
+    experiment.m_crashingPerSecond = 0;
+    experiment.m_crashingCallers = GENERATE(1, 3);
+    experiment.m_callerAttempts = 3;
+    experiment.m_maximumAttempts = GENERATE(1, 2);
+    experiment.m_lossShare = 0;
+    const QuarantineOutcome outcome = play(experiment);
+    CAPTURE(experiment.m_seed, outcome.m_requestCrashes, outcome.m_soundHeld);
+    CHECK(outcome.m_requestCrashes >= experiment.m_crashingCallers);
+    CHECK(outcome.m_crashesAfterThird == 0);
+    CHECK(static_cast<double>(outcome.m_soundBlamed) <= AllowedRefusals * static_cast<double>(outcome.m_soundRequests));
+}
+
+TEST_CASE("Losses of power make no entry refuse a request that was at an engine each time")
+{
+    QuarantineExperiment experiment;
+    experiment.m_seed = GENERATE(24, 25, 26);
+    experiment.m_crashingPerSecond = 0;
+    experiment.m_callerAttempts = 3;
+    for (std::int64_t at = 3000; at < 20000; at += 2400) {
+        experiment.m_powerLosses.emplace_back(at);
+    }
+    const QuarantineOutcome outcome = play(experiment);
+    CAPTURE(experiment.m_seed, outcome.m_soundRequests);
+    CHECK(outcome.m_soundBlamed == 0);
+}
