LibQuarantine: Tell requests with many parts apart by their last one

Cause: parts beyond 64 count as one, and a part that comes twice counts once, so a prompt's last part could be lost among them, and two requests that share the others had one identity.

Change: the last part is digested by itself.

Result: the new case of LibQuarantine/TestRequestIdentity passes; it was not run on the code before.

--- a/Libraries/LibQuarantine/RequestIdentity.cpp
+++ b/Libraries/LibQuarantine/RequestIdentity.cpp
@@ -27,8 +27,15 @@
     }
     update(digest, std::to_string(content.m_promptTokens));
     update(digest, std::to_string(content.m_answerTokens));
-    for (const std::string &id : normalizedPartIds(content.m_promptParts)) {
-        update(digest, id);
+    // The last part is taken by itself: as one of many, or as the same as another, it would not be told from others.
+    const std::ptrdiff_t ownParts = content.m_promptParts.empty() ? 0 : 1;
+    const std::vector<std::string> shared(content.m_promptParts.begin(), content.m_promptParts.end() - ownParts);
+    const std::vector<std::string> own(content.m_promptParts.end() - ownParts, content.m_promptParts.end());
+    for (const std::vector<std::string> &ids : {shared, own}) {
+        for (const std::string &id : normalizedPartIds(ids)) {
+            update(digest, id);
+        }
+        update(digest, "");
     }
     return digest.finishHex();
 }
--- a/Tests/LibQuarantine/TestRequestIdentity.cpp
+++ b/Tests/LibQuarantine/TestRequestIdentity.cpp
@@ -66,3 +66,21 @@
     CHECK(isRequestIdentity(identity));
     CHECK_FALSE(isRequestIdentity(Quarantine::PromptPart{"drafts", Quarantine::normalizedPartIds({identity.m_id}).front()}));
 }
+
+TEST_CASE("Requests that differ only in their last part are told apart, however many parts they share and whichever it is")
+{
+    RequestContent many = content();
+    many.m_promptParts.clear();
+    for (std::size_t number = 0; number < 2 * Quarantine::MaximumPartsPerPrompt; ++number) {
+        many.m_promptParts.push_back(std::to_string(number));
+    }
+    RequestContent other = many;
+    many.m_promptParts.emplace_back("a1");
+    other.m_promptParts.emplace_back("a2");
+    CHECK(requestIdentity(many, "") != requestIdentity(other, ""));
+    RequestContent first = content();
+    RequestContent second = content();
+    first.m_promptParts = {"a", "b", "a"};
+    second.m_promptParts = {"a", "b", "b"};
+    CHECK(requestIdentity(first, "") != requestIdentity(second, ""));
+}
