LibQuarantine: Keep the ends under a request whose verdict is lifted because one endpoint lives

What callers saw: a request under which two endpoints had ended and a third had only lost its connections could end three more.

Cause: lifting a verdict forgets all of its crashes, also those that nothing refutes. A completed answer refutes all of them, a live endpoint only its own.

Change: VerdictTable::refute() returns the verdicts that it lifts with the crashes that are left, and a request is suspect with them again, so that one more end is the third. Verdicts on parts are lifted as before: their evidence is weighed in points.

--- a/Libraries/LibQuarantine/PartQuarantine.cpp
+++ b/Libraries/LibQuarantine/PartQuarantine.cpp
@@ -233,7 +233,9 @@
     }
     eraseCrashes([incarnation, asOf](const Crash &crash) { return crash.m_incarnation == incarnation && crash.m_at < asOf; });
     m_requests.recordAlive(incarnation, asOf);
-    m_verdicts.refute(incarnation, asOf);
+    for (const std::pair<PromptPart, std::vector<Crash>> &lifted : m_verdicts.refute(incarnation, asOf)) {
+        restoreRequest(lifted.first, lifted.second);
+    }
     const std::function<bool(const UnprovedCompletion &)> isProved = [incarnation, asOf](const UnprovedCompletion &completion) {
         return completion.m_incarnation == incarnation && completion.m_at < asOf;
     };
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -165,6 +165,8 @@
     void addCrash(const PromptPart &part, const Crash &crash, Core::Instant now);
     void addRequestCrash(const PromptPart &identity, const Crash &crash, bool isOwn, Core::Instant now);
     void addRequestCompletion(const PromptPart &identity, Core::Instant at, Core::Instant now);
+    /// Makes the request suspect again after its verdict was lifted, if it is one: the other endpoints have ended under it.
+    void restoreRequest(const PromptPart &part, const std::vector<Crash> &crashes);
     /// Decides which requests endpoints end under.
     void decideRequests(Core::Instant now);
     void addCrash(SuspectRecord &suspect, const PromptPart &part, const Crash &crash);
--- a/Libraries/LibQuarantine/PartQuarantineRequests.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineRequests.cpp
@@ -55,6 +55,13 @@
     m_verdicts.acquit(identity, at, now);
 }
 
+void PartQuarantine::restoreRequest(const PromptPart &part, const std::vector<Crash> &crashes)
+{
+    for (const Crash &crash : isRequestIdentity(part) ? crashes : std::vector<Crash>()) {
+        m_requests.add(part, crash, false);
+    }
+}
+
 void PartQuarantine::decideRequests(Core::Instant now)
 {
     m_verdicts.liftExplainedRequests(now);
--- a/Libraries/LibQuarantine/VerdictTable.cpp
+++ b/Libraries/LibQuarantine/VerdictTable.cpp
@@ -201,8 +201,9 @@
     noteChange(record, false, now);
 }
 
-void VerdictTable::refute(Incarnation incarnation, Core::Instant asOf)
+std::vector<std::pair<PromptPart, std::vector<Crash>>> VerdictTable::refute(Incarnation incarnation, Core::Instant asOf)
 {
+    std::vector<std::pair<PromptPart, std::vector<Crash>>> lifted;
     for (std::pair<const PromptPart, Record> &entry : m_records) {
         Record &record = entry.second;
         Verdict &verdict = record.m_verdict;
@@ -211,9 +212,11 @@
         }
         std::erase_if(record.m_crashes, [incarnation](const Crash &crash) { return crash.m_incarnation == incarnation; });
         if (verdict.m_incarnations.size() < m_settings.m_minimumCrashes) {
+            lifted.emplace_back(entry.first, record.m_crashes);
             lift(record, asOf);
         }
     }
+    return lifted;
 }
 
 void VerdictTable::merge(const Verdict &verdict, const std::vector<Crash> &crashes, Core::Instant now)
--- a/Libraries/LibQuarantine/VerdictTable.h
+++ b/Libraries/LibQuarantine/VerdictTable.h
@@ -53,8 +53,9 @@
     void acquit(const PromptPart &part, Core::Instant completedAt, Core::Instant now);
     /// Lifts the verdict on the part if it is in force.
     void lift(const PromptPart &part, Core::Instant now);
-    /// Removes crashes of the incarnation from verdicts, because it was alive at @p asOf, and lifts those that are left with too few.
-    void refute(Incarnation incarnation, Core::Instant asOf);
+    /// Removes crashes of the incarnation from verdicts, because it was alive at @p asOf, and lifts those that are left with too few. Returns the lifted ones
+    /// with the crashes that are left.
+    std::vector<std::pair<PromptPart, std::vector<Crash>>> refute(Incarnation incarnation, Core::Instant asOf);
     /// Applies a verdict that another entry or the store tells. @p crashes: those under its part that this process knows.
     void merge(const Verdict &verdict, const std::vector<Crash> &crashes, Core::Instant now);
     /// Records that this revision of the verdict on the part outlasts the loss of all processes.
--- a/Tests/LibQuarantine/TestRequestQuarantine.cpp
+++ b/Tests/LibQuarantine/TestRequestQuarantine.cpp
@@ -236,3 +236,15 @@
         CHECK(treatment(*each, Request, 9000) == TreatmentKind::Refuse);
     }
 }
+
+TEST_CASE("A verdict that is lifted because one endpoint lives does not let the ends of the others be forgotten")
+{
+    PartQuarantine quarantine;
+    crash(quarantine, Request, 1, 3, 0);
+    quarantine.update(after(2400));
+    REQUIRE(quarantine.verdicts().isInForce(Request));
+    quarantine.recordAlive(3, after(2500));
+    REQUIRE_FALSE(quarantine.verdicts().isInForce(Request));
+    crash(quarantine, Request, 4, 1, 5000);
+    CHECK(quarantine.hasTooManyEnds(Request));
+}
