LibQuarantine: Choose between two treatments in one place, and derive common causes from the ends

stricter() takes the place of the same comparison in the relay and in the emulator. Which ends have a common cause is worked out from the ends that are remembered instead of being kept beside them.

--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -249,11 +249,7 @@
     {
         Quarantine::PartQuarantine &quarantine = *m_entries[request.m_entry].m_quarantine;
         const Quarantine::Treatment byParts = quarantine.treat(request.m_parts, request.m_account, m_now);
-        if (byParts.m_kind == Quarantine::TreatmentKind::Refuse || !quarantine.knowsRequests(request.m_identity.m_id)) {
-            return byParts;
-        }
-        const Quarantine::Treatment byRequest = quarantine.treatRequest(request.m_identity, request.m_arrivedAt, m_now);
-        return byRequest.m_kind == Quarantine::TreatmentKind::Refuse || byRequest.m_holdTime > byParts.m_holdTime ? byRequest : byParts;
+        return Quarantine::stricter(byParts, quarantine.treatRequest(request.m_identity, request.m_arrivedAt, m_now));
     }
 
     void admit(const std::shared_ptr<Request> &request)
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -27,6 +27,9 @@
     bool operator==(const Treatment &) const = default;
 };
 
+/// Returns the one that keeps a request from endpoints for longer.
+const Treatment &stricter(const Treatment &left, const Treatment &right);
+
 /// A request at an endpoint, as far as it concerns the quarantine.
 struct RunFacts
 {
--- a/Libraries/LibQuarantine/PartQuarantineRequests.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineRequests.cpp
@@ -6,6 +6,14 @@
 
 namespace Quarantine {
 
+const Treatment &stricter(const Treatment &left, const Treatment &right)
+{
+    if (left.m_kind == TreatmentKind::Refuse || right.m_kind == TreatmentKind::Refuse) {
+        return left.m_kind == TreatmentKind::Refuse ? left : right;
+    }
+    return right.m_holdTime > left.m_holdTime ? right : left;
+}
+
 bool PartQuarantine::hasTooManyEnds(const PromptPart &identity) const
 {
     return m_verdicts.isInForce(identity) || m_requests.crashes(identity).size() >= m_requests.maximumEnds(identity);
--- a/Libraries/LibQuarantine/RequestSuspects.cpp
+++ b/Libraries/LibQuarantine/RequestSuspects.cpp
@@ -49,35 +49,44 @@
     return found == m_records.end() ? std::nullopt : found->second.m_completedAt;
 }
 
-void RequestSuspects::recordEnd(const Crash &crash)
+std::vector<Incarnation> RequestSuspects::endsAround(Core::Instant at) const
+{
+    std::vector<Incarnation> together;
+    for (const std::pair<Core::Instant, Incarnation> &end : m_ends) {
+        if (distance(end.first, at) <= m_settings.m_commonCauseWindow) {
+            together.push_back(end.second);
+        }
+    }
+    return together;
+}
+
+bool RequestSuspects::recordEnd(const Crash &crash)
 {
     const auto isSame = [&crash](const std::pair<Core::Instant, Incarnation> &end) { return end.second == crash.m_incarnation; };
-    if (std::any_of(m_ends.begin(), m_ends.end(), isSame)) {
-        return;
+    const std::deque<std::pair<Core::Instant, Incarnation>>::const_iterator known = std::find_if(m_ends.begin(), m_ends.end(), isSame);
+    const Core::Instant at = known == m_ends.end() ? crash.m_at : known->first;
+    if (known == m_ends.end()) {
+        m_ends.emplace_back(crash.m_at, crash.m_incarnation);
     }
-    m_ends.emplace_back(crash.m_at, crash.m_incarnation);
     if (m_ends.size() > m_settings.m_recentEnds) {
         m_ends.pop_front();
     }
-    std::vector<std::pair<Core::Instant, Incarnation>> together;
-    std::copy_if(m_ends.begin(), m_ends.end(), std::back_inserter(together), [this, &crash](const std::pair<Core::Instant, Incarnation> &end) {
-        return distance(end.first, crash.m_at) <= m_settings.m_commonCauseWindow;
-    });
+    const std::vector<Incarnation> together = endsAround(at);
     if (together.size() < m_settings.m_commonCauseEnds) {
-        return;
+        return false;
     }
-    for (const std::pair<Core::Instant, Incarnation> &end : together) {
-        m_commonCause[end.second] = end.first;
-        removeCrashes(end.second, [](const Crash &) { return true; });
+    for (const Incarnation incarnation : together) {
+        removeCrashes(incarnation, [](const Crash &) { return true; });
     }
+    return true;
 }
 
 void RequestSuspects::add(const PromptPart &identity, const Crash &crash, bool isOwn)
 {
-    recordEnd(crash);
+    const bool hasCommonCause = recordEnd(crash);
     const std::map<PromptPart, Record>::const_iterator known = m_records.find(identity);
     const bool isBeforeCompletion = known != m_records.end() && known->second.m_completedAt && *known->second.m_completedAt >= crash.m_at;
-    if (hasCommonCause(crash.m_incarnation) || isBeforeCompletion) {
+    if (hasCommonCause || isBeforeCompletion) {
         return;
     }
     if (known == m_records.end()) {
@@ -187,7 +196,6 @@
 {
     std::erase_if(m_records, [this, now](const std::pair<const PromptPart, Record> &entry) { return now - entry.second.m_changedAt > m_settings.m_lifetime; });
     std::erase_if(m_ends, [now](const std::pair<Core::Instant, Incarnation> &end) { return now - end.first > EndLifetime; });
-    std::erase_if(m_commonCause, [now](const std::pair<const Incarnation, Core::Instant> &entry) { return now - entry.second > EndLifetime; });
     std::erase_if(m_byIncarnation, [this](const std::pair<const Incarnation, std::set<PromptPart>> &entry) {
         return std::none_of(entry.second.begin(), entry.second.end(), [this](const PromptPart &identity) { return m_records.contains(identity); });
     });
--- a/Libraries/LibQuarantine/RequestSuspects.h
+++ b/Libraries/LibQuarantine/RequestSuspects.h
@@ -76,12 +76,10 @@
         Core::Instant m_changedAt;
     };
 
-    /// Records the end and removes it from all requests, with the others at its time, if so many endpoints ended then that a common cause is likely.
-    void recordEnd(const Crash &crash);
-    bool hasCommonCause(Incarnation incarnation) const
-    {
-        return m_commonCause.contains(incarnation);
-    }
+    /// Records the end. If so many endpoints ended at its time that a common cause is likely, removes their ends from all requests and returns true.
+    bool recordEnd(const Crash &crash);
+    /// Returns the incarnations that ended at about that time, as far as it is remembered.
+    std::vector<Incarnation> endsAround(Core::Instant at) const;
     void removeCrashes(Incarnation incarnation, const std::function<bool(const Crash &crash)> &isWrong);
     /// Returns when this process has last returned a complete answer to the request, as far as it is remembered.
     std::optional<Core::Instant> answeredAt(const PromptPart &identity) const;
@@ -91,7 +89,6 @@
     std::map<PromptPart, Record> m_records;
     std::unordered_map<Incarnation, std::set<PromptPart>> m_byIncarnation; ///< Requests against which its end counts.
     std::deque<std::pair<Core::Instant, Incarnation>> m_ends; ///< Of the last seconds, in the order in which they were learnt.
-    std::unordered_map<Incarnation, Core::Instant> m_commonCause; ///< Incarnations that ended by a common cause, and when.
     std::set<std::pair<PromptPart, Incarnation>> m_news;
     std::vector<std::pair<std::uint64_t, Core::Instant>> m_answered; ///< Hashes of the identities answered most recently, each once, with the time.
     std::size_t m_oldestAnswered = 0; ///< Index of the one to be replaced, once all places are taken.
--- a/Libraries/LibRelay/RelayedRequestQuarantine.cpp
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -73,8 +73,7 @@
     if (byParts.m_kind == Quarantine::TreatmentKind::Refuse || !isKnownToQuarantine()) {
         return byParts;
     }
-    const Quarantine::Treatment byRequest = quarantine.treatRequest(identity(), m_arrivedAt, now);
-    return byRequest.m_kind == Quarantine::TreatmentKind::Refuse || byRequest.m_holdTime > byParts.m_holdTime ? byRequest : byParts;
+    return Quarantine::stricter(byParts, quarantine.treatRequest(identity(), m_arrivedAt, now));
 }
 
 bool RelayedRequest::passesQuarantine()
