LibQuarantine, LibGossip: Tell an entry that starts the ends under requests that have no verdict yet

What callers saw: an entry that had just started knew verdicts only, so it sent a request under which two endpoints had ended like any other, and a fourth could end.

Cause: the state that an entry takes from a peer held verdicts; crashes came with later heartbeats, by chance.

Change: state answers carry the newest 256 crashes under requests, about 20 KB, and nothing while no endpoint ends.

--- a/Libraries/LibEmulator/QuarantineEmulator.cpp
+++ b/Libraries/LibEmulator/QuarantineEmulator.cpp
@@ -164,9 +164,18 @@
         }
         for (std::size_t index = 0; m_experiment.m_entriesRestart && isNow(m_start + *m_experiment.m_entriesRestart) && index < m_entries.size(); index += 3) {
             forget(m_entries[index]);
+            pull(m_entries[index], (index + 1) % m_entries.size());
         }
     }
 
+    /// Lets an entry have the state of another one.
+    void pull(Entry &entry, std::size_t from)
+    {
+        const Quarantine::Observations state = m_entries[from].m_quarantine->state(m_now);
+        m_entries[from].m_bytes += state.isEmpty() ? 0 : encodedBytes(state);
+        entry.m_quarantine->merge(state, m_now);
+    }
+
     std::shared_ptr<Request> makeRequest()
     {
         const std::shared_ptr<Request> request = std::make_shared<Request>();
@@ -419,9 +428,7 @@
             entry.m_quarantine->merge(message.m_observations, m_now);
             if (message.m_digest != entry.m_quarantine->verdicts().digest() && m_now >= entry.m_nextPull) {
                 entry.m_nextPull = m_now + PullInterval;
-                const Quarantine::Observations all{{}, {}, m_entries[message.m_from].m_quarantine->verdicts().verdicts(m_now)};
-                m_entries[message.m_from].m_bytes += encodedBytes(all);
-                entry.m_quarantine->merge(all, m_now);
+                pull(entry, message.m_from);
             }
         }
     }
--- a/Libraries/LibGossip/GossipService.h
+++ b/Libraries/LibGossip/GossipService.h
@@ -71,7 +71,7 @@
     std::function<bool()> m_hasNews;
     std::function<Quarantine::Observations()> m_takeRequestNews;
     std::function<bool()> m_hasRequestNews;
-    std::function<std::vector<Quarantine::Verdict>()> m_verdicts;
+    std::function<Quarantine::Observations()> m_state;
     std::function<std::uint64_t()> m_verdictDigest;
     std::function<void(const Quarantine::Observations &observations)> m_merge;
 };
--- a/Libraries/LibGossip/GossipState.cpp
+++ b/Libraries/LibGossip/GossipState.cpp
@@ -148,8 +148,10 @@
             answer.m_declarations.m_configuration->m_accounts.clear();
         }
     }
-    if (!request.m_forAgent && m_quarantine.m_verdicts) {
-        answer.m_verdicts = m_quarantine.m_verdicts();
+    if (!request.m_forAgent && m_quarantine.m_state) {
+        const Quarantine::Observations observations = m_quarantine.m_state();
+        answer.m_verdicts = observations.m_verdicts;
+        answer.m_requestCrashes = observations.m_crashes;
         answer.m_hasStoredVerdicts = m_hasStoredVerdicts;
     }
     if (!request.m_forAgent && m_parts.m_fleetState.endpointsRevisionOffset() > request.m_endpointsRevisionOffset) {
@@ -232,8 +234,9 @@
     }
     m_failedPullsInRow = 0;
     m_hasStoredVerdicts = m_hasStoredVerdicts || answer.value().m_hasStoredVerdicts;
-    if (m_quarantine.m_merge && !answer.value().m_verdicts.empty()) {
-        m_quarantine.m_merge(Quarantine::Observations{{}, {}, answer.value().m_verdicts});
+    const Quarantine::Observations observations{answer.value().m_requestCrashes, {}, answer.value().m_verdicts};
+    if (m_quarantine.m_merge && !observations.isEmpty()) {
+        m_quarantine.m_merge(observations);
     }
     Fleet::FleetStateUpdate update = m_parts.m_fleetState.apply(answer.value().m_declarations);
     if (answer.value().m_endpoints.m_isSnapshot) {
--- a/Libraries/LibGossip/Messages.h
+++ b/Libraries/LibGossip/Messages.h
@@ -97,10 +97,11 @@
     Fleet::EndpointChanges m_endpoints;
     std::vector<Quarantine::Verdict> m_verdicts;
     bool m_hasStoredVerdicts = false; ///< See Heartbeat.
+    std::vector<Quarantine::CrashObservation> m_requestCrashes; ///< The newest ones under requests that have no verdict yet.
 
     bool operator==(const StateAnswer &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_declarations, m_endpoints, m_verdicts, m_hasStoredVerdicts);
+    MSGPACK_DEFINE_ARRAY(m_declarations, m_endpoints, m_verdicts, m_hasStoredVerdicts, m_requestCrashes);
 };
 
 }
--- a/Libraries/LibQuarantine/PartQuarantine.h
+++ b/Libraries/LibQuarantine/PartQuarantine.h
@@ -56,6 +56,7 @@
 
 inline constexpr SampleSize RegularSample{1, 3, 2}; ///< Fits into a heartbeat in place of some members.
 inline constexpr SampleSize NewsSample{1, 8, 4}; ///< Fits into a datagram without members.
+inline constexpr std::size_t MaximumStateCrashes = 256; ///< Under requests, told to an entry that starts: some 20 KB.
 inline constexpr std::size_t RequestNewsSize = 8; ///< Crashes under requests that fit into a datagram without members.
 
 /**
@@ -123,6 +124,9 @@
     /// may send the request again at once, to any entry.
     Observations takeRequestNews(Core::Instant now);
 
+    /// Returns what an entry that starts needs to treat requests like this one: all verdicts, and the newest crashes under requests without a verdict.
+    Observations state(Core::Instant now) const;
+
     VerdictTable &verdicts()
     {
         return m_verdicts;
--- a/Libraries/LibQuarantine/PartQuarantineExchange.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineExchange.cpp
@@ -71,7 +71,8 @@
             }
         }
     }
-    for (const std::pair<PromptPart, Crash> &end : m_requests.repeated()) {
+    constexpr std::size_t sampledEnds = 2; // After one end the request may be sent in any case.
+    for (const std::pair<PromptPart, Crash> &end : m_requests.ends(sampledEnds)) {
         observations.m_crashes.push_back(observationOf(end.first, end.second, now));
     }
     Core::keepRandom(observations.m_crashes, size.m_crashes, random);
--- a/Libraries/LibQuarantine/PartQuarantineRequests.cpp
+++ b/Libraries/LibQuarantine/PartQuarantineRequests.cpp
@@ -93,4 +93,20 @@
     return observations;
 }
 
+Observations PartQuarantine::state(Core::Instant now) const
+{
+    std::vector<std::pair<PromptPart, Crash>> ends = m_requests.ends(1);
+    const auto isNewer = [](const std::pair<PromptPart, Crash> &left, const std::pair<PromptPart, Crash> &right) {
+        return isEarlier(right.second, left.second);
+    };
+    std::sort(ends.begin(), ends.end(), isNewer);
+    ends.resize(std::min(ends.size(), MaximumStateCrashes));
+    Observations observations;
+    for (const std::pair<PromptPart, Crash> &end : ends) {
+        observations.m_crashes.push_back(observationOf(end.first, end.second, now));
+    }
+    observations.m_verdicts = m_verdicts.verdicts(now);
+    return observations;
+}
+
 }
--- a/Libraries/LibQuarantine/RequestSuspects.cpp
+++ b/Libraries/LibQuarantine/RequestSuspects.cpp
@@ -216,12 +216,12 @@
     return news;
 }
 
-std::vector<std::pair<PromptPart, Crash>> RequestSuspects::repeated() const
+std::vector<std::pair<PromptPart, Crash>> RequestSuspects::ends(std::size_t minimum) const
 {
     std::vector<std::pair<PromptPart, Crash>> ends;
     for (const std::pair<const PromptPart, Record> &entry : m_records) {
         for (const Crash &crash : entry.second.m_crashes) {
-            if (entry.second.m_crashes.size() > 1) {
+            if (entry.second.m_crashes.size() >= minimum) {
                 ends.emplace_back(entry.first, crash);
             }
         }
--- a/Libraries/LibQuarantine/RequestSuspects.h
+++ b/Libraries/LibQuarantine/RequestSuspects.h
@@ -65,8 +65,8 @@
     }
     /// Returns up to @p count own observations that have not been returned here yet.
     std::vector<std::pair<PromptPart, Crash>> takeNews(std::size_t count);
-    /// Returns the ends of requests under which several endpoints have ended.
-    std::vector<std::pair<PromptPart, Crash>> repeated() const;
+    /// Returns the ends under requests under which @p minimum endpoints or more have ended.
+    std::vector<std::pair<PromptPart, Crash>> ends(std::size_t minimum) const;
 
 private:
     struct Record
--- a/Libraries/LibServing/EntryQuarantine.cpp
+++ b/Libraries/LibServing/EntryQuarantine.cpp
@@ -30,7 +30,7 @@
     access.m_hasNews = [this] { return m_quarantine.hasNews(); };
     access.m_takeRequestNews = [this] { return m_quarantine.takeRequestNews(Core::Clock::now()); };
     access.m_hasRequestNews = [this] { return m_quarantine.hasRequestNews(); };
-    access.m_verdicts = [this] { return m_quarantine.verdicts().verdicts(Core::Clock::now()); };
+    access.m_state = [this] { return m_quarantine.state(Core::Clock::now()); };
     access.m_verdictDigest = [this] { return m_quarantine.verdicts().digest(); };
     access.m_merge = [this](const Quarantine::Observations &observations) {
         m_quarantine.merge(observations, Core::Clock::now());
--- a/Tests/LibEmulator/TestQuarantine.cpp
+++ b/Tests/LibEmulator/TestQuarantine.cpp
@@ -77,6 +77,7 @@
     experiment.m_crashingCallers = GENERATE(1, 3);
     experiment.m_callerAttempts = 3;
     experiment.m_maximumAttempts = GENERATE(1, 2);
+    experiment.m_entriesRestart = GENERATE(Core::Duration(5600), Core::Duration(12000));
     experiment.m_lossShare = 0;
     const QuarantineOutcome outcome = play(experiment);
     CAPTURE(experiment.m_seed, outcome.m_requestCrashes, outcome.m_soundHeld);
--- a/Tests/LibQuarantine/TestRequestQuarantine.cpp
+++ b/Tests/LibQuarantine/TestRequestQuarantine.cpp
@@ -248,3 +248,14 @@
     crash(quarantine, Request, 4, 1, 5000);
     CHECK(quarantine.hasTooManyEnds(Request));
 }
+
+TEST_CASE("An entry that starts between two ends learns the earlier ones with its state")
+{
+    PartQuarantine quarantine;
+    PartQuarantine newcomer;
+    crash(quarantine, Request, 1, 2, 0);
+    newcomer.merge(quarantine.state(after(1500)), after(1500));
+    CHECK(treatment(newcomer, Request, 1500) == TreatmentKind::Hold);
+    crash(newcomer, Request, 3, 1, 2000);
+    CHECK(newcomer.hasTooManyEnds(Request));
+}
