LibRelay, LibHttp, LibStaging: Log why an answer is not continued, and answers that were not written whole

The logs could not tell answers that our load orders broke off from those that engines or entries ended, except by joining lines of agents and entries by time.

attempt_failed says whether the engine was about to load, a request that is not sent to another endpoint after a failure says why (not_retried, also as relay_broken_answers_total), an agent's order line says what became of running requests, and an answer whose caller's connection ends before all of it was written has a line and a count (answer_unsent, relay_unsent_answers_total).

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -541,6 +541,11 @@
     m_onDrained = std::move(callback);
 }
 
+void ServerConnection::onUnsentAnswer(std::function<void(std::size_t)> callback)
+{
+    m_onUnsentAnswer = std::move(callback);
+}
+
 bool ServerConnection::isBacklogged(std::size_t maximumBytes) const
 {
     const bool isMemoryExceeded = m_context->m_answerMemory && m_context->m_answerMemory->isExceeded();
@@ -709,6 +714,7 @@
 void ServerConnection::onAnswerEnded()
 {
     m_onDrained = nullptr;
+    m_onUnsentAnswer = nullptr;
     if (!m_closeAfterAnswer) {
         awaitRequest();
         return;
@@ -755,6 +761,10 @@
     m_state->m_endTimer.cancel(ignored);
     m_state->m_closeCheckTimer.cancel(ignored);
     m_state->m_socket.close(ignored);
+    const std::function<void(std::size_t)> callback = std::exchange(m_onUnsentAnswer, nullptr);
+    if (callback && m_state->m_pendingBytes > 0) {
+        callback(m_state->m_pendingBytes);
+    }
 }
 
 }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -105,6 +105,8 @@
 
     /// Sets a callback that is called once if the other end closes the connection before the answer has ended.
     void onPeerClosed(std::function<void()> callback);
+    /// Sets a callback that is called once if the connection ends before all bytes of the current answer have been written, also after finish().
+    void onUnsentAnswer(std::function<void(std::size_t bytes)> callback);
     /// Sets a callback that is called whenever all pending bytes of the answer have been written.
     void onDrained(std::function<void()> callback);
     /// Returns whether the source of the answer should pause until onDrained(): more than @p maximumBytes are queued, or any bytes while the answers of the
@@ -179,6 +181,7 @@
     std::unique_ptr<State> m_state;
     std::function<void()> m_onPeerClosed;
     std::function<void()> m_onDrained;
+    std::function<void(std::size_t)> m_onUnsentAnswer;
     bool m_isAnswering = false; ///< A request was passed to the handler or rejected, and its answer has not ended.
     BodyEnd m_bodyEnd = BodyEnd::NoBody; ///< Of the current answer.
     bool m_isReading = false; ///< A request is being read, or waits for memory.
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -8,6 +8,20 @@
 
 namespace Relay {
 
+namespace {
+
+std::array<Telemetry::Counter *, RetryObstacleCount> brokenAnswerCounters(Telemetry::Metrics &metrics)
+{
+    std::array<Telemetry::Counter *, RetryObstacleCount> counters{};
+    for (std::size_t index = 0; index < counters.size(); ++index) {
+        const std::string obstacle(retryObstacleName(static_cast<RetryObstacle>(index)));
+        counters.at(index) = &metrics.counter("relay_broken_answers_total{not_retried=\"" + obstacle + "\"}");
+    }
+    return counters;
+}
+
+}
+
 RelayCounters::RelayCounters(Telemetry::Metrics &metrics)
     : m_requests(metrics.counter("relay_requests_total"))
     , m_succeeded(metrics.counter("relay_requests_ended_total{outcome=\"answered\"}"))
@@ -27,6 +41,8 @@
     , m_yielding(metrics.counter("relay_yielding_total"))
     , m_quarantined(metrics.counter("relay_quarantined_total"))
     , m_held(metrics.counter("relay_held_total"))
+    , m_brokenAnswers(brokenAnswerCounters(metrics))
+    , m_unsentAnswers(metrics.counter("relay_unsent_answers_total"))
     , m_lostEndpoints(metrics.counter("relay_lost_endpoints_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
@@ -47,7 +63,10 @@
 {
 }
 
-Relay::~Relay() = default;
+Relay::~Relay()
+{
+    *m_isAlive = false;
+}
 
 void Relay::onConfigurationChanged()
 {
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -14,6 +14,7 @@
 #include "LibQuarantine/PartQuarantine.h"
 #include "LibRelay/Dialect.h"
 #include "LibRelay/RequestAccount.h"
+#include "LibRelay/RetryObstacle.h"
 #include "LibRelay/WaitingRequests.h"
 #include "LibTelemetry/EventLog.h"
 #include "LibTelemetry/Metrics.h"
@@ -88,6 +89,8 @@
     Telemetry::Counter &m_yielding;
     Telemetry::Counter &m_quarantined;
     Telemetry::Counter &m_held;
+    std::array<Telemetry::Counter *, RetryObstacleCount> m_brokenAnswers; ///< Answers that broke off after their heads, by what kept them from being continued.
+    Telemetry::Counter &m_unsentAnswers; ///< Complete answers whose callers' connections ended before all of their bytes were written.
     Telemetry::Counter &m_lostEndpoints; ///< Requests that were at an endpoint when it ended.
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
@@ -160,6 +163,7 @@
     std::size_t m_heldRequests = 0;
     std::function<void()> m_onQuarantineChanged;
     std::set<std::shared_ptr<RelayedRequest>> m_openRequests;
+    const std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< Set to false by the destructor, which connections may outlive.
 };
 
 }
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -244,6 +244,7 @@
         return;
     }
     if (!m_lastFailure.empty() && !mayRepeat(callerWait())) {
+        m_retryObstacle = RetryObstacle::CallerLeaves;
         endUnsent("the caller leaves before another attempt could be of use, after: " + m_lastFailure, m_relay.m_settings.m_retryAfter);
         return;
     }
@@ -282,6 +283,7 @@
 
 void RelayedRequest::endWithoutEndpoint(Placement::NoChoiceReason noChoiceReason)
 {
+    m_retryObstacle = m_lastFailure.empty() ? RetryObstacle::None : RetryObstacle::NoEndpoint;
     const std::string reason = std::string(Placement::noChoiceReasonName(noChoiceReason)) + (m_lastFailure.empty() ? "" : " after: " + m_lastFailure);
     endUnsent(reason, retryAfter(noChoiceReason));
 }
@@ -381,6 +383,7 @@
 void RelayedRequest::send(const Placement::Choice &choice)
 {
     if (isRetry() && !spendRetry()) {
+        m_retryObstacle = RetryObstacle::NoBudget;
         endUnsent("no retry is left in the budget, after: " + m_lastFailure, m_relay.m_settings.m_retryAfter);
         return;
     }
@@ -593,6 +596,7 @@
         m_relay.m_parts.m_endpointTracker.recordSuccess(m_attempt->m_endpoint);
     }
     m_relay.m_counters.m_completeAnswer.record(Core::secondsBetween(m_arrivedAt, now));
+    watchForUnsentAnswer();
     m_connection->finish();
     logEnd(RequestOutcome::Answered, Ok, "");
     endAttempt();
@@ -619,6 +623,10 @@
     Telemetry::LogLine line("attempt_failed");
     line.text("id", m_facts.m_attemptId).text("route", m_route->m_name).text("endpoint", m_attempt->m_endpoint.m_id);
     line.text("peer", m_attempt->m_endpoint.m_address.toString()).flag("may_have_run", mayHaveRun).text("detail", detail);
+    const std::optional<Placement::EngineReport> &report = m_relay.m_parts.m_endpointTracker.get(m_attempt->m_endpoint).m_engineReport;
+    if (report) {
+        line.flag("engine_loading", report->m_isLoading);
+    }
     if (!m_statedRetryAfter.empty()) {
         line.text("retry_after", m_statedRetryAfter);
     }
@@ -666,25 +674,6 @@
     }
 }
 
-bool RelayedRequest::hasAttemptLeft(bool mayHaveRun)
-{
-    if (mayHaveRun && !m_route->isRepeatable()) {
-        return false;
-    }
-    if (m_lostEndpoints > 0 && m_relay.m_parts.m_quarantine.hasTooManyEnds(identity())) {
-        return false;
-    }
-    if (m_lostEndpoints >= m_relay.m_settings.m_maximumLostEndpoints && !m_relay.m_parts.m_quarantine.areAcquitted(m_promptParts)) {
-        return false;
-    }
-    return m_attempts < m_route->m_maximumAttempts;
-}
-
-bool RelayedRequest::mayRetry(bool mayHaveRun)
-{
-    return hasAttemptLeft(mayHaveRun) && mayRepeat(callerWait()) && reserveRetry();
-}
-
 bool RelayedRequest::isAttemptOutdated() const
 {
     const std::optional<std::uint64_t> required = m_relay.m_parts.m_versionDeadlines.requiredVersion(m_facts.m_model, Core::Clock::now());
@@ -715,7 +704,11 @@
 
 bool RelayedRequest::resumeStream()
 {
-    if (!m_isEventStream || timeLeft() < m_relay.m_settings.m_minimumTimeLeft || !mayRetry(true)) {
+    if (!m_isEventStream) {
+        m_retryObstacle = RetryObstacle::MayHaveRun;
+        return false;
+    }
+    if (!mayRetry(true)) {
         return false;
     }
     m_framer.discardPartialEvent();
@@ -734,10 +727,13 @@
         return true;
     }
     if (result.m_reason == Placement::NoChoiceReason::NoAllowedPlace) {
+        m_retryObstacle = RetryObstacle::NoEndpoint;
         return false;
     }
     recordWeightAvailability(result.m_reason);
-    return enqueue();
+    const bool isQueued = enqueue();
+    m_retryObstacle = isQueued ? RetryObstacle::None : RetryObstacle::NoEndpoint;
+    return isQueued;
 }
 
 void RelayedRequest::onDeadline()
@@ -785,10 +781,21 @@
 void RelayedRequest::answerWithText(int status, Http::HeaderFields fields, const std::string &reason)
 {
     fields.push_back(Http::HeaderField{"Content-Type", "text/plain"});
+    watchForUnsentAnswer();
     m_connection->answer(status, std::move(fields), reason + "\n");
     finish(outcomeOfStatus(status), status, reason);
 }
 
+void RelayedRequest::watchForUnsentAnswer()
+{
+    m_connection->onUnsentAnswer([&relay = m_relay, alive = m_relay.m_isAlive, id = m_facts.m_attemptId](std::size_t bytes) {
+        if (*alive) {
+            relay.m_counters.m_unsentAnswers.add();
+            relay.m_parts.m_log.write(Telemetry::LogLine("answer_unsent").text("id", id).number("bytes", static_cast<std::int64_t>(bytes)));
+        }
+    });
+}
+
 void RelayedRequest::logEnd(RequestOutcome outcome, int status, const std::string &reason)
 {
     const bool isSuccess = outcome == RequestOutcome::Answered;
@@ -818,6 +825,9 @@
     if (m_bodyEnd) {
         line.text("body_end", Http::bodyEndName(*m_bodyEnd)).number("partial_event_bytes", static_cast<std::int64_t>(m_framer.partialEvent().size()));
     }
+    if (m_retryObstacle != RetryObstacle::None && !isSuccess) {
+        line.text("not_retried", retryObstacleName(m_retryObstacle));
+    }
     if (!reason.empty()) {
         line.text("reason", reason);
     }
@@ -871,6 +881,9 @@
         counters.m_failed.add();
         break;
     }
+    if (outcome == RequestOutcome::Failed && m_isHeadForwarded) {
+        counters.m_brokenAnswers.at(static_cast<std::size_t>(m_retryObstacle))->add();
+    }
 }
 
 void RelayedRequest::finish(RequestOutcome outcome, int status, const std::string &reason)
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -137,7 +137,8 @@
     void onBodyEnded();
     /// Ends the current attempt after a failure, and retries the request, resumes its stream or ends it.
     void onAttemptFailed(Placement::EndpointFailure failure, bool mayHaveRun, const std::string &detail);
-    /// Returns whether the route and the endpoints that the request was lost with allow another attempt.
+    /// Returns what forbids another attempt: the route, or the endpoints that were lost with the request.
+    RetryObstacle attemptObstacle(bool mayHaveRun);
     bool hasAttemptLeft(bool mayHaveRun);
     /// Reserves a retry of the budget if another attempt is allowed. Returns whether it is.
     bool mayRetry(bool mayHaveRun);
@@ -178,6 +179,8 @@
     void finish(RequestOutcome outcome, int status, const std::string &reason);
     void countEnd(RequestOutcome outcome);
     void logEnd(RequestOutcome outcome, int status, const std::string &reason);
+    /// Logs and counts it if the caller's connection ends before the complete answer has been written to it.
+    void watchForUnsentAnswer();
     /// Returns what the account of ended requests needs to know of this one.
     RequestEnd describeEnd(RequestOutcome outcome) const;
     /// Logs why no slot is expected for the request.
@@ -237,6 +240,7 @@
     bool m_isHeld = false; ///< Counted among the relay's held requests.
     std::set<std::string> m_excluded; ///< Ids of the endpoints at which this request has failed.
     std::string m_lastFailure;
+    RetryObstacle m_retryObstacle = RetryObstacle::None; ///< Of the last retry that was wanted.
 };
 
 }
--- a/Libraries/LibRelay/RelayedRequestQuarantine.cpp
+++ b/Libraries/LibRelay/RelayedRequestQuarantine.cpp
@@ -89,6 +89,7 @@
         break;
     }
     m_relay.m_counters.m_quarantined.add();
+    m_retryObstacle = m_lastFailure.empty() ? RetryObstacle::None : RetryObstacle::EndsEndpoints;
     endUnsent("endpoints end under " + describeReason(treatment), m_relay.m_settings.m_quarantineRetryAfter);
     return false;
 }
@@ -98,6 +99,7 @@
     const RelaySettings &settings = m_relay.m_settings;
     const bool hasRoom = m_isHeld || m_relay.m_heldRequests < settings.m_maximumHeldRequests;
     if (!hasRoom || timeLeft() < treatment.m_holdTime + settings.m_minimumTimeLeft) {
+        m_retryObstacle = m_lastFailure.empty() ? RetryObstacle::None : RetryObstacle::EndsEndpoints;
         endUnsent("it is being found out whether endpoints end under " + describeReason(treatment), treatment.m_holdTime);
         return;
     }
--- a/Libraries/LibRelay/RelayedRequestRetries.cpp
+++ b/Libraries/LibRelay/RelayedRequestRetries.cpp
@@ -7,6 +7,42 @@
 
 namespace Relay {
 
+RetryObstacle RelayedRequest::attemptObstacle(bool mayHaveRun)
+{
+    if (mayHaveRun && !m_route->isRepeatable()) {
+        return RetryObstacle::MayHaveRun;
+    }
+    const Quarantine::PartQuarantine &quarantine = m_relay.m_parts.m_quarantine;
+    if (m_lostEndpoints > 0 && quarantine.hasTooManyEnds(identity())) {
+        return RetryObstacle::EndsEndpoints;
+    }
+    if (m_lostEndpoints >= m_relay.m_settings.m_maximumLostEndpoints && !quarantine.areAcquitted(m_promptParts)) {
+        return RetryObstacle::EndsEndpoints;
+    }
+    return m_attempts < m_route->m_maximumAttempts ? RetryObstacle::None : RetryObstacle::NoAttemptLeft;
+}
+
+bool RelayedRequest::hasAttemptLeft(bool mayHaveRun)
+{
+    return attemptObstacle(mayHaveRun) == RetryObstacle::None;
+}
+
+bool RelayedRequest::mayRetry(bool mayHaveRun)
+{
+    m_retryObstacle = attemptObstacle(mayHaveRun);
+    if (m_retryObstacle != RetryObstacle::None) {
+        return false;
+    }
+    if (m_isHeadForwarded && timeLeft() < m_relay.m_settings.m_minimumTimeLeft) {
+        m_retryObstacle = RetryObstacle::NoTimeLeft;
+    } else if (!mayRepeat(callerWait())) {
+        m_retryObstacle = RetryObstacle::CallerLeaves;
+    } else if (!reserveRetry()) {
+        m_retryObstacle = RetryObstacle::NoBudget;
+    }
+    return m_retryObstacle == RetryObstacle::None;
+}
+
 bool RelayedRequest::reserveRetry()
 {
     if (m_isRetryPaid || m_retryGrant != Placement::RetryGrant::None) {
--- a/Libraries/LibStaging/WeightsManagerOrders.cpp
+++ b/Libraries/LibStaging/WeightsManagerOrders.cpp
@@ -251,6 +251,10 @@
     Telemetry::LogLine line("order");
     line.text("model", order.m_model).number("version", static_cast<std::int64_t>(order.m_version)).flag("accepted", result.has_value());
     line.number("expected_orders", static_cast<std::int64_t>(order.m_expectedAcceptedOrders));
+    line.text("running_requests", order.m_runningRequestPolicy == RunningRequestPolicy::Abort ? "abort" : "finish");
+    if (m_status) {
+        line.number("running", std::int64_t{m_status->m_running}).number("waiting", std::int64_t{m_status->m_waiting});
+    }
     line.number("took_ms", std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - sentAt).count());
     m_parts.m_log.write(result ? line : line.text("error", result.error().message()));
 }
--- a/Tests/LibHttp/TestConnectionEnd.cpp
+++ b/Tests/LibHttp/TestConnectionEnd.cpp
@@ -201,3 +201,24 @@
     CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
     CHECK_FALSE(caller.isReset());
 }
+
+TEST_CASE("The end of a connection before an answer has been written to it is reported, and no other end")
+{
+    const bool readsAnswer = GENERATE(true, false);
+    constexpr std::size_t unbufferedBytes = 32 * LargeBytes;
+    EndingServer server;
+    std::size_t unsent = 0;
+    std::unique_ptr<RawCaller> caller = std::make_unique<RawCaller>(server.m_loop, server.m_listener->port());
+    server.holdBeforeNext(*caller);
+    server.m_held->onUnsentAnswer([&unsent](std::size_t bytes) { unsent = bytes; });
+    server.m_held->sendBody(std::string(unbufferedBytes, 'x'));
+    server.m_held->finish();
+    if (readsAnswer) {
+        REQUIRE(runUntil(server.m_loop, [&caller] { return caller->received().size() > unbufferedBytes && countAnswers(caller->received()) == 2; }));
+    }
+    caller->close();
+    const bool isReported = runUntil(
+        server.m_loop, [&unsent] { return unsent > 0; }, std::chrono::milliseconds(readsAnswer ? 200 : 10000));
+    CHECK(isReported == !readsAnswer);
+    CHECK(unsent <= unbufferedBytes + LargeBytes);
+}
--- a/Tests/LibRelay/TestRetryArrivals.cpp
+++ b/Tests/LibRelay/TestRetryArrivals.cpp
@@ -99,9 +99,24 @@
         CHECK(isEnded(fixture.ask("/stream/x", isEnded)) == hasBudget);
         CHECK(fixture.m_requests.size() == (hasBudget ? 2 : 1));
         CHECK(spent(fixture) - before == (hasBudget ? 1 : 0));
+        CHECK(fixture.m_metrics.counter("relay_broken_answers_total{not_retried=\"no_budget\"}").value() == (hasBudget ? 0 : 1));
     }
 }
 
+TEST_CASE("A stream that breaks off at every endpoint that it may be sent to is counted with that as the reason")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    for (int count = 0; count < 3; ++count) {
+        fixture.addEndpoint([](const std::shared_ptr<ScriptedConnection> &connection) {
+            connection->send(std::string(StreamHead) + FirstEvent);
+            connection->reset();
+        });
+    }
+    CHECK_FALSE(isEnded(fixture.ask("/stream/x", isEnded)));
+    CHECK(fixture.m_metrics.counter("relay_broken_answers_total{not_retried=\"no_attempt_left\"}").value() == 1);
+}
+
 TEST_CASE("An attempt at an endpoint that accepts no connection is not paid for")
 {
     RelayFixture fixture;
