LibStaging, platform: Let engines finish their running requests before a load

Callers lost answers around new versions: agents ordered engines to abort streams that the route allowed another engine to continue. Nobody asked whether the entry of each stream had a retry, an attempt, time and a place left for that.

A load order has no other mode any more than to let running requests end. Whether routes allow continuing does not matter for it, so that is derived no more; the field stays in the encoding, false, which keeps agents of the release before from aborting.

--- a/Libraries/LibFleet/Configuration.cpp
+++ b/Libraries/LibFleet/Configuration.cpp
@@ -16,15 +16,6 @@
 
 }
 
-void deriveMovableRequests(Configuration &configuration)
-{
-    for (Service &service : configuration.m_services) {
-        service.m_mayMoveRequests = std::all_of(configuration.m_routes.begin(), configuration.m_routes.end(), [&service](const Route &route) {
-            return !leadsTo(route, service) || route.isRepeatable();
-        });
-    }
-}
-
 void deriveRanks(Configuration &configuration)
 {
     for (Service &service : configuration.m_services) {
--- a/Libraries/LibFleet/Configuration.h
+++ b/Libraries/LibFleet/Configuration.h
@@ -116,7 +116,8 @@
     std::string m_originFailureDomain; ///< Failure domain of the origin; empty otherwise.
     double m_originLinkMegabits = 0; ///< Bandwidth of the origin's link; 0 otherwise.
     EngineModel m_engine;
-    bool m_mayMoveRequests = false; ///< Every route to it allows another endpoint to continue a request. Derived by deriveMovableRequests().
+    /// Always false, and part of the encoding: agents that can still abort running requests for a load do so only if it is true.
+    bool m_mayAbortRequests = false;
     /// Priority of the most urgent routes to it if they differ, so that its requests are served by rank; empty if all are alike. Derived by deriveRanks().
     std::optional<std::uint32_t> m_mostUrgentRank;
     bool m_hasLongObjectives = false; ///< The longest latency objective of the routes to it is at least twice the shortest. Derived by deriveObjectives().
@@ -132,7 +133,7 @@
                          m_originFailureDomain,
                          m_originLinkMegabits,
                          m_engine,
-                         m_mayMoveRequests,
+                         m_mayAbortRequests,
                          m_mostUrgentRank,
                          m_hasLongObjectives,
                          m_shortestGoalMilliseconds,
@@ -195,9 +196,6 @@
     MSGPACK_DEFINE_ARRAY(m_version, m_routes, m_services, m_limits, m_accounts, m_skippedItems, m_needsKeys, m_unreadableRoutes);
 };
 
-/// Derives from the routes to each service whether its running requests may move to another endpoint.
-void deriveMovableRequests(Configuration &configuration);
-
 /// Derives from the routes to each service whether its requests differ in rank.
 void deriveRanks(Configuration &configuration);
 
--- a/Libraries/LibStaging/EngineControl.h
+++ b/Libraries/LibStaging/EngineControl.h
@@ -32,18 +32,16 @@
     bool operator==(const EngineStatus &) const = default;
 };
 
-/// How an engine treats its running requests when it receives a load order.
-enum class RunningRequestPolicy {
-    Finish, ///< Running requests finish first; meanwhile the engine accepts no new requests.
-    Abort, ///< Running requests are aborted, and the engine loads immediately.
-};
-
-/// Orders the engine to load the staged weights.
+/**
+ * Orders the engine to load the staged weights once its running requests have ended; meanwhile it accepts no new requests.
+ *
+ * No order aborts running requests. Whether a request can be continued elsewhere is up to its entry, its budget and its caller, of which the agent knows
+ * nothing.
+ */
 struct LoadOrder
 {
     std::string m_model;
     std::uint64_t m_version = 0;
-    RunningRequestPolicy m_runningRequestPolicy = RunningRequestPolicy::Finish;
     std::uint64_t m_fence = 0; ///< Log offset of the declaration. Engines that check it refuse an offset lower than the highest one seen.
     std::uint64_t m_expectedAcceptedOrders = 0; ///< The engine accepts the order only if it has accepted exactly this many orders before.
 
--- a/Libraries/LibStaging/WeightsManager.h
+++ b/Libraries/LibStaging/WeightsManager.h
@@ -34,10 +34,8 @@
     Core::Duration m_retryDelay{200}; ///< Delay before a failed step is retried.
     std::size_t m_concurrentChunks = 4; ///< Concurrent calls to the engine while chunks are staged or read back.
     Core::Duration m_manifestCheckDelay{6000}; ///< If no chunk arrives within this time, the manifest itself may be corrupt and is fetched again.
-    /**
-     * Time between announcing the drain to the entries and sending the load order, if running streams will be aborted. About half of the streams end within it.
-     * Without it more streams are moved and interrupted; waiting for the last stream would make the engine unavailable for seconds.
-     */
+    /// Time between announcing the drain to the entries and sending the load order, if requests run. Requests that arrive after the order are refused by the
+    /// engine, and each repetition elsewhere uses up the retry budget.
     Core::Duration m_drainTime{500};
     /// A chunk that was read back or written within this time before its engine's load time is not read back again.
     Core::Duration m_verificationLifetime{500};
@@ -127,9 +125,9 @@
         StageChunks, ///< Writes chunks to the staging area.
         AwaitLoadTime, ///< All chunks are staged; waits for the scheduled load time.
         Verify, ///< Reads the staged chunks back and verifies them.
-        Drain, ///< Entries have been asked to send no new requests; some running requests end.
+        Drain, ///< Entries have been asked to send no new requests.
         SendOrder, ///< The load order has been sent.
-        Loading, ///< The engine has accepted the load order.
+        Loading, ///< The engine has accepted the load order, and loads once its running requests have ended.
     };
 
     /// When a staged chunk was written or read back.
@@ -185,7 +183,6 @@
     bool isVerifiedWithin(Core::Duration limit) const;
     void recordVerified(Weights::ChunkIndex chunk);
     void verifyStagedChunks(std::uint64_t run);
-    RunningRequestPolicy runningRequestPolicy() const;
     void sendLoadOrder(std::uint64_t run);
     void logOrderResult(const LoadOrder &order, Core::Instant sentAt, const Core::Result<void> &result);
     void recordOrderResult(const UnsettledOrder &order, bool wasUnsettled, const Core::Result<void> &result);
--- a/Libraries/LibStaging/WeightsManagerOrders.cpp
+++ b/Libraries/LibStaging/WeightsManagerOrders.cpp
@@ -175,9 +175,8 @@
         m_onStatus(*m_status, true, true);
     }
     const bool isServing = !m_status->m_weights.empty() && m_status->m_running > 0;
-    const bool willAbort = runningRequestPolicy() == RunningRequestPolicy::Abort;
     const bool hasDrained = m_unsettledOrder.has_value();
-    runAfter(isServing && willAbort && !hasDrained ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] { sendLoadOrder(run); });
+    runAfter(isServing && !hasDrained ? m_settings.m_drainTime : Core::Duration(0), run, [this, run] { sendLoadOrder(run); });
 }
 
 void WeightsManager::verifyStagedChunks(std::uint64_t run)
@@ -209,17 +208,6 @@
     });
 }
 
-/**
- * Returns how the engine should treat its running requests. Streams that another engine can continue are aborted. Waiting for the longest stream keeps an
- * engine idle for about two seconds; for a whole fleet within the deadline of a version, this takes more than a quarter of its capacity. A moved stream only
- * pauses while the other engine processes its prompt.
- */
-RunningRequestPolicy WeightsManager::runningRequestPolicy() const
-{
-    const Fleet::Service *service = ownService();
-    return service && service->m_mayMoveRequests ? RunningRequestPolicy::Abort : RunningRequestPolicy::Finish;
-}
-
 void WeightsManager::sendLoadOrder(std::uint64_t run)
 {
     enterStep(Step::SendOrder);
@@ -232,8 +220,7 @@
     const bool wasUnsettled = m_unsettledOrder.has_value();
     const UnsettledOrder unsettled{m_status->m_startedMilliseconds, m_status->m_acceptedOrders};
     m_unsettledOrder = unsettled;
-    const RunningRequestPolicy policy = runningRequestPolicy();
-    const LoadOrder order{m_target->m_model, m_target->m_version, policy, m_target->m_fence, m_status->m_acceptedOrders};
+    const LoadOrder order{m_target->m_model, m_target->m_version, m_target->m_fence, m_status->m_acceptedOrders};
     m_engine.m_load(order, [this, alive = m_isAlive, run, order, unsettled, wasUnsettled, sentAt = m_orderSentAt](const Core::Result<void> &result) {
         if (!*alive) {
             return;
@@ -251,7 +238,6 @@
     Telemetry::LogLine line("order");
     line.text("model", order.m_model).number("version", static_cast<std::int64_t>(order.m_version)).flag("accepted", result.has_value());
     line.number("expected_orders", static_cast<std::int64_t>(order.m_expectedAcceptedOrders));
-    line.text("running_requests", order.m_runningRequestPolicy == RunningRequestPolicy::Abort ? "abort" : "finish");
     if (m_status) {
         line.number("running", std::int64_t{m_status->m_running}).number("waiting", std::int64_t{m_status->m_waiting});
     }
--- a/Tests/LibStaging/TestWeightsManager.cpp
+++ b/Tests/LibStaging/TestWeightsManager.cpp
@@ -97,7 +97,7 @@
     {
         fill(2);
         m_status.m_weights = {Fleet::LoadedWeights{Model, 1, {}}};
-        m_heldOrders = {Staging::LoadOrder{Model, 2, Staging::RunningRequestPolicy::Finish, 12, 0}};
+        m_heldOrders = {Staging::LoadOrder{Model, 2, 12, 0}};
         m_ordersToHold = 1;
     }
 };
@@ -622,7 +622,7 @@
     engine.fill(2);
     engine.m_status.m_startedMilliseconds =
         static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-    engine.m_heldOrders = {Staging::LoadOrder{Model, 2, Staging::RunningRequestPolicy::Finish, 12, 1}};
+    engine.m_heldOrders = {Staging::LoadOrder{Model, 2, 12, 1}};
 }
 
 }
