LibRelay: Keep a stream at a silent endpoint until another one has begun to go on with it

A stream that paused for four times its objective was taken from its endpoint and sent to another one. If that one refused, failed or was silent as well, no attempt was left, and the answer broke off although the first endpoint would have gone on.

The silent attempt now goes on beside its replacement. Whichever goes on with the stream first is kept. LibRelay/TestSilentEndpoints failed on the code before in 3 of 3 cases (refused, failed, silent).

--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -394,11 +394,22 @@
     outgoing.m_body = m_request.m_body;
     Http::ClientCallEvents events;
     const std::shared_ptr<RelayedRequest> self = shared_from_this();
-    events.m_onHead = [self](const Http::AnswerHead &head) { self->onHead(head); };
-    events.m_onData = [self](std::string_view bytes) { self->onData(bytes); };
-    events.m_onEnd = [self](const Http::ClientCallEnd &end) { self->onAttemptEnded(end); };
-    events.m_onSilence = [self] { return self->shouldLeaveEndpoint(); };
     Attempt attempt;
+    attempt.m_number = ++m_lastAttemptNumber;
+    events.m_onHead = [self](const Http::AnswerHead &head) { self->onHead(head); };
+    events.m_onData = [self, number = attempt.m_number](std::string_view bytes) {
+        self->selectAttempt(number);
+        self->onData(bytes);
+    };
+    events.m_onEnd = [self, number = attempt.m_number](const Http::ClientCallEnd &end) {
+        if (!end.m_isComplete && self->isSilentAttempt(number)) {
+            self->onSilentAttemptLost(end);
+            return;
+        }
+        self->selectAttempt(number);
+        self->onAttemptEnded(end);
+    };
+    events.m_onSilence = [self, number = attempt.m_number] { return !self->isSilentAttempt(number) && self->shouldLeaveEndpoint(); };
     attempt.m_endpoint = choice.m_endpoint;
     attempt.m_sentAt = Core::Clock::now();
     attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
@@ -477,6 +488,8 @@
             onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "the stream was not resumed, status " + std::to_string(head.m_status));
             return;
         }
+        m_framer.discardPartialEvent();
+        endSilentAttempt();
         return;
     }
     forwardHead(head);
@@ -638,6 +651,10 @@
     const bool wasSent = failure != Placement::EndpointFailure::Unreachable;
     m_attempts -= wasSent ? 0 : 1;
     m_isRetryPaid = m_isRetryPaid && !wasSent;
+    if (m_silentAttempt) {
+        returnToSilentAttempt();
+        return;
+    }
     if (m_isHeadForwarded) {
         if (!resumeStream()) {
             m_connection->abort();
@@ -674,34 +691,6 @@
     }
 }
 
-bool RelayedRequest::isAttemptOutdated() const
-{
-    const std::optional<std::uint64_t> required = m_relay.m_parts.m_versionDeadlines.requiredVersion(m_facts.m_model, Core::Clock::now());
-    return !m_isHeadForwarded && m_attempt->m_version && required && *m_attempt->m_version < *required;
-}
-
-bool RelayedRequest::shouldLeaveEndpoint()
-{
-    if (isAttemptOutdated()) {
-        return true;
-    }
-    if (m_attempts > 1 && !m_attempt->m_answerBeganAt && mustCancel(callerWait())) {
-        return true;
-    }
-    const bool isBoundToEndpoint = m_isHeadForwarded && !m_isEventStream;
-    if (isBoundToEndpoint || !hasAttemptLeft(true) || !mayMove(callerWait()) || !isRetryInBudget()) {
-        return false;
-    }
-    const bool isAdded = m_excluded.insert(m_attempt->m_endpoint.m_id).second;
-    const Placement::ChoiceResult result = chooseEndpoint();
-    if (isAdded) {
-        m_excluded.erase(m_attempt->m_endpoint.m_id);
-    }
-    // A stream that has begun does not give up its place at an endpoint for one in the queue, from which it may be rejected.
-    const bool mayQueue = !m_isHeadForwarded && m_service->m_engine.m_slots > 0 && Placement::hasOnlyBusyEndpoints(result.m_reason);
-    return result.m_choice.has_value() || mayQueue;
-}
-
 bool RelayedRequest::resumeStream()
 {
     if (!m_isEventStream) {
@@ -897,6 +886,7 @@
         logEnd(outcome, status, reason);
     }
     m_timer.cancel();
+    endSilentAttempt();
     endHold();
     releaseRetry();
     m_relay.m_openRequests.erase(shared_from_this());
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -39,6 +39,7 @@
     /// An attempt that has not ended.
     struct Attempt
     {
+        std::uint32_t m_number = 0; ///< Differs between the attempts of a request.
         Fleet::Endpoint m_endpoint;
         std::shared_ptr<Http::ClientCall> m_call;
         Core::Instant m_sentAt;
@@ -47,6 +48,8 @@
         Core::Duration m_reportAge{0};
         std::optional<std::uint64_t> m_version; ///< Of the weights that the endpoint had when it was chosen; empty for plain services.
         std::optional<Core::Instant> m_answerBeganAt; ///< When the head of the endpoint's own success arrived.
+        std::optional<Http::BodyEnd> m_bodyEnd; ///< Of its answer. Kept here while it is the silent attempt, as is the next one.
+        bool m_hasForwardedEvents = false;
     };
 
     /// Lets the request wait for the first configuration, or refuses it if too many requests already wait for it.
@@ -160,8 +163,17 @@
     /// Gives back a reservation that was not used.
     void releaseRetry();
     /// Returns whether the current attempt ends, whose endpoint is silent: another one can take over, or the attempt has become useless. If not, the request
-    /// goes on waiting for it.
+    /// goes on waiting for it. A stream that has begun may meanwhile be sent to another endpoint as well.
     bool shouldLeaveEndpoint();
+    /// Makes the current attempt the silent one, and sends the rest of the stream to another endpoint.
+    void replaceSilentAttempt(const Placement::Choice &choice);
+    bool isSilentAttempt(std::uint32_t number) const;
+    /// Makes the attempt the current one and ends its replacement, if it is the silent attempt, whose endpoint goes on.
+    void selectAttempt(std::uint32_t number);
+    /// Makes the silent attempt the current one again. Its replacement must have ended.
+    void returnToSilentAttempt();
+    void onSilentAttemptLost(const Http::ClientCallEnd &end);
+    void endSilentAttempt();
     /// Returns whether the current attempt could only begin on weights that no request may begin on any more.
     bool isAttemptOutdated() const;
     bool resumeStream();
@@ -230,6 +242,8 @@
     bool m_hasAttemptForwardedEvents = false; ///< The current attempt has contributed events to the stream.
     bool m_isFinished = false;
     std::optional<Attempt> m_attempt;
+    std::optional<Attempt> m_silentAttempt; ///< Set while m_attempt replaces it: a stream that has begun and pauses. Its replacement has not begun to answer.
+    std::uint32_t m_lastAttemptNumber = 0;
     EventFramer m_framer;
     Core::ByteReservation m_partialEventMemory; ///< For the incomplete event in m_framer.
     std::vector<Quarantine::PromptPart> m_promptParts; ///< Empty unless the request is for a model engine.
--- a/Tests/LibRelay/TestSilentEndpoints.cpp
+++ b/Tests/LibRelay/TestSilentEndpoints.cpp
@@ -82,6 +82,49 @@
     CHECK(fixture.m_requests.size() == 2);
 }
 
+TEST_CASE("A stream whose endpoint pauses goes on there if no other endpoint takes it over")
+{
+    // Guards against a stream that is taken from a slow endpoint and then has none.
+    const std::string other = GENERATE(std::string("HTTP/1.1 503 Busy\r\nAttempt: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+                                       std::string("HTTP/1.1 500 Broken\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"),
+                                       std::string());
+    RelayFixture fixture;
+    configureWithGoals(fixture);
+    for (int count = 0; count < 2; ++count) {
+        fixture.addEndpoint([&fixture, &other](const std::shared_ptr<ScriptedConnection> &connection) {
+            if (fixture.m_requests.size() == 1) {
+                pausing(fixture, std::string(StreamHead) + FirstEvent, LastEvent)(connection);
+            } else if (!other.empty()) {
+                connection->send(other);
+            }
+        });
+    }
+    const std::string received = fixture.ask("/stream/x", isWholeStream);
+    CHECK(isWholeStream(received));
+    CHECK(received.find("id: 2") == received.rfind("id: 2"));
+    CHECK(fixture.m_requests.size() == 2);
+    CHECK(fixture.m_relay->openRequests() == 0);
+}
+
+TEST_CASE("A stream that another endpoint has begun to go on with is taken from the one that paused")
+{
+    RelayFixture fixture;
+    configureWithGoals(fixture);
+    std::shared_ptr<ScriptedConnection> first;
+    for (int count = 0; count < 2; ++count) {
+        fixture.addEndpoint([&fixture, &first](const std::shared_ptr<ScriptedConnection> &connection) {
+            const bool isFirst = fixture.m_requests.size() == 1;
+            first = isFirst ? connection : first;
+            connection->send(std::string(StreamHead) + (isFirst ? FirstEvent + std::string("6\r\nid: 2\n\r\n") : LastEvent));
+        });
+    }
+    const std::string received = fixture.ask("/stream/x", isWholeStream);
+    CHECK(isWholeStream(received));
+    CHECK(received.find("id: 2") == received.rfind("id: 2"));
+    CHECK(fixture.m_requests.back().find("After: 1\r\n") != std::string::npos);
+    CHECK(runUntil(fixture.m_loop, [&first] { return first->isDisconnected(); }));
+}
+
 TEST_CASE("A repeatable request waits for its endpoint if there is no other endpoint")
 {
     RelayFixture fixture;
