LibRelay: Log and count the requests that are open when an entry ends

An entry wrote no line for a request that ended with its process, so that the record of the incident names none of the requests that were cut, and hypotheses (taken late, begun late after a wait, signal read late) cannot be told apart.

Each gets a 'request' line with the reason 'the process ends', with when it came (took_ms), how long it waited (waited_ms), which endpoint has it and for how long (attempt_ms); relay_open_at_end_total counts them.

--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -44,6 +44,7 @@
     , m_brokenAnswers(brokenAnswerCounters(metrics))
     , m_unsentAnswers(metrics.counter("relay_unsent_answers_total"))
     , m_lostEndpoints(metrics.counter("relay_lost_endpoints_total"))
+    , m_openAtEnd(metrics.counter("relay_open_at_end_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"last_chunk\"}"),
@@ -95,6 +96,14 @@
     m_account.writeIfDue(m_parts.m_log, Core::Clock::now(), isFinal);
 }
 
+void Relay::logOpenRequests()
+{
+    for (const std::shared_ptr<RelayedRequest> &request : m_openRequests) {
+        m_counters.m_openAtEnd.add();
+        request->logOpen();
+    }
+}
+
 bool Relay::isUsable(const Fleet::Endpoint &endpoint, const std::string &service, const Placement::AllowedPlaces &places) const
 {
     const bool isEvacuated = m_parts.m_fleetState.evacuatedDomains().contains(endpoint.m_failureDomain);
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -92,6 +92,7 @@
     std::array<Telemetry::Counter *, RetryObstacleCount> m_brokenAnswers; ///< Answers that broke off after their heads, by what kept them from being continued.
     Telemetry::Counter &m_unsentAnswers; ///< Complete answers whose callers' connections ended before all of their bytes were written.
     Telemetry::Counter &m_lostEndpoints; ///< Requests that were at an endpoint when it ended.
+    Telemetry::Counter &m_openAtEnd; ///< Requests that had no complete answer when the process ended.
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
     Telemetry::Latency &m_completeAnswer;
@@ -124,6 +125,8 @@
     void onQuarantineChanged(std::function<void()> callback);
     /// Logs the counts of ended requests if they are due, or in any case if the process is about to end.
     void logAccount(bool isFinal = false);
+    /// Logs and counts the requests that have no complete answer. Must be called when the process is about to end.
+    void logOpenRequests();
     /// Returns the number of requests handled since the start.
     std::uint64_t requests() const
     {
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -806,6 +806,7 @@
     describeConfiguration(line);
     if (m_attempt) {
         line.text("endpoint", m_attempt->m_endpoint.m_id).number("expected_ms", m_attempt->m_expectedMilliseconds);
+        line.number("attempt_ms", Core::secondsBetween(m_attempt->m_sentAt, Core::Clock::now()) * MillisecondsPerSecond);
         line.number("running", static_cast<std::int64_t>(m_attempt->m_load.m_running));
         line.number("waiting", static_cast<std::int64_t>(m_attempt->m_load.m_waiting));
         line.number("sent_since", static_cast<std::int64_t>(m_attempt->m_load.m_sentSinceReport));
@@ -823,6 +824,11 @@
     m_relay.m_parts.m_log.write(line);
 }
 
+void RelayedRequest::logOpen()
+{
+    logEnd(RequestOutcome::Failed, 0, "the process ends");
+}
+
 void RelayedRequest::describeConfiguration(Telemetry::LogLine &line) const
 {
     const Fleet::FleetState &state = m_relay.m_parts.m_fleetState;
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -34,6 +34,8 @@
     QueueSendResult trySendFromQueue();
     /// Removes the request from the queue and ends it, because no slot is expected in time. @p ahead: number of requests that keep waiting.
     void rejectFromQueue(const Placement::QueueForecast &forecast, std::size_t ahead);
+    /// Logs that the request has no complete answer although the process ends.
+    void logOpen();
 
 private:
     /// An attempt that has not ended.
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -112,6 +112,7 @@
     m_log.write(Telemetry::LogLine("started").text("callers", m_settings.m_callers.toString()).text("peers", m_settings.m_peers.toString()));
     m_loop.run();
     m_node.stop();
+    m_relay.logOpenRequests();
     m_relay.logAccount(true);
     m_log.write(Telemetry::LogLine("stopped").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_log.flush();
