LibRelay, LibServing: Take no request in a leaving process that does not end before it

Callers of an entry that was told to end had streams and calls that may run only once cut off, with no answer or without its end: 7 and 8 of 100 callers a stop, which an endpoint had been given up to 4.8 s after SIGTERM.

Cause: admission, the queue, retries and continuations knew a request's own time limit, but not the end of the process. A caller whose next request came within half a second of its last answer was served at any moment of the grace, and whatever ran at its end ended with the process.

Now one question is asked wherever a request would be sent to an endpoint, at arrival, from the queue, after a hold, again after a failure, and for the rest of a stream: does it end before the process does? It does if its time limit lies before, or if answers of its route took less lately (AnswerTimes: longest excess over the engine's model within 30 to 60 s, a quarter or 250 ms more; unknown after fewer than 8 answers). If not it is refused at once with Retry-After 0. Waiting requests are checked when the process begins to leave, and by their send deadlines from then on. 450 ms before the end what is left is ended with an answer unless one has begun: 504, or 503 if it has not run; requests that are being read are refused.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -748,6 +748,19 @@
     }
 }
 
+void ServerConnection::endUnanswered()
+{
+    if (m_isClosed || m_isAnswering || m_hasOutputEnded) {
+        return;
+    }
+    if (m_isReading) {
+        cancelMemoryWait();
+        answerUnread(503, "this process ends", {HeaderField{"Retry-After", retryAfterText(Core::Duration(0))}});
+        return;
+    }
+    endIfIdleFor(Core::Duration(0));
+}
+
 void ServerConnection::close()
 {
     if (m_isClosed) {
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -117,6 +117,8 @@
 
     /// Ends the connection if it has been waiting for a request for @p idle, and none has arrived that is still to be read.
     void endIfIdleFor(Core::Duration idle);
+    /// Ends the connection if nothing is answered on it. A request that is being read is refused.
+    void endUnanswered();
     bool isOpen() const;
 
 private:
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -44,6 +44,7 @@
     , m_brokenAnswers(brokenAnswerCounters(metrics))
     , m_unsentAnswers(metrics.counter("relay_unsent_answers_total"))
     , m_lostEndpoints(metrics.counter("relay_lost_endpoints_total"))
+    , m_refusedLeaving(metrics.counter("relay_refused_leaving_total"))
     , m_openAtEnd(metrics.counter("relay_open_at_end_total"))
     , m_answers{&metrics.counter("relay_answers_total{body_end=\"no_body\"}"),
                 &metrics.counter("relay_answers_total{body_end=\"length\"}"),
@@ -96,11 +97,22 @@
     m_account.writeIfDue(m_parts.m_log, Core::Clock::now(), isFinal);
 }
 
-void Relay::logOpenRequests()
+void Relay::startLeaving(Core::Instant endsAt)
 {
-    for (const std::shared_ptr<RelayedRequest> &request : m_openRequests) {
-        m_counters.m_openAtEnd.add();
-        request->logOpen();
+    m_endsAt = endsAt;
+    m_awaitingConfiguration.clear();
+    const std::set<std::shared_ptr<RelayedRequest>> open = m_openRequests; // Requests that end remove themselves.
+    for (const std::shared_ptr<RelayedRequest> &request : open) {
+        request->onLeaving();
+    }
+    m_waitingRequests.dispatch();
+}
+
+void Relay::endOpenRequests()
+{
+    const std::set<std::shared_ptr<RelayedRequest>> open = m_openRequests;
+    for (const std::shared_ptr<RelayedRequest> &request : open) {
+        request->endWithProcess();
     }
 }
 
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -12,6 +12,7 @@
 #include "LibPlacement/RetryBudgets.h"
 #include "LibPlacement/VersionDeadlines.h"
 #include "LibQuarantine/PartQuarantine.h"
+#include "LibRelay/AnswerTimes.h"
 #include "LibRelay/Dialect.h"
 #include "LibRelay/RequestAccount.h"
 #include "LibRelay/RetryObstacle.h"
@@ -92,6 +93,7 @@
     std::array<Telemetry::Counter *, RetryObstacleCount> m_brokenAnswers; ///< Answers that broke off after their heads, by what kept them from being continued.
     Telemetry::Counter &m_unsentAnswers; ///< Complete answers whose callers' connections ended before all of their bytes were written.
     Telemetry::Counter &m_lostEndpoints; ///< Requests that were at an endpoint when it ended.
+    Telemetry::Counter &m_refusedLeaving; ///< Requests that would not have ended before this process, and were refused or not sent again.
     Telemetry::Counter &m_openAtEnd; ///< Requests that had no complete answer when the process ended.
     std::array<Telemetry::Counter *, 4> m_answers; ///< Answers of endpoints, by their Http::BodyEnd.
     Telemetry::Latency &m_firstByte;
@@ -113,7 +115,7 @@
 
     /// Relays a request and answers it on its connection.
     void handle(const std::shared_ptr<Http::ServerConnection> &connection, Http::ServerRequest request);
-    /// Returns how long it can help a caller to wait for memory before its request is read. Zero for requests that would not be relayed.
+    /// Returns how long it can help a caller to wait for memory before its request is read. Zero for requests that would not be relayed, and while leaving.
     Core::Duration maximumMemoryWait(const Http::ServerRequest &head) const;
     /// Records and logs that a request was refused for want of memory. Returns the time after which its caller should retry.
     Core::Duration onMemoryRefused(const Http::ServerRequest &head, const Http::MemoryShortage &shortage);
@@ -125,8 +127,10 @@
     void onQuarantineChanged(std::function<void()> callback);
     /// Logs the counts of ended requests if they are due, or in any case if the process is about to end.
     void logAccount(bool isFinal = false);
-    /// Logs and counts the requests that have no complete answer. Must be called when the process is about to end.
-    void logOpenRequests();
+    /// Must be called when the process begins to leave. From then on requests begin only if they will end by @p endsAt; waiting ones are checked at once.
+    void startLeaving(Core::Instant endsAt);
+    /// Ends the requests that have no complete answer, with an answer wherever none has begun, and logs and counts them.
+    void endOpenRequests();
     /// Returns the number of requests handled since the start.
     std::uint64_t requests() const
     {
@@ -162,6 +166,8 @@
     RelayCounters m_counters;
     RequestAccount m_account;
     std::map<std::string, Placement::PromptSizes> m_promptSizes; ///< By service.
+    AnswerTimes m_answerTimes;
+    std::optional<Core::Instant> m_endsAt; ///< When open requests are ended. Set while the process is leaving.
     std::size_t m_successes = 0;
     std::size_t m_heldRequests = 0;
     std::function<void()> m_onQuarantineChanged;
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -143,7 +143,9 @@
     if (canMeetObjective()) {
         m_relay.m_waitingRequests.recordTimelyArrival(m_service->m_name, m_places, m_rank, m_arrivedAt);
     }
-    if (m_relay.m_waitingRequests.isEmpty(m_service->m_name) || !joinQueue()) {
+    if (!canEndInTime()) {
+        endForLeaving();
+    } else if (m_relay.m_waitingRequests.isEmpty(m_service->m_name) || !joinQueue()) {
         tryEndpoint();
     }
 }
@@ -243,6 +245,10 @@
         fail(GatewayTimeout, "too little time is left for another attempt");
         return;
     }
+    if (!canEndInTime()) {
+        endForLeaving();
+        return;
+    }
     if (!m_lastFailure.empty() && !mayRepeat(callerWait())) {
         m_retryObstacle = RetryObstacle::CallerLeaves;
         endUnsent("the caller leaves before another attempt could be of use, after: " + m_lastFailure, m_relay.m_settings.m_retryAfter);
@@ -412,6 +418,7 @@
     events.m_onSilence = [self, number = attempt.m_number] { return !self->isSilentAttempt(number) && self->shouldLeaveEndpoint(); };
     attempt.m_endpoint = choice.m_endpoint;
     attempt.m_sentAt = Core::Clock::now();
+    m_firstSentAt = m_firstSentAt.value_or(attempt.m_sentAt);
     attempt.m_expectedMilliseconds = choice.m_expectedMilliseconds;
     m_expectedFirstByte =
         std::chrono::duration_cast<Core::Duration>(attempt.m_sentAt - m_arrivedAt) + Core::Duration(static_cast<std::int64_t>(choice.m_expectedMilliseconds));
@@ -602,6 +609,7 @@
         return;
     }
     recordAnswerCompleted();
+    recordAnswerTime();
     const Core::Instant now = Core::Clock::now();
     const double milliseconds = Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond;
     m_relay.m_parts.m_endpointTracker.recordAnswerTime(m_attempt->m_endpoint, milliseconds);
@@ -707,6 +715,11 @@
 
 bool RelayedRequest::continueStream()
 {
+    if (!canEndInTime()) {
+        m_relay.m_counters.m_refusedLeaving.add();
+        m_retryObstacle = RetryObstacle::ProcessLeaves;
+        return false;
+    }
     if (!passesQuarantine()) {
         return true;
     }
@@ -731,6 +744,7 @@
         return;
     }
     m_mayHaveRun = m_mayHaveRun || m_attempt.has_value();
+    recordAnswerTime();
     stopWaiting();
     endAttempt();
     endHold();
@@ -824,11 +838,6 @@
     m_relay.m_parts.m_log.write(line);
 }
 
-void RelayedRequest::logOpen()
-{
-    logEnd(RequestOutcome::Failed, 0, "the process ends");
-}
-
 void RelayedRequest::describeConfiguration(Telemetry::LogLine &line) const
 {
     const Fleet::FleetState &state = m_relay.m_parts.m_fleetState;
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -6,6 +6,7 @@
 #include "LibQuarantine/RequestIdentity.h"
 #include "LibRelay/AttemptWindow.h"
 #include "LibRelay/EventFramer.h"
+#include "LibRelay/LeavingDecision.h"
 #include "LibRelay/Relay.h"
 
 namespace Relay {
@@ -34,8 +35,10 @@
     QueueSendResult trySendFromQueue();
     /// Removes the request from the queue and ends it, because no slot is expected in time. @p ahead: number of requests that keep waiting.
     void rejectFromQueue(const Placement::QueueForecast &forecast, std::size_t ahead);
-    /// Logs that the request has no complete answer although the process ends.
-    void logOpen();
+    /// Ends the request if it waits and would not end before the process, which is leaving.
+    void onLeaving();
+    /// Ends the request because the process ends.
+    void endWithProcess();
 
 private:
     /// An attempt that has not ended.
@@ -104,6 +107,16 @@
     Core::Duration elapsedSinceFirstTry() const;
     /// Returns whether the answer could still begin within the latency objective.
     bool canMeetObjective() const;
+    /// Returns how long a complete answer takes at an endpoint according to the engine's model; zero for plain services, which have none.
+    Core::Duration expectedAnswerTime() const;
+    /// Returns the times that decide whether the request may still begin; empty unless the process is leaving.
+    std::optional<LeavingView> leavingView() const;
+    /// Returns whether the request ends before this process does if it is sent to an endpoint now.
+    bool canEndInTime() const;
+    /// Ends a request that would not end before this process does.
+    void endForLeaving();
+    /// Records how long the endpoints have taken for the request, which has just ended.
+    void recordAnswerTime();
     /// Ends a request for which no endpoint was chosen.
     void endWithoutEndpoint(Placement::NoChoiceReason noChoiceReason);
     /// Ends a request that is not sent any more with a refusal, a failure or a closed connection, depending on what has been sent so far.
@@ -229,6 +242,7 @@
     std::optional<std::uint64_t> m_ticket; ///< Set while the request waits for a slot.
     Core::Instant m_waitingSince;
     Core::Duration m_totalWait{0}; ///< Total time spent waiting for slots.
+    std::optional<Core::Instant> m_firstSentAt; ///< When it was first sent to an endpoint.
     bool m_isAdmitted = false; ///< An endpoint was chosen for the request before; later attempts need no admission.
     Core::Duration m_expectedFirstByte{0}; ///< From the request's arrival, as expected when the last attempt was sent.
     double m_firstByteMilliseconds = 0; ///< From the request's arrival to the head of the answer; 0 until the head arrives.
--- a/Libraries/LibRelay/RelayedRequestMoves.cpp
+++ b/Libraries/LibRelay/RelayedRequestMoves.cpp
@@ -22,7 +22,7 @@
         return true;
     }
     const bool isBoundToEndpoint = m_isHeadForwarded && !m_isEventStream;
-    if (m_silentAttempt || isBoundToEndpoint || !hasAttemptLeft(true) || !mayMove(callerWait()) || !isRetryInBudget()) {
+    if (m_silentAttempt || isBoundToEndpoint || !hasAttemptLeft(true) || !mayMove(callerWait()) || !canEndInTime() || !isRetryInBudget()) {
         return false;
     }
     const bool isAdded = m_excluded.insert(m_attempt->m_endpoint.m_id).second;
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -10,6 +10,10 @@
 void RelayedRequest::awaitConfiguration()
 {
     constexpr int timeoutDivisor = 3; // At most this fraction of the caller's time; the rest is left for a retry at another process and for the answer.
+    if (m_relay.m_endsAt) {
+        onLeaving();
+        return;
+    }
     if (m_relay.m_awaitingConfiguration.size() >= m_relay.m_settings.m_queue.m_maximumRequests) {
         refuse("no configuration is known yet", m_relay.m_settings.m_retryAfter);
         return;
@@ -65,6 +69,10 @@
     if (!m_lastFailure.empty() && callerWait().m_isStream) {
         deadlines.m_sendDeadline = std::min(deadlines.m_sendDeadline, Core::Clock::now() + untilCallerLeaves(callerWait()) - MinimumAttemptTime);
     }
+    const std::optional<LeavingView> leaving = leavingView();
+    if (leaving && leaving->m_untilDeadline > leaving->m_untilProcessEnds) {
+        deadlines.m_sendDeadline = std::min(deadlines.m_sendDeadline, Core::Clock::now() + leaving->m_untilProcessEnds - neededTime(*leaving));
+    }
     return deadlines;
 }
 
@@ -107,6 +115,11 @@
 
 QueueSendResult RelayedRequest::trySendFromQueue()
 {
+    if (!canEndInTime()) {
+        stopWaiting();
+        endForLeaving();
+        return QueueSendResult::Dequeued;
+    }
     if (lacksSlots()) {
         return QueueSendResult::NoSlot;
     }
--- a/Libraries/LibRelay/RequestAdmission.cpp
+++ b/Libraries/LibRelay/RequestAdmission.cpp
@@ -24,6 +24,9 @@
 
 Core::Duration Relay::maximumMemoryWait(const Http::ServerRequest &head) const
 {
+    if (m_endsAt) {
+        return Core::Duration(0); // Another entry serves the caller sooner.
+    }
     const RequestFacts facts = m_dialect.m_readRequest(head.m_fields);
     const std::shared_ptr<const Fleet::ConfigurationIndex> configuration = m_parts.m_fleetState.configuration();
     if (!configuration) {
--- a/Libraries/LibRelay/RetryObstacle.h
+++ b/Libraries/LibRelay/RetryObstacle.h
@@ -15,9 +15,10 @@
     CallerLeaves, ///< Its caller leaves before another attempt could be of use.
     NoBudget, ///< The retry budget of the service allows no retry.
     NoEndpoint, ///< No endpoint may take it, and it may not wait for one.
+    ProcessLeaves, ///< This process is leaving, and the request would not end before.
 };
 
-inline constexpr std::size_t RetryObstacleCount = 8;
+inline constexpr std::size_t RetryObstacleCount = 9;
 
 /// Returns the name of the obstacle in logs and metrics.
 constexpr std::string_view retryObstacleName(RetryObstacle obstacle)
@@ -39,6 +40,8 @@
         return "no_budget";
     case RetryObstacle::NoEndpoint:
         return "no_endpoint";
+    case RetryObstacle::ProcessLeaves:
+        return "process_leaves";
     }
     return "unknown";
 }
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -26,6 +26,7 @@
 constexpr Core::Duration LeavingCheckInterval{100};
 constexpr Core::Duration ReportedDeclarationsAge{5000}; ///< Age of unconfirmed declarations from which it is logged; above the usual age by a few heartbeats.
 constexpr Core::Duration FinalFlushMargin{250}; ///< Time left before the platform ends the process, so that the last log lines are written.
+constexpr Core::Duration FinalAnswerTime{200}; ///< In which callers receive the answers to the requests that are open at the end; longer than a round trip.
 
 Core::Duration fractionOf(Core::Duration whole, double part)
 {
@@ -112,7 +113,6 @@
     m_log.write(Telemetry::LogLine("started").text("callers", m_settings.m_callers.toString()).text("peers", m_settings.m_peers.toString()));
     m_loop.run();
     m_node.stop();
-    m_relay.logOpenRequests();
     m_relay.logAccount(true);
     m_log.write(Telemetry::LogLine("stopped").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_log.flush();
@@ -274,12 +274,23 @@
     m_pageContext->m_isClosing = true;
     m_log.write(Telemetry::LogLine("leaving").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_gossip.announceLeaving();
+    m_relay.startLeaving(requestsEndAt());
     continueLeaving();
 }
 
+Core::Instant EntryProcess::requestsEndAt() const
+{
+    return *m_leavingSince + m_settings.m_leavingTime - FinalFlushMargin - FinalAnswerTime;
+}
+
 void EntryProcess::continueLeaving()
 {
-    const Core::Duration since = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *m_leavingSince);
+    const Core::Instant now = Core::Clock::now();
+    const Core::Duration since = std::chrono::duration_cast<Core::Duration>(now - *m_leavingSince);
+    if (now >= requestsEndAt()) {
+        endRequests();
+        return;
+    }
     const bool acceptsRequests = since < fractionOf(m_settings.m_leavingTime, AcceptingShare);
     const bool endsIdle = since >= fractionOf(m_settings.m_leavingTime, IdleEndShare);
     std::size_t connections = 0;
@@ -293,14 +304,30 @@
         connections += listener->connectionCount();
     }
     const bool isIdle = m_relay.openRequests() == 0 && connections == 0;
-    if ((!acceptsRequests && isIdle) || since >= m_settings.m_leavingTime - FinalFlushMargin) {
+    if (!acceptsRequests && isIdle) {
         stop();
         return;
     }
-    m_leavingTimer.expires_after(LeavingCheckInterval);
-    m_leavingTimer.async_wait([this](const boost::system::error_code &error) {
+    scheduleLeaving(std::min(LeavingCheckInterval, std::chrono::ceil<Core::Duration>(requestsEndAt() - now)), [this] { continueLeaving(); });
+}
+
+void EntryProcess::endRequests()
+{
+    m_log.write(Telemetry::LogLine("requests_cut").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
+    m_relay.endOpenRequests();
+    for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
+        listener->stop();
+        listener->endUnanswered();
+    }
+    scheduleLeaving(FinalAnswerTime, [this] { stop(); });
+}
+
+void EntryProcess::scheduleLeaving(Core::Duration delay, std::function<void()> step)
+{
+    m_leavingTimer.expires_after(delay);
+    m_leavingTimer.async_wait([next = std::move(step)](const boost::system::error_code &error) {
         if (!error) {
-            continueLeaving();
+            next();
         }
     });
 }
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -61,6 +61,11 @@
     void reload();
     void startLeaving();
     void continueLeaving();
+    /// Returns when the requests that are still open are ended.
+    Core::Instant requestsEndAt() const;
+    /// Ends what is still open, and the process a moment later.
+    void endRequests();
+    void scheduleLeaving(Core::Duration delay, std::function<void()> step);
     void stop();
     void onFleetStateChanged(const Fleet::FleetStateUpdate &update, bool isFromLog);
     /// Logs the evacuated failure domains, counts their engines out, and expects those that come back to be cold.
--- a/Tests/LibHttp/TestConnectionEnd.cpp
+++ b/Tests/LibHttp/TestConnectionEnd.cpp
@@ -52,10 +52,10 @@
     }
 };
 
-std::size_t countAnswers(const std::string &received)
+std::size_t countAnswers(const std::string &received, const std::string &status = "200")
 {
     std::size_t count = 0;
-    for (std::size_t at = received.find("HTTP/1.1 200"); at != std::string::npos; at = received.find("HTTP/1.1 200", at + 1)) {
+    for (std::size_t at = received.find("HTTP/1.1 " + status); at != std::string::npos; at = received.find("HTTP/1.1 " + status, at + 1)) {
         ++count;
     }
     return count;
@@ -202,6 +202,19 @@
     CHECK_FALSE(caller.isReset());
 }
 
+TEST_CASE("A request that has not been read completely when the server ends is refused")
+{
+    EndingServer server;
+    const std::string part = GENERATE("GET /small HTTP/1.1\r\nHo", "POST /small HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n123");
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send(part);
+    server.run(Core::Duration(50));
+    server.m_listener->endUnanswered();
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    CHECK(countAnswers(caller.received(), "503") == 1);
+    CHECK_FALSE(caller.isReset());
+}
+
 TEST_CASE("The end of a connection before an answer has been written to it is reported, and no other end")
 {
     const bool readsAnswer = GENERATE(true, false);
