LibHttp: Refuse requests that arrive behind the last answer of a connection

Cause: the server decided that a connection ends from what had arrived when the head of an answer was written; a stream lasts for seconds after that.

Such requests still do not run, but are answered with 503 and Retry-After 0, and the connection ends in order 200 ms after the last answer, or when the caller closes. At most 64 a connection.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -33,6 +33,8 @@
 /// Held for a request besides its head and its body: its state and the buffers of its reader and of its call to an endpoint.
 constexpr std::size_t RequestOverheadBytes = 16 << 10;
 constexpr Core::Duration DiscardLimit{2000}; ///< Time for which input is read and ignored at the end of a connection, so that the caller reads the answer.
+constexpr std::size_t MaximumLateRequests = 64; ///< Refused on one connection; a caller may go on sending.
+constexpr Core::Duration LateRequestTime{200}; ///< For which late requests are refused; longer than a round trip to any caller.
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
 
@@ -142,7 +144,11 @@
         readHead();
         return;
     }
-    startTimer(m_context->m_limits.m_idleTimeout, [this] { closeIfIdleForLong(); });
+    if (m_refusesLateRequests) {
+        startTimer(LateRequestTime, [this] { endOutput(); });
+    } else {
+        startTimer(m_context->m_limits.m_idleTimeout, [this] { closeIfIdleForLong(); });
+    }
     m_state->m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
         if (self->m_isClosed || self->m_hasOutputEnded) {
             return;
@@ -467,10 +473,23 @@
     request.m_body = Body(std::move(m_state->m_parser->get().body()), std::move(m_state->m_memory));
     releaseReader();
     watchForPeerClose();
+    if (m_refusesLateRequests) {
+        refuseLateRequest(request);
+        return;
+    }
     const std::shared_ptr<ServerConnection> self = shared_from_this();
     m_context->m_onRequest(self, std::move(request));
 }
 
+void ServerConnection::refuseLateRequest(const ServerRequest &request)
+{
+    ++m_lateRequests;
+    if (m_context->m_onLateRequest) {
+        m_context->m_onLateRequest(request);
+    }
+    answer(503, {HeaderField{"Retry-After", retryAfterText(Core::Duration(0))}, HeaderField{"Content-Type", "text/plain"}}, "the connection ends\n");
+}
+
 void ServerConnection::releaseReader()
 {
     m_state->m_parser.reset();
@@ -575,7 +594,9 @@
         return;
     }
     m_bodyEnd = supportedBodyEnd(status, framing.m_end);
-    m_closeAfterAnswer = m_closeAfterAnswer || (m_context->m_isClosing && !hasNextRequest()) || m_bodyEnd == BodyEnd::Close;
+    const bool isLast = m_context->m_isClosing && !hasNextRequest();
+    m_refusesLateRequests = m_refusesLateRequests || (isLast && m_bodyEnd != BodyEnd::Close && !m_isRejected);
+    m_closeAfterAnswer = m_closeAfterAnswer || isLast || m_bodyEnd == BodyEnd::Close;
     const bool mayStateLength = status != NoContent && status != NotModified;
     if (framing.m_length && mayStateLength) {
         fields.push_back(HeaderField{"Content-Length", std::to_string(*framing.m_length)});
@@ -715,7 +736,8 @@
 {
     m_onDrained = nullptr;
     m_onUnsentAnswer = nullptr;
-    if (!m_closeAfterAnswer) {
+    const bool awaitsLateRequest = m_refusesLateRequests && !m_isRejected && m_lateRequests < MaximumLateRequests;
+    if (!m_closeAfterAnswer || awaitsLateRequest) {
         awaitRequest();
         return;
     }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -56,6 +56,7 @@
     bool m_isClosing = false;
     std::function<void(const std::shared_ptr<ServerConnection> &connection, ServerRequest request)> m_onRequest;
     std::function<void(int status, const std::string &peer, const std::string &reason)> m_onRejected; ///< Called for rejected requests.
+    std::function<void(const ServerRequest &request)> m_onLateRequest; ///< Called for requests that are refused because the connection ends; may be empty.
     std::shared_ptr<RequestMemory> m_requestMemory; ///< Shared by all listeners of a process. Null sets no limit.
     std::shared_ptr<Core::ByteBudget> m_answerMemory; ///< For bytes of answers that callers have not read yet; see isBacklogged(). Null sets no limit.
     /// Returns how long waiting for memory can help the caller of a request whose head has been read. Without it requests do not wait.
@@ -80,6 +81,9 @@
  *
  * If a socket is closed while the kernel holds received bytes, the kernel resets the connection, and the other end loses what it has not read yet. So every
  * orderly end goes through endOutput(): it ends the output alone, and input is ignored until the other end closes or a time limit passes.
+ *
+ * A caller may have sent further requests when it learns from an answer that the connection ends with it. They do not run, but those that arrive within a
+ * round trip are refused, so that the caller knows that it may send them elsewhere.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
@@ -167,6 +171,8 @@
     void writeNext();
     void onWritten(const boost::system::error_code &error);
     void onAnswerEnded();
+    /// Refuses a request that was sent before the end of the connection was known.
+    void refuseLateRequest(const ServerRequest &request);
     /// Returns whether bytes of the request after the current one have arrived.
     bool hasNextRequest() const;
     /// Ends the connection in order.
@@ -193,6 +199,8 @@
     bool m_isRejected = false; ///< An error was sent before the request was complete; the rest of the request is ignored.
     bool m_isAborted = false; ///< Nothing is added to the answer any more, and the connection closes.
     bool m_closeAfterAnswer = false;
+    bool m_refusesLateRequests = false; ///< An answer has announced the end of the connection, and it ends because the server is closing.
+    std::size_t m_lateRequests = 0; ///< Refused on this connection.
     bool m_hasOutputEnded = false; ///< Nothing is sent any more, and input is ignored.
     bool m_isDiscarding = false; ///< A read is under way whose bytes are ignored.
     bool m_isClosed = false; ///< Once true, nothing is read or written any more.
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -108,6 +108,15 @@
     m_waitingRequests.dispatch();
 }
 
+void Relay::onLateRequest(const Http::ServerRequest &request)
+{
+    m_counters.m_requests.add();
+    m_counters.m_refused.add();
+    m_counters.m_refusedLeaving.add();
+    Telemetry::LogLine line("request_after_last");
+    m_parts.m_log.write(line.text("id", m_dialect.m_readRequest(request.m_fields).m_attemptId).text("peer", request.m_peer).text("outcome", "refused"));
+}
+
 void Relay::endOpenRequests()
 {
     const std::set<std::shared_ptr<RelayedRequest>> open = m_openRequests;
--- a/Libraries/LibRelay/Relay.h
+++ b/Libraries/LibRelay/Relay.h
@@ -119,6 +119,8 @@
     Core::Duration maximumMemoryWait(const Http::ServerRequest &head) const;
     /// Records and logs that a request was refused for want of memory. Returns the time after which its caller should retry.
     Core::Duration onMemoryRefused(const Http::ServerRequest &head, const Http::MemoryShortage &shortage);
+    /// Records and logs that a request was refused because an answer before it had announced the end of their connection.
+    void onLateRequest(const Http::ServerRequest &request);
     /// Must be called when the configuration has changed.
     void onConfigurationChanged();
     /// Must be called when engines have reported, because slots may have become free.
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -155,6 +155,7 @@
     m_callerContext->m_onRejected = [this](int status, const std::string &peer, const std::string &reason) {
         m_log.write(Telemetry::LogLine("request_unreadable").number("status", static_cast<std::int64_t>(status)).text("peer", peer).text("reason", reason));
     };
+    m_callerContext->m_onLateRequest = [this](const Http::ServerRequest &request) { m_relay.onLateRequest(request); };
     m_pageContext->m_onRequest = [this](const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request) {
         answerPage(connection, request);
     };
--- a/Tests/LibHttp/TestConnectionEnd.cpp
+++ b/Tests/LibHttp/TestConnectionEnd.cpp
@@ -202,6 +202,26 @@
     CHECK_FALSE(caller.isReset());
 }
 
+TEST_CASE("Requests that were sent before the end of an answer that announces the end of the connection are refused and do not run")
+{
+    // Guards against requests that are read and never answered because the answer before them was the last one.
+    EndingServer server;
+    std::size_t late = 0;
+    server.m_context->m_onLateRequest = [&late](const Http::ServerRequest &) { ++late; };
+    server.m_context->m_isClosing = true;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.received().find("Connection: close") != std::string::npos; }));
+    caller.send(Request + Request);
+    server.run(Core::Duration(50));
+    server.m_held->finish();
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    CHECK(countAnswers(caller.received()) == 1);
+    CHECK(countAnswers(caller.received(), "503") == 2);
+    CHECK(late == 2);
+    CHECK_FALSE(caller.isReset());
+}
+
 TEST_CASE("A request that has not been read completely when the server ends is refused")
 {
     EndingServer server;
