LibTelemetry, LibServing: Count the grace from when the signal may have been sent

An entry that was held up when SIGTERM came believed that it had the whole grace from when it read the signal. The platform kills it 8 s after it has sent it: an entry held up for 1.5 s was killed with its requests.

Nothing tells a process when a signal was sent. But its ticks tell since when it has not looked: possibleDelay() is the time since the last tick before a stall that lasts or has just ended, and the grace counts from there. A process that was not held up loses nothing.

--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -270,10 +270,15 @@
     if (m_leavingSince) {
         return;
     }
-    m_leavingSince = Core::Clock::now();
+    const Core::Instant now = Core::Clock::now();
+    // The platform counts from when it sent the signal, which may have waited while the process was held up.
+    const Core::Duration delay = Telemetry::possibleDelay(m_stallDetector, now);
+    m_leavingSince = now - delay;
     m_callerContext->m_isClosing = true;
     m_pageContext->m_isClosing = true;
-    m_log.write(Telemetry::LogLine("leaving").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
+    Telemetry::LogLine line("leaving");
+    line.number("open_requests", static_cast<std::int64_t>(m_relay.openRequests()));
+    m_log.write(line.number("signal_delay_ms", std::int64_t{delay.count()}));
     m_gossip.announceLeaving();
     m_relay.startLeaving(requestsEndAt());
     continueLeaving();
