LibRelay: Take a stream from an endpoint whose events do not advance

An endpoint that sent events which the caller already had, without end, kept its request until the time limit: the entry read up to 2 GB in 8 s and passed nothing on.

Events that repeat are dropped without a limit, since an endpoint may begin a stream again from its start. Now 1 MiB of them without one that advances counts as a bad answer, and the stream goes on elsewhere as after any other.

LibRelay/TestInterruptedAnswers, LibRelay/TestEventFramer.

--- a/Libraries/LibRelay/EventFramer.cpp
+++ b/Libraries/LibRelay/EventFramer.cpp
@@ -70,8 +70,10 @@
         pending.remove_prefix(length);
         const std::optional<std::uint64_t> id = eventId(event);
         if (id && m_lastId && *id <= *m_lastId) {
+            m_repeatedBytes += length;
             continue;
         }
+        m_repeatedBytes = 0;
         if (id) {
             m_hasGap = m_hasGap || (m_lastId && *id != *m_lastId + 1);
             m_lastId = id;
@@ -85,6 +87,7 @@
 void EventFramer::discardPartialEvent()
 {
     m_partialEvent.clear();
+    m_repeatedBytes = 0;
 }
 
 }
--- a/Libraries/LibRelay/EventFramer.h
+++ b/Libraries/LibRelay/EventFramer.h
@@ -39,8 +39,15 @@
         return m_hasGap;
     }
 
+    /// Returns the bytes of events that were dropped since the last event that was returned.
+    std::size_t repeatedBytes() const
+    {
+        return m_repeatedBytes;
+    }
+
 private:
     std::string m_partialEvent;
+    std::size_t m_repeatedBytes = 0; ///< Of the engine that sends now.
     std::optional<std::uint64_t> m_lastId; ///< Id of the last event that was returned.
     bool m_hasGap = false;
 };
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -17,6 +17,7 @@
 /// Bytes that may be buffered for a slow caller before reading from its endpoint pauses: a few dozen events.
 constexpr std::size_t MaximumPendingBytes = 64 << 10;
 constexpr std::size_t MaximumEventBytes = 1 << 20; ///< Many times the size of an event. Endpoints in trouble may send bytes without end.
+constexpr std::size_t MaximumRepeatedBytes = 1 << 20; ///< Many times the size of a stream, from the start of which an endpoint may send it again.
 constexpr std::size_t UnreservedEventBytes = 4 << 10; ///< Of an incomplete event; covered by what is reserved for each request.
 constexpr std::size_t MaximumLoggedFieldBytes = 64; ///< Of a header field's value.
 constexpr std::size_t MaximumLoggedParts = 8; ///< Of a prompt.
@@ -535,6 +536,10 @@
             onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "an event of the stream does not end");
             return;
         }
+        if (m_framer.repeatedBytes() > MaximumRepeatedBytes) {
+            onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "the events of the stream do not advance");
+            return;
+        }
         if (!reservePartialEvent()) {
             onAttemptFailed(Placement::EndpointFailure::BadAnswer, true, "no memory is left for an event of the stream that is not complete");
             return;
--- a/Tests/LibRelay/TestEventFramer.cpp
+++ b/Tests/LibRelay/TestEventFramer.cpp
@@ -32,3 +32,16 @@
     framer.feed("id: 6\n\n");
     CHECK(framer.hasGap());
 }
+
+TEST_CASE("The bytes of events that repeat what the caller has are counted until an event advances or another engine goes on")
+{
+    Relay::EventFramer framer(5);
+    const std::string old = "id: 5\ndata: text\n\n";
+    CHECK(framer.feed(old + old).empty());
+    CHECK(framer.repeatedBytes() == 2 * old.size());
+    CHECK_FALSE(framer.feed("id: 6\ndata: text\n\n").empty());
+    CHECK(framer.repeatedBytes() == 0);
+    framer.feed(old);
+    framer.discardPartialEvent();
+    CHECK(framer.repeatedBytes() == 0);
+}
--- a/Tests/LibRelay/TestInterruptedAnswers.cpp
+++ b/Tests/LibRelay/TestInterruptedAnswers.cpp
@@ -277,3 +277,39 @@
     CHECK(caller.received().find("Transfer-Encoding") == std::string::npos);
     CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
 }
+
+TEST_CASE("A stream whose events do not advance is taken from its endpoint and goes on at another one")
+{
+    // Guards against an endpoint that sends old events without end, of which the caller receives nothing until the time limit.
+    constexpr std::size_t pieceEvents = 2000;
+    RelayFixture fixture;
+    fixture.configure();
+    std::shared_ptr<ScriptedConnection> repeating;
+    const ScriptedServer::Script script = [&repeating](const std::shared_ptr<ScriptedConnection> &connection) {
+        const bool isFirst = !repeating;
+        repeating = isFirst ? connection : repeating;
+        connection->send(TestSupport::StreamHead + (isFirst ? std::string() : chunk(eventsFrom(1, 3)) + "0\r\n\r\n"));
+    };
+    fixture.addEndpoint(script);
+    fixture.addEndpoint(script);
+    RawCaller caller(fixture.m_loop, fixture.m_listener->port());
+    caller.send("GET /stream/x HTTP/1.1\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\n\r\n");
+    std::string piece;
+    for (std::size_t count = 0; count < pieceEvents; ++count) {
+        piece += eventsFrom(1, 1);
+    }
+    std::size_t sentBytes = 0;
+    const bool isComplete = runUntil(
+        fixture.m_loop,
+        [&] {
+            if (repeating && !repeating->isDisconnected()) {
+                repeating->send(chunk(piece));
+                sentBytes += piece.size();
+            }
+            return caller.received().ends_with("0\r\n\r\n");
+        },
+        std::chrono::milliseconds(2000)); // Less than the time limit of the route.
+    CHECK(isComplete);
+    CHECK(caller.received().find("id: 3") != std::string::npos);
+    CHECK(sentBytes < 32 << 20);
+}
