LibRelay: Expect of answers what their size, their service and recent successes say

A stream that goes on elsewhere was held to the time of a whole answer; now only the rest counts. Requests without memory get Retry-After 0 from a process that is leaving.

--- a/Libraries/LibPlacement/EngineForecast.cpp
+++ b/Libraries/LibPlacement/EngineForecast.cpp
@@ -49,15 +49,22 @@
     return interval > 0 ? MillisecondsPerSecond / interval : 0;
 }
 
-double answerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request)
+double longestAnswerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request)
 {
-    const std::uint32_t tokens = request.m_answerTokens > 0 ? std::min(request.m_answerTokens, engine.m_usualAnswerTokens) : engine.m_usualAnswerTokens;
+    const std::uint32_t tokens = request.m_answerTokens > 0 ? request.m_answerTokens : engine.m_usualAnswerTokens;
     const double slots = std::max<std::uint32_t>(engine.m_slots, 1);
     // The engine reads the prompts of newly admitted requests between the steps.
     const double prompts = promptMilliseconds(engine, engine.m_usualPromptTokens) * slots / std::max<std::uint32_t>(engine.m_usualAnswerTokens, 1);
     return tokens * (stepMilliseconds(engine, engine.m_slots) + prompts);
 }
 
+double answerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request)
+{
+    RequestSize usual = request;
+    usual.m_answerTokens = std::min(request.m_answerTokens, engine.m_usualAnswerTokens);
+    return longestAnswerMilliseconds(engine, usual);
+}
+
 double queueMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load)
 {
     const std::uint32_t ahead = requestsAhead(load);
--- a/Libraries/LibPlacement/EngineForecast.h
+++ b/Libraries/LibPlacement/EngineForecast.h
@@ -48,6 +48,9 @@
 /// Returns the expected milliseconds from the first step of a request to the end of its answer at a full engine.
 double answerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request);
 
+/// Returns the same for the longest answer that the request allows, although most answers are no longer than usual.
+double longestAnswerMilliseconds(const Fleet::EngineModel &engine, const RequestSize &request);
+
 /// Returns the expected milliseconds from sending a request until the engine begins to read its prompt.
 double queueMilliseconds(const Fleet::EngineModel &engine, const EndpointLoad &load);
 
--- a/Libraries/LibRelay/AnswerTimes.h
+++ b/Libraries/LibRelay/AnswerTimes.h
@@ -1,4 +1,4 @@
-/// @file How long endpoints have recently taken for complete answers, by route.
+/// @file How long endpoints have recently taken for complete answers, by route and service.
 #pragma once
 
 #include "LibCore/Clock.h"
@@ -9,17 +9,17 @@
 
 namespace Relay {
 
-/// Keeps, for each route, by how much its answers have exceeded the expected time at most, over a sliding window. Used by one thread.
+/// Keeps, for each key, by how much its answers have exceeded the expected time at most, over a sliding window. Used by one thread.
 class AnswerTimes
 {
 public:
     /// Records that an answer which was expected to take @p expected has taken @p taken, from the first endpoint that got the request to its end.
-    void record(const std::string &route, Core::Duration expected, Core::Duration taken, Core::Instant now);
+    void record(const std::string &key, Core::Duration expected, Core::Duration taken, Core::Instant now);
     /// Returns a time within which an answer that is expected to take @p expected ends, as far as recent answers show; empty if they are too few.
-    std::optional<Core::Duration> upperBound(const std::string &route, Core::Duration expected, Core::Instant now) const;
-    std::size_t routeCount() const
+    std::optional<Core::Duration> upperBound(const std::string &key, Core::Duration expected, Core::Instant now) const;
+    std::size_t keyCount() const
     {
-        return m_routes.size();
+        return m_keys.size();
     }
 
 private:
@@ -29,12 +29,13 @@
         Core::Instant m_periodBegan;
         Core::Duration m_largest{0};
         Core::Duration m_largestBefore{0};
-        std::size_t m_answers = 0; ///< In both periods.
+        std::size_t m_answers = 0; ///< In the period.
+        std::size_t m_answersBefore = 0; ///< In the period before it.
     };
 
     void removeExpired(Core::Instant now);
 
-    std::map<std::string, Excess> m_routes; ///< At most MaximumRoutes.
+    std::map<std::string, Excess> m_keys; ///< At most MaximumKeys.
 };
 
 }
--- a/Libraries/LibRelay/Relay.cpp
+++ b/Libraries/LibRelay/Relay.cpp
@@ -113,6 +113,7 @@
     m_counters.m_requests.add();
     m_counters.m_refused.add();
     m_counters.m_refusedLeaving.add();
+    m_parts.m_elapsedTimeEstimator.recordRefusal(Core::Clock::now());
     Telemetry::LogLine line("request_after_last");
     m_parts.m_log.write(line.text("id", m_dialect.m_readRequest(request.m_fields).m_attemptId).text("peer", request.m_peer).text("outcome", "refused"));
 }
--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -614,7 +614,9 @@
         return;
     }
     recordAnswerCompleted();
-    recordAnswerTime();
+    if (m_attempt->m_answerBeganAt) {
+        recordAnswerTime(); // A failure comes sooner than an answer.
+    }
     const Core::Instant now = Core::Clock::now();
     const double milliseconds = Core::secondsBetween(m_attempt->m_sentAt, now) * MillisecondsPerSecond;
     m_relay.m_parts.m_endpointTracker.recordAnswerTime(m_attempt->m_endpoint, milliseconds);
@@ -714,8 +716,11 @@
         return false;
     }
     m_framer.discardPartialEvent();
+    if (!continueStream()) {
+        return false;
+    }
     m_relay.m_counters.m_resumed.add();
-    return continueStream();
+    return true;
 }
 
 bool RelayedRequest::continueStream()
--- a/Libraries/LibRelay/RelayedRequest.h
+++ b/Libraries/LibRelay/RelayedRequest.h
@@ -107,7 +107,9 @@
     Core::Duration elapsedSinceFirstTry() const;
     /// Returns whether the answer could still begin within the latency objective.
     bool canMeetObjective() const;
-    /// Returns how long a complete answer takes at an endpoint according to the engine's model; zero for plain services, which have none.
+    /// Names the requests whose answers take similar times.
+    std::string answerTimeKey() const;
+    /// Returns how long a complete answer takes at most at a full engine according to its model; zero for plain services, which have none.
     Core::Duration expectedAnswerTime() const;
     /// Returns the times that decide whether the request may still begin; empty unless the process is leaving.
     std::optional<LeavingView> leavingView() const;
--- a/Libraries/LibRelay/RelayedRequestLeaving.cpp
+++ b/Libraries/LibRelay/RelayedRequestLeaving.cpp
@@ -6,6 +6,7 @@
 #include "LibRelay/RelayedRequest.h"
 #include "LibRelay/StatusCodes.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Relay {
@@ -17,6 +18,11 @@
 
 }
 
+std::string RelayedRequest::answerTimeKey() const
+{
+    return m_route->m_name + " " + m_service->m_name;
+}
+
 Core::Duration RelayedRequest::expectedAnswerTime() const
 {
     const Fleet::EngineModel &engine = m_service->m_engine;
@@ -25,7 +31,7 @@
     }
     const Placement::RequestSize size{m_facts.m_promptTokens, m_facts.m_answerTokens};
     const double first = Placement::firstEventMilliseconds(engine, Placement::EndpointLoad{engine.m_slots - 1}, size);
-    return Core::Duration(static_cast<std::int64_t>(std::ceil(first + Placement::answerMilliseconds(engine, size))));
+    return Core::Duration(static_cast<std::int64_t>(std::ceil(first + Placement::longestAnswerMilliseconds(engine, size))));
 }
 
 std::optional<LeavingView> RelayedRequest::leavingView() const
@@ -37,7 +43,12 @@
     LeavingView view;
     view.m_untilProcessEnds = std::chrono::duration_cast<Core::Duration>(*m_relay.m_endsAt - now);
     view.m_untilDeadline = timeLeft();
-    view.m_answerTime = m_relay.m_answerTimes.upperBound(m_route->m_name, expectedAnswerTime(), now);
+    view.m_answerTime = m_relay.m_answerTimes.upperBound(answerTimeKey(), expectedAnswerTime(), now);
+    if (view.m_answerTime && m_isHeadForwarded && m_lastEventAt) {
+        // Only the rest of the stream is still to come.
+        const Core::Duration passed = std::chrono::duration_cast<Core::Duration>(*m_lastEventAt - m_firstSentAt.value_or(*m_lastEventAt));
+        view.m_answerTime = std::max(MinimumAttemptTime, *view.m_answerTime - passed);
+    }
     return view;
 }
 
@@ -59,7 +70,7 @@
     if (m_firstSentAt) {
         const Core::Instant now = Core::Clock::now();
         const Core::Duration taken = std::chrono::ceil<Core::Duration>(now - *m_firstSentAt);
-        m_relay.m_answerTimes.record(m_route->m_name, expectedAnswerTime(), taken, now);
+        m_relay.m_answerTimes.record(answerTimeKey(), expectedAnswerTime(), taken, now);
     }
 }
 
@@ -76,6 +87,7 @@
     if (!isWaiting()) {
         return; // It is held, and decided on with the next check.
     }
+    // Its deadlines in the queue did not take the end of the process into account.
     stopWaiting();
     if (!canEndInTime() || !enqueue()) {
         endForLeaving();
--- a/Libraries/LibRelay/RelayedRequestQueueing.cpp
+++ b/Libraries/LibRelay/RelayedRequestQueueing.cpp
@@ -72,6 +72,7 @@
     const std::optional<LeavingView> leaving = leavingView();
     if (leaving && leaving->m_untilDeadline > leaving->m_untilProcessEnds) {
         deadlines.m_sendDeadline = std::min(deadlines.m_sendDeadline, Core::Clock::now() + leaving->m_untilProcessEnds - neededTime(*leaving));
+        deadlines.m_objectiveSendDeadline = std::min(deadlines.m_objectiveSendDeadline, deadlines.m_sendDeadline);
     }
     return deadlines;
 }
--- a/Libraries/LibRelay/RequestAdmission.cpp
+++ b/Libraries/LibRelay/RequestAdmission.cpp
@@ -42,7 +42,8 @@
 Core::Duration Relay::onMemoryRefused(const Http::ServerRequest &head, const Http::MemoryShortage &shortage)
 {
     const RequestFacts facts = m_dialect.m_readRequest(head.m_fields);
-    const Core::Duration retryAfter = std::clamp(shortage.m_expectedWait.value_or(m_settings.m_retryAfter), m_settings.m_retryAfter, MaximumRetryAfter);
+    const Core::Duration usualRetryAfter = std::clamp(shortage.m_expectedWait.value_or(m_settings.m_retryAfter), m_settings.m_retryAfter, MaximumRetryAfter);
+    const Core::Duration retryAfter = m_endsAt ? Core::Duration(0) : usualRetryAfter; // Other entries may have memory.
     m_counters.m_requests.add();
     m_counters.m_refused.add();
     m_counters.m_refusedForMemory.add();
--- a/Tests/LibRelay/TestLeavingProcess.cpp
+++ b/Tests/LibRelay/TestLeavingProcess.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr Core::Duration Soon{600}; ///< Less than the time limits of the routes.
+constexpr Core::Duration Soon{2000}; ///< Less than the time limits of the routes.
 constexpr std::size_t ObservedAnswers = 20; ///< Enough to show how long answers take.
-const std::string Impatient = "Key: k\r\nPatience: 400\r\n"; ///< Fields of a caller that leaves before the process does.
+const std::string Impatient = "Key: k\r\nPatience: 1000\r\n"; ///< Fields of a caller that leaves before the process does.
 
 void leaveSoon(RelayFixture &fixture)
 {
@@ -94,6 +94,19 @@
     CHECK(fixture.m_requests.size() == 1);
 }
 
+TEST_CASE("Quick failures do not show how long answers take")
+{
+    RelayFixture fixture;
+    fixture.configure();
+    fixture.addEndpoint(answering("HTTP/1.1 500 Error\r\nAttempt: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"));
+    for (std::size_t count = 0; count < ObservedAnswers; ++count) {
+        REQUIRE(fixture.statusOf("/book/x") == "500");
+        REQUIRE(runUntil(fixture.m_loop, [&fixture] { return fixture.m_relay->openRequests() == 0; }));
+    }
+    leaveSoon(fixture);
+    CHECK(fixture.statusOf("/book/x") == "503");
+}
+
 TEST_CASE("When the process ends, an open request gets an answer unless one has begun, and a promise only if it has not run")
 {
     // Guards against requests that end with the process without any answer.
