LibHttp, LibServing, LibTelemetry: Refuse what waits for memory when leaving begins, and limit late requests

A request that waited for memory when SIGTERM came was held until it got some, and refused only then. After a stall the tick could be handled more than 100 ms before the signal. The process's end after its last answers was counted from a timer that may be late.

Requests that a connection's end cuts short are logged like rejected ones. LibHttp/TestConnectionEnd has a case for 100 requests behind the last answer.

--- a/Libraries/LibHttp/Listener.cpp
+++ b/Libraries/LibHttp/Listener.cpp
@@ -136,6 +136,16 @@
     removeClosed();
 }
 
+void Listener::refuseWaiting()
+{
+    for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
+        const std::shared_ptr<ServerConnection> connection = weak.lock();
+        if (connection) {
+            connection->refuseIfWaiting();
+        }
+    }
+}
+
 void Listener::endUnanswered()
 {
     for (const std::weak_ptr<ServerConnection> &weak : m_connections) {
--- a/Libraries/LibHttp/Listener.h
+++ b/Libraries/LibHttp/Listener.h
@@ -27,6 +27,8 @@
     void stop();
     /// Ends the connections that have been waiting for a request for @p idle.
     void endIdle(Core::Duration idle);
+    /// Refuses the requests that wait for memory.
+    void refuseWaiting();
     /// Ends the connections on which nothing is answered. Requests that are being read are refused.
     void endUnanswered();
     /// Returns the number of open connections.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -595,8 +595,9 @@
     }
     m_bodyEnd = supportedBodyEnd(status, framing.m_end);
     const bool isLast = m_context->m_isClosing && !hasNextRequest();
-    m_refusesLateRequests = m_refusesLateRequests || (isLast && m_bodyEnd != BodyEnd::Close && !m_isRejected);
-    m_closeAfterAnswer = m_closeAfterAnswer || isLast || m_bodyEnd == BodyEnd::Close;
+    // A caller that has asked for the end of the connection itself sends nothing more.
+    m_refusesLateRequests = m_refusesLateRequests || (isLast && m_bodyEnd != BodyEnd::Close && !m_closeAfterAnswer);
+    m_closeAfterAnswer = m_closeAfterAnswer || isLast || m_refusesLateRequests || m_bodyEnd == BodyEnd::Close;
     const bool mayStateLength = status != NoContent && status != NotModified;
     if (framing.m_length && mayStateLength) {
         fields.push_back(HeaderField{"Content-Length", std::to_string(*framing.m_length)});
@@ -770,6 +771,14 @@
     }
 }
 
+void ServerConnection::refuseIfWaiting()
+{
+    if (!m_isClosed && m_state->m_memoryTicket) {
+        cancelMemoryWait();
+        refuseForMemory(requestBytes(neededBodyCapacity()));
+    }
+}
+
 void ServerConnection::endUnanswered()
 {
     if (m_isClosed || m_isAnswering || m_hasOutputEnded) {
@@ -777,7 +786,11 @@
     }
     if (m_isReading) {
         cancelMemoryWait();
-        answerUnread(503, "this process ends", {HeaderField{"Retry-After", retryAfterText(Core::Duration(0))}});
+        const std::string reason = "this process ends";
+        if (m_context->m_onRejected) {
+            m_context->m_onRejected(503, m_state->m_peer, reason);
+        }
+        answerUnread(503, reason, {HeaderField{"Retry-After", retryAfterText(Core::Duration(0))}});
         return;
     }
     endIfIdleFor(Core::Duration(0));
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -121,6 +121,8 @@
 
     /// Ends the connection if it has been waiting for a request for @p idle, and none has arrived that is still to be read.
     void endIfIdleFor(Core::Duration idle);
+    /// Refuses the request that waits for memory, if there is one.
+    void refuseIfWaiting();
     /// Ends the connection if nothing is answered on it. A request that is being read is refused.
     void endUnanswered();
     bool isOpen() const;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -281,6 +281,9 @@
     m_log.write(line.number("signal_delay_ms", std::int64_t{delay.count()}));
     m_gossip.announceLeaving();
     m_relay.startLeaving(requestsEndAt());
+    for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
+        listener->refuseWaiting();
+    }
     continueLeaving();
 }
 
@@ -319,13 +322,14 @@
 
 void EntryProcess::endRequests()
 {
-    m_log.write(Telemetry::LogLine("requests_cut").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
+    m_log.write(Telemetry::LogLine("open_requests_ended").number("open_requests", static_cast<std::int64_t>(m_relay.openRequests())));
     m_relay.endOpenRequests();
     for (const std::unique_ptr<Http::Listener> &listener : m_listeners) {
         listener->stop();
         listener->endUnanswered();
     }
-    scheduleLeaving(FinalAnswerTime, [this] { stop(); });
+    const Core::Instant end = *m_leavingSince + m_settings.m_leavingTime - FinalFlushMargin;
+    scheduleLeaving(std::max(Core::Duration(0), std::chrono::duration_cast<Core::Duration>(end - Core::Clock::now())), [this] { stop(); });
 }
 
 void EntryProcess::scheduleLeaving(Core::Duration delay, std::function<void()> step)
--- a/Libraries/LibTelemetry/StallDetector.cpp
+++ b/Libraries/LibTelemetry/StallDetector.cpp
@@ -6,13 +6,6 @@
 
 namespace Telemetry {
 
-namespace {
-
-/// After a stall, events that have waited are handled within this time.
-constexpr Core::Duration CatchUpTime{100};
-
-}
-
 std::optional<Core::Duration> recordTick(StallDetector &detector, Core::Duration interval, Core::Instant now)
 {
     const std::optional<Core::Instant> expected = std::exchange(detector.m_nextTickAt, now + interval);
@@ -31,7 +24,7 @@
     if (isStalled) {
         return std::chrono::duration_cast<Core::Duration>(now - detector.m_lastTickAt);
     }
-    if (detector.m_lastTickBeforeStall && now - detector.m_lastTickAt < CatchUpTime) {
+    if (detector.m_lastTickBeforeStall) {
         return std::chrono::duration_cast<Core::Duration>(now - *detector.m_lastTickBeforeStall);
     }
     return Core::Duration(0);
--- a/Tests/LibHttp/TestConnectionEnd.cpp
+++ b/Tests/LibHttp/TestConnectionEnd.cpp
@@ -222,6 +222,25 @@
     CHECK_FALSE(caller.isReset());
 }
 
+TEST_CASE("A caller that goes on sending behind the last answer of its connection is refused a limited number of times")
+{
+    constexpr std::size_t sent = 100;
+    EndingServer server;
+    server.m_context->m_isClosing = true;
+    RawCaller caller(server.m_loop, server.m_listener->port());
+    caller.send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.received().find("Connection: close") != std::string::npos; }));
+    std::string requests;
+    for (std::size_t count = 0; count < sent; ++count) {
+        requests += Request;
+    }
+    caller.send(requests);
+    server.m_held->finish();
+    REQUIRE(runUntil(server.m_loop, [&caller] { return caller.isClosed(); }));
+    CHECK(countAnswers(caller.received(), "503") < sent);
+    CHECK_FALSE(caller.isReset());
+}
+
 TEST_CASE("A request that has not been read completely when the server ends is refused")
 {
     EndingServer server;
