LibEntry: Refuse requests that a leaving entry cannot end within its drain limit

Callers of an entry that was told to end had requests taken for one address lifetime after SIGTERM whatever their time limits were. Those that outlast the time after which the platform kills the process end with it, without an answer; callers cannot know whether they ran.

Cause: refusals asked for the phase of the entry alone, not whether a request ends before the process does. The drain limit is all that the entry knows of that time, and was only looked at when it had passed.

Now a leaving entry accepts a request only if its deadline lies half a second or more before the drain limit. Any other one gets "not-run" at once, with the addresses of other entries.

TestLeaving has a case for it. Found by reading.

--- a/Libraries/LibEntry/CallerServer.cpp
+++ b/Libraries/LibEntry/CallerServer.cpp
@@ -325,9 +325,9 @@
         response.sendBuffer(text.data(), text.size());
     }
 
-    std::optional<CallerError> refusal() const
+    std::optional<CallerError> refusal(Core::Instant deadline) const
     {
-        const std::optional<CallerError> leaving = refusalWhileDraining(m_frontend);
+        const std::optional<CallerError> leaving = refusalWhileLeaving(m_frontend, deadline);
         return leaving ? leaving : refusalUnlessReady(m_frontend);
     }
 
@@ -340,7 +340,7 @@
             sendError(response, inputError(!parsed ? parsed.error() : timeout.error()));
             return;
         }
-        if (const std::optional<CallerError> refused = refusal()) {
+        if (const std::optional<CallerError> refused = refusal(arrival + timeout.value())) {
             sendError(response, *refused);
             return;
         }
@@ -369,7 +369,7 @@
             sendError(response, inputError(!parsed ? parsed.error() : timeout.error()));
             return;
         }
-        if (const std::optional<CallerError> refused = refusal()) {
+        if (const std::optional<CallerError> refused = refusal(arrival + timeout.value())) {
             sendError(response, *refused);
             return;
         }
--- a/Libraries/LibEntry/Entry.cpp
+++ b/Libraries/LibEntry/Entry.cpp
@@ -5,6 +5,7 @@
 #include "LibTelemetry/MemoryGauges.h"
 
 #include <Poco/JSON/Array.h>
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace Entry {
@@ -16,6 +17,8 @@
 constexpr Core::Duration LifetimeMargin{500};
 /// Time for the network to transmit the last answer before connections are closed.
 constexpr Core::Duration FlushTime{200};
+/// Kept at the end of the drain limit. The answer to a request whose time is over follows its deadline by some hundred milliseconds.
+constexpr Core::Duration FinalAnswerTime{500};
 constexpr Core::Duration ClaimsLogTimeout{1500};
 
 Wire::NodeSettings nodeSettings(const EntrySettings &settings)
@@ -117,6 +120,7 @@
 void Entry::startLeaving()
 {
     LOG(INFO) << "entry is leaving";
+    m_frontend.m_requestsEndAt = Core::Clock::now() + m_settings.m_drainLimit - FinalAnswerTime;
     m_frontend.m_state = EntryState::Leaving;
     Protocol::Member self = m_settings.m_instance.m_member;
     self.m_leaving = true;
@@ -127,7 +131,7 @@
 bool Entry::awaitDrained()
 {
     const Core::Instant announced = Core::Clock::now();
-    std::this_thread::sleep_for(m_settings.m_addressLifetime + LifetimeMargin);
+    std::this_thread::sleep_for(std::min(m_settings.m_addressLifetime + LifetimeMargin, m_settings.m_drainLimit));
     m_frontend.m_state = EntryState::Draining;
     while (m_frontend.m_openRequests > 0) {
         if (Core::Clock::now() - announced > m_settings.m_drainLimit) {
--- a/Libraries/LibEntry/Entry.h
+++ b/Libraries/LibEntry/Entry.h
@@ -27,7 +27,7 @@
 
     /// Starts all workers and servers. Fails if an address cannot be listened on.
     Core::Result<void> start();
-    /// Announces that the entry is leaving. Its address is no longer given to callers, but requests are still served.
+    /// Announces that the entry is leaving. Its address is no longer given to callers, but requests that end within the drain limit are still served.
     void startLeaving();
     /// Serves for one address lifetime, during which callers may still use the address, then refuses new requests and waits for running ones.
     /// Returns false if the drain limit is reached first.
--- a/Libraries/LibEntry/Frontend.cpp
+++ b/Libraries/LibEntry/Frontend.cpp
@@ -34,9 +34,9 @@
     return addresses;
 }
 
-std::optional<CallerError> refusalWhileDraining(const Frontend &frontend)
+std::optional<CallerError> refusalWhileLeaving(const Frontend &frontend, Core::Instant deadline)
 {
-    if (frontend.m_state != EntryState::Draining) {
+    if (frontend.m_state != EntryState::Draining && deadline <= frontend.m_requestsEndAt.load()) {
         return std::nullopt;
     }
     CallerError error;
--- a/Libraries/LibEntry/Frontend.h
+++ b/Libraries/LibEntry/Frontend.h
@@ -37,14 +37,15 @@
     std::shared_ptr<Core::ByteBudget> m_requestMemory; ///< For the bodies of all requests.
     std::shared_ptr<Core::ByteBudget> m_answerMemory; ///< For what was received of all answers and has not been sent to their callers.
     std::atomic<EntryState> m_state = EntryState::Serving;
+    std::atomic<Core::Instant> m_requestsEndAt = Core::Instant::max(); ///< New requests must end by then. Set before m_state while leaving.
     std::atomic<std::size_t> m_openRequests = 0; ///< Requests that have not been answered completely.
 };
 
 /// Returns the addresses for callers of live entries, at most @p count, in random order. Includes this entry's address unless it is leaving.
 std::vector<std::string> callerAddresses(const Frontend &frontend, std::size_t count);
 
-/// Returns the refusal of new requests while draining; empty if requests are accepted.
-std::optional<CallerError> refusalWhileDraining(const Frontend &frontend);
+/// Returns the refusal of a new request with this deadline by an entry that is draining, or that ends before the deadline; empty if it is accepted.
+std::optional<CallerError> refusalWhileLeaving(const Frontend &frontend, Core::Instant deadline);
 /// Adds the addresses of other entries to any refusal of an entry that is leaving, whatever its reason.
 CallerError withOtherEntries(const Frontend &frontend, CallerError error);
 /// Returns the refusal of requests while no accepted state is known; empty if one is known.
--- a/Tests/Entry/TestLeaving.cpp
+++ b/Tests/Entry/TestLeaving.cpp
@@ -14,9 +14,9 @@
     TestEntry m_stayingEntry;
     TestEntry m_leavingEntry;
 
-    LeavingCluster()
+    explicit LeavingCluster(const std::function<void(Entry::EntrySettings &)> &adjustLeavingEntry = {})
         : m_stayingEntry("entry-1", publishedPlatform(), {})
-        , m_leavingEntry("entry-2", m_platform, {m_stayingEntry.member().m_wire})
+        , m_leavingEntry("entry-2", m_platform, {m_stayingEntry.member().m_wire}, adjustLeavingEntry)
     {
     }
 
@@ -92,3 +92,23 @@
     REQUIRE(refused.code() == "not-run");
     REQUIRE(refused.m_body.find(stayingEntry.member().m_callers.toString()) != std::string::npos);
 }
+
+TEST_CASE("a leaving entry refuses requests whose time limits lie beyond its drain limit")
+{
+    // Guards against requests that a leaving entry takes and that are cut when the platform ends it.
+    LeavingCluster cluster([](Entry::EntrySettings &settings) { settings.m_drainLimit = Core::Duration(60000); });
+    TestEntry &stayingEntry = cluster.m_stayingEntry;
+    TestEntry &leavingEntry = cluster.m_leavingEntry;
+    waitUntil([&leavingEntry] { return leavingEntry.generate().isComplete(); });
+    waitUntil([&leavingEntry, &stayingEntry] { return leavingEntry.addresses().find(stayingEntry.member().m_callers.toString()) != std::string::npos; });
+    REQUIRE(leavingEntry.generate({{"Oriolerail-Timeout-Ms", "120000"}}).isComplete());
+
+    leavingEntry.entry().startLeaving();
+    const HttpReply refused = leavingEntry.generate({{"Oriolerail-Timeout-Ms", "120000"}});
+    INFO("refusal: " << refused.m_body);
+    REQUIRE(refused.m_status == 503);
+    REQUIRE(refused.code() == "not-run");
+    REQUIRE(refused.m_body.find(stayingEntry.member().m_callers.toString()) != std::string::npos);
+    REQUIRE_FALSE(refused.m_keepsConnection);
+    REQUIRE(leavingEntry.generate({{"Oriolerail-Timeout-Ms", "10000"}}).isComplete());
+}
