LibEndpoint: Refuse calls that wait when the drain limit is reached as not run

Callers whose calls still waited in the queue of an agent that reached its drain limit got an unknown outcome, although the calls had not run: one with an idempotency key could not be sent elsewhere before its outcome was asked.

Cause: the pool dropped queued jobs without ending their calls, and the connections closed with them. An aborted call could also make room for a queued one, which began and was aborted at once. Refusals and errors that were written in the last moment were not flushed on this way out either.

Now queued attempts are recorded and refused as not run before running ones are aborted, and the connections close FlushDelay later.

TestPlainAgent and TestPriorityPool have a case each.

--- a/Libraries/LibEndpoint/Agent.cpp
+++ b/Libraries/LibEndpoint/Agent.cpp
@@ -124,6 +124,8 @@
     while (Core::Clock::now() - start < m_settings.m_workers.m_leaveNotice || !m_relay.isDrained()) {
         if (Core::Clock::now() - start > m_settings.m_workers.m_drainLimit) {
             LOG(WARNING) << "drain limit reached before the last answer was complete";
+            m_relay.stop();
+            std::this_thread::sleep_for(FlushDelay);
             return false;
         }
         std::this_thread::sleep_for(DrainPollInterval);
--- a/Libraries/LibEndpoint/Agent.h
+++ b/Libraries/LibEndpoint/Agent.h
@@ -34,7 +34,7 @@
     Core::Result<void> start();
     /// Announces that the instance is leaving and refuses new calls. Running calls continue.
     void startLeaving();
-    /// Waits until the leave notice has passed and no call is running. Returns false if the drain limit is reached first.
+    /// Waits until the leave notice has passed and no call is running. If the drain limit is reached first, ends the remaining calls and returns false.
     bool awaitDrained();
     void stop();
 
--- a/Libraries/LibEndpoint/LiveRelay.cpp
+++ b/Libraries/LibEndpoint/LiveRelay.cpp
@@ -98,6 +98,7 @@
 
 void LiveRelay::stop()
 {
+    refuseQueued(); // First, or an aborted attempt makes room for a queued one.
     {
         const std::lock_guard<std::mutex> lock(m_runningMutex);
         m_stopping = true;
@@ -112,6 +113,18 @@
     }
 }
 
+void LiveRelay::refuseQueued()
+{
+    for (const Job &job : m_pool.close()) {
+        {
+            const std::lock_guard<std::mutex> lock(m_attemptsMutex);
+            m_attempts.recordNotRun(job.m_request.m_attempt);
+        }
+        m_callsRefused.add();
+        job.m_responder.fail(Core::makeError(Core::ErrorCode::Unavailable, "begin attempt", m_parts.m_self.m_id, "the agent ends; it did not run"));
+    }
+}
+
 void LiveRelay::onCall(const Wire::IncomingCall &call)
 {
     const Core::Result<Protocol::LiveRequest> request = Wire::unpack<Protocol::LiveRequest>(call.m_body, call.m_peer);
--- a/Libraries/LibEndpoint/LiveRelay.h
+++ b/Libraries/LibEndpoint/LiveRelay.h
@@ -74,7 +74,7 @@
     LiveRelay &operator=(const LiveRelay &) = delete;
 
     void start();
-    /// Aborts running attempts and joins the threads.
+    /// Refuses queued attempts, aborts running ones and joins the threads.
     void stop();
 
     /// Handler of live.call; does not block.
@@ -109,6 +109,8 @@
         bool m_repeatable = true;
     };
 
+    /// Ends the queued attempts as not run. No attempt is accepted any more.
+    void refuseQueued();
     Core::Result<void> admit(const Protocol::LiveRequest &request);
     void run(Job &job);
     Core::Result<void> beginAttempt(const Job &job);
--- a/Libraries/LibEndpoint/PriorityPool.h
+++ b/Libraries/LibEndpoint/PriorityPool.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <vector>
 
 namespace Endpoint {
 
@@ -74,19 +75,32 @@
         return m_threads.size();
     }
 
+    /// Refuses further jobs and returns the queued ones, which do not run. Running jobs continue.
+    std::vector<Job> close()
+    {
+        std::vector<Job> queued;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            m_stopped = true;
+            for (std::pair<const std::int64_t, Job> &entry : m_queue) {
+                queued.push_back(std::move(entry.second));
+            }
+            m_queue.clear();
+        }
+        m_changed.notify_all();
+        return queued;
+    }
+
     /// Drops the queued jobs and waits for the running ones.
     void stop()
     {
+        close();
         std::list<std::thread> threads;
-        std::multimap<std::int64_t, Job> dropped;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            m_stopped = true;
-            dropped.swap(m_queue);
             threads.swap(m_threads);
             m_ended.clear();
         }
-        m_changed.notify_all();
         for (std::thread &thread : threads) {
             thread.join();
         }
--- a/Tests/Agent/TestPlainAgent.cpp
+++ b/Tests/Agent/TestPlainAgent.cpp
@@ -12,11 +12,13 @@
 {
     AgentFixture::HostedEndpoint<StandIn::PlainService> m_service{StandIn::ServiceSettings()};
     AgentFixture::Entry m_entry;
+    const Core::Duration m_drainLimit;
     Endpoint::AgentSettings m_settings;
     std::unique_ptr<Endpoint::Agent> m_agent;
     std::unique_ptr<EntryClient> m_client;
 
-    explicit PlainFixture(std::size_t threads = 64, std::size_t queue = 256)
+    explicit PlainFixture(std::size_t threads = 64, std::size_t queue = 256, Core::Duration drainLimit = Core::Duration(600000))
+        : m_drainLimit(drainLimit)
     {
         startAgent("life-1", threads, queue);
     }
@@ -28,6 +30,7 @@
         m_settings = AgentFixture::agentSettings(m_entry.m_address, m_entry.m_address, m_service.m_address, Endpoint::EndpointKind::Plain, incarnation);
         m_settings.m_relay.m_pool.m_maximumThreads = threads;
         m_settings.m_relay.m_pool.m_maximumQueue = queue;
+        m_settings.m_workers.m_drainLimit = m_drainLimit;
         m_agent = std::make_unique<Endpoint::Agent>(m_settings);
         REQUIRE(m_agent->start());
         m_client = std::make_unique<EntryClient>(m_settings.m_instance.m_member.m_wire);
@@ -123,6 +126,27 @@
     REQUIRE(fixture.effects() == 2);
 }
 
+TEST_CASE("a booking that waits when its agent reaches the drain limit is refused as not run")
+{
+    // Guards against bookings whose outcome is unknown to their callers although they never reached the service.
+    PlainFixture fixture(1, 256, Core::Duration(500));
+    fixture.m_service.setFaults(R"({"hang":true})");
+    const Protocol::LiveRequest second = AgentFixture::bookingRequest("b2", "key-2", "life-1");
+    const std::shared_ptr<EntryClient::Call> running = fixture.m_client->call(AgentFixture::bookingRequest("b1", "key-1", "life-1"));
+    waitUntil("the first to run", [&fixture] { return fixture.liveCount("running") == 1; });
+    const std::shared_ptr<EntryClient::Call> waiting = fixture.m_client->call(second);
+    waitUntil("the second to wait", [&fixture] { return fixture.liveCount("queued") == 1; });
+    fixture.m_agent->startLeaving();
+    REQUIRE_FALSE(fixture.m_agent->awaitDrained());
+    REQUIRE(fixture.m_client->outcome(second).m_outcome == Outcome::NeverRan);
+    fixture.m_agent->stop();
+    const Wire::CallEnd refused = waiting->waitForEnd();
+    REQUIRE(refused.m_error.m_code == Core::ErrorCode::Unavailable);
+    REQUIRE(refused.m_error.m_detail == "the agent ends; it did not run");
+    REQUIRE_FALSE(running->waitForEnd().m_succeeded);
+    fixture.m_service.setFaults(R"({"hang":false})");
+}
+
 TEST_CASE("a booking continues when its entry has disconnected, and its outcome can be requested")
 {
     // The entry's call ends after the booking was sent to the service. The caller's retry goes through another entry, which requests the outcome.
--- a/Tests/LibEndpoint/TestPriorityPool.cpp
+++ b/Tests/LibEndpoint/TestPriorityPool.cpp
@@ -64,3 +64,16 @@
     blocked.m_pool.stop();
     REQUIRE_FALSE(blocked.m_pool.tryPush(3, 0));
 }
+
+TEST_CASE("a closed pool returns its queued jobs in their order and runs none of them")
+{
+    // Guards against queued jobs that are dropped without a word, or that begin when a running one ends.
+    BlockedPool blocked(8);
+    REQUIRE(blocked.m_pool.tryPush(1, 0));
+    REQUIRE(blocked.m_pool.tryPush(2, 5));
+    REQUIRE(blocked.m_pool.close() == std::vector<int>{2, 1});
+    REQUIRE_FALSE(blocked.m_pool.tryPush(3, 0));
+    blocked.finish();
+    REQUIRE(blocked.m_pool.close().empty());
+    REQUIRE(blocked.m_ran == std::vector<int>{0});
+}
