LibJson: Limit the number of values of a document

An answer within its limit of bytes could use up the memory of an entry or agent: a page of 8 MiB that lists zeros has four million values, each of which takes some seventy bytes or more when parsed.

Only the depth of documents was limited. The values are now counted before parsing and limited to 65536; characters within texts do not count.

Found by reading.

--- a/Libraries/LibJson/Json.cpp
+++ b/Libraries/LibJson/Json.cpp
@@ -13,6 +13,25 @@
 namespace {
 
 constexpr std::size_t MaximumDepth = 16;
+/// Many times the values of a page of the log or of a manifest. A value of one character takes up to a hundred times its size in memory.
+constexpr std::size_t MaximumValues = 1 << 16;
+
+bool hasTooManyValues(std::string_view text)
+{
+    std::size_t values = 0;
+    bool isInText = false;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const char character = text[index];
+        if (isInText && character == '\\') {
+            ++index;
+        } else if (character == '"') {
+            isInText = !isInText;
+        } else if (!isInText && (character == ',' || character == '[' || character == '{')) {
+            ++values;
+        }
+    }
+    return values > MaximumValues;
+}
 
 Core::Error wrongField(const std::string &field, const std::string &expected)
 {
@@ -68,6 +87,9 @@
 
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text)
 {
+    if (hasTooManyValues(text)) {
+        return Core::makeError(Core::ErrorCode::InvalidInput, "read JSON", "", "more than " + std::to_string(MaximumValues) + " values");
+    }
     try {
         Poco::JSON::Parser parser;
         parser.setDepth(MaximumDepth);
--- a/Libraries/LibJson/Json.h
+++ b/Libraries/LibJson/Json.h
@@ -14,7 +14,7 @@
 /// Largest magnitude of a number, so that conversions to integers of 64 bits cannot overflow.
 inline constexpr double MaximumNumber = 1e15;
 
-/// Parses one object; fails with InvalidInput when it is malformed, nested too deep or not an object.
+/// Parses one object; fails with InvalidInput when it is malformed, nested too deep, not an object or has too many values.
 Core::Result<Poco::JSON::Object::Ptr> parseObject(const std::string &text);
 
 /// Each returns the value of a field, or fails with InvalidInput if the field is absent, has another type or is beyond MaximumNumber.
