LibHttp, platform: Limit what the answers of the log hold together

A log in trouble that answered all calls of a process with long bodies at once made it hold 8 MiB for each of them, and up to twice that while they grew: more than an entry of 112 MB has left beside what it keeps for callers and peers.

Found by reading.

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -283,6 +283,7 @@
 {
     CompleteAnswer m_answer;
     std::size_t m_maximumBytes = 0;
+    Core::ByteReservation m_memory; ///< For the body, until the callback has returned.
     std::function<void(Core::Result<CompleteAnswer>)> m_done;
 };
 
@@ -308,21 +309,27 @@
                                   const ClientRequest &request,
                                   ClientCallLimits limits,
                                   std::size_t maximumBytes,
-                                  std::function<void(Core::Result<CompleteAnswer>)> done)
+                                  std::function<void(Core::Result<CompleteAnswer>)> done,
+                                  std::shared_ptr<Core::ByteBudget> memory)
 {
     const std::shared_ptr<FetchState> state = std::make_shared<FetchState>();
     state->m_maximumBytes = maximumBytes;
     state->m_done = std::move(done);
+    state->m_memory = Core::ByteReservation(std::move(memory));
     ClientCallEvents events;
     events.m_onHead = [state](const AnswerHead &head) { state->m_answer.m_head = head; };
     const std::shared_ptr<std::weak_ptr<ClientCall>> ownCall = std::make_shared<std::weak_ptr<ClientCall>>();
     events.m_onData = [state, ownCall, name = peer.toString()](std::string_view bytes) {
-        if (state->m_answer.m_body.size() + bytes.size() <= state->m_maximumBytes) {
+        const std::size_t size = state->m_answer.m_body.size() + bytes.size();
+        if (size <= state->m_maximumBytes && state->m_memory.tryResize(size)) {
             state->m_answer.m_body.append(bytes);
             return;
         }
         // The call destroys this callback when it is cancelled.
-        Core::Error error = Core::makeError(Core::ErrorCode::Corrupt, "read answer", name, "the answer is longer than allowed");
+        Core::Error error = Core::makeError(Core::ErrorCode::Corrupt,
+                                            "read answer",
+                                            name,
+                                            size <= state->m_maximumBytes ? "no memory is left for the answer" : "the answer is longer than allowed");
         const std::function<void(Core::Result<CompleteAnswer>)> done = std::move(state->m_done);
         ownCall->lock()->cancel();
         done(std::move(error));
--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Address.h"
+#include "LibCore/ByteBudget.h"
 #include "LibCore/Clock.h"
 #include "LibHttp/Body.h"
 #include "LibHttp/BodyEnd.h"
@@ -117,13 +118,15 @@
  * Makes a call and reads the complete answer, with at most @p maximumBytes of body. If the body ends with its connection, it may be truncated, and its reader
  * must be able to tell from the content. Fails with Ambiguous if the request may have reached the
  * peer, with Corrupt if the answer is malformed or too long, and otherwise with Timeout if no connection was established within the limit, for example because
- * the peer is frozen, or with Unavailable if the peer refused it.
+ * the peer is frozen, or with Unavailable if the peer refused it. The bodies of all calls with the same @p memory are limited together; a call whose body
+ * finds none fails with Corrupt like one that is too long.
  */
 std::shared_ptr<ClientCall> fetch(EventLoop &loop,
                                   const Core::Address &peer,
                                   const ClientRequest &request,
                                   ClientCallLimits limits,
                                   std::size_t maximumBytes,
-                                  std::function<void(Core::Result<CompleteAnswer>)> done);
+                                  std::function<void(Core::Result<CompleteAnswer>)> done,
+                                  std::shared_ptr<Core::ByteBudget> memory = nullptr);
 
 }
--- a/Tests/LibHttp/TestClientCall.cpp
+++ b/Tests/LibHttp/TestClientCall.cpp
@@ -277,3 +277,30 @@
     bool wasClosed = false;
     CHECK_FALSE(fetchFrom("HTTP/1.1 200 OK\r\n\r\n", "x", limits, wasClosed));
 }
+
+TEST_CASE("Answers that are read at the same time hold no more memory together than they may")
+{
+    // Guards against a process whose memory the answers of all its calls exceed together, although each is within its limit.
+    constexpr std::size_t calls = 8;
+    constexpr std::size_t bodyBytes = 100000;
+    Http::EventLoop loop;
+    TestSupport::ScriptedServer server(loop, [](const std::shared_ptr<TestSupport::ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(bodyBytes, 'x'));
+    });
+    const std::shared_ptr<Core::ByteBudget> memory = std::make_shared<Core::ByteBudget>(3 * bodyBytes);
+    const Http::ClientCallLimits limits{Core::Duration(500), Core::Duration(500), Core::Duration(500)};
+    std::size_t failures = 0;
+    for (std::size_t count = 0; count < calls; ++count) {
+        Http::fetch(
+            loop,
+            Core::Address{"127.0.0.1", server.port()},
+            Http::ClientRequest{},
+            limits,
+            1000000,
+            [&failures](const Core::Result<Http::CompleteAnswer> &answer) { failures += answer ? 0 : 1; },
+            memory);
+    }
+    CHECK(TestSupport::runUntil(loop, [&failures] { return failures == calls; }));
+    CHECK(memory->peak() <= memory->limit());
+    CHECK(TestSupport::runUntil(loop, [&memory] { return memory->held() == 0; }));
+}
