LibWire: Keep little of a long name of a method

Each open call reserves 1 KiB, but a path in its head may have up to 64 KiB, which was kept as the name of the method until the call ended. The calls that a process accepts could so hold many times the memory of its peers.

The first 128 bytes are kept, more than the name of any method has.

Found by reading.

--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -16,6 +16,7 @@
 constexpr std::int32_t ConnectionWindow = 16 << 20;
 constexpr std::size_t FrameHeaderBytes = 9;
 constexpr std::size_t StreamBytes = 1 << 10; ///< Held for a stream besides its data.
+constexpr std::size_t MaximumMethodBytes = 128; ///< Of a method's name that are kept; the names of all methods are shorter.
 constexpr std::size_t LargeStreamBytes = 64 << 10; ///< A stream that holds more than this is a large one.
 /// Large streams may fill this part of the memory, so that connections and small messages always find some.
 constexpr std::size_t LargeStreamParts = 3;
@@ -479,7 +480,7 @@
     const std::string_view header(reinterpret_cast<const char *>(name), nameLength);
     const std::string text(reinterpret_cast<const char *>(value), valueLength);
     if (header == ":path" && text.size() > 1) {
-        found->second.m_method = text.substr(1);
+        found->second.m_method = text.substr(1, MaximumMethodBytes);
         found->second.m_purpose = purposeOf(found->second.m_method);
     } else if (header == TimeoutHeader) {
         found->second.m_timeout = parseTimeout(text);
--- a/Tests/LibWire/TestMemory.cpp
+++ b/Tests/LibWire/TestMemory.cpp
@@ -46,3 +46,21 @@
     CHECK(large.error().m_code == Core::ErrorCode::Overloaded);
     CHECK(client.request(address, "live.echo", std::string(100 << 10, 'x'), Core::Duration(5000)));
 }
+
+TEST_CASE("Of a long name of a method little is kept")
+{
+    // Guards against calls whose names hold memory that the node has not reserved.
+    Telemetry::Metrics metrics;
+    const Core::Address address = Network::freeLoopbackAddress();
+    Wire::NodeSettings settings;
+    settings.m_listen = address;
+    Wire::Node server(settings, metrics);
+    REQUIRE(server.start());
+    Telemetry::Metrics clientMetrics;
+    Wire::Node client(Wire::NodeSettings{}, clientMetrics);
+    REQUIRE(client.start());
+    const Core::Result<std::string> answer = client.request(address, std::string(8 << 10, 'm'), "x", Core::Duration(5000));
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().m_code == Core::ErrorCode::NotFound);
+    CHECK(answer.error().m_detail.size() < 1000);
+}
