LibTransfer: Limit the whole time of a body from the origin

An origin that sent a chunk byte by byte held a connection of an agent for hours, and an agent that was to end waited for it.

Only the wait for the next byte was limited, and the stream was read until a buffer was full.

A head that comes byte by byte is still limited only by its size.

Found by reading.

--- a/Libraries/LibTransfer/OriginClient.cpp
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -22,15 +22,19 @@
     return Poco::Timespan(duration.count() * microsecondsPerMillisecond);
 }
 
-/// Reads up to one byte more than the limit, so that an excessive length can be detected.
-std::string readBounded(std::istream &stream, std::size_t maximumBytes)
+/// Reads up to one byte more than the limit, so that an excessive length can be detected. Throws if the body has not ended at @p endsBy.
+std::string readBounded(std::istream &stream, std::size_t maximumBytes, Core::Instant endsBy)
 {
     std::string body;
     std::string buffer(ReadBufferBytes, '\0');
-    while (stream && body.size() <= maximumBytes) {
+    // read() would wait for all wanted bytes however slowly they come; peek() waits for the next ones.
+    while (body.size() <= maximumBytes && stream.peek() != std::istream::traits_type::eof()) {
+        if (Core::Clock::now() > endsBy) {
+            throw Poco::TimeoutException("the body did not end within the limit");
+        }
         const std::size_t wanted = std::min(buffer.size(), maximumBytes + 1 - body.size());
-        stream.read(buffer.data(), static_cast<std::streamsize>(wanted));
-        body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+        const std::streamsize size = stream.readsome(buffer.data(), static_cast<std::streamsize>(wanted));
+        body.append(buffer.data(), static_cast<std::size_t>(size));
     }
     return body;
 }
@@ -102,7 +106,7 @@
         m_session->sendRequest(httpRequest);
         Poco::Net::HTTPResponse response;
         std::istream &stream = m_session->receiveResponse(response);
-        std::string body = readBounded(stream, maximumBytes);
+        std::string body = readBounded(stream, maximumBytes, Core::Clock::now() + m_timeouts.m_body);
         const bool keepsSession = response.getKeepAlive() && body.size() <= maximumBytes;
         if (!keepsSession) {
             m_session.reset();
