LibNetwork, LibPlatform: Limit the whole time of an answer that is read by a thread

A service that sent an answer byte by byte held the thread that read it for as long as it liked; a head of 16 KiB at one byte every 50 ms takes 14 minutes, a page of the log weeks.

Only the wait for the next bytes was limited. An answer can now be given a time limit, and exchangeHttp() sets 60 s. It is checked between reads, so that one wait may exceed it.

Found by reading.

--- a/Libraries/LibNetwork/HttpAnswerReader.cpp
+++ b/Libraries/LibNetwork/HttpAnswerReader.cpp
@@ -35,9 +35,18 @@
     {
     }
 
+    void setEnd(Core::Instant endsBy)
+    {
+        m_endsBy = endsBy;
+    }
+
     template <typename Buffers>
     std::size_t read_some(const Buffers &buffers, boost::system::error_code &error)
     {
+        if (m_endsBy && Core::Clock::now() > *m_endsBy) {
+            error = Asio::error::timed_out;
+            return 0;
+        }
         const Asio::mutable_buffer buffer = *Asio::buffer_sequence_begin(buffers);
         try {
             const int size = m_socket.receiveBytes(buffer.data(), static_cast<int>(std::min<std::size_t>(buffer.size(), ReadBytes)));
@@ -65,6 +74,7 @@
 
 private:
     Poco::Net::StreamSocket m_socket;
+    std::optional<Core::Instant> m_endsBy;
 };
 // NOLINTEND(readability-identifier-naming)
 
@@ -94,6 +104,11 @@
 
 HttpAnswerReader::~HttpAnswerReader() = default;
 
+void HttpAnswerReader::setTimeLimit(Core::Duration limit)
+{
+    m_state->m_stream.setEnd(Core::Clock::now() + limit);
+}
+
 Core::Result<void> HttpAnswerReader::readHead()
 {
     for (std::size_t heads = 0; heads < MaximumHeads; ++heads) {
--- a/Libraries/LibNetwork/HttpAnswerReader.h
+++ b/Libraries/LibNetwork/HttpAnswerReader.h
@@ -1,6 +1,7 @@
 /// @file Reads one HTTP answer from a blocking connection and tells a complete body from one that was cut.
 #pragma once
 
+#include "LibCore/Clock.h"
 #include "LibCore/Error.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -25,6 +26,8 @@
     HttpAnswerReader(const HttpAnswerReader &) = delete;
     HttpAnswerReader &operator=(const HttpAnswerReader &) = delete;
 
+    /// Limits the time from now to the end of the answer. Without it only each wait is limited, by the socket, and an answer may come byte by byte for ever.
+    void setTimeLimit(Core::Duration limit);
     /// Reads the head; interim answers are skipped. Must be called first, and once.
     Core::Result<void> readHead();
     int status() const;
--- a/Libraries/LibPlatform/HttpExchange.cpp
+++ b/Libraries/LibPlatform/HttpExchange.cpp
@@ -37,6 +37,7 @@
         return Core::makeError(Core::ErrorCode::Ambiguous, request.m_step, peer, "the request was broken off");
     }
     Network::HttpAnswerReader reader(socket.value(), request.m_step, peer);
+    reader.setTimeLimit(request.m_answerTimeout);
     BOOST_OUTCOME_TRYV(reader.readHead());
     HttpAnswer answer;
     answer.m_status = reader.status();
--- a/Libraries/LibPlatform/HttpExchange.h
+++ b/Libraries/LibPlatform/HttpExchange.h
@@ -16,6 +16,7 @@
     std::string m_target; ///< Path and query.
     std::string m_body;
     Core::Duration m_timeout{3000}; ///< Limit for each wait for the server.
+    Core::Duration m_answerTimeout{60000}; ///< For the whole answer, which otherwise may go on for as long as bytes keep coming.
     std::size_t m_maximumAnswerBytes = 16 << 20; ///< Larger answers fail with Corrupt.
 };
 
--- /dev/null
+++ b/Tests/LibNetwork/TestHttpAnswerReader.cpp
@@ -0,0 +1,42 @@
+/// @file Tests that an answer which comes byte by byte holds a thread for a limited time.
+
+#include "LibNetwork/HttpAnswerReader.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <thread>
+
+TEST_CASE("Reading an answer ends although its head or its body goes on byte by byte")
+{
+    // Guards against a thread that a slow service holds for hours, since each byte comes within the time limit of one wait.
+    const bool isHead = GENERATE(true, false);
+    CAPTURE(isHead);
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::StreamSocket client(listener.address());
+    client.setReceiveTimeout(Poco::Timespan(2, 0));
+    Poco::Net::StreamSocket server = listener.acceptConnection();
+    std::atomic<bool> hasEnded = false;
+    std::thread sender([&server, &hasEnded, isHead] {
+        const std::string start = std::string("HTTP/1.1 200 OK\r\n") + (isHead ? "X: " : "Content-Length: 1000000\r\n\r\n");
+        server.sendBytes(start.data(), static_cast<int>(start.size()), MSG_NOSIGNAL);
+        for (int bytes = 0; bytes < 200 && !hasEnded; ++bytes) {
+            server.sendBytes("x", 1, MSG_NOSIGNAL);
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+    });
+    const Core::Instant begin = Core::Clock::now();
+    Network::HttpAnswerReader reader(client, "read", "server");
+    reader.setTimeLimit(Core::Duration(500));
+    Core::Result<void> result = reader.readHead();
+    CHECK(result.has_value() == !isHead);
+    if (result) {
+        std::string body;
+        result = reader.readRest(body, 1 << 20);
+    }
+    CHECK_FALSE(result);
+    CHECK(Core::Clock::now() - begin < Core::Duration(5000));
+    hasEnded = true;
+    sender.join();
+}
