LibSettings: Read no more of a file than a document may have

A file without an end was read until the memory was used up; its size was checked only afterwards.

Found by reading.

--- a/Libraries/LibSettings/Reader.cpp
+++ b/Libraries/LibSettings/Reader.cpp
@@ -339,9 +339,10 @@
     if (!stream) {
         return {Problem{path, 0, "document", "the file cannot be read"}};
     }
-    std::ostringstream content;
-    content << stream.rdbuf();
-    return readDocument(content.str(), path, read, limits);
+    std::string content(limits.m_maximumBytes + 1, '\0'); // One byte more shows that a file is too long.
+    stream.read(content.data(), static_cast<std::streamsize>(content.size()));
+    content.resize(static_cast<std::size_t>(stream.gcount()));
+    return readDocument(content, path, read, limits);
 }
 
 }
--- a/Tests/LibSettings/TestReader.cpp
+++ b/Tests/LibSettings/TestReader.cpp
@@ -61,3 +61,11 @@
     REQUIRE(readExample(std::string(10000, '[')).size() == 1);
     REQUIRE(readExample("name: [").size() == 1);
 }
+
+TEST_CASE("A file without an end is a problem")
+{
+    // Guards against a program that reads such a file until its memory is used up.
+    const Settings::Problems problems = Settings::readFile("/dev/zero", [](Settings::Reader &) {});
+    REQUIRE(problems.size() == 1);
+    CHECK(problems.front().m_expected.starts_with("expected at most"));
+}
