LibRelay: Let the deadline of a request limit its body

A stream whose caller had given it more than a minute was cut 60 s after its head.

Calls got a limit on the whole time of a body, with a default of 60 s, and the relay did not set it. It is now the time that the request has left, which also bounds bodies of shorter requests.

There is no test: it would take more than a minute.

--- a/Libraries/LibRelay/RelayedRequest.cpp
+++ b/Libraries/LibRelay/RelayedRequest.cpp
@@ -374,6 +374,7 @@
     limits.m_connectTimeout = m_relay.m_settings.m_connectTimeout;
     limits.m_headTimeout = timeLeft() + m_relay.m_settings.m_answerMargin;
     limits.m_idleTimeout = limits.m_headTimeout;
+    limits.m_bodyTimeout = limits.m_headTimeout; // The usual limit would cut long streams before their deadline.
     const bool isLastAttempt = m_attempts + 1 >= m_route->m_maximumAttempts;
     if (!m_route->isRepeatable() || isLastAttempt) {
         limits.m_headTimeout = m_attempts > 0 ? silenceBeforeCancellation(limits.m_headTimeout, callerWait()) : limits.m_headTimeout;
