--- a/Libraries/LibJson/Json.cpp
+++ b/Libraries/LibJson/Json.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::size_t MaximumDepth = 16;
 /// Many times the values of a page of the log or of a manifest. A value of one character takes up to a hundred times its size in memory.
-constexpr std::size_t MaximumValues = 1 << 16;
+constexpr std::size_t MaximumValues = 1 << 18;
 
 bool hasTooManyValues(std::string_view text)
 {
