Tests: Share what callers of a relay receive, and let scripted peers leave requests unread

For tests of broken answers: the caller's view of an answer moves from TestInterruptedAnswers into Tests/Support unchanged and can send a body; scripted peers can stop reading, end their side in order, and act after a delay; raw callers can send more than the kernel holds.

--- a/Tests/LibRelay/TestInterruptedAnswers.cpp
+++ b/Tests/LibRelay/TestInterruptedAnswers.cpp
@@ -1,8 +1,10 @@
 /// @file Tests that an answer which its endpoint has broken off never looks complete to the caller, however the endpoint delimits it.
 
-#include "../Support/RelayFixture.h"
+#include "../Support/ReceivedAnswer.h"
 
 using TestSupport::RawCaller;
+using TestSupport::receive;
+using TestSupport::Received;
 using TestSupport::RelayFixture;
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
@@ -61,60 +63,6 @@
 
 constexpr const char *PartOfEvent = "id: 3\nda";
 
-/// What a caller has received.
-struct Received
-{
-    std::string m_head;
-    std::string m_body; ///< As received, with the sizes of its chunks.
-    bool m_isClosed = false;
-    bool m_isReset = false;
-
-    /// Returns whether the framing states that the body is complete.
-    bool looksComplete() const
-    {
-        if (m_head.find("Transfer-Encoding: chunked") != std::string::npos) {
-            return m_body.ends_with("0\r\n\r\n");
-        }
-        const std::size_t length = m_head.find("Content-Length: ");
-        if (length != std::string::npos) {
-            return m_body.size() == std::stoul(m_head.substr(length + std::string("Content-Length: ").size()));
-        }
-        return m_isClosed && !m_isReset;
-    }
-
-    /// Returns the ids of the events, of one digit each.
-    std::string eventIds() const
-    {
-        std::string ids;
-        for (std::size_t at = m_body.find("id: "); at != std::string::npos; at = m_body.find("id: ", at + 1)) {
-            ids += m_body.substr(at + 4, 1);
-        }
-        return ids;
-    }
-};
-
-/// Sends a request and waits until the answer is complete or the connection ends.
-Received receive(RelayFixture &fixture, const std::string &requestLine)
-{
-    RawCaller caller(fixture.m_loop, fixture.m_listener->port());
-    caller.send(requestLine + "\r\nHost: a\r\nAttempt: 1\r\nKey: k\r\n\r\n");
-    Received received;
-    const bool hasEnded = runUntil(fixture.m_loop, [&] {
-        const std::string &bytes = caller.received();
-        const std::size_t headEnd = bytes.find("\r\n\r\n");
-        received.m_isClosed = caller.isClosed();
-        received.m_isReset = caller.isReset();
-        if (headEnd == std::string::npos) {
-            return received.m_isClosed;
-        }
-        received.m_head = bytes.substr(0, headEnd + 2);
-        received.m_body = bytes.substr(headEnd + 4);
-        return received.m_isClosed || received.looksComplete();
-    });
-    REQUIRE(hasEnded);
-    return received;
-}
-
 /// Adds an endpoint that answers every request with the body.
 void addAnsweringEndpoint(RelayFixture &fixture, Delimiter delimiter, const std::string &body, Ending ending)
 {
--- a/Tests/Support/LoopbackPeer.h
+++ b/Tests/Support/LoopbackPeer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "LibCore/Address.h"
+#include "LibCore/Clock.h"
 #include "LibHttp/EventLoop.h"
 
 #include <boost/asio/connect.hpp>
@@ -54,6 +55,13 @@
         boost::asio::write(m_socket, boost::asio::buffer(bytes));
     }
 
+    /// Sends while the loop runs, for more than the kernel holds. A peer that reads no more ends it.
+    void sendInBackground(const std::string &bytes)
+    {
+        const std::shared_ptr<std::string> held = std::make_shared<std::string>(bytes);
+        boost::asio::async_write(m_socket, boost::asio::buffer(*held), [held](const boost::system::error_code &, std::size_t) {});
+    }
+
     void close()
     {
         m_socket.close();
@@ -132,6 +140,30 @@
         m_socket.close();
     }
 
+    /// Ends what this side sends, in order. The connection stays open.
+    void shutDownSending()
+    {
+        boost::system::error_code ignored; // The peer may have disconnected.
+        m_socket.shutdown(Http::Socket::shutdown_send, ignored);
+    }
+
+    /// Leaves the rest of the request unread.
+    void stopReading()
+    {
+        m_isReading = false;
+    }
+
+    /// Runs the action after the delay, at once if it is 0.
+    void after(Core::Duration delay, const std::function<void()> &action)
+    {
+        if (delay.count() == 0) {
+            action();
+            return;
+        }
+        const std::shared_ptr<Http::Timer> timer = std::make_shared<Http::Timer>(m_socket.get_executor(), delay);
+        timer->async_wait([timer, action](const boost::system::error_code &) { action(); });
+    }
+
     bool isDisconnected() const
     {
         return m_isDisconnected;
@@ -151,7 +183,9 @@
                                          self->m_requestDelivered = true;
                                          onRequest();
                                      }
-                                     self->readRequest(onRequest);
+                                     if (self->m_isReading) {
+                                         self->readRequest(onRequest);
+                                     }
                                  });
     }
 
@@ -160,6 +194,7 @@
     std::array<char, 4096> m_buffer{};
     std::string m_request;
     bool m_requestDelivered = false;
+    bool m_isReading = true;
     bool m_isDisconnected = false;
 };
 
