LibHttp, LibNetwork: Take no answer with an invalid status

What callers saw: an engine in trouble sent an answer with status 000, and the caller got it as the answer. So did 001 and 099; 600, 700 and 999 reached the callers of requests that run once, and of others after all attempts.

Cause: the parser accepts any three digits. ClientCall refused 100 to 199 only, and the relay asks for seal and attempt id only between 200 and 299, so that every other number was an engine's failure to be passed on. HttpAnswerReader took 000 to 199 for interim answers, so that what followed the head, such as a body, was read as the next answer, and passed 600 to 999 on. An agent took such an answer to a load order or to a staged chunk for a rejection, although it shows nothing of the kind.

Change: only 200 to 599 are final and only 100 to 199 interim (RFC 9110, section 15); both readers refuse the rest. The RFC lets a client treat an invalid status as 5xx; a gateway that receives an invalid answer says 502, and passing the number on would leave that choice to every caller. So a request that may run again goes to another endpoint, and one that may not gets 502, also if the answer claims that it has not run. attempt_failed and the request's line say "the invalid status N".

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -4,6 +4,7 @@
 
 #include "LibHttp/ProgressTimer.h"
 #include "LibHttp/SocketOptions.h"
+#include "LibNetwork/HttpStatus.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -195,10 +196,14 @@
     if (m_state->m_parser.content_length()) {
         head.m_contentLength = *m_state->m_parser.content_length();
     }
-    if (head.m_status >= 100 && head.m_status < 200) {
+    if (Network::isInterimStatus(head.m_status)) {
         end(false, Core::ErrorCode::Corrupt, "await answer", "an interim answer that was not asked for");
         return;
     }
+    if (!Network::isFinalStatus(head.m_status)) {
+        end(false, Core::ErrorCode::Corrupt, "await answer", "the invalid status " + std::to_string(head.m_status));
+        return;
+    }
     if (!hasKnownTransferCoding(head.m_fields)) {
         end(false, Core::ErrorCode::Corrupt, "await answer", "the body has an unknown transfer coding");
         return;
--- a/Libraries/LibNetwork/HttpAnswerReader.cpp
+++ b/Libraries/LibNetwork/HttpAnswerReader.cpp
@@ -2,6 +2,8 @@
 
 #include "LibNetwork/HttpAnswerReader.h"
 
+#include "LibNetwork/HttpStatus.h"
+
 #include <Poco/Net/NetException.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -22,7 +24,6 @@
 constexpr std::uint32_t MaximumHeadBytes = 16 << 10;
 constexpr std::size_t MaximumBufferedBytes = 64 << 10; ///< Of what the parser cannot use yet, such as a chunk's size that does not end.
 constexpr std::uint64_t UnlimitedBodyBytes = std::numeric_limits<std::int64_t>::max(); ///< Beast 1.74 rejects answers with a length if no limit is set.
-constexpr unsigned FirstFinalStatus = 200;
 constexpr std::size_t MaximumHeads = 8; ///< Interim answers and the final one.
 
 /// A POCO socket as Beast's functions read it; they need its method to have this name.
@@ -120,9 +121,12 @@
         if (failure) {
             return error("no whole answer: " + failure.message());
         }
-        if (m_state->m_parser->get().result_int() >= FirstFinalStatus) {
+        if (isFinalStatus(status())) {
             return Core::success();
         }
+        if (!isInterimStatus(status())) {
+            return error("the invalid status " + std::to_string(status()));
+        }
     }
     return error("interim answers without an end");
 }
--- a/Tests/LibNetwork/TestHttpAnswerReader.cpp
+++ b/Tests/LibNetwork/TestHttpAnswerReader.cpp
@@ -1,4 +1,4 @@
-/// @file Tests that an answer which comes byte by byte holds a thread for a limited time.
+/// @file Tests that an answer which comes byte by byte holds a thread for a limited time, and that a broken one is an error.
 
 #include "LibNetwork/HttpAnswerReader.h"
 
@@ -8,6 +8,46 @@
 #include <sys/socket.h>
 #include <thread>
 
+namespace {
+
+/// Returns the body of the final answer in what a server sends before it closes the connection.
+Core::Result<std::string> readAnswer(const std::string &bytes)
+{
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::StreamSocket client(listener.address());
+    client.setReceiveTimeout(Poco::Timespan(5, 0));
+    Poco::Net::StreamSocket server = listener.acceptConnection();
+    server.sendBytes(bytes.data(), static_cast<int>(bytes.size()), MSG_NOSIGNAL);
+    server.close();
+    Network::HttpAnswerReader reader(client, "read", "server");
+    BOOST_OUTCOME_TRYV(reader.readHead());
+    std::string body;
+    constexpr std::size_t maximumBytes = 100;
+    BOOST_OUTCOME_TRYV(reader.readRest(body, maximumBytes));
+    return body;
+}
+
+const std::string WholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+
+}
+
+TEST_CASE("An answer with an invalid status is an error, whatever follows it")
+{
+    // Guards against statuses that the parser takes for those of interim answers, so that bytes behind them are read as the answer.
+    const std::string status = GENERATE("000", "001", "099", "600", "700", "999");
+    CAPTURE(status);
+    const Core::Result<std::string> body = readAnswer("HTTP/1.1 " + status + " Broken\r\nContent-Length: 0\r\n\r\n" + WholeAnswer);
+    REQUIRE_FALSE(body);
+    CHECK(body.error().m_code == Core::ErrorCode::Ambiguous);
+}
+
+TEST_CASE("The answer behind interim ones is read")
+{
+    const Core::Result<std::string> body = readAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + WholeAnswer);
+    REQUIRE(body);
+    CHECK(body.value() == "body");
+}
+
 TEST_CASE("Reading an answer ends although its head or its body goes on byte by byte")
 {
     // Guards against a thread that a slow service holds for hours, since each byte comes within the time limit of one wait.
--- /dev/null
+++ b/Tests/LibRelay/TestBrokenAnswers.cpp
@@ -0,0 +1,129 @@
+/// @file Tests that what an endpoint in trouble sends in place of an answer reaches no caller as one.
+
+#include "../Support/ReceivedAnswer.h"
+
+using TestSupport::FirstEvent;
+using TestSupport::Good;
+using TestSupport::LastEvent;
+using TestSupport::receive;
+using TestSupport::Received;
+using TestSupport::RelayFixture;
+using TestSupport::ScriptedConnection;
+using TestSupport::ScriptedServer;
+using TestSupport::StreamHead;
+
+namespace {
+
+constexpr const char *RunsOnce = "/book/x";
+constexpr const char *Stream = "/stream/x";
+constexpr const char *Evil = "evil"; ///< In all that a broken answer holds and a caller must not receive.
+
+/// Sends the whole answer that the path asks for.
+void sendWhole(const std::shared_ptr<ScriptedConnection> &connection, const std::string &path)
+{
+    connection->send(path == Stream ? StreamHead + std::string(FirstEvent) + LastEvent : Good);
+}
+
+/// What the caller received of a request to endpoints of which the first ones to be asked are in trouble, and how many were asked.
+struct BrokenAnswer
+{
+    Received m_received;
+    std::size_t m_asked = 0;
+
+    BrokenAnswer(const std::string &path, std::size_t troubled, const ScriptedServer::Script &answerBroken, const std::string &requestBody = {})
+    {
+        constexpr std::uint32_t maximumBodyBytes = 16 << 20;
+        RelayFixture fixture;
+        fixture.configure();
+        fixture.m_context->m_limits.m_maximumBodyBytes = maximumBodyBytes;
+        const ScriptedServer::Script script = [&](const std::shared_ptr<ScriptedConnection> &connection) {
+            if (fixture.m_requests.size() <= troubled) {
+                answerBroken(connection);
+            } else {
+                sendWhole(connection, path);
+            }
+        };
+        fixture.addEndpoint(script);
+        fixture.addEndpoint(script);
+        m_received = receive(fixture, (requestBody.empty() ? "GET " : "POST ") + path + " HTTP/1.1", requestBody);
+        m_asked = fixture.m_requests.size();
+    }
+
+    bool isWholeAnswer(const std::string &path) const
+    {
+        const bool isWhole = path == Stream ? m_received.eventIds() == "12" : m_received.m_body == "done";
+        return m_received.status() == "200" && m_received.looksComplete() && isWhole;
+    }
+
+    /// Returns whether the caller got the relay's own failure, which does not promise that the request has not run.
+    bool isOwnFailure() const
+    {
+        return m_received.status() == "502" && m_received.looksComplete() && m_received.m_head.find("Seal") == std::string::npos
+            && m_received.m_head.find("Retry-After") == std::string::npos;
+    }
+
+    bool holdsEvil() const
+    {
+        return (m_received.m_head + m_received.m_body).find(Evil) != std::string::npos;
+    }
+};
+
+/// Checks what callers get if the first endpoint, or every one, sends @p bytes in place of an answer to this path.
+void checkRejected(const std::string &path, const std::string &bytes)
+{
+    CAPTURE(path, bytes);
+    const ScriptedServer::Script script = [&bytes](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send(bytes);
+        connection->close();
+    };
+    const BrokenAnswer once(path, 1, script);
+    CHECK_FALSE(once.holdsEvil());
+    if (path == RunsOnce) {
+        CHECK(once.isOwnFailure());
+        CHECK(once.m_asked == 1);
+        return;
+    }
+    CHECK(once.isWholeAnswer(path));
+    const BrokenAnswer always(path, 2, script);
+    CHECK_FALSE(always.holdsEvil());
+    CHECK(always.isOwnFailure());
+    CHECK(always.m_asked == 2);
+}
+
+const std::string Sealed = "Attempt: 1\r\nSeal: s\r\n";
+const std::string Body = "Content-Length: 4\r\n\r\nevil";
+
+}
+
+TEST_CASE("An answer with an invalid status is not passed on, and its request goes to another endpoint if it may run again")
+{
+    // Guards against statuses of three digits that the parser takes and HTTP does not define.
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce, Stream);
+    const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "700", "999");
+    const std::string seal = GENERATE(as<std::string>{}, "", "Attempt: 1\r\n", "Attempt: 1\r\nSeal: s\r\n");
+    checkRejected(path, "HTTP/1.1 " + status + " evil\r\n" + seal + Body);
+}
+
+TEST_CASE("An answer with an invalid status and that promises not to have run is not taken at its word")
+{
+    const std::string status = GENERATE(as<std::string>{}, "000", "600");
+    checkRejected(RunsOnce, "HTTP/1.1 " + status + " evil\r\nNot-Run: 1\r\n" + Sealed + Body);
+}
+
+TEST_CASE("A stream does not go on with an answer with an invalid status")
+{
+    const std::string status = GENERATE(as<std::string>{}, "000", "099", "600", "999");
+    CAPTURE(status);
+    std::size_t asked = 0;
+    const BrokenAnswer broken(Stream, 2, [&](const std::shared_ptr<ScriptedConnection> &connection) {
+        if (++asked == 1) {
+            connection->send(StreamHead + std::string(FirstEvent));
+            connection->reset();
+        } else {
+            connection->send("HTTP/1.1 " + status + " evil\r\n" + Sealed + Body);
+        }
+    });
+    CHECK(broken.m_received.eventIds() == "1");
+    CHECK_FALSE(broken.m_received.looksComplete());
+    CHECK_FALSE(broken.holdsEvil());
+}
