LibHttp: Do not take a part of an answer for the whole when the write sees the reset

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: a socket reports the error of its connection once. While the request is written, write and read both wait; the write takes ECONNRESET, its completion ignored all errors, and the read that follows meets an orderly end, which for an answer without a length is its end. The comment that a failed write also fails the read was wrong.

Change: the write's error is kept. If the answer ends with its connection and the write has met an error of the connection, the answer is cut. If the head comes after such an error, it is not passed on at all, so that another endpoint can be asked. The write may have got the error without having reported it: at the end of such an answer the socket is closed, which ends the write with the error that it has, or with that of the close.

An answer that ended in order stays whole, whether or not its request has been written and whatever comes behind its end: the kernel reports a reset behind the peer's end as a broken pipe. Answers with a length or chunks are judged by these alone, as before. An engine that closes the connection with the upload unread is reset by its kernel, and its answer without a length counts as cut, since nothing tells it from a part.

--- a/Libraries/LibHttp/ClientCall.cpp
+++ b/Libraries/LibHttp/ClientCall.cpp
@@ -24,6 +24,7 @@
 constexpr Core::Duration SilenceCheckInterval{100}; ///< Interval at which the owner of a silent call is asked again whether it ends.
 constexpr std::size_t MaximumBufferedBytes = 24 << 10; ///< Of what the parser cannot use yet: a head, or a chunk's size that does not end.
 constexpr std::size_t ReadBytes = 8 << 10; ///< Size of one read; holds several events of a stream.
+constexpr const char *BrokenWrite = "the connection broke while the request was sent, and the answer states no length"; ///< Detail of errors.
 constexpr std::uint64_t UnlimitedBodyBytes = std::numeric_limits<std::int64_t>::max(); ///< Beast 1.74 rejects answers with a length if no limit is set.
 
 std::string encodeHead(const ClientRequest &request)
@@ -39,6 +40,16 @@
     return head + "\r\n";
 }
 
+/**
+ * Returns whether a write failed with an error that ended the connection before the peer had ended its side. A socket reports such an error once: if the write
+ * gets it, the read meets an orderly end. Once the peer has ended its side, the kernel reports a reset as a broken pipe.
+ */
+bool isBrokenConnection(const boost::system::error_code &error)
+{
+    const bool isOwnClose = error == Asio::error::operation_aborted || error == Asio::error::bad_descriptor;
+    return error && !isOwnClose && error != Asio::error::broken_pipe;
+}
+
 using AnswerParser = Beast::http::response_parser<Beast::http::buffer_body>;
 
 BodyEnd bodyEndOf(const AnswerParser &parser)
@@ -159,13 +170,27 @@
     setStreamOptions(m_state->m_socket);
     m_wasSent = true;
     const std::array<Asio::const_buffer, 2> outgoing{Asio::buffer(m_state->m_outgoingHead), Asio::buffer(m_state->m_outgoingBody.bytes())};
-    Asio::async_write(m_state->m_socket, outgoing, [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
-        // Errors are ignored here: a failed write also fails the read, and an answer that the peer sent early can still be read.
-    });
+    Asio::async_write(
+        m_state->m_socket, outgoing, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onRequestWritten(error); });
     startTimer(m_limits.m_headTimeout, "await answer");
     readHead();
 }
 
+void ClientCall::onRequestWritten(const boost::system::error_code &error)
+{
+    // A failed write does not end the call, since an answer that the peer sent early can still be read.
+    m_isRequestWritten = true;
+    m_hasWriteBroken = isBrokenConnection(error);
+    if (m_awaitsRequestWritten && !m_hasEnded) {
+        onAnswerRead();
+    }
+}
+
+bool ClientCall::mayLackEnd() const
+{
+    return m_hasWriteBroken && m_state->m_parser.need_eof();
+}
+
 void ClientCall::readHead()
 {
     Beast::http::async_read_header(m_state->m_socket,
@@ -208,6 +233,10 @@
         end(false, Core::ErrorCode::Corrupt, "await answer", "the body has an unknown transfer coding");
         return;
     }
+    if (mayLackEnd()) {
+        end(false, Core::ErrorCode::Ambiguous, "await answer", BrokenWrite);
+        return;
+    }
     const std::shared_ptr<ClientCall> self = shared_from_this();
     // Called through a copy because the callback may cancel this call, which clears its callbacks.
     const std::function<void(const AnswerHead &)> onHead = m_events.m_onHead;
@@ -223,7 +252,7 @@
 void ClientCall::readBody()
 {
     if (m_state->m_parser.is_done()) {
-        end(true, Core::ErrorCode::Internal, "", "");
+        onAnswerRead();
         return;
     }
     if (m_isPaused) {
@@ -264,6 +293,23 @@
     readBody();
 }
 
+void ClientCall::onAnswerRead()
+{
+    if (m_state->m_parser.need_eof() && !m_isRequestWritten) {
+        // The write may have got the error of the connection without having reported it yet. Closing the socket ends a write that has got none.
+        m_awaitsRequestWritten = true;
+        m_state->m_timer.stop();
+        boost::system::error_code ignored; // Nothing more is read or written.
+        m_state->m_socket.close(ignored);
+        return;
+    }
+    if (mayLackEnd()) {
+        end(false, Core::ErrorCode::Ambiguous, "read answer", BrokenWrite);
+        return;
+    }
+    end(true, Core::ErrorCode::Internal, "", "");
+}
+
 void ClientCall::end(bool isComplete, Core::ErrorCode code, const std::string &step, const std::string &detail)
 {
     if (m_hasEnded) {
--- a/Libraries/LibHttp/ClientCall.h
+++ b/Libraries/LibHttp/ClientCall.h
@@ -35,7 +35,8 @@
 /// How a call ended.
 struct ClientCallEnd
 {
-    /// The answer has ended as its BodyEnd demands. This does not show that a body which ends with its connection is complete.
+    /// The answer has ended as its BodyEnd demands, with the connection only if the peer ended its side in order. This does not show that a body which ends
+    /// with its connection is complete.
     bool m_isComplete = false;
     bool m_wasSent = false; ///< Some of the request may have reached the peer. False guarantees that the request has not run.
     Core::Error m_error; ///< Why the answer is incomplete.
@@ -88,10 +89,15 @@
     struct State;
 
     void onConnected(const boost::system::error_code &error);
+    void onRequestWritten(const boost::system::error_code &error);
     void readHead();
+    /// Returns whether an answer that ends with the connection may lack its end, because the connection broke.
+    bool mayLackEnd() const;
     void onHeadRead(const boost::system::error_code &error);
     void readBody();
     void onBodyRead(const boost::system::error_code &error, std::size_t size);
+    /// Ends the call behind the last byte of the answer, as soon as it is known whether an answer that ends with its connection has been cut.
+    void onAnswerRead();
     void startTimer(Core::Duration limit, const char *step);
     /// Ends the call after a silence, or lets it go on if its owner wants so.
     void handleSilence(const char *step);
@@ -104,6 +110,9 @@
     bool m_isPaused = false;
     bool m_awaitsResume = false; ///< Reading of the body continues at resume().
     bool m_wasSent = false;
+    bool m_isRequestWritten = false; ///< The write of the request has ended, with or without an error.
+    bool m_hasWriteBroken = false; ///< The connection broke while the request was written, and the peer had not ended its side before.
+    bool m_awaitsRequestWritten = false; ///< The answer has been read, and the call ends with the write of the request.
     bool m_hasEnded = false; ///< Once true, no callback is called any more.
 };
 
--- a/Tests/LibRelay/TestBrokenAnswers.cpp
+++ b/Tests/LibRelay/TestBrokenAnswers.cpp
@@ -127,3 +127,32 @@
     CHECK_FALSE(broken.m_received.looksComplete());
     CHECK_FALSE(broken.holdsEvil());
 }
+
+TEST_CASE("A part of an answer without a length does not look whole if its endpoint resets the connection while it is sent a long request")
+{
+    // Guards against a reset that only the write of the request sees.
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce, Stream);
+    const std::string version = GENERATE(as<std::string>{}, "1.1", "1.0");
+    const Core::Duration delay(GENERATE(0, 1, 20, 200));
+    const std::size_t requestBytes = GENERATE(std::size_t(200) << 10, std::size_t(8) << 20);
+    CAPTURE(path, version, delay.count(), requestBytes);
+    const std::string part = path == Stream ? "id: 1\ndata: text\n\n" : "partial";
+    const BrokenAnswer broken(
+        path,
+        1,
+        [&](const std::shared_ptr<ScriptedConnection> &connection) {
+            connection->stopReading();
+            connection->send("HTTP/" + version + " 200 OK\r\n" + Sealed + "\r\n" + part);
+            connection->after(delay, [connection] { connection->reset(); });
+        },
+        std::string(requestBytes, 'x'));
+    if (path == RunsOnce) {
+        CHECK(broken.m_asked == 1);
+        CHECK((broken.isOwnFailure() || !broken.m_received.looksComplete()));
+    } else if (path == Stream) {
+        CHECK(broken.m_received.eventIds() == "12");
+        CHECK(broken.m_received.looksComplete());
+    } else {
+        CHECK((broken.isWholeAnswer(path) || !broken.m_received.looksComplete()));
+    }
+}
