LibHttp: Leave the error of a broken connection to the read of the answer

What callers would see: a part of an answer without a length as a complete answer, where its engine resets the connection just when a time limit of the call passes while the process is held up.

Cause: a socket reports the error of its connection once. When a limit has passed, ProgressTimer looks for input that has not been read yet with a peek, which takes the error like any other read. If the owner of the call lets it go on, the read that follows meets an orderly end.

Change: hasUnreadInput() asks with poll(), which leaves the error to the read.

--- a/Libraries/LibHttp/SocketOptions.cpp
+++ b/Libraries/LibHttp/SocketOptions.cpp
@@ -23,8 +23,9 @@
 
 bool hasUnreadInput(Socket &socket)
 {
-    char byte = 0;
-    return socket.is_open() && recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    // Unlike a peek, poll() leaves the error of a broken connection to the next read, which would otherwise meet an orderly end.
+    pollfd descriptor{socket.native_handle(), POLLIN, 0};
+    return socket.is_open() && ::poll(&descriptor, 1, 0) > 0;
 }
 
 bool hasPeerClosed(Socket &socket)
--- a/Libraries/LibHttp/SocketOptions.h
+++ b/Libraries/LibHttp/SocketOptions.h
@@ -13,7 +13,7 @@
  */
 void setStreamOptions(Socket &socket);
 
-/// Returns whether bytes or the end of the peer's stream wait to be read. False if the connection is not established.
+/// Returns whether bytes, the end of the peer's stream, or the error of a broken connection wait to be read. False while the connection is being established.
 bool hasUnreadInput(Socket &socket);
 
 /// Returns whether the peer has closed its side of the connection, also while bytes that it sent before wait to be read.
--- a/Tests/LibHttp/TestEarlyAnswers.cpp
+++ b/Tests/LibHttp/TestEarlyAnswers.cpp
@@ -4,6 +4,7 @@
 #include "LibHttp/ClientCall.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using TestSupport::runUntil;
 using TestSupport::ScriptedConnection;
@@ -113,3 +114,31 @@
     CAPTURE(early.m_delay.count());
     CHECK(early.call().m_isComplete);
 }
+
+TEST_CASE("A reset that comes just before the time limit of a pause is not taken for the end of an answer without a length")
+{
+    // Guards against a check for unread input that takes the error from the socket, so that reading the answer meets an orderly end.
+    constexpr Core::Duration idleLimit{40};
+    Http::EventLoop loop;
+    Http::Timer stall(loop);
+    Http::Timer reset(loop);
+    ScriptedServer server(loop, [&](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\n\r\npartial");
+        stall.expires_after(idleLimit / 2);
+        reset.expires_after(idleLimit / 2 + Core::Duration(1));
+        // After the stall both timers have expired, so that no event of the socket is handled between the reset and the end of the pause.
+        stall.async_wait([&](const boost::system::error_code &) { std::this_thread::sleep_for(2 * idleLimit); });
+        reset.async_wait([connection](const boost::system::error_code &) { connection->reset(); });
+    });
+    std::optional<Http::ClientCallEnd> result;
+    Http::ClientCallEvents events;
+    events.m_onEnd = [&result](const Http::ClientCallEnd &end) { result = end; };
+    events.m_onSilence = [] { return false; };
+    Http::ClientCallLimits limits;
+    limits.m_idleTimeout = idleLimit;
+    const std::shared_ptr<Http::ClientCall> call =
+        std::make_shared<Http::ClientCall>(loop, Core::Address{"127.0.0.1", server.port()}, limits, std::move(events));
+    call->start(Http::ClientRequest{"GET", "/", {{"Host", "a"}}, ""});
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    CHECK_FALSE(result->m_isComplete);
+}
