LibRouting, LibEntry: Take no frame and no stored outcome with an invalid status

What callers would see: the same answers with status 000 or 600 to 999 through the own interface, as long as an agent of an earlier release passes them on or has stored them.

Cause: an entry forwarded the status in an agent's frames, and in a stored outcome, whatever it was.

Change: AnswerChecker refuses such frames, and queryOutcome() such an answer of a finished attempt, with Corrupt, which proves nothing about whether the attempt ran.

--- a/Libraries/LibEntry/LiveAttempt.cpp
+++ b/Libraries/LibEntry/LiveAttempt.cpp
@@ -1,6 +1,8 @@
 /// @file Execution of an attempt and reading of its answer.
 
 #include "LibEntry/LiveAttempt.h"
+
+#include "LibNetwork/HttpStatus.h"
 #include "LibWire/Pack.h"
 
 namespace Entry {
@@ -165,7 +167,11 @@
 Core::Result<Protocol::OutcomeAnswer> queryOutcome(Wire::Node &node, const OutcomeQuery &question, Core::Duration timeout)
 {
     const std::string bytes = BOOST_OUTCOME_TRYX(node.request(question.m_agent, "live.outcome", Wire::pack(question.m_request), timeout));
-    return Wire::unpack<Protocol::OutcomeAnswer>(bytes, question.m_agent.toString());
+    Protocol::OutcomeAnswer answer = BOOST_OUTCOME_TRYX(Wire::unpack<Protocol::OutcomeAnswer>(bytes, question.m_agent.toString()));
+    if (answer.m_outcome == Protocol::Outcome::Finished && !Network::isFinalStatus(answer.m_status)) {
+        return Core::makeError(Core::ErrorCode::Corrupt, "ask outcome", question.m_agent.toString(), "the invalid status " + std::to_string(answer.m_status));
+    }
+    return answer;
 }
 
 }
--- a/Libraries/LibRouting/AnswerChecker.cpp
+++ b/Libraries/LibRouting/AnswerChecker.cpp
@@ -2,6 +2,8 @@
 
 #include "LibRouting/AnswerChecker.h"
 
+#include "LibNetwork/HttpStatus.h"
+
 namespace Routing {
 
 AnswerChecker::AnswerChecker(std::string attempt, std::string version, std::string peer)
@@ -30,6 +32,9 @@
     if (!m_version.empty() && frame.m_version != m_version) {
         return mismatch("version " + frame.m_version + " answered in place of " + m_version);
     }
+    if (!Network::isFinalStatus(frame.m_status)) {
+        return mismatch("the invalid status " + std::to_string(frame.m_status));
+    }
     m_nextNumber += 1;
     if (frame.m_kind == Protocol::AnswerKind::End) {
         return checkEnd(frame);
--- a/Tests/LibRouting/TestAnswerChecker.cpp
+++ b/Tests/LibRouting/TestAnswerChecker.cpp
@@ -114,6 +114,27 @@
     REQUIRE_FALSE(isAccepted(frames));
 }
 
+TEST_CASE("a frame with an invalid status is rejected")
+{
+    // An endpoint in trouble sends such a status, and an agent of another release passes it on. The caller would get it as the answer.
+    const std::int32_t status = GENERATE(-1, 0, 1, 99, 100, 199, 600, 999);
+    const std::size_t frame = GENERATE(0, 3);
+    CAPTURE(status, frame);
+    std::vector<Protocol::AnswerFrame> frames = completeAnswer();
+    frames[frame].m_status = status;
+    REQUIRE_FALSE(isAccepted(frames));
+}
+
+TEST_CASE("an answer of any status of HTTP is accepted")
+{
+    const std::int32_t status = GENERATE(204, 302, 404, 500, 599);
+    std::vector<Protocol::AnswerFrame> frames = completeAnswer();
+    for (Protocol::AnswerFrame &frame : frames) {
+        frame.m_status = status;
+    }
+    REQUIRE(isAccepted(frames));
+}
+
 TEST_CASE("a frame after the end frame is rejected")
 {
     std::vector<Protocol::AnswerFrame> frames = completeAnswer();
