LibWire: Do not handle frames behind the end of a call as a call of the peer

What would be seen: an entry or an agent that has a handler for the method of its own call, such as those of gossip and of chunks, runs it on the rest of an answer that is broken or late, and sends the outcome to nobody. Found by reading the streams between processes for broken answers; not seen.

Cause: a stream without an open call was taken for an incoming one. On the calling side a stream also has none once its call has ended: behind an End frame, after a time limit, or after a refusal for want of memory, until the stream is closed.

Change: only the side that accepted the connection dispatches calls.

--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -413,7 +413,9 @@
         }
         Stream &stream = found->second;
         if (!stream.m_call) {
-            if (frame.m_kind == FrameKind::Message && !stream.m_dispatched) {
+            // On the calling side the call has ended, and its peer may not have noticed yet.
+            const bool isIncoming = nghttp2_session_check_server_session(m_session) != 0;
+            if (isIncoming && frame.m_kind == FrameKind::Message && !stream.m_dispatched) {
                 dispatch(streamId, stream, frame.m_payload);
             }
             continue;
