LibWire: Take frames behind any status but 200 for no answer

What would be seen: another program at the address of a peer, or a peer in trouble, answers a call with a failure such as 503 or 000, and frames in its body count as the answer. Found by looking for answers that are read without their status; not seen, as our processes always send 200.

Cause: the calling side did not read the status of an HTTP/2 answer.

Change: a status other than 200 ends the call with Corrupt and the stream with a protocol error; nothing behind it is read.

Evidence, on the code before: 24 checks of LibWire/TestBrokenAnswers failed (six statuses); now none.

--- a/Libraries/LibWire/Connection.cpp
+++ b/Libraries/LibWire/Connection.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view TimeoutHeader = "timeout-ms";
 constexpr std::string_view VersionHeader = "wire-version";
 constexpr std::string_view WireVersion = "1";
+constexpr std::string_view StatusHeader = ":status";
+constexpr std::string_view AnswerStatus = "200"; ///< Of every answer. How a call has ended is stated by its frames.
 
 nghttp2_nv makeHeader(std::string_view name, std::string_view value)
 {
@@ -441,7 +443,7 @@
     stream.m_dispatched = true;
     stream.m_output = makeOutput(streamId);
     const std::shared_ptr<StreamOutput> output = stream.m_output;
-    const std::array<nghttp2_nv, 1> headers = {makeHeader(":status", "200")};
+    const std::array<nghttp2_nv, 1> headers = {makeHeader(StatusHeader, AnswerStatus)};
     nghttp2_data_provider provider;
     provider.source.ptr = nullptr;
     provider.read_callback = readOutput;
@@ -476,11 +478,18 @@
 {
     Connection &self = *static_cast<Connection *>(user);
     const std::unordered_map<std::int32_t, Stream>::iterator found = self.m_streams.find(frame->hd.stream_id);
-    if (found == self.m_streams.end() || found->second.m_call) {
+    if (found == self.m_streams.end()) {
         return 0;
     }
     const std::string_view header(reinterpret_cast<const char *>(name), nameLength);
     const std::string text(reinterpret_cast<const char *>(value), valueLength);
+    if (found->second.m_call) {
+        if (header == StatusHeader && text != AnswerStatus) {
+            const Core::Error error = Core::makeError(Core::ErrorCode::Corrupt, "read answer", self.m_peerName, "status " + text);
+            self.refuseStream(frame->hd.stream_id, error, NGHTTP2_PROTOCOL_ERROR);
+        }
+        return 0;
+    }
     if (header == ":path" && text.size() > 1) {
         found->second.m_method = text.substr(1, MaximumMethodBytes);
         found->second.m_purpose = purposeOf(found->second.m_method);
--- a/Tests/LibWire/TestBrokenAnswers.cpp
+++ b/Tests/LibWire/TestBrokenAnswers.cpp
@@ -135,6 +135,19 @@
     CHECK(outcome.m_handled == 0);
 }
 
+TEST_CASE("Frames behind any other status are no answer")
+{
+    // Guards against a program at the address of a peer, or a peer in trouble, whose failure would count as a success.
+    const std::string status = GENERATE("000", "099", "404", "503", "600", "999");
+    CAPTURE(status);
+    const Outcome outcome(headFrame(status) + dataFrame(wholeAnswer("evil"), true));
+    CHECK_FALSE(outcome.m_end.m_succeeded);
+    CHECK(outcome.m_end.m_delivery == Wire::Delivery::Sent);
+    CHECK(outcome.m_end.m_error.m_code == Core::ErrorCode::Corrupt);
+    CHECK(outcome.m_frames.empty());
+    CHECK(outcome.m_handled == 0);
+}
+
 TEST_CASE("Frames behind the end of a call are not taken for a call of the peer")
 {
     // Guards against the rest of a broken or late answer that is handled as a request.
