Tests: Keep the broken answers that were refused before

Handled already; no product code changes. Malformed names of fields (a blank, tab, control byte, NUL, DEL, CR, LF, high byte or bracket in them, none, no colon, a blank before the colon, also of Content-Length and Transfer-Encoding), control bytes in values, a second length, a length beside chunks: in the first and the last line of a 200 and of a 500 and behind chunks, on three routes. Statuses without three digits, and 1xx.

--- a/Tests/LibNetwork/TestHttpAnswerReader.cpp
+++ b/Tests/LibNetwork/TestHttpAnswerReader.cpp
@@ -48,6 +48,13 @@
     CHECK(body.value() == "body");
 }
 
+TEST_CASE("An answer with a malformed field in its head is an error")
+{
+    const std::string line = GENERATE("ev il: x", "ev\x01il: x", "ev(il): x", ": x", "evil", "X : x", "Content-Length : 2", "X: x\x01", "Content-Length: 2");
+    CAPTURE(line);
+    CHECK_FALSE(readAnswer("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody"));
+}
+
 TEST_CASE("Reading an answer ends although its head or its body goes on byte by byte")
 {
     // Guards against a thread that a slow service holds for hours, since each byte comes within the time limit of one wait.
--- a/Tests/LibRelay/TestBrokenAnswers.cpp
+++ b/Tests/LibRelay/TestBrokenAnswers.cpp
@@ -110,6 +110,13 @@
     checkRejected(RunsOnce, "HTTP/1.1 " + status + " evil\r\nNot-Run: 1\r\n" + Sealed + Body);
 }
 
+TEST_CASE("An answer whose status has not three digits, or that is interim, is not passed on")
+{
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce, Stream);
+    const std::string status = GENERATE(as<std::string>{}, "", "2", "20", "2000", "0200", "+20", "-20", "2 0", " 200", "2x0", "100", "101");
+    checkRejected(path, "HTTP/1.1 " + status + " evil\r\n" + Sealed + Body);
+}
+
 TEST_CASE("A stream does not go on with an answer with an invalid status")
 {
     const std::string status = GENERATE(as<std::string>{}, "000", "099", "600", "999");
@@ -128,6 +135,53 @@
     CHECK_FALSE(broken.holdsEvil());
 }
 
+TEST_CASE("An answer with a malformed field in its head is not passed on")
+{
+    // Guards against fields that callers read in another way than the relay, or that change where the body ends.
+    using namespace std::string_literals;
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce, Stream);
+    const std::string status = GENERATE(as<std::string>{}, "200", "500");
+    const bool isFirstField = GENERATE(true, false);
+    const std::string line = GENERATE("ev il: evil"s,
+                                      "ev\til: evil"s,
+                                      "ev\x01il: evil"s,
+                                      "ev\0il: evil"s,
+                                      "ev\x7fil: evil"s,
+                                      "ev\ril: evil"s,
+                                      "ev\nil: evil"s,
+                                      "ev\x80il: evil"s,
+                                      "ev(il): evil"s,
+                                      "ev[il]: evil"s,
+                                      ": evil"s,
+                                      "evil"s,
+                                      "X : evil"s,
+                                      "Content-Length : 2"s,
+                                      "Transfer-Encoding : chunked"s,
+                                      "X: evil\x01"s,
+                                      "X: evil\0"s,
+                                      "Content-Length: 2"s,
+                                      "Transfer-Encoding: chunked"s);
+    const std::string malformed = line + "\r\n";
+    checkRejected(path, "HTTP/1.1 " + status + " evil\r\n" + (isFirstField ? malformed + Sealed : Sealed + malformed) + Body);
+}
+
+TEST_CASE("An answer with a malformed field behind its chunks is not complete")
+{
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce, Stream);
+    const std::string line = GENERATE(as<std::string>{}, "ev il: evil", "ev\x01il: evil", "ev(il): evil", ": evil", "evil", "X : evil", "X: evil\x01");
+    CAPTURE(path, line);
+    const std::string chunk = path == Stream ? FirstEvent : "4\r\ntext\r\n";
+    const BrokenAnswer broken(path, 1, [&](const std::shared_ptr<ScriptedConnection> &connection) {
+        connection->send("HTTP/1.1 200 OK\r\n" + Sealed + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n" + line + "\r\n\r\n");
+    });
+    CHECK_FALSE(broken.holdsEvil());
+    if (path == Stream) {
+        CHECK(broken.isWholeAnswer(path)); // The other endpoint goes on with it.
+    } else {
+        CHECK_FALSE(broken.m_received.looksComplete());
+    }
+}
+
 TEST_CASE("A part of an answer without a length does not look whole if its endpoint resets the connection while it is sent a long request")
 {
     // Guards against a reset that only the write of the request sees.
