--- a/Tests/LibRelay/TestBrokenAnswers.cpp
+++ b/Tests/LibRelay/TestBrokenAnswers.cpp
@@ -210,3 +210,25 @@
         CHECK((broken.isWholeAnswer(path) || !broken.m_received.looksComplete()));
     }
 }
+
+TEST_CASE("A whole answer that states its end reaches the caller, although its endpoint resets the connection while it is sent a long request")
+{
+    // Guards against discarding the answers of endpoints that need not read a request to answer it.
+    const std::string path = GENERATE(as<std::string>{}, "/read/x", RunsOnce);
+    const std::string rest = GENERATE(as<std::string>{}, "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n");
+    const Core::Duration delay(GENERATE(0, 1, 20));
+    CAPTURE(path, rest, delay.count());
+    const BrokenAnswer early(
+        path,
+        1,
+        [&](const std::shared_ptr<ScriptedConnection> &connection) {
+            connection->stopReading();
+            connection->send("HTTP/1.1 200 OK\r\n" + Sealed + rest);
+            connection->after(delay, [connection] { connection->reset(); });
+        },
+        std::string(8 << 20, 'x'));
+    CHECK(early.m_asked == 1);
+    CHECK(early.m_received.status() == "200");
+    CHECK(early.m_received.looksComplete());
+    CHECK(early.m_received.m_body.find("done") != std::string::npos);
+}
