LibServing: Do not take homes that share no region for no homes

Callers of a host with two routes whose homes exclude each other were directed to the entries of all regions, for as long as that configuration stood.

Cause: commonHomes() returned an empty list both for routes without homes and for routes whose homes share no region, and chooseEntries() took it for no restriction. A check in TestDirectory required it for routes without homes; it now requires that the homes are absent, which an empty list does not satisfy.

Change: homesOfHost() returns an optional RouteHomes: absent without homes, else the homes that all routes share and those that any route has. Entries of the caller's region and of shared homes are named, then those in a home of some route, then all others. An entry that knows no configuration takes any host for one with homes, homes of which none can be read are shared with nothing, and a caller that names no host may use all routes; all three named every region.

--- a/Libraries/LibServing/Directory.cpp
+++ b/Libraries/LibServing/Directory.cpp
@@ -17,29 +17,49 @@
     return entry.m_region == location.m_region ? 1 : 2;
 }
 
+bool contains(const std::vector<std::string> &regions, const std::string &region)
+{
+    return std::find(regions.begin(), regions.end(), region) != regions.end();
 }
 
-std::vector<std::string> commonHomes(const std::vector<Fleet::Route> &routes, const std::string &host)
+/// Returns 0 for an entry that suits every route, 1 for one that suits some of the routes with homes, and 2 otherwise.
+int homeRank(const Gossip::Member &entry, const CallerLocation &location, const std::optional<RouteHomes> &homes)
 {
-    std::optional<std::vector<std::string>> common;
+    if (!homes || distance(entry, location) < 2 || contains(homes->m_common, entry.m_region)) {
+        return 0;
+    }
+    return contains(homes->m_any, entry.m_region) ? 1 : 2;
+}
+
+}
+
+std::optional<RouteHomes> homesOfHost(const std::vector<Fleet::Route> &routes, const std::string &host)
+{
+    std::optional<RouteHomes> homes;
     for (const Fleet::Route &route : routes) {
-        if (route.m_host != host || !route.m_homeRegions) {
+        const bool isOfHost = host.empty() || route.m_host == host;
+        if (!isOfHost || !route.m_homeRegions) {
             continue;
         }
-        const std::vector<std::string> &homes = *route.m_homeRegions;
-        if (!common) {
-            common = homes;
-            continue;
+        const std::vector<std::string> &regions = *route.m_homeRegions;
+        if (!homes) {
+            homes = RouteHomes{regions, {}};
         }
-        std::erase_if(*common, [&homes](const std::string &region) { return std::find(homes.begin(), homes.end(), region) == homes.end(); });
+        std::erase_if(homes->m_common, [&regions](const std::string &region) { return !contains(regions, region); });
+        homes->m_any.insert(homes->m_any.end(), regions.begin(), regions.end());
     }
-    return common.value_or(std::vector<std::string>());
+    return homes;
+}
+
+std::optional<RouteHomes> knownHomes(const Fleet::ConfigurationIndex *configuration, const std::string &host)
+{
+    return configuration ? homesOfHost(configuration->configuration().m_routes, host) : RouteHomes{};
 }
 
 std::vector<Core::Address> chooseEntries(const std::vector<Gossip::Member> &others,
                                          const Gossip::Member &self,
                                          const CallerLocation &location,
-                                         const std::vector<std::string> &homes,
+                                         const std::optional<RouteHomes> &homes,
                                          const DirectorySettings &settings)
 {
     std::vector<Gossip::Member> candidates = others;
@@ -47,12 +67,12 @@
     std::erase_if(candidates, [](const Gossip::Member &member) {
         return member.m_role != Gossip::Role::Entry || !member.m_isReady || member.m_isLeaving || member.m_callers.isEmpty();
     });
-    const std::function<bool(const Gossip::Member &)> mayHold = [&location, &homes](const Gossip::Member &entry) {
-        return homes.empty() || distance(entry, location) < 2 || std::find(homes.begin(), homes.end(), entry.m_region) != homes.end();
-    };
-    if (std::any_of(candidates.begin(), candidates.end(), mayHold)) {
-        std::erase_if(candidates, [&mayHold](const Gossip::Member &entry) { return !mayHold(entry); });
+    const std::function<int(const Gossip::Member &)> rank = [&location, &homes](const Gossip::Member &entry) { return homeRank(entry, location, homes); };
+    int lowest = 2;
+    for (const Gossip::Member &entry : candidates) {
+        lowest = std::min(lowest, rank(entry));
     }
+    std::erase_if(candidates, [&rank, lowest](const Gossip::Member &entry) { return rank(entry) > lowest; });
     std::stable_sort(candidates.begin(), candidates.end(), [&location](const Gossip::Member &left, const Gossip::Member &right) {
         return distance(left, location) < distance(right, location);
     });
--- a/Libraries/LibServing/Directory.h
+++ b/Libraries/LibServing/Directory.h
@@ -4,6 +4,7 @@
 #include "LibFleet/Configuration.h"
 #include "LibGossip/Membership.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,15 +29,32 @@
     bool operator==(const CallerLocation &) const = default;
 };
 
-/// Returns the caller addresses of entries that are ready and not leaving, nearest first. Farther ones are included only if there are too few near the caller.
-/// @p self is one of the candidates. Of the farther ones only those in @p homes are included, unless there is no other entry at all.
+/// Regions that are homes of the routes that a caller may use. The default has none in common, so only entries of the caller's region suit every route.
+struct RouteHomes
+{
+    std::vector<std::string> m_common; ///< Homes of every route with homes.
+    std::vector<std::string> m_any; ///< Homes of at least one route; includes m_common.
+
+    bool operator==(const RouteHomes &) const = default;
+};
+
+/// Returns the homes of the host's routes, or of all routes if @p host is empty. Absent if none of these routes has homes, so that every region is allowed.
+std::optional<RouteHomes> homesOfHost(const std::vector<Fleet::Route> &routes, const std::string &host);
+
+/// As homesOfHost() for the routes of @p configuration. Without one, any route may have homes.
+std::optional<RouteHomes> knownHomes(const Fleet::ConfigurationIndex *configuration, const std::string &host);
+
+/**
+ * Returns the caller addresses of entries that are ready and not leaving, nearest first. Farther ones are included only if there are too few near the caller.
+ * @p self is one of the candidates.
+ *
+ * With @p homes, only entries in the caller's region and in homes of all routes are included. If there is none, those in homes of some route are, and if there
+ * is none of these either, all others: a request that arrives outside its homes is passed on to an endpoint inside them.
+ */
 std::vector<Core::Address> chooseEntries(const std::vector<Gossip::Member> &others,
                                          const Gossip::Member &self,
                                          const CallerLocation &location,
-                                         const std::vector<std::string> &homes,
+                                         const std::optional<RouteHomes> &homes,
                                          const DirectorySettings &settings);
 
-/// Returns the regions that are homes of every route of the host with homes; empty if no route of it has any.
-std::vector<std::string> commonHomes(const std::vector<Fleet::Route> &routes, const std::string &host);
-
 }
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -604,12 +604,6 @@
     return m_fleetState.configuration() && !m_leavingSince;
 }
 
-std::vector<std::string> EntryProcess::homesOfHost(const std::string &host) const
-{
-    const std::shared_ptr<const Fleet::ConfigurationIndex> &configuration = m_fleetState.configuration();
-    return configuration ? commonHomes(configuration->configuration().m_routes, host) : std::vector<std::string>();
-}
-
 void EntryProcess::answerPage(const std::shared_ptr<Http::ServerConnection> &connection, const Http::ServerRequest &request)
 {
     PageView view;
@@ -617,7 +611,8 @@
     view.m_lifetimeSeconds = m_settings.m_directory.m_lifetimeSeconds;
     view.m_entries = [this](const CallerLocation &location) {
         const std::vector<Gossip::Member> others = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
-        return chooseEntries(others, m_gossip.self(), location, homesOfHost(location.m_host), m_settings.m_directory);
+        const std::optional<RouteHomes> homes = knownHomes(m_fleetState.configuration().get(), location.m_host);
+        return chooseEntries(others, m_gossip.self(), location, homes, m_settings.m_directory);
     };
     PageAnswer answer = m_adapter.m_answerPage(request, view);
     connection->answer(answer.m_status, {Http::HeaderField{"Content-Type", answer.m_contentType}}, std::move(answer.m_body));
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -82,8 +82,6 @@
     void recordLiveness(const Fleet::Endpoint &endpoint, const Gossip::EngineUpdate &update, Core::Instant now);
     std::vector<Placement::LimitObservation> sampleLimits(std::size_t count);
     void handleLimits(const std::vector<Placement::LimitObservation> &observations);
-    /// Returns the regions that may serve every request for the host; empty if all may.
-    std::vector<std::string> homesOfHost(const std::string &host) const;
     void startQuarantine();
     /// Logs changes of verdicts and tells other entries what is news.
     void onQuarantineChanged();
--- a/Tests/LibServing/TestDirectory.cpp
+++ b/Tests/LibServing/TestDirectory.cpp
@@ -27,7 +27,23 @@
     return found;
 }
 
+using Regions = std::vector<std::string>;
+
 const Serving::CallerLocation North{"north", "north-a"};
+const std::string Host = "a";
+
+/// Returns routes of one host with the given homes.
+std::vector<Fleet::Route> routesWithHomes(const std::vector<std::optional<Regions>> &homes)
+{
+    std::vector<Fleet::Route> routes(homes.size());
+    for (std::size_t index = 0; index < homes.size(); ++index) {
+        routes[index].m_host = Host;
+        if (homes[index]) {
+            routes[index].m_homeRegions = *homes[index];
+        }
+    }
+    return routes;
+}
 
 }
 
@@ -56,19 +72,59 @@
 TEST_CASE("Of the farther entries only those in homes of the host's routes are included, unless there is no other")
 {
     const std::vector<Gossip::Member> others{entry(1, "south"), entry(2, "north"), entry(3, "east")};
-    CHECK(ports(Serving::chooseEntries(others, entry(5, "north"), North, {"east"}, {})) == std::vector<std::uint16_t>{2, 5, 3});
-    CHECK(ports(Serving::chooseEntries({entry(1, "south")}, entry(3, "east"), North, {"west"}, {})) == std::vector<std::uint16_t>{1, 3});
+    const Serving::RouteHomes east{{"east"}, {"east"}};
+    const Serving::RouteHomes west{{"west"}, {"west"}};
+    CHECK(ports(Serving::chooseEntries(others, entry(5, "north"), North, east, {})) == std::vector<std::uint16_t>{2, 5, 3});
+    CHECK(ports(Serving::chooseEntries({entry(1, "south")}, entry(3, "east"), North, west, {})) == std::vector<std::uint16_t>{1, 3});
 }
 
 TEST_CASE("The homes of a host are those that all its routes with homes have in common")
 {
-    std::vector<Fleet::Route> routes(3);
-    for (Fleet::Route &route : routes) {
-        route.m_host = "a";
-    }
-    CHECK(Serving::commonHomes(routes, "a").empty());
-    routes[0].m_homeRegions = std::vector<std::string>{"north", "east"};
-    routes[1].m_homeRegions = std::vector<std::string>{"east"};
-    CHECK(Serving::commonHomes(routes, "a") == std::vector<std::string>{"east"});
-    CHECK(Serving::commonHomes(routes, "b").empty());
+    std::vector<Fleet::Route> routes = routesWithHomes({std::nullopt, std::nullopt, std::nullopt});
+    CHECK_FALSE(Serving::homesOfHost(routes, Host));
+    routes = routesWithHomes({Regions{"north", "east"}, Regions{"east"}, std::nullopt});
+    CHECK(Serving::homesOfHost(routes, Host).value().m_common == Regions{"east"});
+    CHECK_FALSE(Serving::homesOfHost(routes, "other"));
+}
+
+TEST_CASE("Callers of a host whose routes share no home are directed to entries of their own region only")
+{
+    // Guards against directing callers to every region, as if the host had no homes.
+    const std::vector<Gossip::Member> others{entry(1, "south"), entry(2, "east"), entry(3, "west")};
+    const std::vector<Fleet::Route> routes = routesWithHomes({Regions{"south"}, Regions{"east"}, std::nullopt});
+    CHECK(ports(Serving::chooseEntries(others, entry(5, "north"), North, Serving::homesOfHost(routes, Host), {})) == std::vector<std::uint16_t>{5});
+}
+
+TEST_CASE("Without an entry in their region, callers of routes that share no home are directed to homes of some route")
+{
+    const std::vector<Gossip::Member> others{entry(1, "south"), entry(2, "west"), entry(3, "east")};
+    const std::vector<Fleet::Route> routes = routesWithHomes({Regions{"south"}, Regions{"east"}});
+    const std::optional<Serving::RouteHomes> homes = Serving::homesOfHost(routes, Host);
+    CHECK(ports(Serving::chooseEntries(others, entry(5, "west"), North, homes, {})) == std::vector<std::uint16_t>{1, 3});
+    CHECK(ports(Serving::chooseEntries({}, entry(5, "west"), North, homes, {})) == std::vector<std::uint16_t>{5});
+}
+
+TEST_CASE("Homes of which none can be read are in common with nothing")
+{
+    // Guards against directing callers of such a route to every region.
+    const std::vector<Gossip::Member> others{entry(1, "south"), entry(2, "north")};
+    const std::vector<Fleet::Route> routes = routesWithHomes({Regions{}});
+    CHECK(ports(Serving::chooseEntries(others, entry(5, "north"), North, Serving::homesOfHost(routes, Host), {})) == std::vector<std::uint16_t>{2, 5});
+}
+
+TEST_CASE("While no configuration is known, callers are directed to entries of their own region only")
+{
+    // Guards against directing callers of a host with homes to every region from an entry that has just started.
+    const std::vector<Gossip::Member> others{entry(1, "south"), entry(2, "north")};
+    const std::optional<Serving::RouteHomes> homes = Serving::knownHomes(nullptr, Host);
+    CHECK(ports(Serving::chooseEntries(others, entry(5, "east"), North, homes, {})) == std::vector<std::uint16_t>{2});
+    CHECK(ports(Serving::chooseEntries({}, entry(5, "east"), North, homes, {})) == std::vector<std::uint16_t>{5});
+}
+
+TEST_CASE("A caller that names no host is directed by the homes of all routes")
+{
+    std::vector<Fleet::Route> routes = routesWithHomes({Regions{"south", "east"}, Regions{"south"}});
+    routes[1].m_host = "other";
+    CHECK(Serving::homesOfHost(routes, "").value().m_common == Regions{"south"});
+    CHECK(Serving::homesOfHost(routes, Host).value().m_common == Regions{"south", "east"});
 }
