LibFleet, LibServing: Keep the limit of endpoints that become cold again

An engine that becomes cold again while it is listed as cold got its full rate 3 s after the first statement.

Cause: an edge was kept where what is stated now counts. The first sight of an endpoint that is listed as cold started the cold time of its service, and nothing was recorded again until it was listed as warm. The decoder kept only whether the stated time is above zero.

Change: the list keeps the end of the cold time by the endpoint's own statement and passes on what is left of it. Only a statement that moves the end by more than 1 s changes the list, so that heartbeats whose time runs down cost nothing. After each change of the list or the configuration the budget is told what is stated now: the end, that the endpoint is warm (nobody called recordWarm()), and the rate of the configuration in force. A return from evacuation is kept as a suspicion, which a statement that may be older does not end. A description without a time, as from an entry of the last release, is cold until the list says otherwise. Log lines endpoint_cold and endpoint_warm name what was stated.

The check that an endpoint which stays listed as cold is warm after its first cold time required the fault. It is replaced by one that requires the limit to hold for the stated time, and to end with the delay of a statement although the list goes on saying cold.

--- a/Libraries/LibFleet/FleetState.cpp
+++ b/Libraries/LibFleet/FleetState.cpp
@@ -73,6 +73,7 @@
 namespace {
 
 constexpr std::size_t MaximumSaidLeaving = 4096; ///< Several times the endpoints of a large fleet. Beyond it, those that are not listed are forgotten.
+constexpr std::uint64_t MaximumColdMilliseconds = 3'600'000; ///< A longer time is shortened to this. An endpoint states its time again with each heartbeat.
 constexpr std::size_t MaximumDoubtful = 4096; ///< As above. Beyond it all are forgotten, which delays the recognition of restarts by one record.
 
 /**
@@ -94,6 +95,26 @@
     return endpoint.m_startedMilliseconds < known.m_endpoint.m_startedMilliseconds || known.m_endedMilliseconds == endpoint.m_startedMilliseconds;
 }
 
+/// Returns when the endpoint becomes warm by the change alone; empty if it is not cold or does not say so.
+std::optional<Core::Instant> statedColdEnd(const EndpointChange &change, Core::Instant now)
+{
+    if (!change.m_endpoint->m_isCold || !change.m_coldMilliseconds) {
+        return std::nullopt;
+    }
+    return now + Core::Duration(static_cast<std::int64_t>(std::min(*change.m_coldMilliseconds, MaximumColdMilliseconds)));
+}
+
+/// Returns when the endpoint becomes warm by the change and by what was known of the same incarnation.
+std::optional<Core::Instant> coldEndAfter(const KnownEndpoint &known, const EndpointChange &change, Core::Instant now)
+{
+    const std::optional<Core::Instant> stated = statedColdEnd(change, now);
+    const std::optional<Core::Instant> &before = known.m_coldUntil;
+    if (!change.m_endpoint->m_isCold || !before) {
+        return stated;
+    }
+    return stated && *stated > *before + ColdEndTolerance ? stated : before;
+}
+
 }
 
 bool FleetState::hasSaidLeaving(const Endpoint &endpoint) const
@@ -175,32 +196,33 @@
     return isNew;
 }
 
-bool FleetState::addEndpoint(const EndpointChange &change)
+bool FleetState::addEndpoint(const EndpointChange &change, Core::Instant now)
 {
     const std::optional<std::uint64_t> ended = removeReplacedBy(*change.m_endpoint);
     Endpoint added = *change.m_endpoint;
     added.m_isLeaving = added.m_isLeaving || hasSaidLeaving(added);
-    m_endpoints[change.m_id] = KnownEndpoint{std::move(added), change.m_offset, std::nullopt, ended};
+    m_endpoints[change.m_id] = KnownEndpoint{std::move(added), change.m_offset, std::nullopt, ended, statedColdEnd(change, now)};
     return true;
 }
 
-bool FleetState::updateEndpoint(KnownEndpoint &known, const EndpointChange &change)
+bool FleetState::updateEndpoint(KnownEndpoint &known, const EndpointChange &change, Core::Instant now)
 {
     Endpoint next = *change.m_endpoint;
     const Endpoint &before = known.m_endpoint;
     const bool isSameIncarnation = before.m_startedMilliseconds == next.m_startedMilliseconds;
     // A late heartbeat that was sent before the endpoint began to leave must not make it available again.
     next.m_isLeaving = next.m_isLeaving || (isSameIncarnation && before.m_isLeaving);
-    const bool isChanged = next != before || known.m_missingSince;
+    const std::optional<Core::Instant> coldUntil = isSameIncarnation ? coldEndAfter(known, change, now) : statedColdEnd(change, now);
+    const bool isChanged = next != before || known.m_missingSince || coldUntil != known.m_coldUntil;
     std::optional<std::uint64_t> ended = isSameIncarnation ? known.m_endedMilliseconds : std::nullopt;
     if (next.m_startedMilliseconds < before.m_startedMilliseconds) {
         ended = before.m_startedMilliseconds;
     }
-    known = KnownEndpoint{std::move(next), change.m_offset, std::nullopt, ended};
+    known = KnownEndpoint{std::move(next), change.m_offset, std::nullopt, ended, coldUntil};
     return isChanged;
 }
 
-bool FleetState::applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt)
+bool FleetState::applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt, Core::Instant now)
 {
     const std::map<std::string, KnownEndpoint>::iterator known = m_endpoints.find(change.m_id);
     if (known != m_endpoints.end() && change.m_offset <= known->second.m_offset) {
@@ -212,7 +234,7 @@
     if (!isFromPeer && isDoubtful(change)) {
         return false;
     }
-    return known == m_endpoints.end() ? addEndpoint(change) : updateEndpoint(known->second, change);
+    return known == m_endpoints.end() ? addEndpoint(change, now) : updateEndpoint(known->second, change, now);
 }
 
 bool FleetState::removeUnlisted(const EndpointChanges &changes, std::optional<Core::Instant> recoveredAt)
@@ -266,7 +288,7 @@
         if (isOld) {
             continue;
         }
-        const bool isChanged = applyChange(change, isFromPeer, recoveredAt);
+        const bool isChanged = applyChange(change, isFromPeer, recoveredAt, now);
         if (markMissing(change, recoveredAt.value_or(now)) || isChanged) {
             update.m_endpoints = true;
             m_endpointsRevisionOffset = std::max(m_endpointsRevisionOffset, changes.m_revisionOffset > 0 ? changes.m_revisionOffset : change.m_offset + 1);
@@ -291,15 +313,20 @@
     return update;
 }
 
-EndpointChanges FleetState::endpointSnapshot() const
+EndpointChanges FleetState::endpointSnapshot(Core::Instant now) const
 {
     EndpointChanges snapshot;
     snapshot.m_end = m_endpointsEnd;
     snapshot.m_isSnapshot = true;
     snapshot.m_revisionOffset = m_endpointsRevisionOffset;
     for (const std::pair<const std::string, KnownEndpoint> &entry : m_endpoints) {
-        const bool isMissing = entry.second.m_missingSince.has_value();
-        snapshot.m_changes.push_back(EndpointChange{entry.first, entry.second.m_offset, entry.second.m_endpoint, isMissing});
+        const KnownEndpoint &known = entry.second;
+        EndpointChange change{entry.first, known.m_offset, known.m_endpoint, known.m_missingSince.has_value()};
+        if (known.m_coldUntil) {
+            const Core::Duration left = std::chrono::ceil<Core::Duration>(std::max(*known.m_coldUntil, now) - now);
+            change.m_coldMilliseconds = static_cast<std::uint64_t>(left.count());
+        }
+        snapshot.m_changes.push_back(std::move(change));
     }
     return snapshot;
 }
--- a/Libraries/LibFleet/FleetState.h
+++ b/Libraries/LibFleet/FleetState.h
@@ -73,10 +73,12 @@
     Offset m_offset = 0;
     std::optional<Endpoint> m_endpoint; ///< Empty if the entry was removed.
     bool m_isMissing = false; ///< From a peer: the endpoint is known, but its entry is gone, possibly only because of a log outage.
+    /// Time for which a cold endpoint stays cold, from now on. Empty if it is unknown, as from a peer that does not pass it on.
+    std::optional<std::uint64_t> m_coldMilliseconds;
 
     bool operator==(const EndpointChange &) const = default;
 
-    MSGPACK_DEFINE_ARRAY(m_id, m_offset, m_endpoint, m_isMissing);
+    MSGPACK_DEFINE_ARRAY(m_id, m_offset, m_endpoint, m_isMissing, m_coldMilliseconds);
 };
 
 /// Records of the list of endpoints, in order.
@@ -118,8 +120,17 @@
     std::optional<Core::Instant> m_missingSince;
     /// Start time of the incarnation before, under this id or at this address, if it is later than that of m_endpoint. Late records of it are doubtful.
     std::optional<std::uint64_t> m_endedMilliseconds;
+    /// When a cold endpoint becomes warm, by what this incarnation has stated; at most ColdEndTolerance before the end by any of its statements. Empty if the
+    /// end is unknown, and for an endpoint that is not cold.
+    std::optional<Core::Instant> m_coldUntil;
 };
 
+/**
+ * A statement that moves the end of an endpoint's cold time by less than this is no change of the list: entries are read late by different times, and while the
+ * time only runs down, no process has news for others. Longer than the interval between reads of the list.
+ */
+inline constexpr Core::Duration ColdEndTolerance{1000};
+
 /**
  * The state of the fleet as known to one process. Used by one thread.
  *
@@ -182,7 +193,7 @@
         return m_endpointsRevisionOffset;
     }
     /// Returns all endpoints as changes that a peer can apply.
-    EndpointChanges endpointSnapshot() const;
+    EndpointChanges endpointSnapshot(Core::Instant now) const;
     /// Returns the declared version of the model; null if there is none.
     const DeclaredWeights *declaredWeights(const std::string &model) const;
     /// Returns the failure domains whose endpoints get no new requests.
@@ -203,10 +214,10 @@
     /// Returns whether this incarnation has said itself that it is leaving.
     bool hasSaidLeaving(const Endpoint &endpoint) const;
     /// @p isFromPeer: the peer has resolved doubts about the order of incarnations.
-    bool applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt);
+    bool applyChange(const EndpointChange &change, bool isFromPeer, std::optional<Core::Instant> recoveredAt, Core::Instant now);
     bool applyRemoval(const EndpointChange &change, std::optional<Core::Instant> recoveredAt);
-    bool addEndpoint(const EndpointChange &change);
-    bool updateEndpoint(KnownEndpoint &known, const EndpointChange &change);
+    bool addEndpoint(const EndpointChange &change, Core::Instant now);
+    bool updateEndpoint(KnownEndpoint &known, const EndpointChange &change, Core::Instant now);
     /// Returns the endpoint that the record contradicts: the same one with a later start, or another one of the service that has started later at the same
     /// address. Null if there is none.
     const KnownEndpoint *findContradicted(const Endpoint &endpoint) const;
--- a/Libraries/LibGossip/GossipState.cpp
+++ b/Libraries/LibGossip/GossipState.cpp
@@ -155,7 +155,7 @@
         answer.m_hasStoredVerdicts = m_hasStoredVerdicts;
     }
     if (!request.m_forAgent && m_parts.m_fleetState.endpointsRevisionOffset() > request.m_endpointsRevisionOffset) {
-        answer.m_endpoints = m_parts.m_fleetState.endpointSnapshot();
+        answer.m_endpoints = m_parts.m_fleetState.endpointSnapshot(Core::Clock::now());
         const std::optional<Core::Instant> since = m_listUncertainSince ? m_listUncertainSince() : std::nullopt;
         if (since) {
             const Core::Duration sinceRecovery = std::chrono::duration_cast<Core::Duration>(Core::Clock::now() - *since);
--- a/Libraries/LibPlacement/ColdBudget.cpp
+++ b/Libraries/LibPlacement/ColdBudget.cpp
@@ -64,18 +64,36 @@
     return m_isComplete && now - m_grownAt >= m_settings.m_settlingTime;
 }
 
-void ColdBudget::recordCold(const Fleet::Endpoint &endpoint, double perSecond, Core::Duration duration, Core::Instant now)
+ColdBudget::Cold &ColdBudget::getOrCreate(const Fleet::Endpoint &endpoint)
 {
     Cold &cold = m_cold[endpoint.m_id];
     if (cold.m_startedMilliseconds != endpoint.m_startedMilliseconds) {
         cold = Cold{};
         cold.m_startedMilliseconds = endpoint.m_startedMilliseconds;
     }
+    return cold;
+}
+
+bool ColdBudget::recordStated(const Fleet::Endpoint &endpoint, double perSecond, std::optional<Core::Instant> coldUntil)
+{
+    if (!coldUntil && !m_cold.contains(endpoint.m_id)) {
+        return false;
+    }
+    Cold &cold = getOrCreate(endpoint);
+    const bool isChanged = cold.m_statedUntil != coldUntil || cold.m_perSecond != perSecond;
+    cold.m_statedUntil = coldUntil;
+    cold.m_perSecond = perSecond;
+    return isChanged;
+}
+
+void ColdBudget::recordSuspected(const Fleet::Endpoint &endpoint, double perSecond, Core::Instant coldUntil)
+{
+    Cold &cold = getOrCreate(endpoint);
     cold.m_perSecond = perSecond;
-    cold.m_until = std::max(cold.m_until, now + duration);
+    cold.m_suspectedUntil = std::max(cold.m_suspectedUntil, coldUntil);
 }
 
-void ColdBudget::recordWarm(const Fleet::Endpoint &endpoint)
+void ColdBudget::recordUnlimited(const Fleet::Endpoint &endpoint)
 {
     m_cold.erase(endpoint.m_id);
 }
@@ -83,7 +101,7 @@
 const ColdBudget::Cold *ColdBudget::find(const Fleet::Endpoint &endpoint, Core::Instant now) const
 {
     const std::map<std::string, Cold>::const_iterator found = m_cold.find(endpoint.m_id);
-    const bool isCold = found != m_cold.end() && found->second.m_startedMilliseconds == endpoint.m_startedMilliseconds && now < found->second.m_until;
+    const bool isCold = found != m_cold.end() && found->second.m_startedMilliseconds == endpoint.m_startedMilliseconds && found->second.isInForce(now);
     return isCold ? &found->second : nullptr;
 }
 
@@ -128,7 +146,7 @@
 std::size_t ColdBudget::coldCount(Core::Instant now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_cold.begin(), m_cold.end(), [now](const std::pair<const std::string, Cold> &entry) { return now < entry.second.m_until; }));
+        std::count_if(m_cold.begin(), m_cold.end(), [now](const std::pair<const std::string, Cold> &entry) { return entry.second.isInForce(now); }));
 }
 
 void ColdBudget::retainKnown(const std::map<std::string, Fleet::KnownEndpoint> &known)
--- a/Libraries/LibPlacement/ColdBudget.h
+++ b/Libraries/LibPlacement/ColdBudget.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,10 +49,16 @@
 
     /// Sets the other entries. @p isComplete: whether they are nearly all; until then this process sends little to cold endpoints.
     void setEntries(std::vector<LimitHolder> others, bool isComplete, Core::Instant now);
-    /// Records that the endpoint is cold, for at most @p duration from now, and takes @p perSecond requests per second of all entries together.
-    void recordCold(const Fleet::Endpoint &endpoint, double perSecond, Core::Duration duration, Core::Instant now);
-    /// Records that the endpoint is not cold any more.
-    void recordWarm(const Fleet::Endpoint &endpoint);
+    /**
+     * Records what the endpoint states now, in place of what it stated before: that it is cold until @p coldUntil, or warm if that is empty. While cold it
+     * takes
+     * @p perSecond requests per second of all entries together. Returns whether this differs from what was recorded.
+     */
+    bool recordStated(const Fleet::Endpoint &endpoint, double perSecond, std::optional<Core::Instant> coldUntil);
+    /// Records that the endpoint may be cold until @p coldUntil without having stated it yet, so that a statement does not end it.
+    void recordSuspected(const Fleet::Endpoint &endpoint, double perSecond, Core::Instant coldUntil);
+    /// Records that no rate is known that the endpoint takes while cold, so that it has no limit.
+    void recordUnlimited(const Fleet::Endpoint &endpoint);
     /// Returns whether the endpoint is known to be cold.
     bool isCold(const Fleet::Endpoint &endpoint, Core::Instant now) const;
     /// Returns whether the endpoint may get a request of this process now.
@@ -68,9 +75,19 @@
     {
         std::uint64_t m_startedMilliseconds = 0; ///< Incarnation of the endpoint.
         double m_perSecond = 0;
-        Core::Instant m_until;
+        std::optional<Core::Instant> m_statedUntil; ///< Empty if the endpoint states that it is warm.
+        Core::Instant m_suspectedUntil;
+
+        /// Returns whether the endpoint counts as cold.
+        bool isInForce(Core::Instant now) const
+        {
+            return (m_statedUntil && now < *m_statedUntil) || now < m_suspectedUntil;
+        }
     };
 
+    /// Returns what is recorded of the endpoint's incarnation. Creates it if there is nothing, and replaces what is of another incarnation.
+    Cold &getOrCreate(const Fleet::Endpoint &endpoint);
+
     const Cold *find(const Fleet::Endpoint &endpoint, Core::Instant now) const;
     /// Returns whether this process divides budgets among all entries.
     bool isSettled(Core::Instant now) const;
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -364,7 +364,7 @@
 void EntryProcess::onFleetStateChanged(const Fleet::FleetStateUpdate &update, bool isFromLog)
 {
     if (update.m_configuration || update.m_endpoints) {
-        m_listedCold = recordListedCold(m_listedCold, m_fleetState, m_coldBudget, Core::Clock::now());
+        updateColdEndpoints(isFromLog);
     }
     if (update.m_configuration) {
         applyLimits();
@@ -411,6 +411,19 @@
     }
 }
 
+void EntryProcess::updateColdEndpoints(bool isFromLog)
+{
+    const Core::Instant now = Core::Clock::now();
+    for (const ColdStatement &statement : recordListedCold(m_fleetState, m_coldBudget)) {
+        Telemetry::LogLine line(statement.m_isCold ? "endpoint_cold" : "endpoint_warm");
+        line.text("endpoint", statement.m_endpoint);
+        if (statement.m_coldUntil) {
+            line.number("left_ms", Core::secondsBetween(now, *statement.m_coldUntil) * 1000);
+        }
+        m_log.write(line.text("source", isFromLog ? "log" : "peer"));
+    }
+}
+
 void EntryProcess::onEvacuationsChanged(bool isFromLog)
 {
     const std::set<std::string> before = std::exchange(m_evacuatedDomains, m_fleetState.evacuatedDomains());
@@ -430,7 +443,7 @@
     for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : m_fleetState.endpoints()) {
         const std::string &domain = entry.second.m_endpoint.m_failureDomain;
         if (before.contains(domain) && !m_evacuatedDomains.contains(domain)) {
-            recordCold(entry.second.m_endpoint, m_fleetState, m_coldBudget, now); // It may have become cold without the list saying so yet.
+            suspectCold(entry.second.m_endpoint, m_fleetState, m_coldBudget, now);
         }
     }
 }
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -68,6 +68,8 @@
     void scheduleLeaving(Core::Duration delay, std::function<void()> step);
     void stop();
     void onFleetStateChanged(const Fleet::FleetStateUpdate &update, bool isFromLog);
+    /// Tells the budget for cold endpoints what the list and the configuration state now, and logs what has changed.
+    void updateColdEndpoints(bool isFromLog);
     /// Logs the evacuated failure domains, counts their engines out, and expects those that come back to be cold.
     void onEvacuationsChanged(bool isFromLog);
     void handleEngineUpdates(const std::vector<Gossip::EngineUpdate> &updates);
@@ -147,7 +149,6 @@
     std::function<std::optional<EntrySettings>()> m_reload;
     bool m_areDeclarationsOld = false;
     std::set<std::string> m_evacuatedDomains; ///< As last applied to the trackers.
-    ListedCold m_listedCold;
     std::optional<LimitTransition> m_limits; ///< Of callers; empty until a configuration is known.
     std::optional<Core::Instant> m_leavingSince; ///< Set once a termination signal was received.
     double m_requestRate = 0; ///< Requests per second, as a moving average.
--- a/Libraries/LibServing/ListedCold.cpp
+++ b/Libraries/LibServing/ListedCold.cpp
@@ -4,29 +4,48 @@
 
 namespace Serving {
 
-bool recordCold(const Fleet::Endpoint &endpoint, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now)
+namespace {
+
+/// Returns the service of the endpoint if it states what cold endpoints take; null otherwise.
+const Fleet::Service *serviceWithColdRate(const Fleet::Endpoint &endpoint, const Fleet::FleetState &state)
 {
     const Fleet::Service *service = state.configuration() ? state.configuration()->service(endpoint.m_service) : nullptr;
-    if (!service || service->m_coldRequestsPerSecond <= 0) {
-        return false;
-    }
-    const Core::Duration duration(static_cast<std::int64_t>(service->m_coldSeconds * 1000));
-    budget.recordCold(endpoint, service->m_coldRequestsPerSecond, duration, now);
-    return true;
+    return service && service->m_coldRequestsPerSecond > 0 ? service : nullptr;
+}
+
+/// Returns until when an endpoint that the list calls cold counts as cold, unless the list calls it warm before.
+Core::Instant coldLimitEnd(const Fleet::KnownEndpoint &known)
+{
+    return known.m_coldUntil ? *known.m_coldUntil + ColdStatementDelay : Core::Instant::max();
+}
+
 }
 
-ListedCold recordListedCold(const ListedCold &before, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now)
+std::vector<ColdStatement> recordListedCold(const Fleet::FleetState &state, Placement::ColdBudget &budget)
 {
-    ListedCold listed;
+    std::vector<ColdStatement> changes;
     for (const std::pair<const std::string, Fleet::KnownEndpoint> &entry : state.endpoints()) {
         const Fleet::Endpoint &endpoint = entry.second.m_endpoint;
-        const ListedCold::const_iterator known = before.find(entry.first);
-        const bool isKnown = known != before.end() && known->second == endpoint.m_startedMilliseconds;
-        if (endpoint.m_isCold && (isKnown || recordCold(endpoint, state, budget, now))) {
-            listed[entry.first] = endpoint.m_startedMilliseconds;
+        const Fleet::Service *service = serviceWithColdRate(endpoint, state);
+        if (!service) {
+            budget.recordUnlimited(endpoint);
+            continue;
+        }
+        const std::optional<Core::Instant> coldUntil = endpoint.m_isCold ? std::optional<Core::Instant>(coldLimitEnd(entry.second)) : std::nullopt;
+        if (budget.recordStated(endpoint, service->m_coldRequestsPerSecond, coldUntil)) {
+            changes.push_back(ColdStatement{entry.first, endpoint.m_isCold, entry.second.m_coldUntil});
         }
     }
-    return listed;
+    return changes;
+}
+
+void suspectCold(const Fleet::Endpoint &endpoint, const Fleet::FleetState &state, Placement::ColdBudget &budget, Core::Instant now)
+{
+    const Fleet::Service *service = serviceWithColdRate(endpoint, state);
+    if (service) {
+        const Core::Duration duration(static_cast<std::int64_t>(service->m_coldSeconds * 1000));
+        budget.recordSuspected(endpoint, service->m_coldRequestsPerSecond, now + duration);
+    }
 }
 
 }
--- a/Tests/LibFleet/TestFleetState.cpp
+++ b/Tests/LibFleet/TestFleetState.cpp
@@ -34,6 +34,18 @@
     return Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{endpoint.m_id, offset, endpoint}}};
 }
 
+/// Returns an entry of an endpoint that stays cold for @p left.
+Fleet::EndpointChanges coldEntry(const std::string &id, std::optional<Core::Duration> left, Fleet::Offset offset, std::uint64_t started = 1)
+{
+    Fleet::Endpoint cold = endpoint(id, started);
+    cold.m_isCold = true;
+    Fleet::EndpointChanges changes = entry(cold, offset);
+    if (left) {
+        changes.m_changes.front().m_coldMilliseconds = static_cast<std::uint64_t>(left->count());
+    }
+    return changes;
+}
+
 Fleet::EndpointChanges removal(const std::string &id, Fleet::Offset offset)
 {
     return Fleet::EndpointChanges{offset + 1, false, {Fleet::EndpointChange{id, offset, std::nullopt}}};
@@ -147,12 +159,12 @@
     Fleet::FleetState reader;
     reader.apply(entry(endpoint("a", 100), 1), std::nullopt, Start);
     Fleet::FleetState other;
-    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    other.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
     reader.apply(entry(endpoint("a", 60), 2), std::nullopt, Start);
-    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    other.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
     CHECK(other.endpoints().at("a").m_endpoint.m_startedMilliseconds == 100);
     reader.apply(entry(endpoint("a", 60), 3), std::nullopt, Start);
-    other.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    other.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
     CHECK(other.endpoints().at("a").m_endpoint.m_startedMilliseconds == 60);
 }
 
@@ -215,7 +227,7 @@
 {
     Fleet::FleetState source;
     source.apply(entry(endpoint("a"), 1), std::nullopt, Start);
-    const Fleet::EndpointChanges snapshot = source.endpointSnapshot();
+    const Fleet::EndpointChanges snapshot = source.endpointSnapshot(Start);
 
     Fleet::FleetState state;
     state.apply(entry(endpoint("a"), 1), std::nullopt, Start);
@@ -238,7 +250,7 @@
     CHECK(reader.endpointsRevisionOffset() == 8);
 
     Fleet::FleetState peer;
-    peer.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    peer.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
     CHECK(peer.endpointsRevisionOffset() == reader.endpointsRevisionOffset());
     CHECK(peer.endpoints().at("a").m_endpoint.m_isLeaving);
 }
@@ -250,9 +262,9 @@
     Fleet::FleetState peer;
     reader.apply(entry(endpoint("a"), 1), std::nullopt, Start);
     reader.apply(entry(endpoint("b"), 2), std::nullopt, Start);
-    peer.apply(reader.endpointSnapshot(), std::nullopt, Start);
+    peer.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
     CHECK(reader.apply(removal("a", 3), Start, Start).m_endpoints);
-    CHECK(peer.apply(reader.endpointSnapshot(), std::nullopt, Start).m_endpoints);
+    CHECK(peer.apply(reader.endpointSnapshot(Start), std::nullopt, Start).m_endpoints);
     CHECK(peer.endpoints().at("a").m_missingSince);
     CHECK_FALSE(peer.endpoints().at("b").m_missingSince);
     CHECK(peer.endpointsRevisionOffset() == reader.endpointsRevisionOffset());
@@ -324,3 +336,74 @@
     CHECK(state.evacuatedDomains() == std::set<std::string>{"b"});
     CHECK_FALSE(state.apply(evacuationAt(4, "a", true)).any());
 }
+
+TEST_CASE("the list counts as unchanged while the cold time of an endpoint only runs down")
+{
+    // Guards against work and messages of all processes for each heartbeat of a cold endpoint.
+    constexpr Core::Duration coldTime{3000};
+    Fleet::FleetState state;
+    state.apply(coldEntry("a", coldTime, 1), std::nullopt, Start);
+    const std::int64_t lateness = GENERATE(0, 250, 900);
+    for (const std::int64_t elapsed : {1200, 2400}) {
+        const Core::Duration since(elapsed);
+        CHECK_FALSE(state.apply(coldEntry("a", coldTime - since, 1 + elapsed), std::nullopt, Start + since + Core::Duration(lateness)).any());
+    }
+    CHECK(state.endpointsRevisionOffset() == 2);
+    CHECK(state.endpoints().at("a").m_coldUntil == Start + coldTime);
+}
+
+TEST_CASE("an endpoint that becomes cold again while it is listed as cold is a change of the list, and its new end is handed on")
+{
+    // Guards against the full rate to an endpoint that is cold for a second time.
+    constexpr Core::Duration coldTime{3000};
+    constexpr Core::Duration again{2400};
+    Fleet::FleetState reader;
+    Fleet::FleetState peer;
+    reader.apply(coldEntry("a", coldTime, 1), std::nullopt, Start);
+    peer.apply(reader.endpointSnapshot(Start), std::nullopt, Start);
+    CHECK(peer.endpoints().at("a").m_coldUntil == Start + coldTime);
+    CHECK(reader.apply(coldEntry("a", coldTime, 3), std::nullopt, Start + again).m_endpoints);
+    const Core::Instant handedOnAt = Start + again + Core::Duration(700);
+    CHECK(peer.apply(reader.endpointSnapshot(handedOnAt), std::nullopt, handedOnAt).m_endpoints);
+    CHECK(peer.endpoints().at("a").m_coldUntil == Start + again + coldTime);
+}
+
+TEST_CASE("an endpoint that becomes cold again and again at short intervals is never known with an end much before the stated one")
+{
+    constexpr Core::Duration coldTime{3000};
+    Fleet::FleetState state;
+    Core::Instant now = Start;
+    for (Fleet::Offset offset = 1; offset < 20; ++offset, now += Core::Duration(300)) {
+        state.apply(coldEntry("a", coldTime, offset), std::nullopt, now);
+        CHECK(*state.endpoints().at("a").m_coldUntil >= now + coldTime - Fleet::ColdEndTolerance);
+    }
+}
+
+TEST_CASE("the cold time belongs to an incarnation, and a warm endpoint has none")
+{
+    Fleet::FleetState state;
+    state.apply(coldEntry("a", Core::Duration(3000), 1), std::nullopt, Start);
+    state.apply(coldEntry("a", Core::Duration(500), 2, 2), std::nullopt, Start);
+    CHECK(state.endpoints().at("a").m_coldUntil == Start + Core::Duration(500));
+    CHECK(state.apply(entry(endpoint("a", 2), 3), std::nullopt, Start).m_endpoints);
+    CHECK_FALSE(state.endpoints().at("a").m_coldUntil);
+}
+
+TEST_CASE("a change of a peer that does not pass on the cold time leaves the end unknown")
+{
+    // Guards against taking a time that is absent for one that is over.
+    const Fleet::EndpointChange change = coldEntry("a", Core::Duration(3000), 1).m_changes.front();
+    msgpack::sbuffer whole;
+    msgpack::pack(whole, change);
+    CHECK(msgpack::unpack(whole.data(), whole.size()).get().as<Fleet::EndpointChange>() == change);
+    msgpack::sbuffer shortened;
+    msgpack::packer<msgpack::sbuffer> packer(shortened);
+    packer.pack_array(4);
+    packer.pack(change.m_id);
+    packer.pack(change.m_offset);
+    packer.pack(change.m_endpoint);
+    packer.pack(change.m_isMissing);
+    const Fleet::EndpointChange received = msgpack::unpack(shortened.data(), shortened.size()).get().as<Fleet::EndpointChange>();
+    CHECK(received.m_endpoint == change.m_endpoint);
+    CHECK_FALSE(received.m_coldMilliseconds);
+}
--- a/Tests/LibPlacement/TestChoice.cpp
+++ b/Tests/LibPlacement/TestChoice.cpp
@@ -296,7 +296,7 @@
     TestFleet fleet;
     const Fleet::Endpoint cold = fleet.add("cold");
     fleet.m_coldBudget.setEntries({}, true, Core::Instant());
-    fleet.m_coldBudget.recordCold(cold, 1, Core::Duration(3000), Start);
+    fleet.m_coldBudget.recordStated(cold, 1, Start + Core::Duration(3000));
     REQUIRE(fleet.choose(request()).m_choice);
     fleet.m_coldBudget.recordSent(cold, Start);
     CHECK(fleet.choose(request()).m_reason == Placement::NoChoiceReason::LimitReached);
--- a/Tests/LibPlacement/TestColdBudget.cpp
+++ b/Tests/LibPlacement/TestColdBudget.cpp
@@ -91,7 +91,7 @@
                 }
             }
             m_budgets.push_back(settledBudget(self, std::move(others)));
-            m_budgets.back().recordCold(coldEndpoint(), PerSecond, ColdTime, Start);
+            m_budgets.back().recordStated(coldEndpoint(), PerSecond, Start + ColdTime);
         }
     }
 
@@ -146,7 +146,7 @@
     for (std::size_t entry = 0; entry < entries; ++entry) {
         budgets.emplace_back(holder(entry), budgetSettings(), Start);
         budgets.back().setEntries({}, false, Start);
-        budgets.back().recordCold(endpoint, PerSecond, ColdTime, Start);
+        budgets.back().recordStated(endpoint, PerSecond, Start + ColdTime);
         knownAt.emplace_back(Start + randomTime(knownAfter, random));
     }
     std::vector<Core::Instant> arrivals;
@@ -199,7 +199,7 @@
         const Core::Duration startsAfter = randomTime(KnownAfter{Core::Duration(0), latestStart + Core::Duration(1)}, random);
         running.push_back(RestartingEntry{
             std::make_unique<Placement::ColdBudget>(settledBudget(self, othersOf(self, entries))), endsAt, isKilled ? endsAt + startsAfter : endsAt});
-        running.back().m_budget->recordCold(endpoint, PerSecond, ColdTime, Start);
+        running.back().m_budget->recordStated(endpoint, PerSecond, Start + ColdTime);
     }
     std::vector<Core::Instant> arrivals;
     for (Core::Instant now = Start; now < Start + ColdTime; now += Core::Duration(20)) {
@@ -208,7 +208,7 @@
             if (now >= entry.m_startsAt && !entry.m_isRestarted) {
                 entry.m_budget = std::make_unique<Placement::ColdBudget>(holder(self), budgetSettings(), now);
                 entry.m_isRestarted = true;
-                entry.m_budget->recordCold(endpoint, PerSecond, ColdTime, now);
+                entry.m_budget->recordStated(endpoint, PerSecond, now + ColdTime);
             }
             if (entry.m_isRestarted) {
                 learn(entry, self, entries, std::chrono::duration_cast<Core::Duration>(now - entry.m_startsAt), now, random);
@@ -264,7 +264,7 @@
         std::size_t usable = 0;
         for (std::size_t engine = 0; engine < engines; ++engine) {
             const Fleet::Endpoint endpoint = coldEndpoint("engine-" + std::to_string(engine));
-            budget.recordCold(endpoint, PerSecond, ColdTime, Start);
+            budget.recordStated(endpoint, PerSecond, Start + ColdTime);
             usable += budget.maySend(endpoint, firstSend) ? 1 : 0;
             sent[engine] += budget.maySend(endpoint, firstSend) ? 1 : 0;
         }
@@ -298,12 +298,39 @@
 TEST_CASE("An endpoint is cold until its time is over, the list calls it warm, or it has started again")
 {
     Placement::ColdBudget budget(holder(0), budgetSettings(), Start);
-    budget.recordCold(coldEndpoint(), PerSecond, ColdTime, Start);
+    budget.recordStated(coldEndpoint(), PerSecond, Start + ColdTime);
     CHECK(budget.isCold(coldEndpoint(), Start));
     CHECK_FALSE(budget.isCold(coldEndpoint(), Start + ColdTime));
     Fleet::Endpoint restarted = coldEndpoint();
     ++restarted.m_startedMilliseconds;
     CHECK_FALSE(budget.isCold(restarted, Start));
-    budget.recordWarm(coldEndpoint());
+    budget.recordStated(coldEndpoint(), PerSecond, std::nullopt);
+    CHECK_FALSE(budget.isCold(coldEndpoint(), Start));
+}
+
+TEST_CASE("An endpoint that states a later end of its cold time is cold until then, at the rate that is stated now")
+{
+    Placement::ColdBudget budget = settledBudget(0, {});
+    budget.recordStated(coldEndpoint(), PerSecond, Start + ColdTime);
+    CHECK(budget.recordStated(coldEndpoint(), 1, Start + ColdTime * 2));
+    CHECK_FALSE(budget.recordStated(coldEndpoint(), 1, Start + ColdTime * 2));
+    CHECK(budget.isCold(coldEndpoint(), Start + ColdTime));
+    CHECK_FALSE(budget.isCold(coldEndpoint(), Start + ColdTime * 2));
+    std::size_t sent = 0;
+    for (; budget.maySend(coldEndpoint(), Start); ++sent) {
+        budget.recordSent(coldEndpoint(), Start);
+    }
+    CHECK(sent == 5); // Four fifths of 1 x 1.5 + 5.
+}
+
+TEST_CASE("A statement that an endpoint is warm does not end the time for which it is suspected to be cold")
+{
+    // Guards against the full rate to an endpoint that has become cold while nobody could send to it, and whose last statement is older.
+    Placement::ColdBudget budget = settledBudget(0, {});
+    budget.recordSuspected(coldEndpoint(), PerSecond, Start + ColdTime);
+    budget.recordStated(coldEndpoint(), PerSecond, std::nullopt);
+    CHECK(budget.isCold(coldEndpoint(), Start));
+    CHECK_FALSE(budget.isCold(coldEndpoint(), Start + ColdTime));
+    budget.recordUnlimited(coldEndpoint());
     CHECK_FALSE(budget.isCold(coldEndpoint(), Start));
 }
