LibServing: Count entries that leave among those that share a limit

Two of three entries were told to end while an engine was cold.

Cause: who holds a part of a sum was decided by who accepts new work. An entry that leaves serves requests for seconds, and its part was taken over meanwhile.

Change: entries that leave are counted like all others, on both sides, until they are no longer in the table of members or have started again under their name. The same list divides the limits that endpoints state. Shares of slots count the traffic of leaving entries, too. The roster keeps the failure domain of entries, so that one that is silent keeps its rank for a cold endpoint. A part is wasted for up to 20 s after an entry has left for good; giving it up at once would leave its callers with warm endpoints only.

With the defect put back four of five cases of LibServing/TestLimitHolders fail: 103 requests of a budget of 35 with four of five entries leaving, 0.75 requests a second of a stated limit of 0.5 with one of two.

--- a/Libraries/LibGossip/EntryRoster.h
+++ b/Libraries/LibGossip/EntryRoster.h
@@ -23,6 +23,7 @@
 {
     Core::Instant m_lastAliveAt;
     bool m_isLeaving = false;
+    std::string m_failureDomain;
 
     bool operator==(const RosterEntry &) const = default;
 };
--- a/Libraries/LibServing/EntryProcess.cpp
+++ b/Libraries/LibServing/EntryProcess.cpp
@@ -6,6 +6,7 @@
 #include "LibHttp/AdminPages.h"
 #include "LibRelay/LimitLine.h"
 #include "LibRelay/RetryBudgetLine.h"
+#include "LibServing/LimitHolders.h"
 #include "LibTelemetry/MemoryGauges.h"
 
 #include <unistd.h>
@@ -514,44 +515,20 @@
 
 void EntryProcess::updateLimitShares()
 {
-    std::vector<Placement::LimitHolder> others;
     // Silent entries keep their shares for a while: they may only be out of this entry's reach, and still send requests.
-    for (const Gossip::Member &entry : m_gossip.members().known(Gossip::Role::Entry)) {
-        if (!entry.m_isLeaving) {
-            others.push_back(Placement::LimitHolder{entry.m_id, entry.m_failureDomain});
-        }
-    }
+    std::vector<Placement::LimitHolder> others = limitHolders(m_gossip.members().known(Gossip::Role::Entry));
     const bool areKnown = m_gossip.mayDivideByMembers();
     const Core::Instant now = Core::Clock::now();
-    m_coldBudget.setEntries(withSilentEntries(others), areKnown, now);
+    m_coldBudget.setEntries(withSilentEntries(others, m_roster), areKnown, now);
     m_requestLimits.setEntries(std::move(others), areKnown, now);
 }
 
-std::vector<Placement::LimitHolder> EntryProcess::withSilentEntries(std::vector<Placement::LimitHolder> holders) const
-{
-    std::set<std::string> included;
-    for (const Placement::LimitHolder &holder : holders) {
-        included.insert(holder.m_id);
-    }
-    for (const std::pair<const std::string, Gossip::RosterEntry> &entry : m_roster) {
-        if (!entry.second.m_isLeaving && !included.contains(entry.first)) {
-            holders.push_back(Placement::LimitHolder{entry.first, ""});
-        }
-    }
-    return holders;
-}
-
 void EntryProcess::updateShares()
 {
     const std::vector<Gossip::Member> entries = m_gossip.members().alive(Gossip::Role::Entry, Core::Clock::now());
     updateRetryShares(entries);
     m_quarantine.setProcessCount(entries.size() + 1);
-    const double ownRate = m_gossip.self().m_requestsPerSecond + 1.0;
-    double totalRate = ownRate;
-    for (const Gossip::Member &entry : entries) {
-        totalRate += entry.m_isLeaving ? 0 : entry.m_requestsPerSecond + 1.0;
-    }
-    m_slotTracker.setShare(ownRate / totalRate);
+    m_slotTracker.setShare(trafficShare(m_gossip.self(), entries));
     updateLimitShares();
 }
 
--- a/Libraries/LibServing/EntryProcess.h
+++ b/Libraries/LibServing/EntryProcess.h
@@ -92,8 +92,6 @@
     /// Updates this entry's shares of the retry budgets, slots and limits that all entries share.
     void updateShares();
     void updateLimitShares();
-    /// Adds the entries of the roster that have been silent for longer than members are kept. Their failure domains are not known any more.
-    std::vector<Placement::LimitHolder> withSilentEntries(std::vector<Placement::LimitHolder> holders) const;
     /// Returns the entries among which the slack of retries is divided.
     Placement::RetrySharers retrySharers() const;
     /// Counts the entries anew, and logs the retry budgets if that changes them.
