--- a/Libraries/LibServing/Directory.cpp
+++ b/Libraries/LibServing/Directory.cpp
@@ -22,13 +22,15 @@
     return std::find(regions.begin(), regions.end(), region) != regions.end();
 }
 
-/// Returns 0 for an entry that suits every route, 1 for one that suits some of the routes with homes, and 2 otherwise.
+constexpr int WorstHomeRank = 2;
+
+/// Returns 0 for an entry that suits every route, 1 for one that suits some of the routes with homes, and WorstHomeRank otherwise.
 int homeRank(const Gossip::Member &entry, const CallerLocation &location, const std::optional<RouteHomes> &homes)
 {
     if (!homes || distance(entry, location) < 2 || contains(homes->m_common, entry.m_region)) {
         return 0;
     }
-    return contains(homes->m_any, entry.m_region) ? 1 : 2;
+    return contains(homes->m_any, entry.m_region) ? 1 : WorstHomeRank;
 }
 
 }
@@ -68,7 +70,7 @@
         return member.m_role != Gossip::Role::Entry || !member.m_isReady || member.m_isLeaving || member.m_callers.isEmpty();
     });
     const std::function<int(const Gossip::Member &)> rank = [&location, &homes](const Gossip::Member &entry) { return homeRank(entry, location, homes); };
-    int lowest = 2;
+    int lowest = WorstHomeRank;
     for (const Gossip::Member &entry : candidates) {
         lowest = std::min(lowest, rank(entry));
     }
