LibTransfer: Limit heads of the origin as a whole, and end reads with the worker

After a loss of power the origin was in trouble for 6 s and sent heads without an end.

Cause: a head had a limit for each byte and none as a whole. Both connections of an agent waited on such heads for good, and OriginWorker::stop() joined threads that blocked in them. The limit of 60 s on bodies would do the same for longer than RECOVER allows.

Change: answers of the origin are read by HttpAnswerReader, like all others. A head has 5 s as a whole, a body 5 s for each further kibibyte and 60 s as a whole. stop() shuts the connections down. A body without a length is accepted as before, since its length and digest are known.

--- a/Libraries/LibNetwork/HttpAnswerReader.cpp
+++ b/Libraries/LibNetwork/HttpAnswerReader.cpp
@@ -110,6 +110,11 @@
     m_state->m_stream.setEnd(Core::Clock::now() + limit);
 }
 
+void HttpAnswerReader::acceptBodyUntilClose()
+{
+    m_acceptsBodyUntilClose = true;
+}
+
 Core::Result<void> HttpAnswerReader::readHead()
 {
     for (std::size_t heads = 0; heads < MaximumHeads; ++heads) {
@@ -147,7 +152,7 @@
     if (parser.is_done()) {
         return false;
     }
-    if (parser.need_eof()) {
+    if (parser.need_eof() && !m_acceptsBodyUntilClose) {
         return error("the answer announces no length, so that its end cannot be told from a cut");
     }
     parser.get().body().data = m_state->m_part.data();
@@ -173,6 +178,11 @@
     return Core::success();
 }
 
+bool HttpAnswerReader::keepsConnection() const
+{
+    return m_state->m_parser->is_done() && m_state->m_parser->get().keep_alive() && m_state->m_buffer.size() == 0;
+}
+
 Core::Error HttpAnswerReader::error(const std::string &detail) const
 {
     return Core::makeError(Core::ErrorCode::Ambiguous, m_step, m_peer, detail);
--- a/Libraries/LibTransfer/OriginClient.cpp
+++ b/Libraries/LibTransfer/OriginClient.cpp
@@ -1,4 +1,4 @@
-/// @file Implementation of the origin client with POCO.
+/// @file Implementation of the origin client: requests are written with POCO, answers read by HttpAnswerReader.
 
 #include "LibTransfer/OriginClient.h"
 
@@ -6,15 +6,16 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <istream>
+#include <Poco/Net/SocketStream.h>
+#include <algorithm>
 
 namespace Transfer {
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 64 << 10;
-constexpr int KeepAliveSeconds = 3600; ///< The session must not reconnect by itself, because it would bypass the gateway.
+constexpr int NotFound = 404;
+/// Bytes of a body within each OriginTimeouts::m_read. Far below the rate of a loaded origin, and enough to end a body that trickles in while others wait.
+constexpr std::size_t MinimumProgressBytes = 1 << 10;
 
 Poco::Timespan toTimespan(Core::Duration duration)
 {
@@ -22,34 +23,22 @@
     return Poco::Timespan(duration.count() * microsecondsPerMillisecond);
 }
 
-/// Reads up to one byte more than the limit, so that an excessive length can be detected. Throws if the body has not ended at @p endsBy.
-std::string readBounded(std::istream &stream, std::size_t maximumBytes, Core::Instant endsBy)
-{
-    std::string body;
-    std::string buffer(ReadBufferBytes, '\0');
-    // read() would wait for all wanted bytes however slowly they come; peek() waits for the next ones.
-    while (body.size() <= maximumBytes && stream.peek() != std::istream::traits_type::eof()) {
-        if (Core::Clock::now() > endsBy) {
-            throw Poco::TimeoutException("the body did not end within the limit");
-        }
-        const std::size_t wanted = std::min(buffer.size(), maximumBytes + 1 - body.size());
-        const std::streamsize size = stream.readsome(buffer.data(), static_cast<std::streamsize>(wanted));
-        body.append(buffer.data(), static_cast<std::size_t>(size));
-    }
-    return body;
 }
 
-}
-
-OriginClient::OriginClient(Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect)
+OriginClient::OriginClient(
+    Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect, Network::SocketInterrupter &interrupter)
     : m_network(std::move(network))
     , m_origin(std::move(origin))
     , m_timeouts(timeouts)
     , m_dialect(std::move(dialect))
+    , m_interrupter(interrupter)
 {
 }
 
-OriginClient::~OriginClient() = default;
+OriginClient::~OriginClient()
+{
+    disconnect();
+}
 
 Core::Result<std::string> OriginClient::readManifest(const std::string &model, const std::string &version)
 {
@@ -61,7 +50,7 @@
     std::string bytes = BOOST_OUTCOME_TRYX(get(m_dialect.m_makeChunkRequest(chunk), chunk.m_length));
     if (bytes.size() != chunk.m_length) {
         // The connection broke during the answer, or the object is shorter than its manifest states.
-        m_session.reset();
+        disconnect();
         return Core::makeError(Core::ErrorCode::Corrupt,
                                "read chunk from origin",
                                m_origin.toString(),
@@ -76,11 +65,33 @@
     return Core::success();
 }
 
+Core::Result<void> OriginClient::connect()
+{
+    Poco::Net::StreamSocket socket = BOOST_OUTCOME_TRYX(Network::dial(m_network, m_origin, m_timeouts.m_connect));
+    try {
+        socket.setReceiveTimeout(toTimespan(m_timeouts.m_read));
+        socket.setSendTimeout(toTimespan(m_timeouts.m_read));
+    } catch (const Poco::Exception &exception) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), exception.displayText());
+    }
+    m_socket = socket;
+    m_interrupter.add(socket);
+    return Core::success();
+}
+
+void OriginClient::disconnect()
+{
+    if (m_socket) {
+        m_interrupter.remove(*m_socket);
+        m_socket.reset();
+    }
+}
+
 Core::Result<std::string> OriginClient::get(const OriginRequest &request, std::size_t maximumBytes)
 {
-    const bool isReused = m_session != nullptr;
+    const bool isReused = m_socket.has_value();
     Core::Result<std::string> answer = tryGet(request, maximumBytes);
-    const bool isBroken = !answer && !m_session && answer.error().m_code == Core::ErrorCode::Unavailable;
+    const bool isBroken = !answer && !m_socket && answer.error().m_code == Core::ErrorCode::Unavailable;
     if (isReused && isBroken) {
         // The server may have closed the idle connection, which is detected only now. Reads can be repeated safely.
         return tryGet(request, maximumBytes);
@@ -90,43 +101,71 @@
 
 Core::Result<std::string> OriginClient::tryGet(const OriginRequest &request, std::size_t maximumBytes)
 {
-    if (!m_session) {
-        m_session = BOOST_OUTCOME_TRYX(Network::dialHttp(m_network, m_origin, m_timeouts.m_connect));
-        m_session->setTimeout(toTimespan(m_timeouts.m_connect), toTimespan(m_timeouts.m_read), toTimespan(m_timeouts.m_read));
-        m_session->setKeepAlive(true);
-        m_session->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
+    if (!m_socket) {
+        BOOST_OUTCOME_TRYV(connect());
     }
-    try {
-        Poco::Net::HTTPRequest httpRequest(Poco::Net::HTTPRequest::HTTP_GET, request.m_target, Poco::Net::HTTPMessage::HTTP_1_1);
-        httpRequest.setKeepAlive(true);
-        httpRequest.setHost(m_origin.m_host, m_origin.m_port); // The session was created from a socket and does not know the host.
-        if (!request.m_range.empty()) {
-            httpRequest.set("Range", request.m_range);
-        }
-        m_session->sendRequest(httpRequest);
-        Poco::Net::HTTPResponse response;
-        std::istream &stream = m_session->receiveResponse(response);
-        std::string body = readBounded(stream, maximumBytes, Core::Clock::now() + m_timeouts.m_body);
-        const bool keepsSession = response.getKeepAlive() && body.size() <= maximumBytes;
-        if (!keepsSession) {
-            m_session.reset();
+    if (!sendRequest(request)) {
+        disconnect();
+        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), "the request was broken off");
+    }
+    return readAnswer(request, maximumBytes);
+}
+
+bool OriginClient::sendRequest(const OriginRequest &request)
+{
+    Poco::Net::HTTPRequest head(Poco::Net::HTTPRequest::HTTP_GET, request.m_target, Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setKeepAlive(true);
+    head.setHost(m_origin.m_host, m_origin.m_port);
+    if (!request.m_range.empty()) {
+        head.set("Range", request.m_range);
+    }
+    Poco::Net::SocketOutputStream output(*m_socket);
+    head.write(output);
+    output.flush();
+    return output.good();
+}
+
+Core::Result<std::string> OriginClient::readAnswer(const OriginRequest &request, std::size_t maximumBytes)
+{
+    Network::HttpAnswerReader reader(*m_socket, "read from origin", m_origin.toString());
+    reader.acceptBodyUntilClose(); // The length of a chunk is known, and every object has a digest.
+    reader.setTimeLimit(m_timeouts.m_read);
+    const Core::Result<void> head = reader.readHead();
+    Core::Result<std::string> body = head ? readBody(reader, maximumBytes) : Core::Result<std::string>(head.error());
+    if (!body || body.value().size() > maximumBytes || !reader.keepsConnection()) {
+        disconnect();
+    }
+    if (!body) {
+        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), body.error().m_detail);
+    }
+    return checkAnswer(reader.status(), std::move(body.value()), maximumBytes, request.m_expectedStatus);
+}
+
+Core::Result<std::string> OriginClient::readBody(Network::HttpAnswerReader &reader, std::size_t maximumBytes) const
+{
+    const Core::Instant endsBy = Core::Clock::now() + m_timeouts.m_body;
+    std::string body;
+    std::size_t nextCheck = 0;
+    bool isMoreExpected = true;
+    while (isMoreExpected && body.size() <= maximumBytes) {
+        if (body.size() >= nextCheck) {
+            nextCheck = body.size() + MinimumProgressBytes;
+            const Core::Duration left = std::chrono::duration_cast<Core::Duration>(endsBy - Core::Clock::now());
+            reader.setTimeLimit(std::min(m_timeouts.m_read, left));
         }
-        return checkResponse(response, std::move(body), maximumBytes, request.m_expectedStatus);
-    } catch (const Poco::Exception &exception) {
-        m_session.reset();
-        return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", m_origin.toString(), exception.displayText());
+        isMoreExpected = BOOST_OUTCOME_TRYX(reader.readPart(body));
     }
+    return body;
 }
 
-Core::Result<std::string>
-OriginClient::checkResponse(const Poco::Net::HTTPResponse &response, std::string body, std::size_t maximumBytes, int expectedStatus) const
+Core::Result<std::string> OriginClient::checkAnswer(int status, std::string body, std::size_t maximumBytes, int expectedStatus) const
 {
     if (body.size() > maximumBytes) {
         return Core::makeError(Core::ErrorCode::Corrupt, "read from origin", m_origin.toString(), "the answer is too long");
     }
-    if (response.getStatus() != expectedStatus) {
-        const Core::ErrorCode code = response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_FOUND ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
-        return Core::makeError(code, "read from origin", m_origin.toString(), "status " + std::to_string(response.getStatus()));
+    if (status != expectedStatus) {
+        const Core::ErrorCode code = status == NotFound ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
+        return Core::makeError(code, "read from origin", m_origin.toString(), "status " + std::to_string(status));
     }
     return body;
 }
--- a/Libraries/LibTransfer/OriginClient.h
+++ b/Libraries/LibTransfer/OriginClient.h
@@ -3,12 +3,14 @@
 
 #include "LibCore/Clock.h"
 #include "LibNetwork/Dialer.h"
+#include "LibNetwork/HttpAnswerReader.h"
+#include "LibNetwork/SocketInterrupter.h"
 #include "LibTransfer/OriginDialect.h"
 #include "LibTransfer/OriginTimeouts.h"
 
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
 #include <cstdint>
-#include <memory>
+#include <optional>
 #include <string>
 
 namespace Transfer {
@@ -17,9 +19,14 @@
 class OriginClient
 {
 public:
-    OriginClient(Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect);
+    /// @p interrupter ends the waits of this client from another thread; it must outlive the client.
+    OriginClient(
+        Network::NetworkSettings network, Core::Address origin, OriginTimeouts timeouts, OriginDialect dialect, Network::SocketInterrupter &interrupter);
     ~OriginClient();
 
+    OriginClient(const OriginClient &) = delete;
+    OriginClient &operator=(const OriginClient &) = delete;
+
     const Core::Address &origin() const
     {
         return m_origin;
@@ -35,13 +42,21 @@
 private:
     Core::Result<std::string> get(const OriginRequest &request, std::size_t maximumBytes);
     Core::Result<std::string> tryGet(const OriginRequest &request, std::size_t maximumBytes);
-    Core::Result<std::string> checkResponse(const Poco::Net::HTTPResponse &response, std::string body, std::size_t maximumBytes, int expectedStatus) const;
+    Core::Result<void> connect();
+    void disconnect();
+    /// Returns whether the whole request was written.
+    bool sendRequest(const OriginRequest &request);
+    Core::Result<std::string> readAnswer(const OriginRequest &request, std::size_t maximumBytes);
+    /// Reads up to about one part more than the limit, so that an excessive length can be detected.
+    Core::Result<std::string> readBody(Network::HttpAnswerReader &reader, std::size_t maximumBytes) const;
+    Core::Result<std::string> checkAnswer(int status, std::string body, std::size_t maximumBytes, int expectedStatus) const;
 
     const Network::NetworkSettings m_network;
     const Core::Address m_origin;
     const OriginTimeouts m_timeouts;
     const OriginDialect m_dialect;
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session; ///< Null before the first request and after a failure.
+    Network::SocketInterrupter &m_interrupter;
+    std::optional<Poco::Net::StreamSocket> m_socket; ///< Empty before the first request and after a failure.
 };
 
 }
--- a/Libraries/LibTransfer/OriginWorker.cpp
+++ b/Libraries/LibTransfer/OriginWorker.cpp
@@ -40,6 +40,7 @@
 void OriginWorker::stop()
 {
     m_jobs.close();
+    m_interrupter.interrupt();
     for (std::thread &thread : m_threads) {
         thread.join();
     }
@@ -64,13 +65,13 @@
     }
 }
 
-Core::Result<std::string> OriginWorker::perform(const OriginJob &job, std::optional<OriginClient> &client) const
+Core::Result<std::string> OriginWorker::perform(const OriginJob &job, std::optional<OriginClient> &client)
 {
     if (job.m_origin.isEmpty()) {
         return Core::makeError(Core::ErrorCode::Unavailable, "read from origin", "", "no origin is known");
     }
     if (!client || client->origin() != job.m_origin) {
-        client.emplace(m_network, job.m_origin, m_timeouts, m_dialect);
+        client.emplace(m_network, job.m_origin, m_timeouts, m_dialect, m_interrupter);
     }
     switch (job.m_kind) {
     case OriginJobKind::ReadManifest:
--- a/Libraries/LibTransfer/OriginWorker.h
+++ b/Libraries/LibTransfer/OriginWorker.h
@@ -34,6 +34,7 @@
     ~OriginWorker();
 
     void start();
+    /// Ends the reads that are under way, and the threads.
     void stop();
 
     /// Returns false if the queue is full.
@@ -41,12 +42,13 @@
 
 private:
     void run();
-    Core::Result<std::string> perform(const OriginJob &job, std::optional<OriginClient> &client) const;
+    Core::Result<std::string> perform(const OriginJob &job, std::optional<OriginClient> &client);
 
     const Network::NetworkSettings m_network;
     const OriginTimeouts m_timeouts;
     const std::uint32_t m_connections;
     const OriginDialect m_dialect;
+    Network::SocketInterrupter m_interrupter;
     Core::Ring<OriginJob> m_jobs;
     std::vector<std::thread> m_threads;
 };
--- a/Tests/LibTransfer/TestBrokenAnswers.cpp
+++ b/Tests/LibTransfer/TestBrokenAnswers.cpp
@@ -44,7 +44,8 @@
         constexpr std::uint32_t chunkBytes = 8;
         Transfer::OriginDialect dialect;
         dialect.m_makeChunkRequest = [](const Transfer::OriginChunk &) { return Transfer::OriginRequest{"/chunk", "", 200}; };
-        Transfer::OriginClient client({}, Core::Address{"127.0.0.1", m_server.port()}, {}, dialect);
+        Network::SocketInterrupter interrupter;
+        Transfer::OriginClient client({}, Core::Address{"127.0.0.1", m_server.port()}, {}, dialect, interrupter);
         return client.readChunk(Transfer::OriginChunk{"drafts", "1", 0, 0, chunkBytes});
     }
 
