LibGossip: Ask hosts of engines for members while the seeds do not answer

After a loss of power the three machines that the settings name as seeds did not come back.

Cause: a process that knows nobody asked its seeds and nobody else.

Change: while a process knows fewer than three others, or no entry, it also asks four hosts of engines, chosen at random, with each heartbeat. The list of endpoints, which entries read from the log anyway, names them; beside each engine that loads weights runs an agent on the port that all processes share. Members are described also to an entry that knows all agents but no other entry.

With the GossipService of the commit before, LibGossip/TestDiscovery (two entries and five agents on real sockets) fails: nobody has found anybody after 30 s. Entries of a deployment without such engines still have their seeds only.

--- a/Libraries/LibGossip/GossipService.cpp
+++ b/Libraries/LibGossip/GossipService.cpp
@@ -2,6 +2,7 @@
 
 #include "LibGossip/GossipService.h"
 
+#include "LibGossip/Discovery.h"
 #include "LibWire/Pack.h"
 
 namespace Gossip {
@@ -17,6 +18,7 @@
 /// Number of members of each role, chosen at random, to which a process announces new declarations. Together the announcements of all entries reach each member
 /// several times.
 constexpr std::size_t AnnouncementFanOut = 8;
+constexpr std::size_t DiscoveryFanOut = 4; ///< Hosts of engines, chosen at random, that a heartbeat goes to beside the seeds while too few members are known.
 
 }
 
@@ -274,9 +276,12 @@
         return static_cast<double>(heartbeat.m_knownMemberCount) < static_cast<double>(known) * newcomerRatio;
     };
     const Core::Instant now = Core::Clock::now();
+    // An entry may know all agents and no other entry. It counts itself.
+    const bool knowsNoEntry = heartbeat.m_sender.m_role == Role::Entry && heartbeat.m_entryCount <= 1;
     // countAlive() visits every member, and nearly every datagram comes from a process that knows about as many members as this one. The cheaper check is
     // therefore first.
-    if (!knowsFarFewer(m_members.countKnown()) || !knowsFarFewer(m_members.countAlive(now))) {
+    const bool isNewcomer = knowsFarFewer(m_members.countKnown()) && knowsFarFewer(m_members.countAlive(now));
+    if (!isNewcomer && !(knowsNoEntry && m_members.alive(Role::Entry, now).size() > 1)) {
         return;
     }
     Core::Instant &lastAnswerAt = m_newcomerAnswerTimes[heartbeat.m_sender.m_id];
@@ -354,7 +359,10 @@
     if (m_members.countAlive(now) >= MinimumKnownMembers && !m_members.alive(Role::Entry, now).empty()) {
         return targets;
     }
-    for (const std::string &host : m_settings.m_seedHosts) {
+    std::vector<std::string> hosts = agentHosts(m_parts.m_fleetState);
+    Core::keepRandom(hosts, DiscoveryFanOut, m_parts.m_random);
+    hosts.insert(hosts.end(), m_settings.m_seedHosts.begin(), m_settings.m_seedHosts.end());
+    for (const std::string &host : hosts) {
         if (host != m_self.m_peers.m_host) {
             targets.push_back(Core::Address{host, m_self.m_peers.m_port});
         }
