--- a/Libraries/LibPlacement/ColdBudget.h
+++ b/Libraries/LibPlacement/ColdBudget.h
@@ -50,9 +50,9 @@
     /// Sets the other entries. @p isComplete: whether they are nearly all; until then this process sends little to cold endpoints.
     void setEntries(std::vector<LimitHolder> others, bool isComplete, Core::Instant now);
     /**
-     * Records what the endpoint states now, in place of what it stated before: that it is cold until @p coldUntil, or warm if that is empty. While cold it
-     * takes
-     * @p perSecond requests per second of all entries together. Returns whether this differs from what was recorded.
+     * Records what the endpoint states now, in place of what it stated before: that it is cold until @p coldUntil, or warm if that is empty.
+     *
+     * While cold it takes @p perSecond requests per second of all entries together. Returns whether this differs from what was recorded.
      */
     bool recordStated(const Fleet::Endpoint &endpoint, double perSecond, std::optional<Core::Instant> coldUntil);
     /// Records that the endpoint may be cold until @p coldUntil without having stated it yet, so that a statement does not end it.
--- a/Libraries/LibServing/ListedCold.h
+++ b/Libraries/LibServing/ListedCold.h
@@ -16,7 +16,7 @@
  * entries.
  */
 inline constexpr Core::Duration ColdStatementDelay{3500};
-static_assert(ColdStatementDelay > 2 * Fleet::ColdEndTolerance);
+static_assert(ColdStatementDelay > 2 * Fleet::ColdEndTolerance); // The end by the list may be early by the tolerance, which must leave time for the rest.
 
 /// A change of what the list states about an endpoint.
 struct ColdStatement
